--- /dev/null
+++ b/internal/admit/api.go
@@ -0,0 +1,88 @@
+// Package admit decides which workspace a request runs for and whether it is
+// within that workspace's rate and burst, counted over the whole fleet. The
+// bucket lives at the owner of the workspace's shard; the wallet of each entry
+// host draws tokens from it. Both are pure state machines.
+package admit
+
+import (
+	"time"
+
+	"tarragongauge.example/tarragongauge/internal/msg"
+	"tarragongauge.example/tarragongauge/pkg/model"
+)
+
+// Event is an input of the cores of this package. It is a sealed interface.
+type Event interface{ isEvent() }
+
+type (
+	// Tick lets a core act on elapsed time; the runtime sends one every 20 ms.
+	Tick struct{}
+	// Received delivers a DrawAsk to the owner or a DrawReply to the wallet.
+	Received struct {
+		From model.HostID
+		Msg  msg.Message
+	}
+	// Configured replaces the configuration.
+	Configured struct{ Config model.Config }
+	// OwnersChanged replaces the table of owners, for the wallet.
+	OwnersChanged struct{ Owners []msg.Owner }
+	// Gained, Renewed and Lost follow the ownership of workspace shards, for the owner.
+	Gained struct {
+		Shard model.ShardID
+		Epoch model.Epoch
+		Until model.Instant
+	}
+	Renewed struct {
+		Shard model.ShardID
+		Epoch model.Epoch
+		Until model.Instant
+	}
+	Lost struct{ Shard model.ShardID }
+	// Arrived asks the wallet for one token on behalf of a request that waits until Deadline at most.
+	Arrived struct {
+		Request   model.RequestID
+		Workspace model.WorkspaceID
+		Deadline  model.Instant
+	}
+	// Abandoned withdraws a waiting request.
+	Abandoned struct{ Request model.RequestID }
+)
+
+// Effect is an output of the cores of this package. It is a sealed interface.
+type Effect interface{ isEffect() }
+
+type (
+	// Send sends a message; loss is allowed.
+	Send struct {
+		To  model.HostID
+		Msg msg.Message
+	}
+	// Admitted lets a request go on.
+	Admitted struct{ Request model.RequestID }
+	// Limited refuses a request as not run.
+	Limited struct {
+		Request    model.RequestID
+		RetryAfter time.Duration
+		// NoOwner is set when the refusal is due to a missing owner rather than the rate.
+		NoOwner bool
+	}
+)
+
+// Core is the wallet of an entry host or the bucket set of an owner.
+type Core interface {
+	Step(now model.Instant, ev Event) []Effect
+}
+
+func (Tick) isEvent()          {}
+func (Received) isEvent()      {}
+func (Configured) isEvent()    {}
+func (OwnersChanged) isEvent() {}
+func (Gained) isEvent()        {}
+func (Renewed) isEvent()       {}
+func (Lost) isEvent()          {}
+func (Arrived) isEvent()       {}
+func (Abandoned) isEvent()     {}
+
+func (Send) isEffect()     {}
+func (Admitted) isEffect() {}
+func (Limited) isEffect()  {}
--- /dev/null
+++ b/internal/codec/api.go
@@ -0,0 +1,16 @@
+// Package codec maps domain values to CBOR and back by hand, so that domain
+// types carry no tags. Decoding checks lengths and ranges, and never panics.
+//
+// Functions of this package:
+//
+//	EncodeConfig(cfg model.Config) ([]byte, error)
+//	DecodeConfig(data []byte) (model.Config, error)
+//	EncodeProposal(p model.Proposal) ([]byte, error)
+//	DecodeProposal(data []byte) (model.Proposal, error)
+//	EncodeEntry(e msg.LogEntry) ([]byte, error)
+//	DecodeEntry(data []byte) (msg.LogEntry, error)
+//	EncodeRecord(r msg.JournalRecord) ([]byte, error)
+//	DecodeRecord(data []byte) (msg.JournalRecord, error)
+//	EncodeResult(r model.Result) ([]byte, error)
+//	DecodeResult(data []byte) (model.Result, error)
+package codec
--- /dev/null
+++ b/internal/entry/api.go
@@ -0,0 +1,78 @@
+// Package entry serves callers: it matches routes, checks keys, asks a Decider
+// for admission, reservations and targets, forwards requests and answers.
+package entry
+
+import (
+	"context"
+	"time"
+
+	"tarragongauge.example/tarragongauge/internal/msg"
+	"tarragongauge.example/tarragongauge/internal/order"
+	"tarragongauge.example/tarragongauge/internal/pool"
+	"tarragongauge.example/tarragongauge/pkg/model"
+)
+
+// Admission is the answer to a request for one token.
+type Admission struct {
+	OK         bool
+	RetryAfter time.Duration
+	// NoOwner is set when the refusal is due to a missing owner rather than the rate.
+	NoOwner bool
+}
+
+// Reservation is the answer to a request to reserve an order.
+type Reservation struct {
+	OK bool
+	// Answer is the stored answer of an earlier run, or nil.
+	Answer *msg.StoredAnswer
+	// Reason is set when neither OK nor Answer is.
+	Reason order.StopReason
+}
+
+// Assignment is the answer to a request for a target.
+type Assignment struct {
+	OK       bool
+	Assigned pool.Assigned
+	// Refused is set when OK is not.
+	Refused pool.Refused
+}
+
+// Decider joins the decision cores to the HTTP side. It is safe for
+// concurrent use. Methods that wait return early when ctx ends, and then
+// withdraw the question.
+type Decider interface {
+	// Config returns the configuration in force on this host.
+	Config() model.Config
+	// Fresh reports whether keyed requests may be admitted now.
+	Fresh() bool
+	// Admit draws a token.
+	Admit(ctx context.Context, id model.RequestID, ws model.WorkspaceID) (Admission, error)
+	// Reserve reserves an order before it runs.
+	Reserve(ctx context.Context, start order.Started) (Reservation, error)
+	// Finish ends a reserved order.
+	Finish(end order.Finished)
+	// Assign asks for a target. The instant in want.Deadline is filled in from ctx.
+	Assign(ctx context.Context, want pool.Wanted) (Assignment, error)
+	// End returns the target of a request with what became of the attempt.
+	End(end pool.Ended)
+	// Announce delivers a target's announcement that this host has checked.
+	Announce(a model.Announcement)
+}
+
+// Recorder counts requests for the service-level report. It is safe for concurrent use.
+type Recorder interface {
+	Record(rec Record)
+}
+
+// Record is one ended request.
+type Record struct {
+	Service   model.ServiceName
+	Workspace model.WorkspaceID
+	Status    int
+	Outcome   model.Outcome
+	Latency   time.Duration
+	// Limited is set when the request was refused for its rate.
+	Limited bool
+	// NoOwner is set when it was refused because its shard had no owner.
+	NoOwner bool
+}
--- /dev/null
+++ b/internal/lease/api.go
@@ -0,0 +1,115 @@
+// Package lease decides how long an entry host may serve without a new
+// confirmation, what a seat confirms, and who owns a shard. All three are pure
+// state machines: they import no clock, network, disk or lock.
+package lease
+
+import (
+	"time"
+
+	"tarragongauge.example/tarragongauge/internal/msg"
+	"tarragongauge.example/tarragongauge/pkg/model"
+)
+
+// Event is an input of the cores of this package. It is a sealed interface.
+type Event interface{ isEvent() }
+
+type (
+	// Tick lets a core act on elapsed time; the runtime sends one every 50 ms.
+	Tick struct{}
+	// Received delivers a message.
+	Received struct {
+		From model.HostID
+		Msg  msg.Message
+	}
+	// Handover asks an owner to give up all shards before shutdown.
+	Handover struct{}
+)
+
+// Effect is an output of the cores of this package. It is a sealed interface.
+type Effect interface{ isEffect() }
+
+type (
+	// Send sends a message; loss is allowed.
+	Send struct {
+		To  model.HostID
+		Msg msg.Message
+	}
+	// ConfigChanged publishes a newer configuration.
+	ConfigChanged struct{ Config model.Config }
+	// FreshUntil moves the instant up to which keyed requests may be admitted.
+	FreshUntil struct{ Until model.Instant }
+	// MembersChanged publishes the live members.
+	MembersChanged struct{ Members []msg.Member }
+	// OwnersChanged publishes the owners of all shards as seats report them.
+	OwnersChanged struct{ Owners []msg.Owner }
+	// Gained tells that this host owns a shard up to Until.
+	Gained struct {
+		Shard model.ShardID
+		Epoch model.Epoch
+		Until model.Instant
+	}
+	// Renewed moves the end of an owned shard's lease.
+	Renewed struct {
+		Shard model.ShardID
+		Epoch model.Epoch
+		Until model.Instant
+	}
+	// Lost tells that this host does not own a shard any more.
+	Lost struct {
+		Shard model.ShardID
+		Epoch model.Epoch
+	}
+)
+
+// Timing holds the durations that seats, entry hosts and owners must agree on.
+type Timing struct {
+	// Ask is the interval between two FreshAsk or LeaseAsk of a host.
+	Ask time.Duration
+	// Fresh is how long after the sending of a confirmed ask keyed requests may be admitted.
+	Fresh time.Duration
+	// Cut is how long after the end of freshness keyed requests in flight are ended.
+	Cut time.Duration
+	// Lease is how long a seat keeps a grant.
+	Lease time.Duration
+	// StageValid is how long after its sending a SeatStage counts towards acceptance.
+	StageValid time.Duration
+	// Silence is how long a restarted seat answers nothing. It exceeds Lease and StageValid by the drift margin.
+	Silence time.Duration
+	// Drift is the greatest relative error between two clocks, such as 0.02.
+	Drift float64
+	// MemberTimeout removes a member that has not asked.
+	MemberTimeout time.Duration
+}
+
+// DefaultTiming ends keyed work within 5 s of a cut: 3 s of freshness and 1 s to end requests in flight.
+func DefaultTiming() Timing {
+	return Timing{
+		Ask:           400 * time.Millisecond,
+		Fresh:         3 * time.Second,
+		Cut:           time.Second,
+		Lease:         1500 * time.Millisecond,
+		StageValid:    time.Second,
+		Silence:       1700 * time.Millisecond,
+		Drift:         0.02,
+		MemberTimeout: 2 * time.Second,
+	}
+}
+
+// Core is a state machine of this package: the freshness client of an entry
+// host, a seat, or an ownership candidate.
+type Core interface {
+	Step(now model.Instant, ev Event) []Effect
+}
+
+func (Tick) isEvent()     {}
+func (Received) isEvent() {}
+func (Handover) isEvent() {}
+
+func (Send) isEffect()           {}
+func (ConfigChanged) isEffect()  {}
+func (FreshUntil) isEffect()     {}
+func (MembersChanged) isEffect() {}
+func (OwnersChanged) isEffect()  {}
+func (Gained) isEffect()         {}
+func (Renewed) isEffect()        {}
+func (Lost) isEffect()           {}
--- /dev/null
+++ b/internal/msg/msg.go
@@ -0,0 +1,441 @@
+// Package msg holds the messages between the processes of the fleet. Messages
+// are plain values without encoding tags; package wire maps them to CBOR by hand.
+// Every message may be lost, delayed, repeated or reordered.
+package msg
+
+import (
+	"time"
+
+	"tarragongauge.example/tarragongauge/pkg/model"
+)
+
+// Message is a sealed interface over everything one process sends another.
+type Message interface{ isMessage() }
+
+// Envelope carries one message over a link.
+type Envelope struct {
+	From model.HostID
+	To   model.HostID
+	Body Message
+}
+
+// Role says what a process does.
+type Role int
+
+// Roles of processes.
+const (
+	RoleControl Role = iota + 1
+	RoleEntry
+	RoleJournal
+)
+
+// Hello is the first message on a link in each direction.
+type Hello struct {
+	Member Member
+	// Cluster is the name of the fleet; a link between different fleets is refused.
+	Cluster string
+	// Protocol is the version of the message set.
+	Protocol int
+}
+
+// Member describes one live process.
+type Member struct {
+	Host        model.HostID
+	Role        Role
+	Zone        model.ZoneName
+	Addr        string
+	Incarnation model.Incarnation
+	// Draining members take no new ownership.
+	Draining bool
+}
+
+// Messages of the replicated configuration log, between control hosts.
+type (
+	// VoteAsk asks for a vote, or with Pre whether a vote would be given.
+	VoteAsk struct {
+		Term      model.Term
+		LastIndex uint64
+		LastTerm  model.Term
+		Pre       bool
+	}
+	// VoteReply answers VoteAsk. A host whose log is empty after the loss of its disk does not vote.
+	VoteReply struct {
+		Term    model.Term
+		Granted bool
+		Pre     bool
+	}
+	// Append replicates entries and serves as the leader's heartbeat.
+	Append struct {
+		Term      model.Term
+		PrevIndex uint64
+		PrevTerm  model.Term
+		Entries   []LogEntry
+		Commit    uint64
+		// Round numbers heartbeat rounds; a round acknowledged by a majority proves the leadership at its start.
+		Round uint64
+	}
+	// AppendReply answers Append.
+	AppendReply struct {
+		Term model.Term
+		OK   bool
+		// Match is the last index known to be the same, synced to disk.
+		Match uint64
+		Round uint64
+	}
+	// InstallSnapshot replaces a follower's log by an encoded state.
+	InstallSnapshot struct {
+		Term      model.Term
+		LastIndex uint64
+		LastTerm  model.Term
+		Data      []byte
+		Round     uint64
+	}
+	// ProposeAsk forwards an operator's change from a control host to the leader.
+	ProposeAsk struct {
+		Nonce    uint64
+		Proposal model.Proposal
+	}
+	// ProposeReply answers ProposeAsk.
+	ProposeReply struct {
+		Nonce  uint64
+		Result model.Result
+	}
+)
+
+// LogEntry is one entry of the replicated log. An entry without a proposal starts a term.
+type LogEntry struct {
+	Index    uint64
+	Term     model.Term
+	Proposal *model.Proposal
+}
+
+// Messages that keep configurations fresh.
+type (
+	// FreshAsk asks a seat, the leader of control or a relay to confirm that Have is the newest version.
+	// It is also the heartbeat of the member.
+	FreshAsk struct {
+		Nonce  uint64
+		Have   model.Version
+		Member Member
+		// MembersDigest and OwnersDigest identify the lists the asker holds; a reply carries a list only when it differs.
+		MembersDigest uint64
+		OwnersDigest  uint64
+	}
+	// FreshReply answers FreshAsk.
+	FreshReply struct {
+		Nonce uint64
+		// Newest is the newest accepted version the answerer knows.
+		Newest model.Version
+		// FromControl is set when a control leader with a live quorum answers alone for the fleet.
+		FromControl bool
+		// Age bounds how long before the answer the confirmation was known to hold.
+		Age time.Duration
+		// Changes lead from the asker's version to Newest when the answerer still has them.
+		Changes []model.Committed
+		// Snapshot is an encoded configuration, sent when Changes cannot be.
+		Snapshot []byte
+		// Members and Owners are nil when the digests agree.
+		Members       []Member
+		MembersDigest uint64
+		Owners        []Owner
+		OwnersDigest  uint64
+	}
+	// SeatStage hands a committed change to a seat. A change is accepted once a majority of seats hold it.
+	SeatStage struct {
+		Term    model.Term
+		Newest  model.Version
+		Changes []model.Committed
+		// Snapshot is set when the seat is too far behind for Changes.
+		Snapshot []byte
+	}
+	// SeatStageReply answers SeatStage. It counts only for a short time after SeatStage was sent.
+	SeatStageReply struct {
+		Term        model.Term
+		Have        model.Version
+		Incarnation model.Incarnation
+	}
+	// SeatLearn asks another seat for its newest version after a restart.
+	SeatLearn struct {
+		Nonce uint64
+		Have  model.Version
+	}
+	// SeatLearnReply answers SeatLearn. A seat that is itself relearning does not answer.
+	SeatLearnReply struct {
+		Nonce    uint64
+		Newest   model.Version
+		Snapshot []byte
+	}
+)
+
+// Owner says who owns a shard.
+type Owner struct {
+	Shard model.ShardID
+	Host  model.HostID
+	Epoch model.Epoch
+}
+
+// Claim is a candidate's wish for a shard at an epoch.
+type Claim struct {
+	Shard model.ShardID
+	Epoch model.Epoch
+}
+
+// Denial tells a candidate why a claim was not granted.
+type Denial struct {
+	Shard  model.ShardID
+	Epoch  model.Epoch
+	Holder model.HostID
+}
+
+// Messages of shard ownership, between candidates and seats.
+type (
+	// LeaseAsk asks a seat to grant or renew shards and names those given up.
+	LeaseAsk struct {
+		Nonce   uint64
+		Claims  []Claim
+		Release []Claim
+	}
+	// LeaseReply answers LeaseAsk.
+	LeaseReply struct {
+		Nonce   uint64
+		Granted []Claim
+		Denied  []Denial
+	}
+)
+
+// Messages of rate and burst, between entry hosts and the owner of a workspace shard.
+type (
+	// DrawAsk draws tokens of a workspace.
+	DrawAsk struct {
+		Nonce     uint64
+		Workspace model.WorkspaceID
+		Tokens    int
+	}
+	// DrawReply answers DrawAsk.
+	DrawReply struct {
+		Nonce     uint64
+		Workspace model.WorkspaceID
+		Epoch     model.Epoch
+		Granted   int
+		// ValidFor bounds the use of the tokens, counted from when the DrawAsk was sent.
+		ValidFor time.Duration
+		// RetryAfter is when the next token is expected if Granted is 0.
+		RetryAfter time.Duration
+		// NotOwner is set when the answerer does not own the shard.
+		NotOwner bool
+	}
+)
+
+// Messages of target assignment, between entry hosts and the owner of a service shard.
+type (
+	// SlotAsk asks for a slot on a target.
+	SlotAsk struct {
+		Nonce       uint64
+		Service     model.ServiceName
+		Workspace   model.WorkspaceID
+		Request     model.RequestID
+		Fingerprint model.Fingerprint
+		Zone        model.ZoneName
+		// Budget is the time left until the caller's deadline.
+		Budget time.Duration
+		// Exclude lists targets already tried; a non-empty list makes this a retry.
+		Exclude []model.TargetID
+	}
+	// SlotReply answers SlotAsk.
+	SlotReply struct {
+		Nonce  uint64
+		Status SlotStatus
+		// Slot names the assignment in SlotDone.
+		Slot        uint64
+		Target      model.TargetID
+		Addr        string
+		Incarnation model.Incarnation
+		RetryAfter  time.Duration
+		Epoch       model.Epoch
+	}
+	// SlotDone returns a slot with what became of the attempt.
+	SlotDone struct {
+		Service     model.ServiceName
+		Slot        uint64
+		Workspace   model.WorkspaceID
+		Fingerprint model.Fingerprint
+		Attempt     model.Attempt
+	}
+	// SlotCancel withdraws a waiting SlotAsk.
+	SlotCancel struct {
+		Service model.ServiceName
+		Nonce   uint64
+	}
+	// TargetNews forwards an announcement from the entry host that took it.
+	TargetNews struct{ Announcement model.Announcement }
+	// ProbeResult reports a health probe made by an entry host on behalf of the owner.
+	ProbeResult struct {
+		Service     model.ServiceName
+		Target      model.TargetID
+		Incarnation model.Incarnation
+		OK          bool
+		Latency     time.Duration
+	}
+	// ViewAsk asks the owner for the targets of a service, for use while it has no owner.
+	ViewAsk struct {
+		Service model.ServiceName
+		Digest  uint64
+	}
+	// ViewReply answers ViewAsk; Targets is nil when the digests agree.
+	ViewReply struct {
+		Service model.ServiceName
+		Epoch   model.Epoch
+		Digest  uint64
+		Targets []TargetView
+	}
+)
+
+// SlotStatus says how a SlotAsk ended.
+type SlotStatus int
+
+// Ends of a SlotAsk.
+const (
+	SlotAssigned SlotStatus = iota + 1
+	// SlotNotOwner means the answerer does not own the service's shard.
+	SlotNotOwner
+	// SlotNoTarget means the service has no usable target.
+	SlotNoTarget
+	// SlotQueueFull means the workspace already has its share of waiting requests.
+	SlotQueueFull
+	// SlotTooLate means the request could not have met its deadline.
+	SlotTooLate
+	// SlotNoRetry means the retry budget of the service is spent.
+	SlotNoRetry
+	// SlotQuarantined means like requests of this workspace crashed targets.
+	SlotQuarantined
+)
+
+// TargetView is what an entry host needs to know of a target while the service has no owner.
+type TargetView struct {
+	Target      model.TargetID
+	Addr        string
+	Zone        model.ZoneName
+	Slots       int
+	Incarnation model.Incarnation
+	Ejected     bool
+}
+
+// Messages of order reservations, between entry hosts and journal hosts.
+type (
+	// ReserveAsk reserves an order key for one attempt.
+	ReserveAsk struct {
+		Nonce     uint64
+		Workspace model.WorkspaceID
+		OrderKey  string
+		Body      model.BodyHash
+		// Holder identifies the reserving request; it is never used again.
+		Holder model.RequestID
+	}
+	// ReserveReply answers ReserveAsk once the record is synced.
+	ReserveReply struct {
+		Nonce  uint64
+		Status ReserveStatus
+		// Holder and Body are those of the record that stands.
+		Holder model.RequestID
+		Body   model.BodyHash
+		// Answer is the stored answer, if known.
+		Answer *StoredAnswer
+	}
+	// ReserveFree gives up a reservation whose holder has not run and never will.
+	ReserveFree struct {
+		Workspace model.WorkspaceID
+		OrderKey  string
+		Holder    model.RequestID
+	}
+	// AnswerSave stores the answer of a reserved order.
+	AnswerSave struct {
+		Workspace model.WorkspaceID
+		OrderKey  string
+		Holder    model.RequestID
+		Answer    StoredAnswer
+	}
+	// JournalCopyAsk asks another journal host for its records after the loss of a disk.
+	JournalCopyAsk struct {
+		Nonce uint64
+		After string
+	}
+	// JournalCopyReply answers JournalCopyAsk; Done is set on the last page.
+	JournalCopyReply struct {
+		Nonce   uint64
+		Records []JournalRecord
+		Done    bool
+	}
+)
+
+// ReserveStatus says how a ReserveAsk ended on one journal host.
+type ReserveStatus int
+
+// Ends of a ReserveAsk.
+const (
+	// ReserveHeld means the asker's record stands.
+	ReserveHeld ReserveStatus = iota + 1
+	// ReserveTaken means the record of another holder stands.
+	ReserveTaken
+	// ReserveUnavailable means the host cannot vote now: it is repairing, or its disk failed.
+	ReserveUnavailable
+)
+
+// StoredAnswer is the answer to an order, kept for resends.
+type StoredAnswer struct {
+	Status int
+	Header map[string][]string
+	Body   []byte
+}
+
+// JournalRecord is one reservation.
+type JournalRecord struct {
+	Workspace model.WorkspaceID
+	OrderKey  string
+	Body      model.BodyHash
+	Holder    model.RequestID
+	Freed     bool
+	Answer    *StoredAnswer
+	// UnixMilli is when the record was made, for expiry.
+	UnixMilli int64
+}
+
+// Messages that gather evidence and service levels.
+type (
+	// EvidenceAsk asks an entry host what it still runs for a workspace.
+	EvidenceAsk struct {
+		Nonce     uint64
+		Workspace model.WorkspaceID
+	}
+	// EvidenceReply answers EvidenceAsk.
+	EvidenceReply struct {
+		Nonce     uint64
+		Workspace model.WorkspaceID
+		Have      model.Version
+		// InFlight counts the workspace's requests that have not ended on this host.
+		InFlight int
+		// Admitted tells whether a request was ever admitted, SinceAdmitted how long ago the last was.
+		Admitted      bool
+		SinceAdmitted time.Duration
+		// FreshFor is how long the host may go on serving without a new confirmation.
+		FreshFor time.Duration
+	}
+	// BurnAsk asks an entry host for its service-level counters.
+	BurnAsk struct{ Nonce uint64 }
+	// BurnReply answers BurnAsk with an encoded counter set of package burn.
+	BurnReply struct {
+		Nonce uint64
+		Data  []byte
+	}
+	// StatusAsk asks a host for a status page section.
+	StatusAsk struct{ Nonce uint64 }
+	// StatusReply answers StatusAsk with JSON for the operators' tools.
+	StatusReply struct {
+		Nonce uint64
+		Data  []byte
+	}
+	// QuarantineClear removes quarantined fingerprints of a workspace at the owner of a service.
+	QuarantineClear struct {
+		Service   model.ServiceName
+		Workspace model.WorkspaceID
+	}
+)
--- /dev/null
+++ b/internal/pool/api.go
@@ -0,0 +1,150 @@
+// Package pool decides which target runs a request: announcements, slots,
+// queueing between workspaces, detection and ejection of failing targets,
+// retry budgets and the quarantine of requests that crash targets. The owner
+// core holds all state of the services in its shards; the picker core of each
+// entry host asks the owner and falls back to a local policy without one.
+// Both are pure state machines.
+package pool
+
+import (
+	"time"
+
+	"tarragongauge.example/tarragongauge/internal/msg"
+	"tarragongauge.example/tarragongauge/pkg/model"
+)
+
+// Event is an input of the cores of this package. It is a sealed interface.
+type Event interface{ isEvent() }
+
+type (
+	// Tick lets a core act on elapsed time; the runtime sends one every 20 ms.
+	Tick struct{}
+	// Received delivers a message of target assignment.
+	Received struct {
+		From model.HostID
+		Msg  msg.Message
+	}
+	// Configured replaces the configuration.
+	Configured struct{ Config model.Config }
+	// OwnersChanged replaces the table of owners, for the picker.
+	OwnersChanged struct{ Owners []msg.Owner }
+	// Gained, Renewed and Lost follow the ownership of service shards, for the owner.
+	Gained struct {
+		Shard model.ShardID
+		Epoch model.Epoch
+		Until model.Instant
+	}
+	Renewed struct {
+		Shard model.ShardID
+		Epoch model.Epoch
+		Until model.Instant
+	}
+	Lost struct{ Shard model.ShardID }
+	// HostGone tells the owner that an entry host left, so that its slots return.
+	HostGone struct{ Host model.HostID }
+	// Announced delivers a target's announcement that this entry host took, for the picker.
+	Announced struct{ Announcement model.Announcement }
+	// Wanted asks the picker for a target. Exclude lists targets already tried.
+	Wanted struct {
+		Request     model.RequestID
+		Service     model.ServiceName
+		Workspace   model.WorkspaceID
+		Fingerprint model.Fingerprint
+		Deadline    model.Instant
+		Exclude     []model.TargetID
+	}
+	// Abandoned withdraws a waiting request.
+	Abandoned struct{ Request model.RequestID }
+	// Ended returns the target of a request with what became of the attempt.
+	Ended struct {
+		Request model.RequestID
+		Attempt model.Attempt
+	}
+	// Probed delivers the result of a Probe effect.
+	Probed struct {
+		Service     model.ServiceName
+		Target      model.TargetID
+		Incarnation model.Incarnation
+		OK          bool
+		Latency     time.Duration
+	}
+)
+
+// Effect is an output of the cores of this package. It is a sealed interface.
+type Effect interface{ isEffect() }
+
+type (
+	// Send sends a message; loss is allowed.
+	Send struct {
+		To  model.HostID
+		Msg msg.Message
+	}
+	// Assigned gives a waiting request its target.
+	Assigned struct {
+		Request     model.RequestID
+		Target      model.TargetID
+		Addr        string
+		Incarnation model.Incarnation
+		// Local is set when the picker chose without the owner.
+		Local bool
+	}
+	// Refused ends a waiting request that got no target; it was not run by this attempt.
+	Refused struct {
+		Request    model.RequestID
+		Status     msg.SlotStatus
+		RetryAfter time.Duration
+	}
+	// Probe asks the runtime for one health probe.
+	Probe struct {
+		Service     model.ServiceName
+		Target      model.TargetID
+		Incarnation model.Incarnation
+		Addr        string
+	}
+	// Ejected and Returned report verdicts for logs and status.
+	Ejected struct {
+		Service model.ServiceName
+		Target  model.TargetID
+		Reason  string
+		// For is the time until the target is tried again.
+		For time.Duration
+	}
+	Returned struct {
+		Service model.ServiceName
+		Target  model.TargetID
+	}
+	// Quarantined reports a fingerprint that is refused from now on.
+	Quarantined struct {
+		Service     model.ServiceName
+		Workspace   model.WorkspaceID
+		Fingerprint model.Fingerprint
+		For         time.Duration
+	}
+)
+
+// Core is the owner core or the picker core.
+type Core interface {
+	Step(now model.Instant, ev Event) []Effect
+}
+
+func (Tick) isEvent()          {}
+func (Received) isEvent()      {}
+func (Configured) isEvent()    {}
+func (OwnersChanged) isEvent() {}
+func (Gained) isEvent()        {}
+func (Renewed) isEvent()       {}
+func (Lost) isEvent()          {}
+func (HostGone) isEvent()      {}
+func (Announced) isEvent()     {}
+func (Wanted) isEvent()        {}
+func (Abandoned) isEvent()     {}
+func (Ended) isEvent()         {}
+func (Probed) isEvent()        {}
+
+func (Send) isEffect()        {}
+func (Assigned) isEffect()    {}
+func (Refused) isEffect()     {}
+func (Probe) isEffect()       {}
+func (Ejected) isEffect()     {}
+func (Returned) isEffect()    {}
+func (Quarantined) isEffect() {}
