--- a/internal/admit/api.go
+++ b/internal/admit/api.go
@@ -7,7 +7,7 @@
 import (
 	"time"
 
-	"tarragongauge.example/tarragongauge/internal/msg"
+	"tarragongauge.example/tarragongauge/internal/proto"
 	"tarragongauge.example/tarragongauge/pkg/model"
 )
 
@@ -20,23 +20,25 @@
 	// Received delivers a DrawAsk to the owner or a DrawReply to the wallet.
 	Received struct {
 		From model.HostID
-		Msg  msg.Message
+		Msg  proto.Message
 	}
 	// Configured replaces the configuration.
 	Configured struct{ Config model.Config }
 	// OwnersChanged replaces the table of owners, for the wallet.
-	OwnersChanged struct{ Owners []msg.Owner }
-	// Gained, Renewed and Lost follow the ownership of workspace shards, for the owner.
+	OwnersChanged struct{ Owners []proto.Owner }
+	// Gained tells the owner core that this host owns a workspace shard up to Until.
 	Gained struct {
 		Shard model.ShardID
 		Epoch model.Epoch
 		Until model.Instant
 	}
+	// Renewed moves the end of an owned shard's lease.
 	Renewed struct {
 		Shard model.ShardID
 		Epoch model.Epoch
 		Until model.Instant
 	}
+	// Lost tells the owner core that this host does not own a shard any more.
 	Lost struct{ Shard model.ShardID }
 	// Arrived asks the wallet for one token on behalf of a request that waits until Deadline at most.
 	Arrived struct {
@@ -55,7 +57,7 @@
 	// Send sends a message; loss is allowed.
 	Send struct {
 		To  model.HostID
-		Msg msg.Message
+		Msg proto.Message
 	}
 	// Admitted lets a request go on.
 	Admitted struct{ Request model.RequestID }
--- a/internal/ctrl/api.go
+++ b/internal/ctrl/api.go
@@ -6,7 +6,7 @@
 import (
 	"time"
 
-	"tarragongauge.example/tarragongauge/internal/msg"
+	"tarragongauge.example/tarragongauge/internal/proto"
 	"tarragongauge.example/tarragongauge/pkg/model"
 )
 
@@ -19,7 +19,7 @@
 	// Received delivers a message of the log protocol, a SeatStageReply or a ProposeAsk.
 	Received struct {
 		From model.HostID
-		Msg  msg.Message
+		Msg  proto.Message
 	}
 	// Persisted tells that the Persist effect with this sequence number is synced.
 	Persisted struct{ Seq uint64 }
@@ -39,7 +39,7 @@
 	// Send sends a message; loss is allowed.
 	Send struct {
 		To  model.HostID
-		Msg msg.Message
+		Msg proto.Message
 	}
 	// Persist makes a record durable. Effects after it in the same step do not
 	// wait for it; whatever must wait is emitted by the Persisted event.
@@ -50,7 +50,7 @@
 		VotedFor model.HostID
 		// TruncateFrom removes entries from this index on before appending, unless 0.
 		TruncateFrom uint64
-		Entries      []msg.LogEntry
+		Entries      []proto.LogEntry
 		// Snapshot replaces the log up to its index, unless nil.
 		Snapshot *Snapshot
 	}
@@ -80,7 +80,7 @@
 	Term     model.Term
 	VotedFor model.HostID
 	Snapshot *Snapshot
-	Entries  []msg.LogEntry
+	Entries  []proto.LogEntry
 	// Empty is set when the data folder held no state. Such a host gives no
 	// vote and counts in no majority until it has caught up with a leader,
 	// unless the fleet is being created.
--- a/internal/entry/api.go
+++ b/internal/entry/api.go
@@ -6,9 +6,9 @@
 	"context"
 	"time"
 
-	"tarragongauge.example/tarragongauge/internal/msg"
 	"tarragongauge.example/tarragongauge/internal/order"
 	"tarragongauge.example/tarragongauge/internal/pool"
+	"tarragongauge.example/tarragongauge/internal/proto"
 	"tarragongauge.example/tarragongauge/pkg/model"
 )
 
@@ -24,7 +24,7 @@
 type Reservation struct {
 	OK bool
 	// Answer is the stored answer of an earlier run, or nil.
-	Answer *msg.StoredAnswer
+	Answer *proto.StoredAnswer
 	// Reason is set when neither OK nor Answer is.
 	Reason order.StopReason
 }
--- a/internal/lease/api.go
+++ b/internal/lease/api.go
@@ -6,7 +6,7 @@
 import (
 	"time"
 
-	"tarragongauge.example/tarragongauge/internal/msg"
+	"tarragongauge.example/tarragongauge/internal/proto"
 	"tarragongauge.example/tarragongauge/pkg/model"
 )
 
@@ -19,7 +19,7 @@
 	// Received delivers a message.
 	Received struct {
 		From model.HostID
-		Msg  msg.Message
+		Msg  proto.Message
 	}
 	// Handover asks an owner to give up all shards before shutdown.
 	Handover struct{}
@@ -32,16 +32,16 @@
 	// Send sends a message; loss is allowed.
 	Send struct {
 		To  model.HostID
-		Msg msg.Message
+		Msg proto.Message
 	}
 	// ConfigChanged publishes a newer configuration.
 	ConfigChanged struct{ Config model.Config }
 	// FreshUntil moves the instant up to which keyed requests may be admitted.
 	FreshUntil struct{ Until model.Instant }
 	// MembersChanged publishes the live members.
-	MembersChanged struct{ Members []msg.Member }
+	MembersChanged struct{ Members []proto.Member }
 	// OwnersChanged publishes the owners of all shards as seats report them.
-	OwnersChanged struct{ Owners []msg.Owner }
+	OwnersChanged struct{ Owners []proto.Owner }
 	// Gained tells that this host owns a shard up to Until.
 	Gained struct {
 		Shard model.ShardID
--- a/internal/link/api.go
+++ b/internal/link/api.go
@@ -4,17 +4,17 @@
 package link
 
 import (
-	"tarragongauge.example/tarragongauge/internal/msg"
+	"tarragongauge.example/tarragongauge/internal/proto"
 	"tarragongauge.example/tarragongauge/pkg/model"
 )
 
 // Handler takes every message that arrives. It must not block.
-type Handler func(from model.HostID, m msg.Message)
+type Handler func(from model.HostID, m proto.Message)
 
 // Mesh sends messages to hosts and learns where hosts are.
 type Mesh interface {
 	// Send queues a message; it reports whether the message was queued.
-	Send(to model.HostID, m msg.Message) bool
+	Send(to model.HostID, m proto.Message) bool
 	// Learn adds or moves hosts; links to them are opened when first needed.
-	Learn(members []msg.Member)
+	Learn(members []proto.Member)
 }
--- a/internal/order/api.go
+++ b/internal/order/api.go
@@ -5,7 +5,7 @@
 package order
 
 import (
-	"tarragongauge.example/tarragongauge/internal/msg"
+	"tarragongauge.example/tarragongauge/internal/proto"
 	"tarragongauge.example/tarragongauge/pkg/model"
 )
 
@@ -18,7 +18,7 @@
 	// Received delivers a message of order reservations.
 	Received struct {
 		From model.HostID
-		Msg  msg.Message
+		Msg  proto.Message
 	}
 	// Started asks the reserver to reserve an order before it runs.
 	Started struct {
@@ -32,7 +32,7 @@
 	Finished struct {
 		Request model.RequestID
 		NotRun  bool
-		Answer  *msg.StoredAnswer
+		Answer  *proto.StoredAnswer
 	}
 	// Persisted tells the journal that the Persist effect with this number is synced.
 	Persisted struct{ Seq uint64 }
@@ -47,19 +47,19 @@
 	// Send sends a message; loss is allowed.
 	Send struct {
 		To  model.HostID
-		Msg msg.Message
+		Msg proto.Message
 	}
 	// Persist makes journal records durable, in order.
 	Persist struct {
 		Seq     uint64
-		Records []msg.JournalRecord
+		Records []proto.JournalRecord
 	}
 	// Reserved lets the order run, once.
 	Reserved struct{ Request model.RequestID }
 	// Known ends the request with the stored answer of an earlier run.
 	Known struct {
 		Request model.RequestID
-		Answer  msg.StoredAnswer
+		Answer  proto.StoredAnswer
 	}
 	// Stopped ends the request without running it here.
 	Stopped struct {
--- a/internal/pool/api.go
+++ b/internal/pool/api.go
@@ -9,7 +9,7 @@
 import (
 	"time"
 
-	"tarragongauge.example/tarragongauge/internal/msg"
+	"tarragongauge.example/tarragongauge/internal/proto"
 	"tarragongauge.example/tarragongauge/pkg/model"
 )
 
@@ -22,23 +22,25 @@
 	// Received delivers a message of target assignment.
 	Received struct {
 		From model.HostID
-		Msg  msg.Message
+		Msg  proto.Message
 	}
 	// Configured replaces the configuration.
 	Configured struct{ Config model.Config }
 	// OwnersChanged replaces the table of owners, for the picker.
-	OwnersChanged struct{ Owners []msg.Owner }
-	// Gained, Renewed and Lost follow the ownership of service shards, for the owner.
+	OwnersChanged struct{ Owners []proto.Owner }
+	// Gained tells the owner core that this host owns a service shard up to Until.
 	Gained struct {
 		Shard model.ShardID
 		Epoch model.Epoch
 		Until model.Instant
 	}
+	// Renewed moves the end of an owned shard's lease.
 	Renewed struct {
 		Shard model.ShardID
 		Epoch model.Epoch
 		Until model.Instant
 	}
+	// Lost tells the owner core that this host does not own a shard any more.
 	Lost struct{ Shard model.ShardID }
 	// HostGone tells the owner that an entry host left, so that its slots return.
 	HostGone struct{ Host model.HostID }
@@ -77,7 +79,7 @@
 	// Send sends a message; loss is allowed.
 	Send struct {
 		To  model.HostID
-		Msg msg.Message
+		Msg proto.Message
 	}
 	// Assigned gives a waiting request its target.
 	Assigned struct {
@@ -91,7 +93,7 @@
 	// Refused ends a waiting request that got no target; it was not run by this attempt.
 	Refused struct {
 		Request    model.RequestID
-		Status     msg.SlotStatus
+		Status     proto.SlotStatus
 		RetryAfter time.Duration
 	}
 	// Probe asks the runtime for one health probe.
@@ -101,7 +103,7 @@
 		Incarnation model.Incarnation
 		Addr        string
 	}
-	// Ejected and Returned report verdicts for logs and status.
+	// Ejected reports a target that gets no more work for a time.
 	Ejected struct {
 		Service model.ServiceName
 		Target  model.TargetID
@@ -109,6 +111,7 @@
 		// For is the time until the target is tried again.
 		For time.Duration
 	}
+	// Returned reports an ejected target that gets work again.
 	Returned struct {
 		Service model.ServiceName
 		Target  model.TargetID
--- a/internal/msg/msg.go
+++ b/internal/proto/message.go
@@ -1,7 +1,7 @@
-// Package msg holds the messages between the processes of the fleet. Messages
+// Package proto holds the messages between the processes of the fleet. Messages
 // are plain values without encoding tags; package wire maps them to CBOR by hand.
 // Every message may be lost, delayed, repeated or reordered.
-package msg
+package proto
 
 import (
 	"time"
--- a/internal/msg/sealed.go
+++ b/internal/proto/sealed.go
@@ -1,4 +1,4 @@
-package msg
+package proto
 
 func (Hello) isMessage()            {}
 func (VoteAsk) isMessage()          {}
--- a/internal/sup/api.go
+++ b/internal/super/api.go
@@ -1,7 +1,7 @@
-// Package sup runs the goroutines of a process as a tree of supervised tasks
+// Package super runs the goroutines of a process as a tree of supervised tasks
 // on pond groups. A task that fails or panics is started again after a growing
 // delay; a task that fails too often ends its parent.
-package sup
+package super
 
 import "context"
 
--- a/internal/wire/api.go
+++ b/internal/wire/api.go
@@ -2,8 +2,8 @@
 //
 // Functions of this package:
 //
-//	Encode(e msg.Envelope) ([]byte, error)
-//	Decode(frame []byte) (msg.Envelope, error)
+//	Encode(e proto.Envelope) ([]byte, error)
+//	Decode(frame []byte) (proto.Envelope, error)
 //
 // Decode refuses frames longer than MaxFrame, unknown kinds and malformed
 // CBOR with a typed error, and never panics.
--- a/pkg/model/config.go
+++ b/pkg/model/config.go
@@ -6,7 +6,7 @@
 type Limits struct {
 	// Rate is in requests per second and is greater than zero.
 	Rate float64
-	// Burst is in requests and is at least one.
+	// Burst is in requests, at least 2 and at least 1 plus a twentieth of Rate.
 	Burst float64
 }
 
--- /dev/null
+++ b/pkg/model/error.go
@@ -0,0 +1,86 @@
+package model
+
+import (
+	"errors"
+	"fmt"
+)
+
+// ErrNotFound tells that a change names something that does not exist.
+type ErrNotFound struct {
+	Kind string
+	Name string
+}
+
+func (e ErrNotFound) Error() string {
+	return fmt.Sprintf("%s %q does not exist; list the existing ones with `tarragongauge %s list`", e.Kind, e.Name, e.Kind)
+}
+
+// IsErrNotFound reports whether err is or wraps an ErrNotFound.
+func IsErrNotFound(err error) bool {
+	var e ErrNotFound
+	return errors.As(err, &e)
+}
+
+// ErrExists tells that a change adds something that exists.
+type ErrExists struct {
+	Kind string
+	Name string
+}
+
+func (e ErrExists) Error() string {
+	return fmt.Sprintf("%s %q already exists; choose another name", e.Kind, e.Name)
+}
+
+// IsErrExists reports whether err is or wraps an ErrExists.
+func IsErrExists(err error) bool {
+	var e ErrExists
+	return errors.As(err, &e)
+}
+
+// ErrWithdrawn tells that a change needs a workspace that was withdrawn.
+type ErrWithdrawn struct{ Workspace WorkspaceID }
+
+func (e ErrWithdrawn) Error() string {
+	return fmt.Sprintf("workspace %q was withdrawn and cannot be used again; create a workspace with another name", e.Workspace)
+}
+
+// IsErrWithdrawn reports whether err is or wraps an ErrWithdrawn.
+func IsErrWithdrawn(err error) bool {
+	var e ErrWithdrawn
+	return errors.As(err, &e)
+}
+
+// ErrInvalid tells that a value is outside its range.
+type ErrInvalid struct {
+	Field string
+	// Got is the value as read.
+	Got string
+	// Want says what is allowed.
+	Want string
+}
+
+func (e ErrInvalid) Error() string {
+	return fmt.Sprintf("%s is %s; it must be %s", e.Field, e.Got, e.Want)
+}
+
+// IsErrInvalid reports whether err is or wraps an ErrInvalid.
+func IsErrInvalid(err error) bool {
+	var e ErrInvalid
+	return errors.As(err, &e)
+}
+
+// ErrConflict tells that a change was based on a version that is not the newest.
+type ErrConflict struct {
+	Base   Version
+	Newest Version
+}
+
+func (e ErrConflict) Error() string {
+	return fmt.Sprintf("the change is based on version %d but version %d is in force; read the configuration again and submit the change with base %d", e.Base, e.Newest, e.Newest)
+}
+
+// IsErrConflict reports whether err is or wraps an ErrConflict.
+func IsErrConflict(err error) bool {
+	var e ErrConflict
+	return errors.As(err, &e)
+}
