--- /dev/null
+++ b/internal/conf/types.go
@@ -0,0 +1,143 @@
+// Package conf reads the settings of each process from an INI file into typed
+// values. Loading reports every fault of a file at once, and one table of
+// settings drives both the reader and the reference page.
+package conf
+
+import (
+	"time"
+
+	"tarragongauge.example/tarragongauge/pkg/model"
+)
+
+// Host says who a process is.
+type Host struct {
+	Name model.HostID
+	Zone model.ZoneName
+	// DataDir is an existing folder, or empty for roles without a disk.
+	DataDir string
+}
+
+// Listen holds the listening addresses of a process as ip:port. An address is
+// empty when the role does not use it. No two are equal.
+type Listen struct {
+	Callers   string
+	Announce  string
+	Fleet     string
+	Operators string
+}
+
+// Peer is a host of the fleet with its fleet address as ip:port.
+type Peer struct {
+	Host model.HostID
+	Addr string
+}
+
+// Fleet says which fleet a process belongs to and where its fixed hosts are.
+type Fleet struct {
+	Name   string
+	Secret Secret
+	// Controls, Seats and Journals are in the order of the file, without
+	// duplicates. A host that stands in several lists has one address.
+	Controls []Peer
+	Seats    []Peer
+	Journals []Peer
+}
+
+// Limits bounds what a process accepts.
+type Limits struct {
+	HeaderBytes    int
+	BodyBytes      int
+	HeaderTimeout  time.Duration
+	BodyTimeout    time.Duration
+	IdleTimeout    time.Duration
+	Connections    int
+	OperatorsBytes int
+	// LinkQueue bounds the messages waiting for one host of the fleet.
+	LinkQueue int
+	// StopTimeout bounds a graceful shutdown.
+	StopTimeout time.Duration
+}
+
+// Log says what is logged and how.
+type Log struct {
+	// Level is debug, info or error.
+	Level string
+	// Format is json or text.
+	Format string
+}
+
+// Token is the digest of an operator's bearer token.
+type Token struct {
+	Actor string
+	Hash  [32]byte
+}
+
+// Operators says who may use the operators' API.
+type Operators struct{ Tokens []Token }
+
+// Control holds the settings of a control host.
+type Control struct {
+	Host      Host
+	Listen    Listen
+	Fleet     Fleet
+	Operators Operators
+	Limits    Limits
+	Log       Log
+	// Journal says whether the process also keeps order reservations.
+	Journal bool
+	// CreateFleet lets a host with an empty data folder vote. It is set only while a fleet is created.
+	CreateFleet bool
+}
+
+// Entry holds the settings of an entry host.
+type Entry struct {
+	Host      Host
+	Listen    Listen
+	Fleet     Fleet
+	Operators Operators
+	Limits    Limits
+	Log       Log
+}
+
+// Journal holds the settings of a journal host.
+type Journal struct {
+	Host      Host
+	Listen    Listen
+	Fleet     Fleet
+	Operators Operators
+	Limits    Limits
+	Log       Log
+}
+
+// All holds the settings of a first trial with every role in one process.
+type All struct {
+	Host      Host
+	Listen    Listen
+	Operators Operators
+	Limits    Limits
+	Log       Log
+}
+
+// Target holds the settings of a stub target.
+type Target struct {
+	Service  model.ServiceName
+	Target   model.TargetID
+	Zone     model.ZoneName
+	Addr     string
+	Slots    int
+	Announce []string
+	Secret   Secret
+	// Latency is the time one request takes.
+	Latency time.Duration
+	Log     Log
+}
+
+// Client holds the settings of an operator's tools.
+type Client struct {
+	// Addresses are the operators' addresses of the control hosts.
+	Addresses []Peer
+	Token     Secret
+	// Output is text or json.
+	Output  string
+	Timeout time.Duration
+}
