Add the fields that date staging and readmit a host without a disk

Cause: the reply to SeatStage could not be tied to the message it answers, so its validity could not be counted from sending; a host that lost its disk had no way to say so, nor the leader to say when it counts again; a new leader could not know whether the seats before SetSeats are still needed. Change: Round in SeatStage and its reply, Learner and Admit in AppendReply and Append, Nonce, Bootstrap and Empty in the vote messages, SeatsInForce in LogEntry.

--- a/internal/proto/message.go
+++ b/internal/proto/message.go
@@ -57,12 +57,19 @@
 		LastIndex uint64
 		LastTerm  model.Term
 		Pre       bool
+		// Nonce is set by a host without state, which asks whether the fleet already exists; the reply echoes it.
+		Nonce uint64
+		// Bootstrap is the digest of the asker's initial host lists, set together with Nonce.
+		Bootstrap uint64
 	}
 	// VoteReply answers VoteAsk. A host whose log is empty after the loss of its disk does not vote.
 	VoteReply struct {
 		Term    model.Term
 		Granted bool
 		Pre     bool
+		Nonce   uint64
+		// Empty is set when the answerer holds no log entry and has the asker's initial host lists.
+		Empty bool
 	}
 	// Append replicates entries and serves as the leader's heartbeat.
 	Append struct {
@@ -73,6 +80,8 @@
 		Commit    uint64
 		// Round numbers heartbeat rounds; a round acknowledged by a majority proves the leadership at its start.
 		Round uint64
+		// Admit echoes the Learner number of a follower that may vote and count again.
+		Admit uint64
 	}
 	// AppendReply answers Append.
 	AppendReply struct {
@@ -81,6 +90,9 @@
 		// Match is the last index known to be the same, synced to disk.
 		Match uint64
 		Round uint64
+		// Learner is a random number drawn by a host that started without state. While it is
+		// not 0, the answerer counts in no majority.
+		Learner uint64
 	}
 	// InstallSnapshot replaces a follower's log by an encoded state.
 	InstallSnapshot struct {
@@ -102,11 +114,15 @@
 	}
 )
 
-// LogEntry is one entry of the replicated log. An entry without a proposal starts a term.
+// LogEntry is one entry of the replicated log. An entry without a proposal
+// starts a term, or lets a host that started without state count again.
 type LogEntry struct {
 	Index    uint64
 	Term     model.Term
 	Proposal *model.Proposal
+	// SeatsInForce marks, in an entry without a proposal, that the seats of the
+	// last SetSeats hold it and the seats before it are no longer needed.
+	SeatsInForce bool
 }
 
 // Messages that keep configurations fresh.
@@ -147,12 +163,16 @@
 		Changes []model.Committed
 		// Snapshot is set when the seat is too far behind for Changes.
 		Snapshot []byte
+		// Round numbers the staging messages of a leader; the reply echoes it.
+		Round uint64
 	}
 	// SeatStageReply answers SeatStage. It counts only for a short time after SeatStage was sent.
 	SeatStageReply struct {
 		Term        model.Term
 		Have        model.Version
 		Incarnation model.Incarnation
+		// Round is that of the SeatStage answered; it dates the acknowledgement.
+		Round uint64
 	}
 	// SeatLearn asks another seat for its newest version after a restart.
 	SeatLearn struct {
