Add the CBOR encoding of domain values and log entries

Change: hand-mapped encoding with numbered fields; equal values have equal bytes; unknown fields, two changes in one, short digests and non-finite floats are refused with a typed error. Strings may hold invalid UTF-8, since order keys and headers come from callers.

--- a/internal/codec/api.go
+++ b/internal/codec/api.go
@@ -13,4 +13,10 @@
 //	DecodeRecord(data []byte) (proto.JournalRecord, error)
 //	EncodeResult(r model.Result) ([]byte, error)
 //	DecodeResult(data []byte) (model.Result, error)
+//	EncodeCommitted(c model.Committed) ([]byte, error)
+//	DecodeCommitted(data []byte) (model.Committed, error)
+//	EncodeControl(s ControlState) ([]byte, error)
+//	DecodeControl(data []byte) (ControlState, error)
+//	EncodeLog(r LogRecord) ([]byte, error)
+//	DecodeLog(data []byte) (LogRecord, error)
 package codec
--- /dev/null
+++ b/internal/codec/config.go
@@ -0,0 +1,308 @@
+package codec
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+
+	"tarragongauge.example/tarragongauge/pkg/model"
+)
+
+type limitsDTO struct {
+	Rate  float64 `cbor:"1,keyasint"`
+	Burst float64 `cbor:"2,keyasint"`
+}
+
+type objectiveDTO struct {
+	Availability float64       `cbor:"1,keyasint"`
+	Latency      time.Duration `cbor:"2,keyasint"`
+	LatencyShare float64       `cbor:"3,keyasint"`
+}
+
+type defaultsDTO struct {
+	Limits      limitsDTO     `cbor:"1,keyasint"`
+	Deadline    time.Duration `cbor:"2,keyasint"`
+	RetryShare  float64       `cbor:"3,keyasint"`
+	Floor       float64       `cbor:"4,keyasint"`
+	Slots       int           `cbor:"5,keyasint"`
+	Connections int           `cbor:"6,keyasint"`
+	QueueLimit  int           `cbor:"7,keyasint"`
+	Objective   objectiveDTO  `cbor:"8,keyasint"`
+}
+
+type workspaceDTO struct {
+	ID          model.WorkspaceID `cbor:"1,keyasint"`
+	Withdrawn   bool              `cbor:"2,keyasint,omitempty"`
+	WithdrawnAt model.Version     `cbor:"3,keyasint,omitempty"`
+}
+
+type keyDTO struct {
+	ID        model.KeyID       `cbor:"1,keyasint"`
+	Workspace model.WorkspaceID `cbor:"2,keyasint"`
+	Hash      []byte            `cbor:"3,keyasint"`
+}
+
+type serviceDTO struct {
+	Name         model.ServiceName `cbor:"1,keyasint"`
+	AnnounceHash []byte            `cbor:"2,keyasint"`
+}
+
+type routeDTO struct {
+	Name            model.RouteName   `cbor:"1,keyasint"`
+	PathPrefix      string            `cbor:"2,keyasint"`
+	Methods         []string          `cbor:"3,keyasint"`
+	Service         model.ServiceName `cbor:"4,keyasint"`
+	Open            bool              `cbor:"5,keyasint,omitempty"`
+	Idempotent      bool              `cbor:"6,keyasint,omitempty"`
+	RequireOrderKey bool              `cbor:"7,keyasint,omitempty"`
+}
+
+// exceptionDTO sets the one override field that applies, or none.
+type exceptionDTO struct {
+	ID        string                `cbor:"1,keyasint"`
+	Reason    string                `cbor:"2,keyasint"`
+	Limits    *limitsOverrideDTO    `cbor:"3,keyasint,omitempty"`
+	Deadline  *deadlineOverrideDTO  `cbor:"4,keyasint,omitempty"`
+	Floor     *floorOverrideDTO     `cbor:"5,keyasint,omitempty"`
+	Objective *objectiveOverrideDTO `cbor:"6,keyasint,omitempty"`
+}
+
+type limitsOverrideDTO struct {
+	Workspace model.WorkspaceID `cbor:"1,keyasint"`
+	Limits    limitsDTO         `cbor:"2,keyasint"`
+}
+
+type deadlineOverrideDTO struct {
+	Route    model.RouteName `cbor:"1,keyasint"`
+	Deadline time.Duration   `cbor:"2,keyasint"`
+}
+
+type floorOverrideDTO struct {
+	Service model.ServiceName `cbor:"1,keyasint"`
+	Floor   float64           `cbor:"2,keyasint"`
+}
+
+type objectiveOverrideDTO struct {
+	Service   model.ServiceName `cbor:"1,keyasint"`
+	Objective objectiveDTO      `cbor:"2,keyasint"`
+}
+
+// configDTO lists map values by ascending key, so that equal configurations
+// have equal bytes.
+type configDTO struct {
+	Version    model.Version  `cbor:"1,keyasint"`
+	Defaults   defaultsDTO    `cbor:"2,keyasint"`
+	Workspaces []workspaceDTO `cbor:"3,keyasint"`
+	Keys       []keyDTO       `cbor:"4,keyasint"`
+	Services   []serviceDTO   `cbor:"5,keyasint"`
+	Routes     []routeDTO     `cbor:"6,keyasint"`
+	Exceptions []exceptionDTO `cbor:"7,keyasint"`
+	Seats      []model.HostID `cbor:"8,keyasint"`
+	Controls   []model.HostID `cbor:"9,keyasint"`
+}
+
+// EncodeConfig encodes a configuration. Equal configurations have equal bytes.
+func EncodeConfig(cfg model.Config) ([]byte, error) {
+	dto, err := configToDTO(cfg)
+	if err != nil {
+		return nil, err
+	}
+	return encode("configuration", dto)
+}
+
+// DecodeConfig decodes a configuration. Its maps are never nil.
+func DecodeConfig(data []byte) (model.Config, error) {
+	var dto configDTO
+	if err := decode("configuration", data, &dto); err != nil {
+		return model.Config{}, err
+	}
+	return configFromDTO(dto)
+}
+
+func configToDTO(cfg model.Config) (configDTO, error) {
+	defaults, err := defaultsToDTO(cfg.Defaults)
+	if err != nil {
+		return configDTO{}, err
+	}
+	dto := configDTO{
+		Version:  cfg.Version,
+		Defaults: defaults,
+		Seats:    cfg.Seats,
+		Controls: cfg.Controls,
+	}
+	for _, ws := range sortedValues(cfg.Workspaces) {
+		dto.Workspaces = append(dto.Workspaces, workspaceDTO(ws))
+	}
+	keys := slices.SortedFunc(maps.Values(cfg.Keys), func(a, b model.Key) int { return slices.Compare(a.Hash[:], b.Hash[:]) })
+	for _, k := range keys {
+		dto.Keys = append(dto.Keys, keyToDTO(k))
+	}
+	for _, s := range sortedValues(cfg.Services) {
+		dto.Services = append(dto.Services, serviceToDTO(s))
+	}
+	for _, r := range cfg.Routes {
+		dto.Routes = append(dto.Routes, routeDTO(r))
+	}
+	for _, e := range sortedValues(cfg.Exceptions) {
+		ex, err := exceptionToDTO(e)
+		if err != nil {
+			return configDTO{}, err
+		}
+		dto.Exceptions = append(dto.Exceptions, ex)
+	}
+	return dto, nil
+}
+
+func sortedValues[K cmp.Ordered, V any](m map[K]V) []V {
+	values := make([]V, 0, len(m))
+	for _, k := range slices.Sorted(maps.Keys(m)) {
+		values = append(values, m[k])
+	}
+	return values
+}
+
+func configFromDTO(dto configDTO) (model.Config, error) {
+	cfg := model.Config{
+		Version:    dto.Version,
+		Defaults:   defaultsFromDTO(dto.Defaults),
+		Workspaces: make(map[model.WorkspaceID]model.Workspace, len(dto.Workspaces)),
+		Keys:       make(map[model.KeyHash]model.Key, len(dto.Keys)),
+		Services:   make(map[model.ServiceName]model.Service, len(dto.Services)),
+		Exceptions: make(map[string]model.Exception, len(dto.Exceptions)),
+		Seats:      dto.Seats,
+		Controls:   dto.Controls,
+	}
+	for _, ws := range dto.Workspaces {
+		cfg.Workspaces[ws.ID] = model.Workspace(ws)
+	}
+	for _, k := range dto.Keys {
+		key, err := keyFromDTO(k)
+		if err != nil {
+			return model.Config{}, err
+		}
+		cfg.Keys[key.Hash] = key
+	}
+	for _, s := range dto.Services {
+		service, err := serviceFromDTO(s)
+		if err != nil {
+			return model.Config{}, err
+		}
+		cfg.Services[service.Name] = service
+	}
+	for _, r := range dto.Routes {
+		cfg.Routes = append(cfg.Routes, model.Route(r))
+	}
+	for _, e := range dto.Exceptions {
+		exception, err := exceptionFromDTO(e)
+		if err != nil {
+			return model.Config{}, err
+		}
+		cfg.Exceptions[exception.ID] = exception
+	}
+	return cfg, checkDuplicates(cfg, dto)
+}
+
+// checkDuplicates refuses lists in which one entry would hide another.
+func checkDuplicates(cfg model.Config, dto configDTO) error {
+	switch {
+	case len(cfg.Workspaces) != len(dto.Workspaces):
+		return malformed("configuration", "a workspace is listed twice")
+	case len(cfg.Keys) != len(dto.Keys):
+		return malformed("configuration", "a key is listed twice")
+	case len(cfg.Services) != len(dto.Services):
+		return malformed("configuration", "a service is listed twice")
+	case len(cfg.Exceptions) != len(dto.Exceptions):
+		return malformed("configuration", "an exception is listed twice")
+	default:
+		return nil
+	}
+}
+
+func defaultsToDTO(d model.Defaults) (defaultsDTO, error) {
+	err := checkFinite("defaults", d.Limits.Rate, d.Limits.Burst, d.RetryShare, d.Floor, d.Objective.Availability, d.Objective.LatencyShare)
+	return defaultsDTO{
+		Limits:      limitsDTO(d.Limits),
+		Deadline:    d.Deadline,
+		RetryShare:  d.RetryShare,
+		Floor:       d.Floor,
+		Slots:       d.Slots,
+		Connections: d.Connections,
+		QueueLimit:  d.QueueLimit,
+		Objective:   objectiveDTO(d.Objective),
+	}, err
+}
+
+func defaultsFromDTO(d defaultsDTO) model.Defaults {
+	return model.Defaults{
+		Limits:      model.Limits(d.Limits),
+		Deadline:    d.Deadline,
+		RetryShare:  d.RetryShare,
+		Floor:       d.Floor,
+		Slots:       d.Slots,
+		Connections: d.Connections,
+		QueueLimit:  d.QueueLimit,
+		Objective:   model.Objective(d.Objective),
+	}
+}
+
+func keyToDTO(k model.Key) keyDTO {
+	return keyDTO{ID: k.ID, Workspace: k.Workspace, Hash: k.Hash[:]}
+}
+
+func keyFromDTO(k keyDTO) (model.Key, error) {
+	hash, err := decodeHash[model.KeyHash]("key", k.Hash)
+	return model.Key{ID: k.ID, Workspace: k.Workspace, Hash: hash}, err
+}
+
+func serviceToDTO(s model.Service) serviceDTO {
+	return serviceDTO{Name: s.Name, AnnounceHash: s.AnnounceHash[:]}
+}
+
+func serviceFromDTO(s serviceDTO) (model.Service, error) {
+	hash, err := decodeHash[model.KeyHash]("service", s.AnnounceHash)
+	return model.Service{Name: s.Name, AnnounceHash: hash}, err
+}
+
+func exceptionToDTO(e model.Exception) (exceptionDTO, error) {
+	dto := exceptionDTO{ID: e.ID, Reason: e.Reason}
+	switch o := e.Override.(type) {
+	case model.LimitsOverride:
+		dto.Limits = &limitsOverrideDTO{Workspace: o.Workspace, Limits: limitsDTO(o.Limits)}
+		return dto, checkFinite("exception", o.Limits.Rate, o.Limits.Burst)
+	case model.DeadlineOverride:
+		dto.Deadline = &deadlineOverrideDTO{Route: o.Route, Deadline: o.Deadline}
+	case model.FloorOverride:
+		dto.Floor = &floorOverrideDTO{Service: o.Service, Floor: o.Floor}
+		return dto, checkFinite("exception", o.Floor)
+	case model.ObjectiveOverride:
+		dto.Objective = &objectiveOverrideDTO{Service: o.Service, Objective: objectiveDTO(o.Objective)}
+		return dto, checkFinite("exception", o.Objective.Availability, o.Objective.LatencyShare)
+	}
+	return dto, nil
+}
+
+func exceptionFromDTO(dto exceptionDTO) (model.Exception, error) {
+	e := model.Exception{ID: dto.ID, Reason: dto.Reason}
+	overrides := 0
+	if o := dto.Limits; o != nil {
+		e.Override = model.LimitsOverride{Workspace: o.Workspace, Limits: model.Limits(o.Limits)}
+		overrides++
+	}
+	if o := dto.Deadline; o != nil {
+		e.Override = model.DeadlineOverride{Route: o.Route, Deadline: o.Deadline}
+		overrides++
+	}
+	if o := dto.Floor; o != nil {
+		e.Override = model.FloorOverride{Service: o.Service, Floor: o.Floor}
+		overrides++
+	}
+	if o := dto.Objective; o != nil {
+		e.Override = model.ObjectiveOverride{Service: o.Service, Objective: model.Objective(o.Objective)}
+		overrides++
+	}
+	if overrides > 1 {
+		return model.Exception{}, malformed("exception", "%d overrides instead of one", overrides)
+	}
+	return e, nil
+}
--- /dev/null
+++ b/internal/codec/state.go
@@ -0,0 +1,137 @@
+package codec
+
+import (
+	"tarragongauge.example/tarragongauge/internal/proto"
+	"tarragongauge.example/tarragongauge/pkg/model"
+)
+
+// Outcome is a change with the result of applying it.
+type Outcome struct {
+	Committed model.Committed
+	Result    model.Result
+}
+
+// ControlState is the state of the replicated log at one index.
+type ControlState struct {
+	Config model.Config
+	// OldSeats are the seats before a SetSeats that is not yet in force, or nil.
+	OldSeats []model.HostID
+	// History holds the newest outcomes in the order of the log.
+	History []Outcome
+}
+
+// LogRecord is one record of a control host's disk.
+type LogRecord struct {
+	// Term and VotedFor are the hard state after this record.
+	Term     model.Term
+	VotedFor model.HostID
+	// TruncateFrom removes entries from this index on before appending, unless 0.
+	TruncateFrom uint64
+	Entries      []proto.LogEntry
+	// State replaces the log up to StateIndex, unless nil.
+	State      []byte
+	StateIndex uint64
+	StateTerm  model.Term
+	// Learner is the number of a host that started without state and may not vote yet, or 0.
+	Learner uint64
+}
+
+type outcomeDTO struct {
+	Committed committedDTO `cbor:"1,keyasint"`
+	Result    resultDTO    `cbor:"2,keyasint"`
+}
+
+type controlDTO struct {
+	Config   configDTO      `cbor:"1,keyasint"`
+	OldSeats []model.HostID `cbor:"2,keyasint,omitempty"`
+	History  []outcomeDTO   `cbor:"3,keyasint"`
+}
+
+type logRecordDTO struct {
+	Term         model.Term   `cbor:"1,keyasint"`
+	VotedFor     model.HostID `cbor:"2,keyasint,omitempty"`
+	TruncateFrom uint64       `cbor:"3,keyasint,omitempty"`
+	Entries      []entryDTO   `cbor:"4,keyasint,omitempty"`
+	State        []byte       `cbor:"5,keyasint,omitempty"`
+	StateIndex   uint64       `cbor:"6,keyasint,omitempty"`
+	StateTerm    model.Term   `cbor:"7,keyasint,omitempty"`
+	Learner      uint64       `cbor:"8,keyasint,omitempty"`
+}
+
+// EncodeControl encodes the state of the replicated log. Equal states have equal bytes.
+func EncodeControl(s ControlState) ([]byte, error) {
+	cfg, err := configToDTO(s.Config)
+	if err != nil {
+		return nil, err
+	}
+	history, err := mapSlice(s.History, outcomeToDTO)
+	if err != nil {
+		return nil, err
+	}
+	return encode("control state", controlDTO{Config: cfg, OldSeats: s.OldSeats, History: history})
+}
+
+// DecodeControl decodes the state of the replicated log.
+func DecodeControl(data []byte) (ControlState, error) {
+	var dto controlDTO
+	if err := decode("control state", data, &dto); err != nil {
+		return ControlState{}, err
+	}
+	cfg, err := configFromDTO(dto.Config)
+	if err != nil {
+		return ControlState{}, err
+	}
+	history, err := mapSlice(dto.History, outcomeFromDTO)
+	return ControlState{Config: cfg, OldSeats: dto.OldSeats, History: history}, err
+}
+
+func outcomeToDTO(o Outcome) (outcomeDTO, error) {
+	c, err := committedToDTO(o.Committed)
+	return outcomeDTO{Committed: c, Result: resultDTO(o.Result)}, err
+}
+
+func outcomeFromDTO(dto outcomeDTO) (Outcome, error) {
+	c, err := committedFromDTO(dto.Committed)
+	if err != nil {
+		return Outcome{}, err
+	}
+	r, err := resultFromDTO(dto.Result)
+	return Outcome{Committed: c, Result: r}, err
+}
+
+// EncodeLog encodes a record of a control host's disk.
+func EncodeLog(r LogRecord) ([]byte, error) {
+	entries, err := mapSlice(r.Entries, entryToDTO)
+	if err != nil {
+		return nil, err
+	}
+	return encode("control record", logRecordDTO{
+		Term:         r.Term,
+		VotedFor:     r.VotedFor,
+		TruncateFrom: r.TruncateFrom,
+		Entries:      entries,
+		State:        r.State,
+		StateIndex:   r.StateIndex,
+		StateTerm:    r.StateTerm,
+		Learner:      r.Learner,
+	})
+}
+
+// DecodeLog decodes a record of a control host's disk.
+func DecodeLog(data []byte) (LogRecord, error) {
+	var dto logRecordDTO
+	if err := decode("control record", data, &dto); err != nil {
+		return LogRecord{}, err
+	}
+	entries, err := mapSlice(dto.Entries, entryFromDTO)
+	return LogRecord{
+		Term:         dto.Term,
+		VotedFor:     dto.VotedFor,
+		TruncateFrom: dto.TruncateFrom,
+		Entries:      entries,
+		State:        dto.State,
+		StateIndex:   dto.StateIndex,
+		StateTerm:    dto.StateTerm,
+		Learner:      dto.Learner,
+	}, err
+}
