Add the CBOR encoding of envelopes between processes

Links need every message of package proto as bytes. wire.Codec maps each message by hand through its own structs; most mappings are struct conversions, so a field added to a message does not compile without an encoding. Frames are bounded by MaxFrame, unknown kinds and fields, wrong digest lengths and values outside enumerations are typed errors.

--- a/internal/wire/api.go
+++ b/internal/wire/api.go
@@ -1,6 +1,6 @@
 // Package wire encodes envelopes as CBOR frames for links between processes.
 //
-// Functions of this package:
+// Functions of this package, which a Codec also has as methods:
 //
 //	Encode(e proto.Envelope) ([]byte, error)
 //	Decode(frame []byte) (proto.Envelope, error)
--- /dev/null
+++ b/internal/wire/fresh.go
@@ -0,0 +1,153 @@
+package wire
+
+import (
+	"time"
+
+	"tarragongauge.example/tarragongauge/internal/codec"
+	"tarragongauge.example/tarragongauge/internal/proto"
+	"tarragongauge.example/tarragongauge/pkg/model"
+)
+
+type member struct {
+	Host        model.HostID      `cbor:"1,keyasint"`
+	Role        proto.Role        `cbor:"2,keyasint"`
+	Zone        model.ZoneName    `cbor:"3,keyasint"`
+	Addr        string            `cbor:"4,keyasint"`
+	Incarnation model.Incarnation `cbor:"5,keyasint"`
+	Draining    bool              `cbor:"6,keyasint,omitempty"`
+}
+
+type hello struct {
+	Member   member `cbor:"1,keyasint"`
+	Cluster  string `cbor:"2,keyasint"`
+	Protocol int    `cbor:"3,keyasint"`
+}
+
+type freshAsk struct {
+	Nonce         uint64        `cbor:"1,keyasint"`
+	Have          model.Version `cbor:"2,keyasint"`
+	Member        member        `cbor:"3,keyasint"`
+	MembersDigest uint64        `cbor:"4,keyasint"`
+	OwnersDigest  uint64        `cbor:"5,keyasint"`
+}
+
+type freshReply struct {
+	Nonce         uint64        `cbor:"1,keyasint"`
+	Newest        model.Version `cbor:"2,keyasint"`
+	FromControl   bool          `cbor:"3,keyasint,omitempty"`
+	Age           time.Duration `cbor:"4,keyasint"`
+	Changes       [][]byte      `cbor:"5,keyasint"`
+	Snapshot      []byte        `cbor:"6,keyasint"`
+	Members       []member      `cbor:"7,keyasint"`
+	MembersDigest uint64        `cbor:"8,keyasint"`
+	Owners        []owner       `cbor:"9,keyasint"`
+	OwnersDigest  uint64        `cbor:"10,keyasint"`
+}
+
+type seatStage struct {
+	Term     model.Term    `cbor:"1,keyasint"`
+	Newest   model.Version `cbor:"2,keyasint"`
+	Changes  [][]byte      `cbor:"3,keyasint"`
+	Snapshot []byte        `cbor:"4,keyasint"`
+	Round    uint64        `cbor:"5,keyasint"`
+}
+
+type seatStageReply struct {
+	Term        model.Term        `cbor:"1,keyasint"`
+	Have        model.Version     `cbor:"2,keyasint"`
+	Incarnation model.Incarnation `cbor:"3,keyasint"`
+	Round       uint64            `cbor:"4,keyasint"`
+}
+
+type seatLearn struct {
+	Nonce uint64        `cbor:"1,keyasint"`
+	Have  model.Version `cbor:"2,keyasint"`
+}
+
+type seatLearnReply struct {
+	Nonce    uint64        `cbor:"1,keyasint"`
+	Newest   model.Version `cbor:"2,keyasint"`
+	Snapshot []byte        `cbor:"3,keyasint"`
+}
+
+func freshBindings() []binding {
+	return []binding{
+		bind(20, toHello, fromHello),
+		bind(21, toFreshAsk, fromFreshAsk),
+		bind(22, toFreshReply, fromFreshReply),
+		bind(23, toSeatStage, fromSeatStage),
+		plain(24, func(m proto.SeatStageReply) seatStageReply { return seatStageReply(m) }, func(d seatStageReply) proto.SeatStageReply { return proto.SeatStageReply(d) }),
+		plain(25, func(m proto.SeatLearn) seatLearn { return seatLearn(m) }, func(d seatLearn) proto.SeatLearn { return proto.SeatLearn(d) }),
+		plain(26, func(m proto.SeatLearnReply) seatLearnReply { return seatLearnReply(m) }, func(d seatLearnReply) proto.SeatLearnReply { return proto.SeatLearnReply(d) }),
+	}
+}
+
+func toMember(m proto.Member) member { return member(m) }
+
+func fromMember(d member) (proto.Member, error) {
+	return proto.Member(d), checkEnum("role", d.Role, proto.RoleJournal)
+}
+
+func toHello(m proto.Hello) (hello, error) {
+	return hello{Member: toMember(m.Member), Cluster: m.Cluster, Protocol: m.Protocol}, nil
+}
+
+func fromHello(d hello) (proto.Hello, error) {
+	m, err := fromMember(d.Member)
+	return proto.Hello{Member: m, Cluster: d.Cluster, Protocol: d.Protocol}, err
+}
+
+func toFreshAsk(m proto.FreshAsk) (freshAsk, error) {
+	return freshAsk{Nonce: m.Nonce, Have: m.Have, Member: toMember(m.Member), MembersDigest: m.MembersDigest, OwnersDigest: m.OwnersDigest}, nil
+}
+
+func fromFreshAsk(d freshAsk) (proto.FreshAsk, error) {
+	m, err := fromMember(d.Member)
+	return proto.FreshAsk{Nonce: d.Nonce, Have: d.Have, Member: m, MembersDigest: d.MembersDigest, OwnersDigest: d.OwnersDigest}, err
+}
+
+func toFreshReply(m proto.FreshReply) (freshReply, error) {
+	changes, err := mapSlice(m.Changes, codec.EncodeCommitted)
+	return freshReply{
+		Nonce:         m.Nonce,
+		Newest:        m.Newest,
+		FromControl:   m.FromControl,
+		Age:           m.Age,
+		Changes:       changes,
+		Snapshot:      m.Snapshot,
+		Members:       convert(m.Members, toMember),
+		MembersDigest: m.MembersDigest,
+		Owners:        convert(m.Owners, func(o proto.Owner) owner { return owner(o) }),
+		OwnersDigest:  m.OwnersDigest,
+	}, err
+}
+
+func fromFreshReply(d freshReply) (proto.FreshReply, error) {
+	changes, err := mapSlice(d.Changes, codec.DecodeCommitted)
+	if err != nil {
+		return proto.FreshReply{}, err
+	}
+	members, err := mapSlice(d.Members, fromMember)
+	return proto.FreshReply{
+		Nonce:         d.Nonce,
+		Newest:        d.Newest,
+		FromControl:   d.FromControl,
+		Age:           d.Age,
+		Changes:       changes,
+		Snapshot:      d.Snapshot,
+		Members:       members,
+		MembersDigest: d.MembersDigest,
+		Owners:        convert(d.Owners, func(o owner) proto.Owner { return proto.Owner(o) }),
+		OwnersDigest:  d.OwnersDigest,
+	}, err
+}
+
+func toSeatStage(m proto.SeatStage) (seatStage, error) {
+	changes, err := mapSlice(m.Changes, codec.EncodeCommitted)
+	return seatStage{Term: m.Term, Newest: m.Newest, Changes: changes, Snapshot: m.Snapshot, Round: m.Round}, err
+}
+
+func fromSeatStage(d seatStage) (proto.SeatStage, error) {
+	changes, err := mapSlice(d.Changes, codec.DecodeCommitted)
+	return proto.SeatStage{Term: d.Term, Newest: d.Newest, Changes: changes, Snapshot: d.Snapshot, Round: d.Round}, err
+}
--- /dev/null
+++ b/internal/wire/log.go
@@ -0,0 +1,102 @@
+package wire
+
+import (
+	"tarragongauge.example/tarragongauge/internal/codec"
+	"tarragongauge.example/tarragongauge/internal/proto"
+	"tarragongauge.example/tarragongauge/pkg/model"
+)
+
+type voteAsk struct {
+	Term      model.Term `cbor:"1,keyasint"`
+	LastIndex uint64     `cbor:"2,keyasint"`
+	LastTerm  model.Term `cbor:"3,keyasint"`
+	Pre       bool       `cbor:"4,keyasint"`
+	Nonce     uint64     `cbor:"5,keyasint"`
+	Bootstrap uint64     `cbor:"6,keyasint"`
+}
+
+type voteReply struct {
+	Term    model.Term `cbor:"1,keyasint"`
+	Granted bool       `cbor:"2,keyasint"`
+	Pre     bool       `cbor:"3,keyasint"`
+	Nonce   uint64     `cbor:"4,keyasint"`
+	Empty   bool       `cbor:"5,keyasint"`
+}
+
+type appendAsk struct {
+	Term      model.Term `cbor:"1,keyasint"`
+	PrevIndex uint64     `cbor:"2,keyasint"`
+	PrevTerm  model.Term `cbor:"3,keyasint"`
+	Entries   [][]byte   `cbor:"4,keyasint"`
+	Commit    uint64     `cbor:"5,keyasint"`
+	Round     uint64     `cbor:"6,keyasint"`
+	Admit     uint64     `cbor:"7,keyasint"`
+}
+
+type appendReply struct {
+	Term    model.Term `cbor:"1,keyasint"`
+	OK      bool       `cbor:"2,keyasint"`
+	Match   uint64     `cbor:"3,keyasint"`
+	Round   uint64     `cbor:"4,keyasint"`
+	Learner uint64     `cbor:"5,keyasint"`
+}
+
+type installSnapshot struct {
+	Term      model.Term `cbor:"1,keyasint"`
+	LastIndex uint64     `cbor:"2,keyasint"`
+	LastTerm  model.Term `cbor:"3,keyasint"`
+	Data      []byte     `cbor:"4,keyasint"`
+	Round     uint64     `cbor:"5,keyasint"`
+}
+
+type proposeAsk struct {
+	Nonce    uint64 `cbor:"1,keyasint"`
+	Proposal []byte `cbor:"2,keyasint"`
+}
+
+type proposeReply struct {
+	Nonce  uint64 `cbor:"1,keyasint"`
+	Result []byte `cbor:"2,keyasint"`
+}
+
+func logBindings() []binding {
+	return []binding{
+		plain(1, func(m proto.VoteAsk) voteAsk { return voteAsk(m) }, func(d voteAsk) proto.VoteAsk { return proto.VoteAsk(d) }),
+		plain(2, func(m proto.VoteReply) voteReply { return voteReply(m) }, func(d voteReply) proto.VoteReply { return proto.VoteReply(d) }),
+		bind(3, toAppend, fromAppend),
+		plain(4, func(m proto.AppendReply) appendReply { return appendReply(m) }, func(d appendReply) proto.AppendReply { return proto.AppendReply(d) }),
+		plain(5, func(m proto.InstallSnapshot) installSnapshot { return installSnapshot(m) }, func(d installSnapshot) proto.InstallSnapshot { return proto.InstallSnapshot(d) }),
+		bind(6, toProposeAsk, fromProposeAsk),
+		bind(7, toProposeReply, fromProposeReply),
+	}
+}
+
+func toAppend(m proto.Append) (appendAsk, error) {
+	entries, err := mapSlice(m.Entries, codec.EncodeEntry)
+	return appendAsk{Term: m.Term, PrevIndex: m.PrevIndex, PrevTerm: m.PrevTerm, Entries: entries, Commit: m.Commit, Round: m.Round, Admit: m.Admit}, err
+}
+
+func fromAppend(d appendAsk) (proto.Append, error) {
+	entries, err := mapSlice(d.Entries, codec.DecodeEntry)
+	return proto.Append{Term: d.Term, PrevIndex: d.PrevIndex, PrevTerm: d.PrevTerm, Entries: entries, Commit: d.Commit, Round: d.Round, Admit: d.Admit}, err
+}
+
+func toProposeAsk(m proto.ProposeAsk) (proposeAsk, error) {
+	data, err := codec.EncodeProposal(m.Proposal)
+	return proposeAsk{Nonce: m.Nonce, Proposal: data}, err
+}
+
+func fromProposeAsk(d proposeAsk) (proto.ProposeAsk, error) {
+	p, err := codec.DecodeProposal(d.Proposal)
+	return proto.ProposeAsk{Nonce: d.Nonce, Proposal: p}, err
+}
+
+func toProposeReply(m proto.ProposeReply) (proposeReply, error) {
+	data, err := codec.EncodeResult(m.Result)
+	return proposeReply{Nonce: m.Nonce, Result: data}, err
+}
+
+func fromProposeReply(d proposeReply) (proto.ProposeReply, error) {
+	r, err := codec.DecodeResult(d.Result)
+	return proto.ProposeReply{Nonce: d.Nonce, Result: r}, err
+}
--- /dev/null
+++ b/internal/wire/order.go
@@ -0,0 +1,113 @@
+package wire
+
+import (
+	"tarragongauge.example/tarragongauge/internal/codec"
+	"tarragongauge.example/tarragongauge/internal/proto"
+	"tarragongauge.example/tarragongauge/pkg/model"
+)
+
+type reserveAsk struct {
+	Nonce     uint64            `cbor:"1,keyasint"`
+	Workspace model.WorkspaceID `cbor:"2,keyasint"`
+	OrderKey  string            `cbor:"3,keyasint"`
+	Body      []byte            `cbor:"4,keyasint"`
+	Holder    model.RequestID   `cbor:"5,keyasint"`
+}
+
+type storedAnswer struct {
+	Status int                 `cbor:"1,keyasint"`
+	Header map[string][]string `cbor:"2,keyasint"`
+	Body   []byte              `cbor:"3,keyasint"`
+}
+
+type reserveReply struct {
+	Nonce  uint64              `cbor:"1,keyasint"`
+	Status proto.ReserveStatus `cbor:"2,keyasint"`
+	Holder model.RequestID     `cbor:"3,keyasint"`
+	Body   []byte              `cbor:"4,keyasint"`
+	Answer *storedAnswer       `cbor:"5,keyasint,omitempty"`
+}
+
+type reserveFree struct {
+	Workspace model.WorkspaceID `cbor:"1,keyasint"`
+	OrderKey  string            `cbor:"2,keyasint"`
+	Holder    model.RequestID   `cbor:"3,keyasint"`
+}
+
+type answerSave struct {
+	Workspace model.WorkspaceID `cbor:"1,keyasint"`
+	OrderKey  string            `cbor:"2,keyasint"`
+	Holder    model.RequestID   `cbor:"3,keyasint"`
+	Answer    storedAnswer      `cbor:"4,keyasint"`
+}
+
+type journalCopyAsk struct {
+	Nonce uint64 `cbor:"1,keyasint"`
+	After string `cbor:"2,keyasint"`
+}
+
+type journalCopyReply struct {
+	Nonce   uint64   `cbor:"1,keyasint"`
+	Records [][]byte `cbor:"2,keyasint"`
+	Done    bool     `cbor:"3,keyasint"`
+}
+
+func orderBindings() []binding {
+	return []binding{
+		bind(80, toReserveAsk, fromReserveAsk),
+		bind(81, toReserveReply, fromReserveReply),
+		plain(82, func(m proto.ReserveFree) reserveFree { return reserveFree(m) }, func(d reserveFree) proto.ReserveFree { return proto.ReserveFree(d) }),
+		plain(83, toAnswerSave, fromAnswerSave),
+		plain(84, func(m proto.JournalCopyAsk) journalCopyAsk { return journalCopyAsk(m) }, func(d journalCopyAsk) proto.JournalCopyAsk { return proto.JournalCopyAsk(d) }),
+		bind(85, toJournalCopyReply, fromJournalCopyReply),
+	}
+}
+
+func toReserveAsk(m proto.ReserveAsk) (reserveAsk, error) {
+	return reserveAsk{Nonce: m.Nonce, Workspace: m.Workspace, OrderKey: m.OrderKey, Body: m.Body[:], Holder: m.Holder}, nil
+}
+
+func fromReserveAsk(d reserveAsk) (proto.ReserveAsk, error) {
+	body, err := checkDigest[model.BodyHash](d.Body)
+	return proto.ReserveAsk{Nonce: d.Nonce, Workspace: d.Workspace, OrderKey: d.OrderKey, Body: body, Holder: d.Holder}, err
+}
+
+func toReserveReply(m proto.ReserveReply) (reserveReply, error) {
+	d := reserveReply{Nonce: m.Nonce, Status: m.Status, Holder: m.Holder, Body: m.Body[:]}
+	if m.Answer != nil {
+		answer := storedAnswer(*m.Answer)
+		d.Answer = &answer
+	}
+	return d, nil
+}
+
+func fromReserveReply(d reserveReply) (proto.ReserveReply, error) {
+	body, err := checkDigest[model.BodyHash](d.Body)
+	if err != nil {
+		return proto.ReserveReply{}, err
+	}
+	m := proto.ReserveReply{Nonce: d.Nonce, Status: d.Status, Holder: d.Holder, Body: body}
+	if d.Answer != nil {
+		answer := proto.StoredAnswer(*d.Answer)
+		m.Answer = &answer
+	}
+	return m, checkEnum("reservation status", d.Status, proto.ReserveUnavailable)
+}
+
+func toAnswerSave(m proto.AnswerSave) answerSave {
+	return answerSave{Workspace: m.Workspace, OrderKey: m.OrderKey, Holder: m.Holder, Answer: storedAnswer(m.Answer)}
+}
+
+func fromAnswerSave(d answerSave) proto.AnswerSave {
+	return proto.AnswerSave{Workspace: d.Workspace, OrderKey: d.OrderKey, Holder: d.Holder, Answer: proto.StoredAnswer(d.Answer)}
+}
+
+func toJournalCopyReply(m proto.JournalCopyReply) (journalCopyReply, error) {
+	records, err := mapSlice(m.Records, codec.EncodeRecord)
+	return journalCopyReply{Nonce: m.Nonce, Records: records, Done: m.Done}, err
+}
+
+func fromJournalCopyReply(d journalCopyReply) (proto.JournalCopyReply, error) {
+	records, err := mapSlice(d.Records, codec.DecodeRecord)
+	return proto.JournalCopyReply{Nonce: d.Nonce, Records: records, Done: d.Done}, err
+}
--- /dev/null
+++ b/internal/wire/pool.go
@@ -0,0 +1,136 @@
+package wire
+
+import (
+	"time"
+
+	"tarragongauge.example/tarragongauge/internal/proto"
+	"tarragongauge.example/tarragongauge/pkg/model"
+)
+
+type slotAsk struct {
+	Nonce       uint64            `cbor:"1,keyasint"`
+	Service     model.ServiceName `cbor:"2,keyasint"`
+	Workspace   model.WorkspaceID `cbor:"3,keyasint"`
+	Request     model.RequestID   `cbor:"4,keyasint"`
+	Fingerprint model.Fingerprint `cbor:"5,keyasint"`
+	Zone        model.ZoneName    `cbor:"6,keyasint"`
+	Budget      time.Duration     `cbor:"7,keyasint"`
+	Exclude     []model.TargetID  `cbor:"8,keyasint"`
+}
+
+type slotReply struct {
+	Nonce       uint64            `cbor:"1,keyasint"`
+	Status      proto.SlotStatus  `cbor:"2,keyasint"`
+	Slot        uint64            `cbor:"3,keyasint"`
+	Target      model.TargetID    `cbor:"4,keyasint"`
+	Addr        string            `cbor:"5,keyasint"`
+	Incarnation model.Incarnation `cbor:"6,keyasint"`
+	RetryAfter  time.Duration     `cbor:"7,keyasint"`
+	Epoch       model.Epoch       `cbor:"8,keyasint"`
+}
+
+type attempt struct {
+	Target      model.TargetID    `cbor:"1,keyasint"`
+	Incarnation model.Incarnation `cbor:"2,keyasint"`
+	End         model.AttemptEnd  `cbor:"3,keyasint"`
+	Latency     time.Duration     `cbor:"4,keyasint"`
+}
+
+type slotDone struct {
+	Service     model.ServiceName `cbor:"1,keyasint"`
+	Slot        uint64            `cbor:"2,keyasint"`
+	Workspace   model.WorkspaceID `cbor:"3,keyasint"`
+	Fingerprint model.Fingerprint `cbor:"4,keyasint"`
+	Attempt     attempt           `cbor:"5,keyasint"`
+}
+
+type slotCancel struct {
+	Service model.ServiceName `cbor:"1,keyasint"`
+	Nonce   uint64            `cbor:"2,keyasint"`
+}
+
+type announcement struct {
+	Service     model.ServiceName `cbor:"1,keyasint"`
+	Target      model.TargetID    `cbor:"2,keyasint"`
+	Addr        string            `cbor:"3,keyasint"`
+	Zone        model.ZoneName    `cbor:"4,keyasint"`
+	Slots       int               `cbor:"5,keyasint"`
+	Incarnation model.Incarnation `cbor:"6,keyasint"`
+	State       model.TargetState `cbor:"7,keyasint"`
+	Load        float64           `cbor:"8,keyasint"`
+}
+
+type targetNews struct {
+	Announcement announcement `cbor:"1,keyasint"`
+}
+
+type probeResult struct {
+	Service     model.ServiceName `cbor:"1,keyasint"`
+	Target      model.TargetID    `cbor:"2,keyasint"`
+	Incarnation model.Incarnation `cbor:"3,keyasint"`
+	OK          bool              `cbor:"4,keyasint"`
+	Latency     time.Duration     `cbor:"5,keyasint"`
+}
+
+type viewAsk struct {
+	Service model.ServiceName `cbor:"1,keyasint"`
+	Digest  uint64            `cbor:"2,keyasint"`
+}
+
+type targetView struct {
+	Target      model.TargetID    `cbor:"1,keyasint"`
+	Addr        string            `cbor:"2,keyasint"`
+	Zone        model.ZoneName    `cbor:"3,keyasint"`
+	Slots       int               `cbor:"4,keyasint"`
+	Incarnation model.Incarnation `cbor:"5,keyasint"`
+	Ejected     bool              `cbor:"6,keyasint,omitempty"`
+}
+
+type viewReply struct {
+	Service model.ServiceName `cbor:"1,keyasint"`
+	Epoch   model.Epoch       `cbor:"2,keyasint"`
+	Digest  uint64            `cbor:"3,keyasint"`
+	Targets []targetView      `cbor:"4,keyasint"`
+}
+
+func poolBindings() []binding {
+	return []binding{
+		plain(60, func(m proto.SlotAsk) slotAsk { return slotAsk(m) }, func(d slotAsk) proto.SlotAsk { return proto.SlotAsk(d) }),
+		bind(61, func(m proto.SlotReply) (slotReply, error) { return slotReply(m), nil }, fromSlotReply),
+		bind(62, toSlotDone, fromSlotDone),
+		plain(63, func(m proto.SlotCancel) slotCancel { return slotCancel(m) }, func(d slotCancel) proto.SlotCancel { return proto.SlotCancel(d) }),
+		bind(64, toTargetNews, fromTargetNews),
+		plain(65, func(m proto.ProbeResult) probeResult { return probeResult(m) }, func(d probeResult) proto.ProbeResult { return proto.ProbeResult(d) }),
+		plain(66, func(m proto.ViewAsk) viewAsk { return viewAsk(m) }, func(d viewAsk) proto.ViewAsk { return proto.ViewAsk(d) }),
+		plain(67, toViewReply, fromViewReply),
+	}
+}
+
+func fromSlotReply(d slotReply) (proto.SlotReply, error) {
+	return proto.SlotReply(d), checkEnum("slot status", d.Status, proto.SlotQuarantined)
+}
+
+func toSlotDone(m proto.SlotDone) (slotDone, error) {
+	return slotDone{Service: m.Service, Slot: m.Slot, Workspace: m.Workspace, Fingerprint: m.Fingerprint, Attempt: attempt(m.Attempt)}, nil
+}
+
+func fromSlotDone(d slotDone) (proto.SlotDone, error) {
+	m := proto.SlotDone{Service: d.Service, Slot: d.Slot, Workspace: d.Workspace, Fingerprint: d.Fingerprint, Attempt: model.Attempt(d.Attempt)}
+	return m, checkEnum("end of an attempt", d.Attempt.End, model.AttemptInvalid)
+}
+
+func toTargetNews(m proto.TargetNews) (targetNews, error) {
+	return targetNews{Announcement: announcement(m.Announcement)}, nil
+}
+
+func fromTargetNews(d targetNews) (proto.TargetNews, error) {
+	return proto.TargetNews{Announcement: model.Announcement(d.Announcement)}, checkEnum("target state", d.Announcement.State, model.TargetLeaving)
+}
+
+func toViewReply(m proto.ViewReply) viewReply {
+	return viewReply{Service: m.Service, Epoch: m.Epoch, Digest: m.Digest, Targets: convert(m.Targets, func(t proto.TargetView) targetView { return targetView(t) })}
+}
+
+func fromViewReply(d viewReply) proto.ViewReply {
+	return proto.ViewReply{Service: d.Service, Epoch: d.Epoch, Digest: d.Digest, Targets: convert(d.Targets, func(t targetView) proto.TargetView { return proto.TargetView(t) })}
+}
--- /dev/null
+++ b/internal/wire/wire.go
@@ -0,0 +1,147 @@
+package wire
+
+import (
+	"fmt"
+	"reflect"
+	"strconv"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"tarragongauge.example/tarragongauge/internal/proto"
+	"tarragongauge.example/tarragongauge/pkg/model"
+)
+
+// Bounds of decoding. They limit the amplification from bytes to Go values.
+const (
+	// maxItems is the number of items a frame of MaxFrame bytes can hold.
+	maxItems = MaxFrame
+	// maxDepth is above the deepest message, whose nested values are byte strings.
+	maxDepth = 12
+)
+
+// outgoing and incoming are the frame: the body is encoded in place and decoded once its kind is known.
+type outgoing struct {
+	_    struct{} `cbor:",toarray"`
+	From model.HostID
+	To   model.HostID
+	Kind uint16
+	Body any
+}
+
+type incoming struct {
+	_    struct{} `cbor:",toarray"`
+	From model.HostID
+	To   model.HostID
+	Kind uint16
+	Body cbor.RawMessage
+}
+
+// Codec encodes and decodes envelopes. It is immutable and safe for concurrent use.
+type Codec struct {
+	enc    cbor.EncMode
+	dec    cbor.DecMode
+	byType map[reflect.Type]binding
+	byKind map[uint16]binding
+}
+
+// NewCodec returns a codec for every message of package proto.
+func NewCodec() (*Codec, error) {
+	enc, err := cbor.EncOptions{}.EncMode()
+	if err != nil {
+		return nil, fmt.Errorf("set up encoding: %w", err)
+	}
+	// Unknown fields are refused: hosts of one fleet speak the same protocol version.
+	dec, err := cbor.DecOptions{
+		DupMapKey:         cbor.DupMapKeyEnforcedAPF,
+		IndefLength:       cbor.IndefLengthForbidden,
+		TagsMd:            cbor.TagsForbidden,
+		MaxNestedLevels:   maxDepth,
+		MaxArrayElements:  maxItems,
+		MaxMapPairs:       maxItems,
+		ExtraReturnErrors: cbor.ExtraDecErrorUnknownField,
+		UTF8:              cbor.UTF8DecodeInvalid,
+		NaN:               cbor.NaNDecodeForbidden,
+		Inf:               cbor.InfDecodeForbidden,
+	}.DecMode()
+	if err != nil {
+		return nil, fmt.Errorf("set up decoding: %w", err)
+	}
+	c := &Codec{enc: enc, dec: dec, byType: map[reflect.Type]binding{}, byKind: map[uint16]binding{}}
+	for _, b := range bindings() {
+		c.byType[b.typ] = b
+		c.byKind[b.kind] = b
+	}
+	return c, nil
+}
+
+// Encode returns the frame of an envelope.
+func (c *Codec) Encode(e proto.Envelope) ([]byte, error) {
+	b, ok := c.byType[reflect.TypeOf(e.Body)]
+	if !ok {
+		return nil, ErrUnknownKind{Kind: fmt.Sprintf("%T", e.Body)}
+	}
+	body, err := b.encode(e.Body)
+	if err != nil {
+		return nil, fmt.Errorf("encode %T: %w", e.Body, err)
+	}
+	frame, err := c.enc.Marshal(outgoing{From: e.From, To: e.To, Kind: b.kind, Body: body})
+	if err != nil {
+		return nil, fmt.Errorf("encode %T: %w", e.Body, err)
+	}
+	if len(frame) > MaxFrame {
+		return nil, ErrTooLong{Bytes: len(frame)}
+	}
+	return frame, nil
+}
+
+// Decode returns the envelope of a frame that holds exactly one.
+func (c *Codec) Decode(frame []byte) (proto.Envelope, error) {
+	e, rest, err := c.DecodeFirst(frame)
+	if err != nil {
+		return proto.Envelope{}, err
+	}
+	if len(rest) > 0 {
+		return proto.Envelope{}, ErrMalformed{Cause: fmt.Errorf("%d bytes after the envelope", len(rest))}
+	}
+	return e, nil
+}
+
+// DecodeFirst returns the first envelope of a frame and the bytes after it,
+// since a link writes several short envelopes as one frame.
+func (c *Codec) DecodeFirst(frame []byte) (proto.Envelope, []byte, error) {
+	if len(frame) > MaxFrame {
+		return proto.Envelope{}, nil, ErrTooLong{Bytes: len(frame)}
+	}
+	var in incoming
+	rest, err := c.dec.UnmarshalFirst(frame, &in)
+	if err != nil {
+		return proto.Envelope{}, nil, ErrMalformed{Cause: err}
+	}
+	b, ok := c.byKind[in.Kind]
+	if !ok {
+		return proto.Envelope{}, nil, ErrUnknownKind{Kind: strconv.Itoa(int(in.Kind))}
+	}
+	body, err := b.decode(c.dec, in.Body)
+	if err != nil {
+		return proto.Envelope{}, nil, ErrMalformed{Cause: err}
+	}
+	return proto.Envelope{From: in.From, To: in.To, Body: body}, rest, nil
+}
+
+// Encode returns the frame of an envelope. Callers that encode often keep a Codec instead.
+func Encode(e proto.Envelope) ([]byte, error) {
+	c, err := NewCodec()
+	if err != nil {
+		return nil, err
+	}
+	return c.Encode(e)
+}
+
+// Decode returns the envelope of a frame. Callers that decode often keep a Codec instead.
+func Decode(frame []byte) (proto.Envelope, error) {
+	c, err := NewCodec()
+	if err != nil {
+		return proto.Envelope{}, err
+	}
+	return c.Decode(frame)
+}
