Add WebSocket links between the processes of the fleet

Processes need one connection per pair of hosts that loses messages rather than block. link.Mesh queues encoded messages per host, bounded in messages, bytes and age, writes several as one frame, and opens links when there is something to send, with jittered backoff. Both sides prove the fleet secret by a keyed digest over both greetings, each with a fresh challenge, and their Hello; the dialer proves first. Of two links opened at the same time the one of the lesser host name is kept; a later run of a host, or a newer link of the same dialer, replaces what is in use. Pings with a timeout close a link that is cut in either direction. A test option drops one direction at the connection.

Sender is the interface that Mesh was; New returns the concrete *Mesh.

--- a/internal/link/api.go
+++ b/internal/link/api.go
@@ -8,12 +8,20 @@
 	"tarragongauge.example/tarragongauge/pkg/model"
 )
 
-// Handler takes every message that arrives. It must not block.
+// Protocol is the version of the message set. Hosts with different versions refuse each other.
+const Protocol = 1
+
+// Path is where a process serves Mesh.Handler on its fleet address.
+const Path = "/v1/link"
+
+// Handler takes every message that arrives, starting with the Hello of each
+// link. It is called from several goroutines and must not block.
 type Handler func(from model.HostID, m proto.Message)
 
-// Mesh sends messages to hosts and learns where hosts are.
-type Mesh interface {
-	// Send queues a message; it reports whether the message was queued.
+// Sender sends messages to hosts and learns where hosts are. Mesh implements it.
+type Sender interface {
+	// Send queues a message; it reports whether the message was queued. The
+	// message and what it refers to must not be changed afterwards.
 	Send(to model.HostID, m proto.Message) bool
 	// Learn adds or moves hosts; links to them are opened when first needed.
 	Learn(members []proto.Member)
--- /dev/null
+++ b/internal/link/mesh.go
@@ -0,0 +1,293 @@
+package link
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"net/url"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/coder/websocket"
+	"github.com/go-logr/logr"
+
+	"tarragongauge.example/tarragongauge/internal/proto"
+	"tarragongauge.example/tarragongauge/internal/super"
+	"tarragongauge.example/tarragongauge/internal/wire"
+	"tarragongauge.example/tarragongauge/pkg/model"
+)
+
+// hostHeader names the dialing host, so that injected faults apply from the first byte of the answer.
+const hostHeader = "X-Link-Host"
+
+// Mesh holds the links of one process. It is safe for concurrent use.
+type Mesh struct {
+	self    proto.Member
+	secret  []byte
+	tree    *super.Tree
+	handler Handler
+	opts    options
+	codec   *wire.Codec
+	// handshakes holds one token for each connection that has not authenticated yet.
+	handshakes chan struct{}
+	loop       *loop
+
+	mu    sync.RWMutex
+	peers map[model.HostID]*peer
+}
+
+// New returns a mesh for a host. Its tasks run in a child of the tree. The
+// clean-up function closes all links.
+func New(self proto.Member, secret []byte, tree *super.Tree, handler Handler, opts ...Option) (*Mesh, func(), error) {
+	o := options{log: logr.Discard(), queue: defaultQueue, timing: DefaultTiming()}
+	for _, opt := range opts {
+		opt(&o)
+	}
+	if len(secret) < minSecret {
+		return nil, nil, ErrSecret{Cause: fmt.Sprintf("%d bytes are too short; use at least %d random bytes", len(secret), minSecret)}
+	}
+	if self.Host == "" {
+		return nil, nil, ErrPeer{Field: "host name", Want: "the name of this host"}
+	}
+	codec, err := wire.NewCodec()
+	if err != nil {
+		return nil, nil, err
+	}
+	m := &Mesh{
+		self:       self,
+		secret:     slices.Clone(secret),
+		tree:       tree.Child("link"),
+		handler:    handler,
+		opts:       o,
+		codec:      codec,
+		handshakes: make(chan struct{}, maxHandshakes),
+		loop:       newLoop(o.queue),
+		peers:      map[model.HostID]*peer{},
+	}
+	m.tree.Go("self", m.deliverOwn)
+	return m, m.tree.Stop, nil
+}
+
+// Send queues a message for a host and reports whether it was queued. It never
+// blocks. A message to this host itself reaches the handler without a socket.
+func (m *Mesh) Send(to model.HostID, msg proto.Message) bool {
+	if to == m.self.Host {
+		return m.loop.put(msg)
+	}
+	p := m.peer(to)
+	if p == nil {
+		return false
+	}
+	frame, err := m.codec.Encode(proto.Envelope{From: m.self.Host, To: to, Body: msg})
+	if err != nil {
+		m.opts.log.Error(err, "message dropped", "peer", string(to))
+		p.drop(1)
+		return false
+	}
+	queued, dial := p.put(frame, time.Now(), m.opts.timing.MaxAge)
+	if !queued {
+		p.drop(1)
+		return false
+	}
+	if dial {
+		m.startDial(p)
+	}
+	p.wakeWriter()
+	return true
+}
+
+// Learn adds or moves hosts; links to them are opened when first needed.
+func (m *Mesh) Learn(members []proto.Member) {
+	for _, member := range members {
+		if member.Host != m.self.Host && member.Host != "" {
+			m.ensure(member.Host).learn(member.Addr, member.Incarnation)
+		}
+	}
+}
+
+// Stats returns the figures of each known host and, under the name of this
+// host, of messages to itself.
+func (m *Mesh) Stats() map[model.HostID]Stats {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	all := make(map[model.HostID]Stats, len(m.peers)+1)
+	for host, p := range m.peers {
+		all[host] = p.stats()
+	}
+	all[m.self.Host] = m.loop.stats()
+	return all
+}
+
+func (m *Mesh) peer(host model.HostID) *peer {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	return m.peers[host]
+}
+
+func (m *Mesh) ensure(host model.HostID) *peer {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	p := m.peers[host]
+	if p == nil {
+		p = newPeer(host, m.opts.queue)
+		m.peers[host] = p
+	}
+	return p
+}
+
+func (m *Mesh) hello() proto.Hello {
+	return proto.Hello{Member: m.self, Cluster: m.opts.cluster, Protocol: Protocol}
+}
+
+func (m *Mesh) deliverOwn(ctx context.Context) error {
+	for {
+		msg, ok := m.loop.take(ctx)
+		if !ok {
+			return nil
+		}
+		m.handler(m.self.Host, msg)
+	}
+}
+
+// startDial runs the dialer of a peer, which must be marked as dialing.
+func (m *Mesh) startDial(p *peer) {
+	started := m.tree.Go("dial-"+string(p.host), func(ctx context.Context) error {
+		m.dialUntilLinked(ctx, p)
+		return nil
+	})
+	if !started {
+		p.stopDial()
+	}
+}
+
+func (m *Mesh) dialUntilLinked(ctx context.Context, p *peer) {
+	for {
+		addr, delay, ok := p.wantsDial(time.Now(), m.opts.timing.MaxAge)
+		if !ok {
+			return
+		}
+		if !wait(ctx, delay) {
+			p.stopDial()
+			return
+		}
+		if err := m.dial(ctx, p, addr); err != nil {
+			m.opts.log.V(1).Info("link not opened", "peer", string(p.host), "addr", addr, "cause", err.Error())
+			p.dialFailed(time.Now(), m.opts.timing)
+		}
+	}
+}
+
+func wait(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return true
+	}
+}
+
+func (m *Mesh) dial(ctx context.Context, p *peer, addr string) error {
+	ctx, cancel := context.WithTimeout(ctx, m.opts.timing.Handshake)
+	defer cancel()
+	transport := &http.Transport{DialContext: func(ctx context.Context, network, addr string) (net.Conn, error) {
+		c, err := (&net.Dialer{}).DialContext(ctx, network, addr)
+		if err != nil {
+			return nil, err
+		}
+		return m.opts.faults.wrap(c, p.host), nil
+	}}
+	defer transport.CloseIdleConnections()
+	u := url.URL{Scheme: "ws", Host: addr, Path: Path}
+	ws, resp, err := websocket.Dial(ctx, u.String(), &websocket.DialOptions{
+		HTTPClient: &http.Client{Transport: transport},
+		HTTPHeader: http.Header{hostHeader: {string(m.self.Host)}},
+	})
+	if err != nil {
+		return err
+	}
+	if resp.Body != nil {
+		_ = resp.Body.Close() // the upgraded connection belongs to ws
+	}
+	ws.SetReadLimit(maxGreeting)
+	h := &handshake{mesh: m, ws: ws}
+	hello, err := h.dial(ctx, p.host)
+	if err != nil {
+		_ = ws.CloseNow()
+		return err
+	}
+	return m.use(newLink(m, p, ws, h.id(), m.self.Host, hello.Member.Incarnation), hello)
+}
+
+// use starts a link after its handshake unless a better one is in use.
+func (m *Mesh) use(l *link, hello proto.Hello) error {
+	old, ok := l.peer.use(l)
+	if !ok {
+		l.close(nil)
+		return ErrSpare{Peer: l.peer.host}
+	}
+	if old != nil {
+		old.close(nil)
+	}
+	l.peer.learn(hello.Member.Addr, hello.Member.Incarnation)
+	m.opts.log.V(1).Info("link opened", "peer", string(l.peer.host), "link", l.id, "dialer", string(l.dialer))
+	m.handler(l.peer.host, hello)
+	l.start()
+	return nil
+}
+
+// Handler accepts links of other hosts. Serve it at Path on the fleet address.
+func (m *Mesh) Handler() http.Handler {
+	return http.HandlerFunc(m.serve)
+}
+
+func (m *Mesh) serve(w http.ResponseWriter, r *http.Request) {
+	select {
+	case m.handshakes <- struct{}{}:
+		defer func() { <-m.handshakes }()
+	default:
+		http.Error(w, "too many links are being opened; try again later", http.StatusServiceUnavailable)
+		return
+	}
+	claimed := model.HostID(r.Header.Get(hostHeader))
+	if m.opts.faults != nil {
+		w = faultyWriter{ResponseWriter: w, faults: m.opts.faults, host: claimed}
+	}
+	ws, err := websocket.Accept(w, r, nil)
+	if err != nil {
+		m.opts.log.V(1).Info("link refused", "remote", r.RemoteAddr, "cause", err.Error())
+		return
+	}
+	ws.SetReadLimit(maxGreeting)
+	if err := m.accept(ws); err != nil {
+		_ = ws.CloseNow()
+		if IsErrSpare(err) {
+			return
+		}
+		m.opts.log.Info("link refused", "remote", r.RemoteAddr, "peer", string(claimed), "cause", err.Error())
+	}
+}
+
+func (m *Mesh) accept(ws *websocket.Conn) error {
+	ctx, cancel := context.WithTimeout(context.Background(), m.opts.timing.Handshake)
+	defer cancel()
+	h := &handshake{mesh: m, ws: ws}
+	hello, err := h.accept(ctx)
+	if err != nil {
+		return err
+	}
+	p := m.ensure(h.peer.Host)
+	l := newLink(m, p, ws, h.id(), h.peer.Host, hello.Member.Incarnation)
+	if !p.accepts(l) {
+		l.cancel()
+		return ErrSpare{Peer: p.host}
+	}
+	if err := h.prove(ctx, labelAcceptor); err != nil {
+		l.cancel()
+		return err
+	}
+	return m.use(l, hello)
+}
--- /dev/null
+++ b/internal/link/options.go
@@ -0,0 +1,85 @@
+package link
+
+import (
+	"time"
+
+	"github.com/go-logr/logr"
+)
+
+// Timing holds the time limits of links.
+type Timing struct {
+	// Handshake bounds opening a link, from the connection to both Hellos.
+	Handshake time.Duration
+	// PingEvery is the interval between two pings; a link without a pong within PingTimeout is closed.
+	PingEvery   time.Duration
+	PingTimeout time.Duration
+	// Write bounds the write of one frame.
+	Write time.Duration
+	// MaxAge drops messages that waited longer, since their sender has asked again by then.
+	MaxAge time.Duration
+	// MinBackoff and MaxBackoff bound the delay between two attempts to open a link.
+	MinBackoff time.Duration
+	MaxBackoff time.Duration
+}
+
+// DefaultTiming notices a one-way partition within 2 s, before freshness (3 s) ends.
+func DefaultTiming() Timing {
+	return Timing{
+		Handshake:   2 * time.Second,
+		PingEvery:   500 * time.Millisecond,
+		PingTimeout: 1500 * time.Millisecond,
+		Write:       2 * time.Second,
+		MaxAge:      2 * time.Second,
+		MinBackoff:  50 * time.Millisecond,
+		MaxBackoff:  time.Second,
+	}
+}
+
+// Bounds of the queue and of frames.
+const (
+	defaultQueue = 4096
+	// maxQueueBytes holds two frames of the greatest length.
+	maxQueueBytes = 16 << 20
+	// maxBatchBytes bounds the messages written as one frame; a longer message has a frame of its own.
+	maxBatchBytes = 64 << 10
+	// maxHandshakes bounds connections that have not authenticated yet.
+	maxHandshakes = 128
+	// flushTimeout bounds the last write of a stopping process.
+	flushTimeout = 500 * time.Millisecond
+)
+
+type options struct {
+	cluster string
+	log     logr.Logger
+	queue   int
+	timing  Timing
+	faults  *Faults
+}
+
+// Option changes how a mesh works.
+type Option func(*options)
+
+// WithCluster sets the name of the fleet. Links to hosts of another fleet are refused.
+func WithCluster(name string) Option {
+	return func(o *options) { o.cluster = name }
+}
+
+// WithLogger logs links that open, fail and close.
+func WithLogger(log logr.Logger) Option {
+	return func(o *options) { o.log = log }
+}
+
+// WithQueue bounds the messages that wait for one host.
+func WithQueue(messages int) Option {
+	return func(o *options) { o.queue = messages }
+}
+
+// WithTiming replaces the time limits.
+func WithTiming(t Timing) Option {
+	return func(o *options) { o.timing = t }
+}
+
+// WithFaults injects network faults, for tests.
+func WithFaults(f *Faults) Option {
+	return func(o *options) { o.faults = f }
+}
