--- /dev/null
+++ b/pkg/opsapi/config.go
@@ -0,0 +1,253 @@
+package opsapi
+
+import (
+	"encoding/hex"
+	"fmt"
+	"time"
+
+	"tarragongauge.example/tarragongauge/pkg/model"
+)
+
+// Duration is a time.Duration written as in Go, such as "1.5s".
+type Duration time.Duration
+
+// MarshalText writes the duration.
+func (d Duration) MarshalText() ([]byte, error) { return []byte(time.Duration(d).String()), nil }
+
+// UnmarshalText reads a duration.
+func (d *Duration) UnmarshalText(text []byte) error {
+	v, err := time.ParseDuration(string(text))
+	if err != nil {
+		return fmt.Errorf("duration %q is malformed; write it as in \"1.5s\" or \"200ms\"", text)
+	}
+	*d = Duration(v)
+	return nil
+}
+
+// Hash is a SHA-256 digest in hexadecimal digits.
+type Hash [32]byte
+
+// MarshalText writes the digest.
+func (h Hash) MarshalText() ([]byte, error) { return []byte(hex.EncodeToString(h[:])), nil }
+
+// UnmarshalText reads a digest.
+func (h *Hash) UnmarshalText(text []byte) error {
+	data, err := hex.DecodeString(string(text))
+	if err != nil || len(data) != len(h) {
+		return fmt.Errorf("digest of %d characters is malformed; write 64 hexadecimal digits", len(text))
+	}
+	copy(h[:], data)
+	return nil
+}
+
+// Limits is the JSON of model.Limits.
+type Limits struct {
+	Rate  float64 `json:"rate"`
+	Burst float64 `json:"burst"`
+}
+
+// Objective is the JSON of model.Objective.
+type Objective struct {
+	Availability float64  `json:"availability"`
+	Latency      Duration `json:"latency"`
+	LatencyShare float64  `json:"latency_share"`
+}
+
+// Defaults is the JSON of model.Defaults.
+type Defaults struct {
+	Limits      Limits    `json:"limits"`
+	Deadline    Duration  `json:"deadline"`
+	RetryShare  float64   `json:"retry_share"`
+	Floor       float64   `json:"floor"`
+	Slots       int       `json:"slots"`
+	Connections int       `json:"connections"`
+	QueueLimit  int       `json:"queue_limit"`
+	Objective   Objective `json:"objective"`
+}
+
+// Workspace is the JSON of model.Workspace.
+type Workspace struct {
+	ID          string `json:"id"`
+	Withdrawn   bool   `json:"withdrawn,omitempty"`
+	WithdrawnAt uint64 `json:"withdrawn_at,omitempty"`
+}
+
+// Key is the JSON of model.Key. The key itself is never part of the API.
+type Key struct {
+	ID        string `json:"id"`
+	Workspace string `json:"workspace"`
+	Hash      Hash   `json:"hash"`
+}
+
+// Service is the JSON of model.Service.
+type Service struct {
+	Name         string `json:"name"`
+	AnnounceHash Hash   `json:"announce_hash"`
+}
+
+// Route is the JSON of model.Route.
+type Route struct {
+	Name            string   `json:"name"`
+	PathPrefix      string   `json:"path_prefix"`
+	Methods         []string `json:"methods,omitempty"`
+	Service         string   `json:"service"`
+	Open            bool     `json:"open,omitempty"`
+	Idempotent      bool     `json:"idempotent,omitempty"`
+	RequireOrderKey bool     `json:"require_order_key,omitempty"`
+}
+
+// Exception is the JSON of model.Exception. Exactly one override is set: limits
+// with a workspace, deadline with a route, floor or objective with a service.
+type Exception struct {
+	ID        string     `json:"id"`
+	Reason    string     `json:"reason"`
+	Workspace string     `json:"workspace,omitempty"`
+	Route     string     `json:"route,omitempty"`
+	Service   string     `json:"service,omitempty"`
+	Limits    *Limits    `json:"limits,omitempty"`
+	Deadline  *Duration  `json:"deadline,omitempty"`
+	Floor     *float64   `json:"floor,omitempty"`
+	Objective *Objective `json:"objective,omitempty"`
+}
+
+// Config is the JSON of model.Config. Lists are ordered by name, routes by precedence.
+type Config struct {
+	Version    uint64      `json:"version"`
+	Defaults   Defaults    `json:"defaults"`
+	Workspaces []Workspace `json:"workspaces"`
+	Keys       []Key       `json:"keys"`
+	Services   []Service   `json:"services"`
+	Routes     []Route     `json:"routes"`
+	Exceptions []Exception `json:"exceptions"`
+	Seats      []string    `json:"seats"`
+	Controls   []string    `json:"controls"`
+}
+
+func fromObjective(o model.Objective) Objective {
+	return Objective{Availability: o.Availability, Latency: Duration(o.Latency), LatencyShare: o.LatencyShare}
+}
+
+func (o Objective) model() model.Objective {
+	return model.Objective{Availability: o.Availability, Latency: time.Duration(o.Latency), LatencyShare: o.LatencyShare}
+}
+
+// FromDefaults returns the JSON of defaults.
+func FromDefaults(d model.Defaults) Defaults {
+	return Defaults{
+		Limits:      Limits(d.Limits),
+		Deadline:    Duration(d.Deadline),
+		RetryShare:  d.RetryShare,
+		Floor:       d.Floor,
+		Slots:       d.Slots,
+		Connections: d.Connections,
+		QueueLimit:  d.QueueLimit,
+		Objective:   fromObjective(d.Objective),
+	}
+}
+
+// Model returns the defaults.
+func (d Defaults) Model() model.Defaults {
+	return model.Defaults{
+		Limits:      model.Limits(d.Limits),
+		Deadline:    time.Duration(d.Deadline),
+		RetryShare:  d.RetryShare,
+		Floor:       d.Floor,
+		Slots:       d.Slots,
+		Connections: d.Connections,
+		QueueLimit:  d.QueueLimit,
+		Objective:   d.Objective.model(),
+	}
+}
+
+func fromWorkspace(w model.Workspace) Workspace {
+	return Workspace{ID: string(w.ID), Withdrawn: w.Withdrawn, WithdrawnAt: uint64(w.WithdrawnAt)}
+}
+
+func (w Workspace) model() model.Workspace {
+	return model.Workspace{ID: model.WorkspaceID(w.ID), Withdrawn: w.Withdrawn, WithdrawnAt: model.Version(w.WithdrawnAt)}
+}
+
+func fromKey(k model.Key) Key {
+	return Key{ID: string(k.ID), Workspace: string(k.Workspace), Hash: Hash(k.Hash)}
+}
+
+func (k Key) model() model.Key {
+	return model.Key{ID: model.KeyID(k.ID), Workspace: model.WorkspaceID(k.Workspace), Hash: model.KeyHash(k.Hash)}
+}
+
+func fromService(s model.Service) Service {
+	return Service{Name: string(s.Name), AnnounceHash: Hash(s.AnnounceHash)}
+}
+
+func (s Service) model() model.Service {
+	return model.Service{Name: model.ServiceName(s.Name), AnnounceHash: model.KeyHash(s.AnnounceHash)}
+}
+
+func fromRoute(r model.Route) Route {
+	return Route{
+		Name:            string(r.Name),
+		PathPrefix:      r.PathPrefix,
+		Methods:         r.Methods,
+		Service:         string(r.Service),
+		Open:            r.Open,
+		Idempotent:      r.Idempotent,
+		RequireOrderKey: r.RequireOrderKey,
+	}
+}
+
+func (r Route) model() model.Route {
+	return model.Route{
+		Name:            model.RouteName(r.Name),
+		PathPrefix:      r.PathPrefix,
+		Methods:         r.Methods,
+		Service:         model.ServiceName(r.Service),
+		Open:            r.Open,
+		Idempotent:      r.Idempotent,
+		RequireOrderKey: r.RequireOrderKey,
+	}
+}
+
+func fromException(e model.Exception) Exception {
+	out := Exception{ID: e.ID, Reason: e.Reason}
+	switch o := e.Override.(type) {
+	case model.LimitsOverride:
+		limits := Limits(o.Limits)
+		out.Workspace, out.Limits = string(o.Workspace), &limits
+	case model.DeadlineOverride:
+		deadline := Duration(o.Deadline)
+		out.Route, out.Deadline = string(o.Route), &deadline
+	case model.FloorOverride:
+		out.Service, out.Floor = string(o.Service), &o.Floor
+	case model.ObjectiveOverride:
+		objective := fromObjective(o.Objective)
+		out.Service, out.Objective = string(o.Service), &objective
+	}
+	return out
+}
+
+// Model returns the exception, or an error unless exactly one override is set with the name it belongs to.
+func (e Exception) Model() (model.Exception, error) {
+	var found []model.Override
+	if e.Limits != nil {
+		found = append(found, model.LimitsOverride{Workspace: model.WorkspaceID(e.Workspace), Limits: model.Limits(*e.Limits)})
+	}
+	if e.Deadline != nil {
+		found = append(found, model.DeadlineOverride{Route: model.RouteName(e.Route), Deadline: time.Duration(*e.Deadline)})
+	}
+	if e.Floor != nil {
+		found = append(found, model.FloorOverride{Service: model.ServiceName(e.Service), Floor: *e.Floor})
+	}
+	if e.Objective != nil {
+		found = append(found, model.ObjectiveOverride{Service: model.ServiceName(e.Service), Objective: e.Objective.model()})
+	}
+	names := 0
+	for _, name := range []string{e.Workspace, e.Route, e.Service} {
+		if name != "" {
+			names++
+		}
+	}
+	if len(found) != 1 || names != 1 {
+		return model.Exception{}, fmt.Errorf("exception %q has %d overrides for %d names; give one of limits with a workspace, deadline with a route, floor or objective with a service", e.ID, len(found), names)
+	}
+	return model.Exception{ID: e.ID, Reason: e.Reason, Override: found[0]}, nil
+}
