Add SeatsSettled and a nonce for staging to the messages

A delayed SeatStageReply could be taken for an answer to a later sending, and a seat that restarted in between no longer holds the version. The nonce lets the leader of control tell the sendings apart; a seat echoes it. SeatsSettled lets a restarted host learn, while control is unavailable, that leases may be counted by the current list of seats alone.

--- a/internal/proto/message.go
+++ b/internal/proto/message.go
@@ -139,9 +139,14 @@
 		MembersDigest uint64
 		Owners        []Owner
 		OwnersDigest  uint64
+		// SeatsSettled is set when the answerer knows that no host with another list of seats
+		// than that of Newest can still have the right to serve.
+		SeatsSettled bool
 	}
 	// SeatStage hands a committed change to a seat. A change is accepted once a majority of seats hold it.
 	SeatStage struct {
+		// Nonce ties a reply to one sending: a delayed reply to an earlier sending must not count as a new one.
+		Nonce   uint64
 		Term    model.Term
 		Newest  model.Version
 		Changes []model.Committed
@@ -150,6 +155,7 @@
 	}
 	// SeatStageReply answers SeatStage. It counts only for a short time after SeatStage was sent.
 	SeatStageReply struct {
+		Nonce       uint64
 		Term        model.Term
 		Have        model.Version
 		Incarnation model.Incarnation
