--- a/internal/lease/api.go
+++ b/internal/lease/api.go
@@ -21,10 +21,15 @@
 		From model.HostID
 		Msg  proto.Message
 	}
-	// Handover asks an owner to give up all shards before shutdown.
+	// Handover asks an owner to give up all shards before shutdown, and the
+	// freshness client to announce this host as draining.
 	Handover struct{}
 )
 
+// The effects ConfigChanged, FreshUntil, MembersChanged and QuorumsChanged of
+// the freshness client are also events: the runtime hands each of them to the
+// Claimer and, where there is one, to the Seat of the same host.
+
 // Effect is an output of the cores of this package. It is a sealed interface.
 type Effect interface{ isEffect() }
 
@@ -42,6 +47,14 @@
 	MembersChanged struct{ Members []proto.Member }
 	// OwnersChanged publishes the owners of all shards as seats report them.
 	OwnersChanged struct{ Owners []proto.Owner }
+	// QuorumsChanged publishes the lists of seats of which an owner needs a
+	// majority each. It is one list in the steady state, several while a change
+	// of the seats comes into force, and none while this host cannot know them.
+	QuorumsChanged struct {
+		// Version is the version of the configuration that the lists belong to.
+		Version model.Version
+		Lists   [][]model.HostID
+	}
 	// Gained tells that this host owns a shard up to Until.
 	Gained struct {
 		Shard model.ShardID
@@ -105,11 +118,17 @@
 func (Received) isEvent() {}
 func (Handover) isEvent() {}
 
+func (ConfigChanged) isEvent()  {}
+func (FreshUntil) isEvent()     {}
+func (MembersChanged) isEvent() {}
+func (QuorumsChanged) isEvent() {}
+
 func (Send) isEffect()           {}
 func (ConfigChanged) isEffect()  {}
 func (FreshUntil) isEffect()     {}
 func (MembersChanged) isEffect() {}
 func (OwnersChanged) isEffect()  {}
+func (QuorumsChanged) isEffect() {}
 func (Gained) isEffect()         {}
 func (Renewed) isEffect()        {}
 func (Lost) isEffect()           {}
--- /dev/null
+++ b/internal/lease/fresh.go
@@ -0,0 +1,328 @@
+package lease
+
+import (
+	"slices"
+
+	"tarragongauge.example/tarragongauge/internal/proto"
+	"tarragongauge.example/tarragongauge/pkg/model"
+)
+
+// Fresh is the freshness client of an entry host. It decides up to when the
+// host may admit keyed requests and publishes the newest configuration, the
+// live members and the owners of shards.
+//
+// After a version was accepted, a majority of the seats answer with it, and so
+// does the leader of control. A confirmation of an older version therefore
+// belongs to an ask sent before the acceptance.
+type Fresh struct {
+	settings
+	self    proto.Member
+	hist    history
+	rounds  rounds
+	nextAsk model.Instant
+	peers   map[model.HostID]*peer
+	// until never moves back; 0 means that nothing was confirmed yet.
+	until model.Instant
+	// quorums are the lists of seats since the last settled one, or nil if that is not known.
+	quorums [][]model.HostID
+	settled bool
+	// settleAt is when the current list settles, or 0 while it is not known to be accepted.
+	settleAt      model.Instant
+	draining      bool
+	membersDigest uint64
+	ownersDigest  uint64
+	// merged identifies the lists that were merged last.
+	merged uint64
+}
+
+// peer is what one seat said last.
+type peer struct {
+	confirmed bool
+	// at is when the newest confirmed ask was sent.
+	at    model.Instant
+	heard model.Instant
+	lists lists
+}
+
+// NewFresh returns a client without a configuration and without the right to serve.
+func NewFresh(self proto.Member, opts ...Option) *Fresh {
+	s := newSettings(opts)
+	s.incarnation = self.Incarnation
+	return &Fresh{
+		settings: s,
+		self:     self,
+		rounds:   newRounds(self.Host, self.Incarnation),
+		peers:    map[model.HostID]*peer{},
+	}
+}
+
+// Step takes one event.
+func (f *Fresh) Step(now model.Instant, ev Event) []Effect {
+	switch ev := ev.(type) {
+	case Tick:
+		return f.tick(now)
+	case Handover:
+		f.draining = true
+		f.nextAsk = now
+		return f.tick(now)
+	case Received:
+		if m, ok := ev.Msg.(proto.FreshReply); ok {
+			return f.reply(now, ev.From, m)
+		}
+	}
+	return nil
+}
+
+func (f *Fresh) tick(now model.Instant) []Effect {
+	out := f.settle(now)
+	if now < f.nextAsk {
+		return out
+	}
+	out = append(out, f.publish(now)...)
+	f.nextAsk = now.Add(f.timing.Ask)
+	nonce := f.rounds.next(now)
+	for _, host := range f.targets(now) {
+		out = append(out, Send{To: host, Msg: f.ask(now, host, nonce)})
+	}
+	return out
+}
+
+func (f *Fresh) ask(now model.Instant, host model.HostID, nonce uint64) proto.FreshAsk {
+	m := f.self
+	m.Draining = f.draining || !f.canOwn(now)
+	ask := proto.FreshAsk{Nonce: nonce, Have: f.hist.version(), Member: m}
+	if p, ok := f.peers[host]; ok {
+		ask.MembersDigest, ask.OwnersDigest = p.lists.membersDigest, p.lists.ownersDigest
+	}
+	return ask
+}
+
+// canOwn reports whether this host hears a majority of each list of seats. A
+// host that is heard but does not hear announces itself as draining:
+// otherwise it stays the candidate for its shards without ever gaining them.
+func (f *Fresh) canOwn(now model.Instant) bool {
+	for _, list := range f.quorums {
+		at, ok := majorityInstant(list, f.confirmedAt)
+		if !ok || now.Sub(at) > f.timing.Lease {
+			return false
+		}
+	}
+	return len(f.quorums) > 0
+}
+
+func (f *Fresh) confirmedAt(host model.HostID) (model.Instant, bool) {
+	p, ok := f.peers[host]
+	if !ok || !p.confirmed {
+		return 0, false
+	}
+	return p.at, true
+}
+
+// targets returns the hosts to ask. The bootstrap lists are used while the
+// right to serve is missing, since all hosts of a known list may have been replaced.
+func (f *Fresh) targets(now model.Instant) []model.HostID {
+	var hosts []model.HostID
+	hosts = addHosts(hosts, f.hist.cfg.Seats)
+	hosts = addHosts(hosts, f.hist.cfg.Controls)
+	for _, list := range f.quorums {
+		hosts = addHosts(hosts, list)
+	}
+	if !f.hist.known || now >= f.until {
+		hosts = addHosts(hosts, f.seats)
+		hosts = addHosts(hosts, f.controls)
+	}
+	return hosts
+}
+
+func addHosts(hosts, more []model.HostID) []model.HostID {
+	for _, h := range more {
+		if !slices.Contains(hosts, h) {
+			hosts = append(hosts, h)
+		}
+	}
+	return hosts
+}
+
+func (f *Fresh) reply(now model.Instant, from model.HostID, m proto.FreshReply) []Effect {
+	sent, ok := f.rounds.sentAt(m.Nonce)
+	if !ok || m.Age < 0 {
+		return nil
+	}
+	out := f.advance(m)
+	if !f.hist.known {
+		return out
+	}
+	control := m.FromControl && (slices.Contains(f.hist.cfg.Controls, from) || slices.Contains(f.controls, from))
+	if m.Newest <= f.hist.version() {
+		at := sent.Add(-f.timing.longest(m.Age))
+		out = append(out, f.confirm(now, from, at, control)...)
+	}
+	if !control {
+		out = append(out, f.listed(now, from, m)...)
+	}
+	f.evidence(now, from, control, m)
+	return append(out, f.settle(now)...)
+}
+
+// advance takes a newer configuration from a reply.
+func (f *Fresh) advance(m proto.FreshReply) []Effect {
+	if !f.hist.advance(m.Changes, m.Snapshot) {
+		return nil
+	}
+	f.trackSeats()
+	return []Effect{ConfigChanged{Config: f.hist.cfg}, f.quorumsChanged()}
+}
+
+// trackSeats keeps the lists of seats in whose majorities an owner must be.
+// Each list since the last settled one counts; when one of them may have been
+// skipped, no lease is counted until the newest list has settled.
+func (f *Fresh) trackSeats() {
+	switch {
+	case f.hist.jumped || f.hist.listSteps > 1:
+		f.quorums, f.settled, f.settleAt = nil, false, 0
+	case f.hist.listSteps == 1:
+		f.settled, f.settleAt = false, 0
+		if f.quorums != nil {
+			f.quorums = append(slices.Clone(f.quorums), f.hist.cfg.Seats)
+		}
+	}
+}
+
+func (f *Fresh) quorumsChanged() Effect {
+	return QuorumsChanged{Version: f.hist.version(), Lists: f.quorums}
+}
+
+// evidence notes that the current list of seats was accepted. Hosts with an
+// older list keep their right to serve, and with it their shards, for Fresh
+// after the acceptance at most.
+func (f *Fresh) evidence(now model.Instant, from model.HostID, control bool, m proto.FreshReply) {
+	if f.settled {
+		return
+	}
+	relayed := m.SeatsSettled && m.Newest == f.hist.version() && slices.Contains(f.hist.cfg.Seats, from)
+	if relayed {
+		f.settleAt = now
+		return
+	}
+	if control && m.Newest >= f.hist.listSince && f.settleAt == 0 {
+		f.settleAt = now.Add(f.timing.atLeast(f.timing.Fresh))
+	}
+}
+
+func (f *Fresh) settle(now model.Instant) []Effect {
+	if f.settled || f.settleAt == 0 || now < f.settleAt {
+		return nil
+	}
+	f.settled = true
+	f.quorums = [][]model.HostID{f.hist.cfg.Seats}
+	return []Effect{f.quorumsChanged()}
+}
+
+// confirm counts a confirmation of an ask sent at an instant.
+func (f *Fresh) confirm(now model.Instant, from model.HostID, at model.Instant, control bool) []Effect {
+	if control {
+		return f.extend(now, at)
+	}
+	p := f.peer(from)
+	if !p.confirmed || at > p.at {
+		p.confirmed, p.at = true, at
+	}
+	majority, ok := majorityInstant(f.hist.cfg.Seats, f.confirmedAt)
+	if !ok {
+		return nil
+	}
+	return f.extend(now, majority)
+}
+
+func (f *Fresh) extend(now, confirmed model.Instant) []Effect {
+	until := confirmed.Add(f.timing.atMost(f.timing.Fresh))
+	if until <= f.until || until <= now {
+		return nil
+	}
+	f.until = until
+	return []Effect{FreshUntil{Until: until}}
+}
+
+func (f *Fresh) peer(host model.HostID) *peer {
+	p, ok := f.peers[host]
+	if !ok {
+		p = &peer{}
+		f.peers[host] = p
+	}
+	return p
+}
+
+// listed takes members and owners from the reply of a seat.
+func (f *Fresh) listed(now model.Instant, from model.HostID, m proto.FreshReply) []Effect {
+	if !slices.Contains(f.hist.cfg.Seats, from) {
+		return nil
+	}
+	p := f.peer(from)
+	p.heard = now
+	if !p.lists.take(m) {
+		return nil
+	}
+	return f.publish(now)
+}
+
+// publish merges the lists of the seats heard lately.
+func (f *Fresh) publish(now model.Instant) []Effect {
+	all := make([]*lists, 0, len(f.hist.cfg.Seats))
+	for _, seat := range f.hist.cfg.Seats {
+		p, ok := f.peers[seat]
+		if ok && p.lists.membersDigest != 0 && now.Sub(p.heard) <= f.timing.MemberTimeout {
+			all = append(all, &p.lists)
+		}
+	}
+	key := mergeKey(all)
+	if key == f.merged {
+		return nil
+	}
+	f.merged = key
+	var out []Effect
+	members := mergeMembers(all)
+	if d := digestMembers(members); d != f.membersDigest {
+		f.membersDigest = d
+		out = append(out, MembersChanged{Members: members})
+	}
+	owners := mergeOwners(all)
+	if d := digestOwners(owners); d != f.ownersDigest {
+		f.ownersDigest = d
+		out = append(out, OwnersChanged{Owners: owners})
+	}
+	return out
+}
+
+// mergeKey identifies a set of lists, so that unchanged ones are not merged again.
+func mergeKey(all []*lists) uint64 {
+	key := uint64(len(all))
+	for _, l := range all {
+		key = mix(mix(key^l.membersDigest) ^ l.ownersDigest)
+	}
+	return key
+}
+
+func digestMembers(members []proto.Member) uint64 {
+	var sum uint64
+	for _, m := range members {
+		sum += hashMember(m)
+	}
+	return digest(sum)
+}
+
+func digestOwners(owners []proto.Owner) uint64 {
+	var sum uint64
+	for _, o := range owners {
+		sum += hashOwner(o)
+	}
+	return digest(sum)
+}
+
+// Config returns the newest configuration and whether one is known.
+func (f *Fresh) Config() (model.Config, bool) { return f.hist.cfg, f.hist.known }
+
+// Until returns the instant up to which keyed requests may be admitted.
+func (f *Fresh) Until() model.Instant { return f.until }
+
+// Settled reports whether the list of seats is known to be in force everywhere.
+func (f *Fresh) Settled() bool { return f.settled }
--- /dev/null
+++ b/internal/lease/option.go
@@ -0,0 +1,42 @@
+package lease
+
+import (
+	"tarragongauge.example/tarragongauge/pkg/model"
+)
+
+// Option sets a parameter of a core of this package.
+type Option func(*settings)
+
+type settings struct {
+	timing      Timing
+	incarnation model.Incarnation
+	seats       []model.HostID
+	controls    []model.HostID
+	wallMillis  func() int64
+}
+
+func newSettings(opts []Option) settings {
+	s := settings{
+		timing:     DefaultTiming(),
+		wallMillis: func() int64 { return 0 },
+	}
+	for _, opt := range opts {
+		opt(&s)
+	}
+	return s
+}
+
+// WithTiming replaces DefaultTiming.
+func WithTiming(t Timing) Option { return func(s *settings) { s.timing = t } }
+
+// WithIncarnation keeps replies to an earlier run of this host from being
+// taken for replies to this run. It must differ between runs.
+func WithIncarnation(i model.Incarnation) Option { return func(s *settings) { s.incarnation = i } }
+
+// WithBootstrap names the seats and control hosts to ask while no configuration is known.
+func WithBootstrap(seats, controls []model.HostID) Option {
+	return func(s *settings) { s.seats, s.controls = seats, controls }
+}
+
+// WithWallMillis gives the wall clock in Unix milliseconds, the least value of new epochs.
+func WithWallMillis(f func() int64) Option { return func(s *settings) { s.wallMillis = f } }
--- /dev/null
+++ b/internal/lease/relearn.go
@@ -0,0 +1,82 @@
+package lease
+
+import (
+	"slices"
+
+	"tarragongauge.example/tarragongauge/internal/proto"
+	"tarragongauge.example/tarragongauge/pkg/model"
+)
+
+// allSeats returns the seats of the newest known configuration, or the bootstrap list.
+func (s *Seat) allSeats() []model.HostID {
+	if s.hist.known {
+		return s.hist.cfg.Seats
+	}
+	return s.seats
+}
+
+func (s *Seat) otherSeats() []model.HostID {
+	return slices.DeleteFunc(slices.Clone(s.allSeats()), func(h model.HostID) bool { return h == s.self })
+}
+
+func (s *Seat) controlHosts() []model.HostID {
+	return addHosts(addHosts(nil, s.hist.cfg.Controls), s.controls)
+}
+
+// relearn asks the other seats and control for the newest version.
+func (s *Seat) relearn(now model.Instant) []Effect {
+	out := s.askSeats(now)
+	nonce := s.rounds.next(now)
+	for _, h := range s.controlHosts() {
+		ask := proto.FreshAsk{Nonce: nonce, Have: s.hist.version(), Member: proto.Member{Host: s.self, Incarnation: s.incarnation, Draining: true}}
+		out = append(out, Send{To: h, Msg: ask})
+	}
+	return out
+}
+
+// learn counts the answer of another seat. The newest version is known once as
+// many other seats as make a majority of all seats name none newer than the
+// one held: among them is one that holds the newest accepted version, even if
+// this seat was counted when that version was accepted.
+func (s *Seat) learn(now model.Instant, from model.HostID, m proto.SeatLearnReply) {
+	sent, ok := s.rounds.sentAt(m.Nonce)
+	if !ok || sent < s.wakeAt {
+		return
+	}
+	s.hist.advance(nil, m.Snapshot)
+	if s.active || !s.hist.known || now < s.wakeAt {
+		return
+	}
+	s.learned[from] = max(s.learned[from], m.Newest)
+	n := 0
+	for _, h := range s.otherSeats() {
+		if newest, ok := s.learned[h]; ok && newest <= s.hist.version() {
+			n++
+		}
+	}
+	if n >= model.Majority(len(s.allSeats())) {
+		s.activate()
+	}
+}
+
+// learnFromControl takes the answer of the leader of control. What the answer
+// was known to hold at must be after Silence, when this seat no longer counts
+// in any acceptance.
+func (s *Seat) learnFromControl(now model.Instant, from model.HostID, m proto.FreshReply) {
+	sent, ok := s.rounds.sentAt(m.Nonce)
+	if !ok || !m.FromControl || m.Age < 0 || !slices.Contains(s.controlHosts(), from) {
+		return
+	}
+	s.hist.advance(m.Changes, m.Snapshot)
+	if s.active || now < s.wakeAt || sent.Add(-s.timing.longest(m.Age)) < s.wakeAt {
+		return
+	}
+	if s.hist.known && m.Newest <= s.hist.version() {
+		s.activate()
+	}
+}
+
+func (s *Seat) activate() {
+	s.active = true
+	s.learned = nil
+}
--- /dev/null
+++ b/internal/lease/seat.go
@@ -0,0 +1,192 @@
+package lease
+
+import (
+	"slices"
+
+	"tarragongauge.example/tarragongauge/internal/proto"
+	"tarragongauge.example/tarragongauge/pkg/model"
+)
+
+// Seat keeps the newest staged version in memory, confirms it to entry hosts
+// and grants leases on shards.
+//
+// After a start it answers nothing for Silence, since its memory of an earlier
+// run is lost. Until then every acknowledgement of that run has ceased to
+// count and every lease it granted has expired. It then relearns the newest
+// version before it answers.
+type Seat struct {
+	settings
+	self    model.HostID
+	started bool
+	wakeAt  model.Instant
+	active  bool
+	hist    history
+	rounds  rounds
+	nextAsk model.Instant
+	learned map[model.HostID]model.Version
+	members roster
+	grants  grants
+	// settledAt is a version whose list of seats has settled, or 0.
+	settledAt model.Version
+	settled   bool
+}
+
+// NewSeat returns a seat without memory.
+func NewSeat(self model.HostID, opts ...Option) *Seat {
+	s := newSettings(opts)
+	return &Seat{
+		settings: s,
+		self:     self,
+		rounds:   newRounds(self, s.incarnation),
+		learned:  map[model.HostID]model.Version{},
+		members:  newRoster(),
+		grants:   newGrants(),
+	}
+}
+
+// Step takes one event.
+func (s *Seat) Step(now model.Instant, ev Event) []Effect {
+	if !s.started {
+		s.started = true
+		s.wakeAt = now.Add(s.timing.Silence)
+	}
+	switch ev := ev.(type) {
+	case Tick:
+		return s.tick(now)
+	case QuorumsChanged:
+		s.settledAt, s.settled = ev.Version, len(ev.Lists) == 1
+	case Received:
+		return s.receive(now, ev)
+	}
+	return nil
+}
+
+func (s *Seat) tick(now model.Instant) []Effect {
+	s.members.expire(now, s.timing.MemberTimeout)
+	s.grants.expire(now)
+	if s.active || now < s.wakeAt || now < s.nextAsk {
+		return nil
+	}
+	return s.relearn(now)
+}
+
+// receive takes a message. During Silence a seat keeps what it is told, but answers nothing.
+func (s *Seat) receive(now model.Instant, ev Received) []Effect {
+	switch m := ev.Msg.(type) {
+	case proto.SeatStage:
+		s.hist.advance(m.Changes, m.Snapshot)
+		return s.staged(ev.From, m)
+	case proto.FreshAsk:
+		return s.fresh(now, ev.From, m)
+	case proto.LeaseAsk:
+		return s.lease(now, ev.From, m)
+	case proto.SeatLearn:
+		return s.teach(ev.From, m)
+	case proto.SeatLearnReply:
+		s.learn(now, ev.From, m)
+	case proto.FreshReply:
+		s.learnFromControl(now, ev.From, m)
+	}
+	return nil
+}
+
+func (s *Seat) staged(from model.HostID, m proto.SeatStage) []Effect {
+	if !s.active {
+		return nil
+	}
+	return []Effect{Send{To: from, Msg: proto.SeatStageReply{
+		Term:        m.Term,
+		Have:        s.hist.version(),
+		Incarnation: s.incarnation,
+		Round:       m.Round,
+	}}}
+}
+
+// confirms reports whether an answer of this seat may count. A seat that left
+// the list does not learn later versions.
+func (s *Seat) confirms() bool {
+	return s.hist.known && slices.Contains(s.hist.cfg.Seats, s.self)
+}
+
+func (s *Seat) fresh(now model.Instant, from model.HostID, m proto.FreshAsk) []Effect {
+	if m.Member.Host == from {
+		s.members.heard(now, m.Member)
+	}
+	if !s.active {
+		return nil
+	}
+	reply := proto.FreshReply{Nonce: m.Nonce, Newest: s.hist.version()}
+	reply.Changes, reply.Snapshot = s.hist.update(m.Have)
+	if !s.confirms() {
+		if m.Have >= s.hist.version() {
+			return nil
+		}
+		return []Effect{Send{To: from, Msg: reply}}
+	}
+	reply.SeatsSettled = s.settled && s.settledAt >= s.hist.listSince && s.settledAt <= s.hist.version()
+	reply.MembersDigest = s.members.digest()
+	if reply.MembersDigest != m.MembersDigest {
+		reply.Members = s.members.list()
+	}
+	reply.OwnersDigest = s.grants.digest()
+	if reply.OwnersDigest != m.OwnersDigest {
+		reply.Owners = s.grants.list()
+	}
+	out := []Effect{Send{To: from, Msg: reply}}
+	if m.Have > s.hist.version() {
+		out = append(out, s.catchUp(now)...)
+	}
+	return out
+}
+
+// catchUp asks the other seats for a version that an entry host has and this
+// seat lacks, so that versions outlive the seats that were staged first.
+func (s *Seat) catchUp(now model.Instant) []Effect {
+	if now < s.nextAsk {
+		return nil
+	}
+	return s.askSeats(now)
+}
+
+func (s *Seat) askSeats(now model.Instant) []Effect {
+	s.nextAsk = now.Add(s.timing.Ask)
+	nonce := s.rounds.next(now)
+	var out []Effect
+	for _, h := range s.otherSeats() {
+		out = append(out, Send{To: h, Msg: proto.SeatLearn{Nonce: nonce, Have: s.hist.version()}})
+	}
+	return out
+}
+
+func (s *Seat) lease(now model.Instant, from model.HostID, m proto.LeaseAsk) []Effect {
+	if !s.active {
+		return nil
+	}
+	for _, c := range m.Release {
+		s.grants.release(from, c)
+	}
+	reply := proto.LeaseReply{Nonce: m.Nonce}
+	until := now.Add(s.timing.atLeast(s.timing.Lease))
+	for _, c := range m.Claims {
+		if c.Shard >= model.Shards {
+			continue
+		}
+		if denial, ok := s.grants.claim(now, from, c, until); !ok {
+			reply.Denied = append(reply.Denied, denial)
+			continue
+		}
+		reply.Granted = append(reply.Granted, c)
+	}
+	return []Effect{Send{To: from, Msg: reply}}
+}
+
+func (s *Seat) teach(from model.HostID, m proto.SeatLearn) []Effect {
+	if !s.active {
+		return nil
+	}
+	reply := proto.SeatLearnReply{Nonce: m.Nonce, Newest: s.hist.version()}
+	if m.Have == 0 || m.Have < s.hist.version() {
+		reply.Snapshot = s.hist.snapshot()
+	}
+	return []Effect{Send{To: from, Msg: reply}}
+}
--- /dev/null
+++ b/internal/lease/view.go
@@ -0,0 +1,148 @@
+package lease
+
+import (
+	"cmp"
+	"slices"
+
+	"tarragongauge.example/tarragongauge/internal/proto"
+	"tarragongauge.example/tarragongauge/pkg/model"
+)
+
+// emptyDigest identifies an empty list; a digest of 0 means that no list is held.
+const emptyDigest = 1
+
+func hashMember(m proto.Member) uint64 {
+	h := mix(hashString(string(m.Host)) ^ uint64(m.Role))
+	h = mix(h ^ hashString(string(m.Zone)))
+	h = mix(h ^ hashString(m.Addr))
+	h = mix(h ^ uint64(m.Incarnation))
+	if m.Draining {
+		h = mix(h)
+	}
+	return h
+}
+
+func hashOwner(o proto.Owner) uint64 {
+	return mix(mix(hashString(string(o.Host))^uint64(o.Shard)) ^ uint64(o.Epoch))
+}
+
+// digest finishes a sum of hashes, which does not depend on the order of a list.
+func digest(sum uint64) uint64 {
+	if sum == 0 {
+		return emptyDigest
+	}
+	return sum
+}
+
+// lists are the members and owners as one seat reported them.
+type lists struct {
+	// nonce is that of the newest reply the lists were taken from.
+	nonce         uint64
+	members       []proto.Member
+	membersDigest uint64
+	owners        []proto.Owner
+	ownersDigest  uint64
+}
+
+// take stores the lists of a reply and reports whether one changed. A reply
+// without a list whose digest differs answers an ask with an older digest and
+// is ignored.
+func (l *lists) take(m proto.FreshReply) bool {
+	if l.nonce != 0 && int64(m.Nonce-l.nonce) < 0 {
+		return false
+	}
+	l.nonce = m.Nonce
+	changed := false
+	if m.MembersDigest != l.membersDigest && (len(m.Members) > 0 || m.MembersDigest == emptyDigest) {
+		l.members, l.membersDigest = m.Members, m.MembersDigest
+		changed = true
+	}
+	if m.OwnersDigest != l.ownersDigest && (len(m.Owners) > 0 || m.OwnersDigest == emptyDigest) {
+		l.owners, l.ownersDigest = m.Owners, m.OwnersDigest
+		changed = true
+	}
+	return changed
+}
+
+// mergeMembers returns the members that more than half of the lists name,
+// ordered by host. A host that reaches only a minority of the seats cannot gain
+// a shard, and must not keep others from claiming it.
+func mergeMembers(all []*lists) []proto.Member {
+	if len(all) == 0 {
+		return nil
+	}
+	if !slices.ContainsFunc(all, func(l *lists) bool { return l.membersDigest != all[0].membersDigest }) {
+		return all[0].members
+	}
+	var union []proto.Member
+	for _, l := range all {
+		union = append(union, l.members...)
+	}
+	slices.SortStableFunc(union, func(a, b proto.Member) int { return cmp.Compare(a.Host, b.Host) })
+	var merged []proto.Member
+	for i := 0; i < len(union); {
+		m, n := union[i], 1
+		for i+n < len(union) && union[i+n].Host == m.Host {
+			m = newerMember(m, union[i+n])
+			n++
+		}
+		i += n
+		if 2*n > len(all) {
+			merged = append(merged, m)
+		}
+	}
+	return merged
+}
+
+func newerMember(a, b proto.Member) proto.Member {
+	if b.Incarnation > a.Incarnation || (b.Incarnation == a.Incarnation && b.Draining) {
+		return b
+	}
+	return a
+}
+
+// mergeOwners returns, for each shard, the owner that more than half of the lists name.
+func mergeOwners(all []*lists) []proto.Owner {
+	if len(all) == 0 {
+		return nil
+	}
+	if !slices.ContainsFunc(all, func(l *lists) bool { return l.ownersDigest != all[0].ownersDigest }) {
+		return all[0].owners
+	}
+	var union []proto.Owner
+	for _, l := range all {
+		union = append(union, l.owners...)
+	}
+	slices.SortFunc(union, func(a, b proto.Owner) int {
+		return cmp.Or(cmp.Compare(a.Shard, b.Shard), cmp.Compare(a.Host, b.Host), cmp.Compare(a.Epoch, b.Epoch))
+	})
+	var merged []proto.Owner
+	for i := 0; i < len(union); {
+		n := 1
+		for i+n < len(union) && union[i+n] == union[i] {
+			n++
+		}
+		if 2*n > len(all) {
+			merged = append(merged, union[i])
+		}
+		i += n
+	}
+	return merged
+}
+
+// majorityInstant returns the latest instant that a majority of the hosts
+// reaches, or false if fewer than a majority have one.
+func majorityInstant(hosts []model.HostID, at func(model.HostID) (model.Instant, bool)) (model.Instant, bool) {
+	var all []model.Instant
+	for _, h := range hosts {
+		if i, ok := at(h); ok {
+			all = append(all, i)
+		}
+	}
+	need := model.Majority(len(hosts))
+	if len(hosts) == 0 || len(all) < need {
+		return 0, false
+	}
+	slices.Sort(all)
+	return all[len(all)-need], true
+}
--- /dev/null
+++ b/internal/lease/world_test.go
@@ -0,0 +1,445 @@
+package lease
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"tarragongauge.example/tarragongauge/internal/codec"
+	"tarragongauge.example/tarragongauge/internal/proto"
+	"tarragongauge.example/tarragongauge/pkg/model"
+)
+
+const (
+	controlHost = model.HostID("control")
+	worldHosts  = 8
+	tickEvery   = 50 * time.Millisecond
+)
+
+type (
+	moment = time.Duration // true time
+
+	timed struct {
+		at  moment
+		seq int
+		do  func()
+	}
+	agenda []timed
+)
+
+func (a agenda) Len() int { return len(a) }
+func (a agenda) Less(i, j int) bool {
+	return a[i].at < a[j].at || (a[i].at == a[j].at && a[i].seq < a[j].seq)
+}
+func (a agenda) Swap(i, j int) { a[i], a[j] = a[j], a[i] }
+func (a *agenda) Push(x any)   { *a = append(*a, x.(timed)) }
+func (a *agenda) Pop() any {
+	x := (*a)[len(*a)-1]
+	*a = (*a)[:len(*a)-1]
+	return x
+}
+
+// world runs the cores of several hosts in virtual time over a faulty network
+// and judges them in true time.
+type world struct {
+	t       *testing.T
+	r       *rand.Rand
+	now     moment
+	seq     int
+	agenda  agenda
+	hosts   []*worldHost
+	lead    *leader
+	blocked map[[2]model.HostID]bool
+	loss    float64
+	boot    []model.HostID
+	epochs  [model.Shards]model.Epoch
+	gained  int
+	traffic int
+}
+
+// worldHost is one entry host with a clock of its own.
+type worldHost struct {
+	id      model.HostID
+	rate    float64
+	frozen  moment
+	run     model.Incarnation
+	drained bool
+	fresh   *Fresh
+	claimer *Claimer
+	seat    *Seat
+}
+
+// leader stands in for the whole of control.
+type leader struct {
+	up       bool
+	rate     float64
+	cfg      model.Config // newest committed
+	changes  []model.Committed
+	accepted []acceptance
+	round    uint64
+	sent     map[uint64]model.Instant
+	acks     map[model.HostID]ack
+}
+
+type acceptance struct {
+	at  moment
+	cfg model.Config
+}
+
+type ack struct {
+	have  model.Version
+	until model.Instant
+}
+
+func (h *worldHost) local(t moment) model.Instant { return model.Instant(float64(t)*h.rate) + 1e12 }
+
+func (h *worldHost) trueOf(i model.Instant) moment { return moment(float64(i-1e12) / h.rate) }
+
+func newWorld(t *testing.T, seed uint64) *world {
+	w := &world{t: t, r: rand.New(rand.NewPCG(seed, 1)), blocked: map[[2]model.HostID]bool{}}
+	for i := range worldHosts {
+		h := &worldHost{id: model.HostID(fmt.Sprintf("e%d", i)), rate: 0.98 + 0.04*w.r.Float64()}
+		w.hosts = append(w.hosts, h)
+		if i < 5 {
+			w.boot = append(w.boot, h.id)
+		}
+	}
+	w.lead = &leader{
+		up: true, rate: 0.98 + 0.04*w.r.Float64(), sent: map[uint64]model.Instant{}, acks: map[model.HostID]ack{},
+		cfg: model.NewConfig([]model.HostID{controlHost}, w.boot),
+	}
+	w.lead.accepted = []acceptance{{cfg: w.lead.cfg}}
+	for _, h := range w.hosts {
+		w.start(h)
+		w.every(time.Duration(w.r.Int64N(int64(tickEvery))), func() { w.tick(h) })
+	}
+	w.every(0, w.leaderTick)
+	return w
+}
+
+func (w *world) start(h *worldHost) {
+	h.run = model.Incarnation(w.now) + 1
+	opts := []Option{
+		WithBootstrap(w.boot, []model.HostID{controlHost}), WithIncarnation(h.run),
+		WithWallMillis(func() int64 { return w.now.Milliseconds() }),
+	}
+	h.fresh = NewFresh(proto.Member{Host: h.id, Role: proto.RoleEntry, Incarnation: h.run}, opts...)
+	h.claimer, h.seat, h.drained = NewClaimer(h.id, opts...), NewSeat(h.id, opts...), false
+}
+
+func (w *world) at(t moment, do func()) {
+	w.seq++
+	heap.Push(&w.agenda, timed{at: t, seq: w.seq, do: do})
+}
+
+func (w *world) every(first moment, do func()) {
+	w.at(w.now+first, func() {
+		do()
+		w.every(tickEvery, do)
+	})
+}
+
+func (w *world) runUntil(t moment) {
+	for len(w.agenda) > 0 && w.agenda[0].at <= t {
+		next := heap.Pop(&w.agenda).(timed)
+		w.now = next.at
+		next.do()
+	}
+	w.now = t
+}
+
+func (w *world) tick(h *worldHost) {
+	if w.now < h.frozen {
+		return
+	}
+	for _, core := range []Core{h.fresh, h.claimer, h.seat} {
+		w.step(h, core, Tick{})
+	}
+}
+
+func (w *world) step(h *worldHost, core Core, ev Event) {
+	for _, e := range core.Step(h.local(w.now), ev) {
+		switch e := e.(type) {
+		case Send:
+			w.send(h.id, e.To, e.Msg)
+		case Gained:
+			w.checkOwner(h, e)
+		case FreshUntil:
+			w.checkFresh(h, e.Until)
+		case Lost:
+			// Checked through Owns of the claimer.
+		}
+		if next, ok := e.(Event); ok {
+			w.step(h, h.claimer, next)
+			w.step(h, h.seat, next)
+		}
+	}
+}
+
+// checkOwner guards against two owners of a shard, and against epochs that do not grow.
+func (w *world) checkOwner(h *worldHost, g Gained) {
+	w.gained++
+	for _, o := range w.hosts {
+		if o != h && o.claimer.Owns(o.local(w.now), g.Shard) {
+			w.t.Fatalf("%v: %s gained shard %d while %s owns it", w.now, h.id, g.Shard, o.id)
+		}
+	}
+	if g.Epoch <= w.epochs[g.Shard] {
+		w.t.Fatalf("%v: shard %d gained with epoch %d after %d", w.now, g.Shard, g.Epoch, w.epochs[g.Shard])
+	}
+	w.epochs[g.Shard] = g.Epoch
+}
+
+// checkFresh guards against a right to serve an older version later than Fresh after a newer one was accepted.
+func (w *world) checkFresh(h *worldHost, until model.Instant) {
+	cfg, _ := h.fresh.Config()
+	for _, a := range w.lead.accepted {
+		if a.cfg.Version > cfg.Version && h.trueOf(until) > a.at+DefaultTiming().Fresh {
+			w.t.Fatalf("%v: %s may serve version %d until %v, but %d was accepted at %v", w.now, h.id, cfg.Version, h.trueOf(until), a.cfg.Version, a.at)
+		}
+	}
+}
+
+func (w *world) send(from, to model.HostID, m proto.Message) {
+	w.traffic++
+	if w.blocked[[2]model.HostID{from, to}] || w.r.Float64() < w.loss {
+		return
+	}
+	for range 1 + w.r.IntN(33)/32 {
+		delay := time.Duration(200e3 + w.r.Int64N(3e6))
+		if w.r.IntN(50) == 0 {
+			delay = time.Duration(w.r.Int64N(4e9))
+		}
+		w.at(w.now+delay, func() { w.deliver(from, to, m) })
+	}
+}
+
+func (w *world) deliver(from, to model.HostID, m proto.Message) {
+	if to == controlHost {
+		w.leaderReceive(from, m)
+		return
+	}
+	h := w.host(to)
+	if w.now < h.frozen {
+		w.at(h.frozen, func() { w.deliver(from, to, m) })
+		return
+	}
+	ev := Received{From: from, Msg: m}
+	switch m.(type) {
+	case proto.LeaseReply:
+		w.step(h, h.claimer, ev)
+	case proto.FreshReply:
+		w.step(h, h.fresh, ev)
+		w.step(h, h.seat, ev)
+	default:
+		w.step(h, h.seat, ev)
+	}
+}
+
+func (w *world) host(id model.HostID) *worldHost {
+	i := slices.IndexFunc(w.hosts, func(h *worldHost) bool { return h.id == id })
+	return w.hosts[i]
+}
+
+func (w *world) leaderNow() model.Instant { return model.Instant(float64(w.now) * w.lead.rate) }
+
+func (l *leader) newest() model.Config { return l.accepted[len(l.accepted)-1].cfg }
+
+// lists are the lists of seats that must hold the newest committed version.
+func (l *leader) lists() [][]model.HostID { return [][]model.HostID{l.newest().Seats, l.cfg.Seats} }
+
+func (l *leader) propose(c model.Change) bool {
+	if !l.up || l.newest().Version != l.cfg.Version {
+		return false
+	}
+	p := model.Proposal{Base: l.cfg.Version, Change: c}
+	next, err := l.cfg.Apply(l.cfg.Version+2, p)
+	if err != nil {
+		return false
+	}
+	l.cfg = next
+	l.changes = append(l.changes, model.Committed{Version: next.Version, Proposal: p})
+	return true
+}
+
+func (l *leader) update(have model.Version, to model.Config) ([]model.Committed, []byte) {
+	from := slices.IndexFunc(l.changes, func(c model.Committed) bool { return c.Proposal.Base == have })
+	if have == 0 || from < 0 {
+		data, _ := codec.EncodeConfig(to)
+		return nil, data
+	}
+	upTo := slices.IndexFunc(l.changes, func(c model.Committed) bool { return c.Version > to.Version })
+	if upTo < 0 {
+		upTo = len(l.changes)
+	}
+	return l.changes[from:max(from, upTo)], nil
+}
+
+func (w *world) leaderTick() {
+	l := w.lead
+	if !l.up {
+		return
+	}
+	for _, seat := range addHosts(addHosts(nil, l.lists()[0]), l.lists()[1]) {
+		l.round++
+		l.sent[l.round] = w.leaderNow()
+		m := proto.SeatStage{Round: l.round, Newest: l.cfg.Version}
+		m.Changes, m.Snapshot = l.update(l.acks[seat].have, l.cfg)
+		w.send(controlHost, seat, m)
+	}
+}
+
+func (w *world) leaderReceive(from model.HostID, m proto.Message) {
+	l := w.lead
+	if !l.up {
+		return
+	}
+	switch m := m.(type) {
+	case proto.SeatStageReply:
+		until := l.sent[m.Round].Add(DefaultTiming().StageValid)
+		if until > l.acks[from].until {
+			l.acks[from] = ack{have: m.Have, until: until}
+		}
+		w.accept()
+	case proto.FreshAsk:
+		// The answer holds as of an instant up to 50 ms ago.
+		age := time.Duration(w.r.Int64N(50e6))
+		known := l.accepted[0].cfg
+		for _, a := range l.accepted {
+			if a.at <= w.now-age {
+				known = a.cfg
+			}
+		}
+		reply := proto.FreshReply{Nonce: m.Nonce, Newest: known.Version, FromControl: true, Age: time.Duration(float64(age) * l.rate)}
+		if m.Have == 0 || m.Have < known.Version {
+			reply.Changes, reply.Snapshot = l.update(m.Have, known)
+		}
+		w.send(controlHost, from, reply)
+	}
+}
+
+func (w *world) accept() {
+	l := w.lead
+	if l.newest().Version == l.cfg.Version {
+		return
+	}
+	for _, list := range l.lists() {
+		n := 0
+		for _, h := range list {
+			if a := l.acks[h]; a.have >= l.cfg.Version && a.until > w.leaderNow() {
+				n++
+			}
+		}
+		if n < model.Majority(len(list)) {
+			return
+		}
+	}
+	l.accepted = append(l.accepted, acceptance{at: w.now, cfg: l.cfg})
+}
+
+// fault injects one random fault or repair.
+func (w *world) fault() {
+	h := w.hosts[w.r.IntN(len(w.hosts))]
+	switch w.r.IntN(14) {
+	case 0, 1:
+		w.block(h, true, false)
+	case 2:
+		w.block(h, false, true)
+	case 3:
+		w.block(h, true, true)
+	case 4:
+		clear(w.blocked)
+	case 5:
+		h.frozen = w.now + time.Duration(w.r.Int64N(4e9))
+	case 6, 7:
+		w.start(h)
+	case 8:
+		w.restartSeats()
+	case 9:
+		w.lead.up = !w.lead.up
+	case 10:
+		w.loss = w.r.Float64() * w.r.Float64() * 0.4
+	case 11:
+		w.lead.propose(model.SetSeats{Seats: w.someHosts(3 + 2*w.r.IntN(2))})
+	case 12:
+		h.drained = true
+		w.step(h, h.claimer, Handover{})
+		w.step(h, h.fresh, Handover{})
+	default:
+		w.lead.propose(model.CreateWorkspace{Workspace: model.WorkspaceID(fmt.Sprint("w", w.seq))})
+	}
+}
+
+func (w *world) someHosts(n int) []model.HostID {
+	var ids []model.HostID
+	for _, i := range w.r.Perm(len(w.hosts))[:n] {
+		ids = append(ids, w.hosts[i].id)
+	}
+	return ids
+}
+
+// restartSeats restarts a majority of the seats, all at once or in a row.
+func (w *world) restartSeats() {
+	seats := w.lead.newest().Seats
+	gap := time.Duration(w.r.IntN(2)) * 900 * time.Millisecond
+	for i := range model.Majority(len(seats)) {
+		w.at(w.now+time.Duration(i)*gap, func() { w.start(w.host(seats[i])) })
+	}
+}
+
+// block cuts a host from some of the others in one or both directions.
+func (w *world) block(h *worldHost, in, out bool) {
+	all := w.r.IntN(2) == 0
+	for _, o := range append(w.someHosts(len(w.hosts)), controlHost) {
+		if o == h.id || (!all && w.r.IntN(2) == 0) {
+			continue
+		}
+		if in {
+			w.blocked[[2]model.HostID{o, h.id}] = true
+		}
+		if out {
+			w.blocked[[2]model.HostID{h.id, o}] = true
+		}
+	}
+}
+
+// schedule runs one random schedule of faults, heals everything and requires
+// that the fleet recovers completely.
+func schedule(t *testing.T, seed uint64) {
+	w := newWorld(t, seed)
+	w.runUntil(moment(w.r.Int64N(8e9)))
+	w.lead.propose(model.CreateWorkspace{Workspace: "first"})
+	for range 10 + w.r.IntN(20) {
+		w.fault()
+		w.runUntil(w.now + time.Duration(w.r.Int64N(15e8)))
+	}
+	clear(w.blocked)
+	w.loss, w.lead.up = 0, true
+	for _, h := range w.hosts {
+		h.frozen = 0
+		if h.drained {
+			w.start(h)
+		}
+	}
+	w.runUntil(w.now + 16*time.Second)
+	w.requireWhole()
+}
+
+// requireWhole guards against faults that the fleet does not recover from.
+func (w *world) requireWhole() {
+	for _, h := range w.hosts {
+		cfg, _ := h.fresh.Config()
+		require.Equal(w.t, w.lead.newest().Version, cfg.Version, "version of %s", h.id)
+		require.Greater(w.t, h.fresh.Until(), h.local(w.now), "%s is not fresh", h.id)
+	}
+	for s := range model.ShardID(model.Shards) {
+		require.True(w.t, slices.ContainsFunc(w.hosts, func(h *worldHost) bool {
+			return h.claimer.Owns(h.local(w.now), s)
+		}), "shard %d has no owner", s)
+	}
+}
--- a/internal/proto/message.go
+++ b/internal/proto/message.go
@@ -161,8 +161,6 @@
 	}
 	// SeatStage hands a committed change to a seat. A change is accepted once a majority of seats hold it.
 	SeatStage struct {
-		// Nonce ties a reply to one sending: a delayed reply to an earlier sending must not count as a new one.
-		Nonce   uint64
 		Term    model.Term
 		Newest  model.Version
 		Changes []model.Committed
@@ -173,7 +171,6 @@
 	}
 	// SeatStageReply answers SeatStage. It counts only for a short time after SeatStage was sent.
 	SeatStageReply struct {
-		Nonce       uint64
 		Term        model.Term
 		Have        model.Version
 		Incarnation model.Incarnation
