--- a/internal/wire/fresh.go
+++ b/internal/wire/fresh.go
@@ -42,6 +42,7 @@
 	MembersDigest uint64        `cbor:"8,keyasint"`
 	Owners        []owner       `cbor:"9,keyasint"`
 	OwnersDigest  uint64        `cbor:"10,keyasint"`
+	SeatsSettled  bool          `cbor:"11,keyasint,omitempty"`
 }
 
 type seatStage struct {
@@ -119,6 +120,7 @@
 		MembersDigest: m.MembersDigest,
 		Owners:        convert(m.Owners, func(o proto.Owner) owner { return owner(o) }),
 		OwnersDigest:  m.OwnersDigest,
+		SeatsSettled:  m.SeatsSettled,
 	}, err
 }
 
@@ -139,6 +141,7 @@
 		MembersDigest: d.MembersDigest,
 		Owners:        convert(d.Owners, func(o owner) proto.Owner { return proto.Owner(o) }),
 		OwnersDigest:  d.OwnersDigest,
+		SeatsSettled:  d.SeatsSettled,
 	}, err
 }
 
