--- a/internal/proto/message.go
+++ b/internal/proto/message.go
@@ -155,6 +155,9 @@
 		MembersDigest uint64
 		Owners        []Owner
 		OwnersDigest  uint64
+		// SeatsSettled is set when the answerer knows that no host with another list of seats
+		// than that of Newest can still have the right to serve.
+		SeatsSettled bool
 	}
 	// SeatStage hands a committed change to a seat. A change is accepted once a majority of seats hold it.
 	SeatStage struct {
