Ask the control host with the newest version first

A control host that was isolated for hours answers with an old configuration, and every change based on it would be a conflict. Before reading the configuration or the history the client asks all hosts for their version. It also ignores proxies of the environment, which would see the token.

Measured: package tests pass with -race.

--- a/pkg/client/client.go
+++ b/pkg/client/client.go
@@ -26,6 +26,8 @@
 	defaultRounds  = 4
 	// defaultPause grows with each round; four rounds outlast an election, which takes up to 2 s.
 	defaultPause = 500 * time.Millisecond
+	// probeTimeout bounds the search for the host with the newest version.
+	probeTimeout = 3 * time.Second
 	// maxAnswer bounds an answer in bytes, above a configuration of 320,000 workspaces.
 	maxAnswer = 256 << 20
 )
@@ -81,6 +83,7 @@
 		SetTimeout(defaultTimeout).
 		SetAuthToken(token).
 		SetRedirectPolicy(resty.NoRedirectPolicy()).
+		RemoveProxy(). // a proxy of the environment would see the token
 		SetResponseBodyLimit(maxAnswer)
 	c := &Client{addrs: addrs, http: http, rounds: defaultRounds, pause: defaultPause}
 	for _, opt := range opts {
@@ -89,8 +92,9 @@
 	return c, nil
 }
 
-// Config returns the configuration.
+// Config returns the newest configuration of the control hosts that answer.
 func (c *Client) Config(ctx context.Context) (model.Config, error) {
+	c.preferNewest(ctx)
 	var cfg opsapi.Config
 	if err := c.getJSON(ctx, opsapi.PathConfig, &cfg); err != nil {
 		return model.Config{}, err
@@ -107,6 +111,7 @@
 
 // History returns the newest n entries of the audit list, newest first.
 func (c *Client) History(ctx context.Context, n int) ([]opsapi.AuditEntry, error) {
+	c.preferNewest(ctx)
 	var h opsapi.History
 	query := url.Values{"limit": {strconv.Itoa(n)}}
 	err := c.getJSON(ctx, opsapi.PathHistory+"?"+query.Encode(), &h)
@@ -138,6 +143,26 @@
 	return err
 }
 
+// preferNewest makes the host with the newest version the first to be asked. A
+// control host that was isolated for hours would otherwise answer with an old
+// configuration, and each change based on it would be a conflict.
+func (c *Client) preferNewest(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+	defer cancel()
+	var newest uint64
+	for i, a := range c.addrs {
+		resp, err := c.send(ctx, a, http.MethodGet, opsapi.PathVersion, nil)
+		if err != nil || !resp.IsSuccess() {
+			continue
+		}
+		var v opsapi.Version
+		if json.Unmarshal(resp.Body(), &v) == nil && v.Version > newest {
+			newest = v.Version
+			c.remember(i)
+		}
+	}
+}
+
 func (c *Client) getJSON(ctx context.Context, path string, v any) error {
 	data, err := c.ask(ctx, http.MethodGet, path, nil)
 	if err != nil {
