Add the command line and sample settings

Operators need one program for processes and tools. Exit codes are listed in exit.go and in the help topic exit-codes. The processes are function values in process.go, nil until package node provides them.

contrib/ holds samples for both deployments, a first trial and systemd units; a test checks that the program accepts every sample.

--- /dev/null
+++ b/cmd/tarragongauge/entry.go
@@ -0,0 +1,30 @@
+package main
+
+import (
+	"github.com/spf13/cobra"
+
+	"tarragongauge.example/tarragongauge/internal/conf"
+)
+
+func (a *app) entryCommand() *cobra.Command {
+	return &cobra.Command{
+		Use:     "entry --settings FILE",
+		Short:   "Run an entry host",
+		Example: "  tarragongauge entry --settings /etc/tarragongauge/entry.ini",
+		Args:    exactly(),
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			if a.procs.entry == nil {
+				return errNotIncluded("the entry process")
+			}
+			path, err := a.processSettings(cmd)
+			if err != nil {
+				return err
+			}
+			c, err := conf.LoadEntry(path)
+			if err != nil {
+				return err
+			}
+			return a.procs.entry(cmd.Context(), c, newLogger(c.Log, a.errOut))
+		},
+	}
+}
--- /dev/null
+++ b/cmd/tarragongauge/fleet.go
@@ -0,0 +1,57 @@
+package main
+
+import (
+	"strings"
+
+	"github.com/spf13/cobra"
+
+	"tarragongauge.example/tarragongauge/pkg/model"
+	"tarragongauge.example/tarragongauge/pkg/opsapi"
+)
+
+func (a *app) fleetCommand() *cobra.Command {
+	return group("fleet", "List and replace the hosts that decide", a.fleetList(), a.fleetSeats(), a.fleetControls())
+}
+
+func (a *app) fleetList() *cobra.Command {
+	return a.listCommand("List seats and control hosts", func(c opsapi.Config) (any, *table) {
+		t := &table{head: []string{"KIND", "HOSTS"}}
+		t.add("seats", strings.Join(c.Seats, " "))
+		t.add("controls", strings.Join(c.Controls, " "))
+		return map[string][]string{"seats": c.Seats, "controls": c.Controls}, t
+	})
+}
+
+func hostIDs(args []string) []model.HostID {
+	hosts := make([]model.HostID, 0, len(args))
+	for _, arg := range args {
+		hosts = append(hosts, model.HostID(arg))
+	}
+	return hosts
+}
+
+func (a *app) fleetSeats() *cobra.Command {
+	f := &changeFlags{}
+	return f.add(&cobra.Command{
+		Use:     "seats HOST...",
+		Short:   "Replace the entry hosts that confirm versions and grant leases",
+		Example: "  tarragongauge fleet seats entry-1 entry-2 entry-3 entry-4 entry-9 --diff",
+		Args:    atLeastOne("HOST"),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			return a.change(cmd, f, fixed(model.SetSeats{Seats: hostIDs(args)}))
+		},
+	})
+}
+
+func (a *app) fleetControls() *cobra.Command {
+	f := &changeFlags{}
+	return f.add(&cobra.Command{
+		Use:     "controls HOST...",
+		Short:   "Add or remove one voting control host",
+		Example: "  tarragongauge fleet controls control-1 control-2 control-3 control-4",
+		Args:    atLeastOne("HOST"),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			return a.change(cmd, f, fixed(model.SetControls{Controls: hostIDs(args)}))
+		},
+	})
+}
--- /dev/null
+++ b/cmd/tarragongauge/history.go
@@ -0,0 +1,50 @@
+package main
+
+import (
+	"strings"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"tarragongauge.example/tarragongauge/pkg/opsapi"
+)
+
+func (a *app) historyCommand() *cobra.Command {
+	limit := opsapi.DefaultHistory
+	cmd := &cobra.Command{
+		Use:     "history",
+		Short:   "List accepted and refused changes, newest first",
+		Example: "  tarragongauge history --limit 20",
+		Args:    exactly(),
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			if limit < 1 || limit > opsapi.MaxHistory {
+				return usage("--limit is %d; give 1 to %d", limit, opsapi.MaxHistory)
+			}
+			c, output, err := a.connect()
+			if err != nil {
+				return err
+			}
+			entries, err := c.History(cmd.Context(), limit)
+			if err != nil {
+				return err
+			}
+			return a.show(output, entries, historyTable(entries))
+		},
+	}
+	cmd.Flags().IntVar(&limit, "limit", limit, "number of changes")
+	return cmd
+}
+
+func historyTable(entries []opsapi.AuditEntry) *table {
+	t := &table{head: []string{"VERSION", "TIME", "ACTOR", "RESULT", "CHANGE", "REASON"}}
+	for _, e := range entries {
+		t.add(e.Version, e.Time.Format(time.RFC3339), e.Actor, e.Result.Kind, changeText(e.Change), e.Reason)
+	}
+	return t
+}
+
+// changeText returns the JSON of a change without its outer braces.
+func changeText(ch opsapi.Change) string {
+	_, text, _ := strings.Cut(line("", ch), "{")
+	return strings.TrimSuffix(text, "}")
+}
--- /dev/null
+++ b/cmd/tarragongauge/journal.go
@@ -0,0 +1,30 @@
+package main
+
+import (
+	"github.com/spf13/cobra"
+
+	"tarragongauge.example/tarragongauge/internal/conf"
+)
+
+func (a *app) journalCommand() *cobra.Command {
+	return &cobra.Command{
+		Use:     "journal --settings FILE",
+		Short:   "Run a journal host",
+		Example: "  tarragongauge journal --settings /etc/tarragongauge/journal.ini",
+		Args:    exactly(),
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			if a.procs.journal == nil {
+				return errNotIncluded("the journal process")
+			}
+			path, err := a.processSettings(cmd)
+			if err != nil {
+				return err
+			}
+			c, err := conf.LoadJournal(path)
+			if err != nil {
+				return err
+			}
+			return a.procs.journal(cmd.Context(), c, newLogger(c.Log, a.errOut))
+		},
+	}
+}
--- a/cmd/tarragongauge/main.go
+++ b/cmd/tarragongauge/main.go
@@ -1,4 +1,16 @@
 // Command tarragongauge runs every process of the proxy fleet and its operators' tools.
 package main
 
-func main() {}
+import (
+	"context"
+	"os"
+	"os/signal"
+	"syscall"
+)
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	code := run(ctx, os.Args[1:], app{in: os.Stdin, out: os.Stdout, errOut: os.Stderr, procs: includedProcesses()})
+	stop()
+	os.Exit(int(code))
+}
