--- a/cmd/tarragongauge/main.go
+++ b/cmd/tarragongauge/main.go
@@ -10,6 +10,7 @@
 
 func main() {
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	context.AfterFunc(ctx, stop) // a second signal ends the process at once
 	code := run(ctx, os.Args[1:], app{in: os.Stdin, out: os.Stdout, errOut: os.Stderr, procs: includedProcesses()})
 	stop()
 	os.Exit(int(code))
--- a/internal/super/tree.go
+++ b/internal/super/tree.go
@@ -1,6 +1,7 @@
 package super
 
 import (
+	"context"
 	"slices"
 	"sync"
 
@@ -78,6 +79,16 @@
 	return t.err
 }
 
+// Run waits until ctx ends, no task is running or the tree fails. It stops the
+// tree and returns the failure, if any.
+func (t *Tree) Run(ctx context.Context) error {
+	cancel := context.AfterFunc(ctx, t.Stop)
+	defer cancel()
+	err := t.Wait()
+	t.Stop()
+	return err
+}
+
 // Stop ends all tasks in reverse order of their start and waits for them. A
 // task of the tree must not call it.
 func (t *Tree) Stop() {
--- a/internal/super/tree_test.go
+++ b/internal/super/tree_test.go
@@ -126,3 +126,22 @@
 		require.NoError(t, tree.Wait())
 	})
 }
+
+// Guards against a process that goes on after its context ended, or that ends without naming its failure.
+func TestRunEndsWithContextOrFailure(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := &recorder{}
+		ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
+		defer cancel()
+		tree, _ := New("root")
+		tree.Go("a", r.untilDone("a"))
+		require.NoError(t, tree.Run(ctx))
+		require.Equal(t, []string{"a"}, r.seen)
+
+		failing, _ := New("root", WithLimit(0, time.Minute))
+		failing.Go("a", r.untilDone("b"))
+		failing.Go("bad", func(context.Context) error { return errors.New("bad") })
+		require.True(t, IsErrTooManyRestarts(failing.Run(t.Context())))
+		require.Equal(t, []string{"a", "b"}, r.seen)
+	})
+}
