Ignore a faulty message instead of its whole link

A single message that the receiver cannot decode closed the link, which would open and close without end while its sender repeats it. Now only the message is dropped and logged; a frame that cannot be split still closes the link. The client reports not_leader and unavailable after all rounds as unreachable, with their exit code, and a command refuses an output form it does not have before it submits anything. admin.Backend says which errors of Propose promise that a change was not taken.

--- a/cmd/tarragongauge/client.go
+++ b/cmd/tarragongauge/client.go
@@ -15,8 +15,9 @@
 	defaultSettings  = "~/.config/tarragongauge/client.ini"
 )
 
-// connect loads the client settings and returns a client and the form of output.
-func (a *app) connect() (*client.Client, string, error) {
+// connect loads the client settings and returns a client and the form of
+// output, text or json unless the command has more forms.
+func (a *app) connect(moreForms ...string) (*client.Client, string, error) {
 	path, err := a.clientSettings()
 	if err != nil {
 		return nil, "", err
@@ -29,7 +30,7 @@
 	if a.output != "" {
 		output = a.output
 	}
-	if err := oneOf("output", output, "text", "json", "html"); err != nil {
+	if err := oneOf("output", output, append([]string{"text", "json"}, moreForms...)...); err != nil {
 		return nil, "", err
 	}
 	var addrs []client.Address
--- a/cmd/tarragongauge/exit.go
+++ b/cmd/tarragongauge/exit.go
@@ -39,7 +39,7 @@
 		"the change was refused and is not accepted",
 		"the change conflicts with a newer version and is not accepted",
 		"the result of the change is unknown; submit it again with the same --change-id",
-		"no control host answered; a change is not accepted",
+		"no control host could take the request; a change is not accepted",
 		"the token is missing or unknown",
 		"the silence of the workspace is not proved",
 		"the burn rate is an alert",
--- a/cmd/tarragongauge/report.go
+++ b/cmd/tarragongauge/report.go
@@ -16,7 +16,7 @@
 			if a.procs.burn == nil {
 				return errNotIncluded("the burn report")
 			}
-			c, output, err := a.connect()
+			c, output, err := a.connect("html")
 			if err != nil {
 				return err
 			}
--- a/internal/admin/api.go
+++ b/internal/admin/api.go
@@ -15,7 +15,9 @@
 // use, and its methods return early when ctx ends. An ErrNotLeader,
 // ErrUnavailable or model.ErrNotFound reaches the operator as such.
 type Backend interface {
-	// Propose submits a change and waits for its result. Actor and UnixMilli are set.
+	// Propose submits a change and waits for its result. Actor and UnixMilli are
+	// set. ErrNotLeader and ErrUnavailable promise that the change was not taken;
+	// after any other error, or when ctx ends, its result is unknown.
 	Propose(ctx context.Context, p model.Proposal) (model.Result, error)
 	// Config returns the newest configuration this host knows.
 	Config(ctx context.Context) (model.Config, error)
--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -125,9 +125,15 @@
 func (l *link) deliver(frame []byte) error {
 	for len(frame) > 0 {
 		e, rest, err := l.mesh.codec.DecodeFirst(frame)
-		if err != nil {
+		if err != nil && rest == nil {
 			return err
 		}
+		if err != nil {
+			l.mesh.opts.log.Error(err, "message ignored", "peer", string(l.peer.host))
+			l.peer.drop(1)
+			frame = rest
+			continue
+		}
 		if e.From != l.peer.host || e.To != l.mesh.self.Host {
 			return fmt.Errorf("message from %q to %q on the link from %q", e.From, e.To, l.peer.host)
 		}
--- a/internal/link/mesh_test.go
+++ b/internal/link/mesh_test.go
@@ -315,3 +315,18 @@
 		<-answers
 	}
 }
+
+// Guards against one message that the receiver does not understand ending the
+// link, and against a frame that cannot be split passing for an empty one.
+func TestFaultyMessageDoesNotEndTheLink(t *testing.T) {
+	a, b := startHost(t, "a", 1), startHost(t, "b", 1)
+	a.Learn([]proto.Member{b.member})
+	deliver(t, a, b, 1)
+	require.True(t, a.Send("b", proto.SlotReply{Status: 99}))
+	deliver(t, a, b, 2)
+	require.Equal(t, uint64(1), b.linkTo(a).Dropped)
+	require.Equal(t, uint64(1), a.linkTo(b).Links)
+	a.peer("b").put([]byte{0xff}, time.Now(), time.Minute)
+	deliver(t, a, b, 3)
+	require.Equal(t, uint64(2), a.linkTo(b).Links)
+}
--- a/internal/link/peer.go
+++ b/internal/link/peer.go
@@ -49,7 +49,7 @@
 	SentBytes        uint64 `json:"sent_bytes"`
 	ReceivedMessages uint64 `json:"received_messages"`
 	ReceivedBytes    uint64 `json:"received_bytes"`
-	// Dropped counts messages that found no room, waited too long or could not be sent.
+	// Dropped counts messages that found no room, waited too long, or could not be sent or decoded.
 	Dropped   uint64 `json:"dropped"`
 	Queued    int    `json:"queued"`
 	RoundTrip int64  `json:"round_trip_ns"`
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -107,7 +107,9 @@
 }
 
 // DecodeFirst returns the first envelope of a frame and the bytes after it,
-// since a link writes several short envelopes as one frame.
+// since a link writes several short envelopes as one frame. If only the body is
+// at fault, the error comes with the bytes after it; they are nil if the frame
+// cannot be split.
 func (c *Codec) DecodeFirst(frame []byte) (proto.Envelope, []byte, error) {
 	if len(frame) > MaxFrame {
 		return proto.Envelope{}, nil, ErrTooLong{Bytes: len(frame)}
@@ -119,11 +121,11 @@
 	}
 	b, ok := c.byKind[in.Kind]
 	if !ok {
-		return proto.Envelope{}, nil, ErrUnknownKind{Kind: strconv.Itoa(int(in.Kind))}
+		return proto.Envelope{}, rest, ErrUnknownKind{Kind: strconv.Itoa(int(in.Kind))}
 	}
 	body, err := b.decode(c.dec, in.Body)
 	if err != nil {
-		return proto.Envelope{}, nil, ErrMalformed{Cause: err}
+		return proto.Envelope{}, rest, ErrMalformed{Cause: fmt.Errorf("%s: %w", b.typ.Name(), err)}
 	}
 	return proto.Envelope{From: in.From, To: in.To, Body: body}, rest, nil
 }
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -151,7 +151,17 @@
 			require.True(t, tt.check(err), "got %v", err)
 		})
 	}
-	_, err := Encode(proto.Envelope{Body: proto.StatusReply{Data: make([]byte, MaxFrame)}})
+	c, err := NewCodec()
+	require.NoError(t, err)
+	for _, first := range [][]byte{raw(9999, 1), raw(61, map[int]int{2: 99})} {
+		_, rest, err := c.DecodeFirst(append(first, 0x84))
+		require.Error(t, err)
+		require.Equal(t, []byte{0x84}, rest, "a fault of one body must not lose the messages after it")
+	}
+	_, rest, err := c.DecodeFirst([]byte{0x84, 0xff})
+	require.Error(t, err)
+	require.Nil(t, rest)
+	_, err = Encode(proto.Envelope{Body: proto.StatusReply{Data: make([]byte, MaxFrame)}})
 	require.True(t, IsErrTooLong(err))
 	_, err = Encode(proto.Envelope{})
 	require.True(t, IsErrUnknownKind(err))
--- a/pkg/client/client.go
+++ b/pkg/client/client.go
@@ -188,10 +188,16 @@
 		}
 		return follow(a, resp)
 	})
-	if err != nil && !IsErrFault(err) {
-		err = ErrUnreachable{Cause: err}
+	return data, unreachable(err)
+}
+
+// unreachable turns the last error into an ErrUnreachable unless a host refused the request for good.
+func unreachable(last error) error {
+	final := IsErrFault(last) && !isFault(last, opsapi.FaultNotLeader, opsapi.FaultUnavailable)
+	if last == nil || final {
+		return last
 	}
-	return data, err
+	return ErrUnreachable{Cause: last}
 }
 
 // follow decides what to do after an answer that is a fault.
--- a/pkg/client/client_test.go
+++ b/pkg/client/client_test.go
@@ -115,6 +115,7 @@
 		{"always unknown", []step{result(model.ResultUnknown, "")}, "abcabc", IsErrUnknown, model.ResultUnknown},
 		{"wrong token after a lost answer", []step{lost, fault(opsapi.FaultUnauthorized, "")}, "ab", IsErrUnknown, model.ResultUnknown},
 		{"never a leader", []step{result(model.ResultNotLeader, "")}, "abcabc", IsErrUnreachable, model.ResultUnknown},
+		{"never available", []step{fault(opsapi.FaultUnavailable, "")}, "abcabc", IsErrUnreachable, model.ResultUnknown},
 		{"another server", []step{page}, "abcabc", IsErrUnknown, model.ResultUnknown},
 	}
 	for _, tt := range tests {
--- a/pkg/client/error.go
+++ b/pkg/client/error.go
@@ -53,11 +53,11 @@
 	return errors.As(err, &e)
 }
 
-// ErrUnreachable tells that no control host answered. A change was not accepted.
+// ErrUnreachable tells that no control host could take the request. A change was not accepted.
 type ErrUnreachable struct{ Cause error }
 
 func (e ErrUnreachable) Error() string {
-	return fmt.Sprintf("no control host answered (%v); check addresses in the client settings and that the control hosts run", e.Cause)
+	return fmt.Sprintf("no control host could take the request (%v); check addresses in the client settings and that a majority of the control hosts runs", e.Cause)
 }
 
 // Unwrap returns the newest cause.
--- a/pkg/client/propose.go
+++ b/pkg/client/propose.go
@@ -91,9 +91,7 @@
 		return last
 	case a.reached:
 		return ErrUnknown{Change: a.result.ID, Cause: last}
-	case IsErrFault(last):
-		return last
 	default:
-		return ErrUnreachable{Cause: last}
+		return unreachable(last)
 	}
 }
