--- /dev/null
+++ b/internal/store/folder.go
@@ -0,0 +1,97 @@
+package store
+
+import (
+	"errors"
+	"io"
+	"os"
+	"path/filepath"
+	"syscall"
+)
+
+// File is an open file that is written at its end only.
+type File interface {
+	io.Writer
+	io.Closer
+	// Sync makes what was written durable.
+	Sync() error
+	// Truncate cuts the file to a size.
+	Truncate(size int64) error
+}
+
+// Folder is a data folder. Tests replace it to inject faults.
+type Folder interface {
+	// Lock takes the folder for this process; the result releases it.
+	Lock() (func() error, error)
+	// List returns the names of the files.
+	List() ([]string, error)
+	Read(name string) ([]byte, error)
+	// Create makes an empty file or empties an existing one.
+	Create(name string) (File, error)
+	// Open opens an existing file for appending.
+	Open(name string) (File, error)
+	Rename(from, to string) error
+	Remove(name string) error
+	// Sync makes creations, renames and removals durable.
+	Sync() error
+}
+
+const (
+	lockName   = "lock"
+	fileMode   = 0o600
+	folderMode = 0o700
+)
+
+// diskFolder is a Folder of the operating system.
+type diskFolder struct{ dir string }
+
+func openFolder(dir string) (diskFolder, error) {
+	return diskFolder{dir: dir}, os.MkdirAll(dir, folderMode)
+}
+
+func (d diskFolder) path(name string) string { return filepath.Join(d.dir, name) }
+
+func (d diskFolder) Lock() (func() error, error) {
+	f, err := os.OpenFile(d.path(lockName), os.O_CREATE|os.O_RDWR, fileMode)
+	if err != nil {
+		return nil, err
+	}
+	err = syscall.Flock(int(f.Fd()), syscall.LOCK_EX|syscall.LOCK_NB)
+	if errors.Is(err, syscall.EWOULDBLOCK) {
+		err = ErrLocked{Dir: d.dir}
+	}
+	if err != nil {
+		return nil, errors.Join(err, f.Close())
+	}
+	return f.Close, nil
+}
+
+func (d diskFolder) List() ([]string, error) {
+	entries, err := os.ReadDir(d.dir)
+	names := make([]string, 0, len(entries))
+	for _, e := range entries {
+		names = append(names, e.Name())
+	}
+	return names, err
+}
+
+func (d diskFolder) Read(name string) ([]byte, error) { return os.ReadFile(d.path(name)) }
+
+func (d diskFolder) Create(name string) (File, error) {
+	return os.OpenFile(d.path(name), os.O_CREATE|os.O_TRUNC|os.O_WRONLY|os.O_APPEND, fileMode)
+}
+
+func (d diskFolder) Open(name string) (File, error) {
+	return os.OpenFile(d.path(name), os.O_WRONLY|os.O_APPEND, fileMode)
+}
+
+func (d diskFolder) Rename(from, to string) error { return os.Rename(d.path(from), d.path(to)) }
+
+func (d diskFolder) Remove(name string) error { return os.Remove(d.path(name)) }
+
+func (d diskFolder) Sync() error {
+	f, err := os.Open(d.dir)
+	if err != nil {
+		return err
+	}
+	return errors.Join(f.Sync(), f.Close())
+}
