--- a/internal/ctrl/api.go
+++ b/internal/ctrl/api.go
@@ -16,7 +16,8 @@
 type (
 	// Tick lets the core act on elapsed time; the runtime sends one every 20 to 50 ms.
 	Tick struct{}
-	// Received delivers a message of the log protocol, a SeatStageReply or a ProposeAsk.
+	// Received delivers a message of the log protocol, a SeatStageReply,
+	// a ProposeAsk or a ProposeReply.
 	Received struct {
 		From model.HostID
 		Msg  proto.Message
@@ -51,8 +52,11 @@
 		// TruncateFrom removes entries from this index on before appending, unless 0.
 		TruncateFrom uint64
 		Entries      []proto.LogEntry
-		// Snapshot replaces the log up to its index, unless nil.
+		// Snapshot replaces the log up to its index, unless nil. Such a record
+		// is complete by itself: Entries then holds the whole log after it.
 		Snapshot *Snapshot
+		// Learner is as in Recovered.
+		Learner uint64
 	}
 	// Applied publishes a new configuration on this host.
 	Applied struct{ Config model.Config }
@@ -85,6 +89,8 @@
 	// vote and counts in no majority until it has caught up with a leader,
 	// unless the fleet is being created.
 	Empty bool
+	// Learner is not 0 on a host that started empty and was not admitted yet.
+	Learner uint64
 }
 
 // AuditEntry is one accepted or refused change.
--- /dev/null
+++ b/internal/ctrl/node.go
@@ -0,0 +1,289 @@
+package ctrl
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"tarragongauge.example/tarragongauge/internal/codec"
+	"tarragongauge.example/tarragongauge/internal/proto"
+	"tarragongauge.example/tarragongauge/pkg/model"
+)
+
+// Role says what part a control host plays in its term.
+type Role int
+
+// Roles of a control host.
+const (
+	RoleFollower Role = iota + 1
+	// RolePreCandidate asks whether an election could succeed.
+	RolePreCandidate
+	RoleCandidate
+	RoleLeader
+	// RoleLearner started without state and neither votes nor counts.
+	RoleLearner
+	// RoleFailed has a disk that failed.
+	RoleFailed
+)
+
+// Status describes a control host for operators.
+type Status struct {
+	Role   Role
+	Term   model.Term
+	Leader model.HostID
+	// Last, Commit and Applied are log indexes.
+	Last    uint64
+	Commit  uint64
+	Applied uint64
+	// Accepted is the newest version this host has accepted as a leader.
+	Accepted model.Version
+}
+
+// Node is the consensus state machine of one control host. It implements Core.
+// It is not safe for concurrent use.
+type Node struct {
+	self model.HostID
+	opt  options
+	rng  *rand.Rand
+	now  model.Instant
+
+	role     Role
+	term     model.Term
+	votedFor model.HostID
+	leader   model.HostID
+	// heardLeader is when the leader was last heard, or 0.
+	heardLeader model.Instant
+	electionDue model.Instant
+	votes       []model.HostID
+	// learner is not 0 while this host may not vote; see learner.go.
+	learner uint64
+	// hasBase is set once the host holds a state that its log continues.
+	hasBase  bool
+	creation creation
+
+	log     entryLog
+	commit  uint64
+	applied uint64
+	state   state
+	history history
+	// tip is the state after the whole log, committed or not. Its control
+	// hosts are the ones whose majority counts.
+	tip      state
+	snapshot Snapshot
+
+	disk  disk
+	lead  *leadership
+	waits waits
+	// accepted is the newest version known to be accepted. It stays true when the leadership ends.
+	accepted   model.Version
+	acceptedAt []acceptance
+
+	out []Effect
+}
+
+var _ Core = (*Node)(nil)
+
+// New returns a control host that continues from what its disk held.
+func New(self model.HostID, rec Recovered, opts ...Option) (*Node, error) {
+	o := options{timing: DefaultTiming(), snapshotEvery: DefaultSnapshotEvery}
+	for _, opt := range opts {
+		opt(&o)
+	}
+	if err := o.check(); err != nil {
+		return nil, fmt.Errorf("create control host %q: %w", self, err)
+	}
+	n := &Node{
+		self:     self,
+		opt:      o,
+		rng:      rand.New(rand.NewPCG(o.seed, 0)),
+		role:     RoleFollower,
+		term:     rec.Term,
+		votedFor: rec.VotedFor,
+		learner:  rec.Learner,
+		log:      newEntryLog(0, 0),
+		history:  newHistory(nil),
+	}
+	if rec.Empty {
+		n.learner = n.rng.Uint64() | 1
+		n.disk.dirty = true
+		return n, nil
+	}
+	if err := n.restore(rec); err != nil {
+		return nil, fmt.Errorf("recover control host %q: %w", self, err)
+	}
+	return n, nil
+}
+
+// restore continues from a snapshot and the entries after it.
+func (n *Node) restore(rec Recovered) error {
+	if rec.Snapshot == nil {
+		if len(rec.Entries) > 0 || rec.Learner == 0 {
+			return ErrIncomplete{}
+		}
+		return nil
+	}
+	if err := n.install(*rec.Snapshot); err != nil {
+		return err
+	}
+	for _, e := range rec.Entries {
+		if e.Index != n.log.last()+1 {
+			return ErrIncomplete{}
+		}
+		n.log.append(e)
+	}
+	n.retip()
+	n.disk.syncedIndex = n.log.last()
+	return nil
+}
+
+// install replaces the state and the log by a snapshot.
+func (n *Node) install(s Snapshot) error {
+	control, err := codec.DecodeControl(s.Data)
+	if err != nil {
+		return err
+	}
+	n.state = state{cfg: control.Config, oldSeats: control.OldSeats}
+	n.history = newHistory(control.History)
+	n.snapshot = s
+	n.log = newEntryLog(s.Index, s.Term)
+	n.commit, n.applied = s.Index, s.Index
+	n.tip = n.state
+	n.hasBase = true
+	return nil
+}
+
+// retip computes the state after the whole log again.
+func (n *Node) retip() {
+	n.tip = n.state
+	for i := n.applied + 1; i <= n.log.last(); i++ {
+		n.tip, _ = n.tip.next(n.log.at(i))
+	}
+}
+
+// Step handles one event.
+func (n *Node) Step(now model.Instant, ev Event) []Effect {
+	n.now = max(n.now, now)
+	n.out = nil
+	if n.role != RoleFailed {
+		n.handle(ev)
+		n.flush()
+	} else if p, ok := ev.(Proposed); ok {
+		n.answer(origin{nonce: p.Nonce}, n.notLeader(p.Proposal.ID))
+	}
+	return n.out
+}
+
+func (n *Node) handle(ev Event) {
+	switch ev := ev.(type) {
+	case Tick:
+		n.tick()
+	case Received:
+		n.receive(ev.From, ev.Msg)
+	case Persisted:
+		n.persisted(ev.Seq)
+	case DiskFailed:
+		n.failDisk()
+	case Proposed:
+		n.propose(origin{nonce: ev.Nonce}, ev.Proposal)
+	}
+}
+
+func (n *Node) receive(from model.HostID, msg proto.Message) {
+	switch m := msg.(type) {
+	case proto.VoteAsk:
+		n.onVoteAsk(from, m)
+	case proto.VoteReply:
+		n.onVoteReply(from, m)
+	case proto.Append:
+		n.onAppend(from, m)
+	case proto.AppendReply:
+		n.onAppendReply(from, m)
+	case proto.InstallSnapshot:
+		n.onInstallSnapshot(from, m)
+	case proto.ProposeAsk:
+		n.propose(origin{host: from, nonce: m.Nonce}, m.Proposal)
+	case proto.ProposeReply:
+		n.onProposeReply(m)
+	case proto.SeatStageReply:
+		n.onSeatStageReply(from, m)
+	}
+}
+
+func (n *Node) tick() {
+	n.expireWaits()
+	if n.role == RoleLeader {
+		n.leadTick()
+		return
+	}
+	if n.electionDue == 0 {
+		n.resetElection()
+	}
+	if n.now < n.electionDue {
+		return
+	}
+	n.resetElection()
+	switch {
+	case n.learner != 0:
+		n.askCreation()
+	case slices.Contains(n.tip.cfg.Controls, n.self):
+		n.preCampaign()
+	}
+}
+
+func (n *Node) resetElection() {
+	t := n.opt.timing
+	spread := int64(t.ElectionMax - t.ElectionMin)
+	n.electionDue = n.now.Add(t.ElectionMin + time.Duration(n.rng.Int64N(spread)))
+}
+
+// setLeader publishes a change of term or leader.
+func (n *Node) setLeader(leader model.HostID) {
+	if n.leader == leader {
+		return
+	}
+	n.leader = leader
+	n.emit(LeaderChanged{Term: n.term, Leader: leader})
+	n.endForwards()
+}
+
+func (n *Node) emit(e Effect) { n.out = append(n.out, e) }
+
+// send sends a message that reveals nothing that could be lost by a crash.
+func (n *Node) send(to model.HostID, msg proto.Message) { n.emit(Send{To: to, Msg: msg}) }
+
+// failDisk ends all activity for good: what this host promised may not be on its disk.
+func (n *Node) failDisk() {
+	n.endLeadership()
+	n.role = RoleFailed
+	n.setLeader("")
+	n.disk = disk{}
+}
+
+// Config returns the newest applied configuration.
+func (n *Node) Config() model.Config { return n.state.cfg }
+
+// Changes returns the applied changes after a version, and false if they are no longer held.
+func (n *Node) Changes(after model.Version) ([]model.Committed, bool) {
+	return n.history.changes(after, n.state.cfg.Version)
+}
+
+// Audit returns the newest entries of the audit list, newest first.
+func (n *Node) Audit(count int) []AuditEntry { return n.history.newest(count) }
+
+// Status describes this host.
+func (n *Node) Status() Status {
+	s := Status{
+		Role:     n.role,
+		Term:     n.term,
+		Leader:   n.leader,
+		Last:     n.log.last(),
+		Commit:   n.commit,
+		Applied:  n.applied,
+		Accepted: n.accepted,
+	}
+	if n.learner != 0 && n.role == RoleFollower {
+		s.Role = RoleLearner
+	}
+	return s
+}
--- /dev/null
+++ b/internal/ctrl/propose.go
@@ -0,0 +1,286 @@
+package ctrl
+
+import (
+	"fmt"
+	"slices"
+
+	"tarragongauge.example/tarragongauge/internal/codec"
+	"tarragongauge.example/tarragongauge/internal/proto"
+	"tarragongauge.example/tarragongauge/pkg/model"
+)
+
+const (
+	// maxProposal bounds an encoded change in bytes.
+	maxProposal = 64 << 10
+	// maxUncommitted bounds the entries that a leader appends ahead of the majority.
+	maxUncommitted = 256
+	// maxDeferred bounds the changes of control hosts that wait for a commit.
+	maxDeferred = 16
+	// maxWaits bounds the proposals that wait on one host.
+	maxWaits = 1024
+)
+
+// origin is where a proposal came from: this host's runtime, or another control host.
+type origin struct {
+	host  model.HostID
+	nonce uint64
+}
+
+// wait is a proposal in this leader's log that is not settled.
+type wait struct {
+	id   model.ChangeID
+	from origin
+	due  model.Instant
+}
+
+// deferred is a change of the control hosts that must wait for a commit.
+type deferred struct {
+	proposal model.Proposal
+	from     origin
+}
+
+// forward is a local proposal that was sent to the leader.
+type forward struct {
+	nonce    uint64
+	proposal model.Proposal
+	due      model.Instant
+	resendAt model.Instant
+}
+
+// waits holds the proposals that this host has not answered.
+type waits struct {
+	settling []wait
+	deferred []deferred
+	forwards []forward
+}
+
+func (n *Node) propose(from origin, p model.Proposal) {
+	switch {
+	case n.role == RoleLeader:
+		n.appendProposal(from, p)
+	case from.host == "" && n.leader != "":
+		n.forward(from.nonce, p)
+	default:
+		n.answer(from, n.notLeader(p.ID))
+	}
+}
+
+func (n *Node) notLeader(id model.ChangeID) model.Result {
+	r := model.Result{ID: id, Kind: model.ResultNotLeader, Leader: n.leader}
+	switch {
+	case n.role == RoleFailed:
+		r.Message = "the disk of this control host failed; submit the change to another control host"
+	case n.leader != "":
+		r.Message = fmt.Sprintf("control host %q leads; submit the change there with the same id", n.leader)
+	default:
+		r.Message = "no control host leads now; submit the change again with the same id in a few seconds"
+	}
+	return r
+}
+
+func unknownResult(id model.ChangeID) model.Result {
+	return model.Result{ID: id, Kind: model.ResultUnknown, Message: "the change may or may not be accepted later; submit it again with the same id to learn its result"}
+}
+
+func refused(id model.ChangeID, newest model.Version, message string) model.Result {
+	return model.Result{ID: id, Kind: model.ResultInvalid, Version: newest, Message: message}
+}
+
+// appendProposal appends a proposal unless its id is known already.
+func (n *Node) appendProposal(from origin, p model.Proposal) {
+	if message := checkProposal(p); message != "" {
+		n.answer(from, refused(p.ID, n.state.cfg.Version, message))
+		return
+	}
+	_, decided := n.history.results[p.ID]
+	switch {
+	case decided || n.inFlight(p.ID):
+	case len(n.waits.settling) >= maxWaits || n.log.last()-n.commit >= maxUncommitted:
+		n.answer(from, refusedBusy(p.ID))
+		return
+	case n.mustDefer(p):
+		n.deferProposal(from, p)
+		return
+	case !n.controlsReachable(p):
+		n.answer(from, refused(p.ID, n.state.cfg.Version, "too few of the new control hosts are in reach with an intact disk to make a majority; bring hosts back or remove lost ones first, then submit the change under a new id"))
+		return
+	default:
+		n.appendEntry(proto.LogEntry{Index: n.log.last() + 1, Term: n.term, Proposal: &p})
+		n.updatePeers()
+		n.replicateAll()
+	}
+	n.await(p.ID, from)
+	n.settle()
+}
+
+func refusedBusy(id model.ChangeID) model.Result {
+	return model.Result{ID: id, Kind: model.ResultNotLeader, Message: "too many changes wait; this one was not taken, submit it again with the same id in a few seconds"}
+}
+
+func checkProposal(p model.Proposal) string {
+	if p.ID == "" {
+		return "the change has no id; submit it with an id that is kept over resends"
+	}
+	data, err := codec.EncodeProposal(p)
+	if err != nil {
+		return err.Error()
+	}
+	if len(data) > maxProposal {
+		return fmt.Sprintf("the change has %d bytes; it must have at most %d, shorten its reason or lists", len(data), maxProposal)
+	}
+	return ""
+}
+
+// inFlight reports whether the log holds the change without a result yet.
+func (n *Node) inFlight(id model.ChangeID) bool {
+	for i := n.applied + 1; i <= n.log.last(); i++ {
+		if p := n.log.at(i).Proposal; p != nil && p.ID == id {
+			return true
+		}
+	}
+	return false
+}
+
+// mustDefer holds back a change of the control hosts until an entry of this
+// term and all earlier changes of the control hosts are committed: two
+// overlapping changes could each find a majority that does not meet the other's.
+func (n *Node) mustDefer(p model.Proposal) bool {
+	if _, ok := p.Change.(model.SetControls); !ok {
+		return false
+	}
+	return n.commit < n.lead.first || !slices.Equal(n.tip.cfg.Controls, n.state.cfg.Controls)
+}
+
+func (n *Node) deferProposal(from origin, p model.Proposal) {
+	if len(n.waits.deferred) >= maxDeferred {
+		n.answer(from, refusedBusy(p.ID))
+		return
+	}
+	n.waits.deferred = append(n.waits.deferred, deferred{proposal: p, from: from})
+}
+
+// controlsReachable refuses new control hosts that could not commit their own
+// entry: a host added without state counts only after a majority without it
+// has committed a barrier, so that the fleet would stop until a lost host returns.
+func (n *Node) controlsReachable(p model.Proposal) bool {
+	change, ok := p.Change.(model.SetControls)
+	if !ok || p.Base != n.tip.cfg.Version {
+		return true
+	}
+	reachable := 0
+	for _, id := range change.Controls {
+		p := n.lead.peer(id)
+		heard := p != nil && p.learner == 0 && p.ackRound > 0 && n.now.Sub(p.lastAck) < n.opt.timing.ElectionMin
+		if id == n.self || heard {
+			reachable++
+		}
+	}
+	return reachable >= model.Majority(len(change.Controls))
+}
+
+func (n *Node) retryDeferred() {
+	list := n.waits.deferred
+	n.waits.deferred = nil
+	for _, d := range list {
+		n.appendProposal(d.from, d.proposal)
+	}
+}
+
+func (n *Node) await(id model.ChangeID, from origin) {
+	due := n.now.Add(n.opt.timing.ProposeTimeout)
+	for i, w := range n.waits.settling {
+		if w.from == from && w.id == id {
+			n.waits.settling[i].due = due
+			return
+		}
+	}
+	n.waits.settling = append(n.waits.settling, wait{id: id, from: from, due: due})
+}
+
+// settle answers the proposals whose result is final: refused ones once they
+// are committed, accepted ones once a majority of seats holds them too.
+func (n *Node) settle() {
+	n.waits.settling = slices.DeleteFunc(n.waits.settling, func(w wait) bool {
+		result, ok := n.history.results[w.id]
+		if !ok || result.Kind == model.ResultAccepted && result.Version > n.accepted {
+			return false
+		}
+		n.answer(w.from, result)
+		return true
+	})
+}
+
+func (n *Node) answer(to origin, r model.Result) {
+	if to.host == "" {
+		n.emit(Reply{Nonce: to.nonce, Result: r})
+		return
+	}
+	n.send(to.host, proto.ProposeReply{Nonce: to.nonce, Result: r})
+}
+
+// endWaits answers what waited for the leadership that just ended.
+func (n *Node) endWaits() {
+	for _, w := range n.waits.settling {
+		n.answer(w.from, unknownResult(w.id))
+	}
+	for _, d := range n.waits.deferred {
+		n.answer(d.from, unknownResult(d.proposal.ID))
+	}
+	n.waits.settling, n.waits.deferred = nil, nil
+}
+
+// expireWaits ends waits that took too long, and repeats lost forwards.
+func (n *Node) expireWaits() {
+	n.waits.settling = slices.DeleteFunc(n.waits.settling, func(w wait) bool {
+		if n.now < w.due {
+			return false
+		}
+		n.answer(w.from, unknownResult(w.id))
+		return true
+	})
+	n.waits.forwards = slices.DeleteFunc(n.waits.forwards, func(f forward) bool {
+		if n.now < f.due {
+			return false
+		}
+		n.answer(origin{nonce: f.nonce}, unknownResult(f.proposal.ID))
+		return true
+	})
+	for i := range n.waits.forwards {
+		if n.now >= n.waits.forwards[i].resendAt {
+			n.sendForward(&n.waits.forwards[i])
+		}
+	}
+}
+
+func (n *Node) forward(nonce uint64, p model.Proposal) {
+	if len(n.waits.forwards) >= maxWaits {
+		n.answer(origin{nonce: nonce}, refusedBusy(p.ID))
+		return
+	}
+	f := forward{nonce: nonce, proposal: p, due: n.now.Add(n.opt.timing.ProposeTimeout)}
+	n.sendForward(&f)
+	n.waits.forwards = append(n.waits.forwards, f)
+}
+
+func (n *Node) sendForward(f *forward) {
+	f.resendAt = n.now.Add(n.opt.timing.ElectionMin)
+	n.send(n.leader, proto.ProposeAsk{Nonce: f.nonce, Proposal: f.proposal})
+}
+
+// endForwards answers the proposals sent to a leader that is no longer followed.
+func (n *Node) endForwards() {
+	for _, f := range n.waits.forwards {
+		n.answer(origin{nonce: f.nonce}, unknownResult(f.proposal.ID))
+	}
+	n.waits.forwards = nil
+}
+
+func (n *Node) onProposeReply(m proto.ProposeReply) {
+	n.waits.forwards = slices.DeleteFunc(n.waits.forwards, func(f forward) bool {
+		if f.nonce != m.Nonce || f.proposal.ID != m.Result.ID {
+			return false
+		}
+		n.answer(origin{nonce: f.nonce}, m.Result)
+		return true
+	})
+}
--- /dev/null
+++ b/internal/ctrl/recover.go
@@ -0,0 +1,60 @@
+package ctrl
+
+import (
+	"tarragongauge.example/tarragongauge/internal/codec"
+)
+
+// EncodePersist returns the store record of a Persist effect. A record with a
+// snapshot replaces the store's snapshot; any other is appended.
+func EncodePersist(p Persist) (data []byte, snapshot bool, err error) {
+	r := codec.LogRecord{
+		Term:         p.Term,
+		VotedFor:     p.VotedFor,
+		TruncateFrom: p.TruncateFrom,
+		Entries:      p.Entries,
+		Learner:      p.Learner,
+	}
+	if p.Snapshot != nil {
+		r.State, r.StateIndex, r.StateTerm = p.Snapshot.Data, p.Snapshot.Index, p.Snapshot.Term
+	}
+	data, err = codec.EncodeLog(r)
+	return data, p.Snapshot != nil, err
+}
+
+// Recover folds the snapshot and the records of a store into what New needs.
+// A store without either counts as empty.
+func Recover(snapshot []byte, records [][]byte) (Recovered, error) {
+	rec := Recovered{Empty: snapshot == nil && len(records) == 0}
+	if snapshot != nil {
+		if err := rec.fold(snapshot); err != nil {
+			return Recovered{}, err
+		}
+	}
+	for _, data := range records {
+		if err := rec.fold(data); err != nil {
+			return Recovered{}, err
+		}
+	}
+	return rec, nil
+}
+
+// fold applies one record.
+func (rec *Recovered) fold(data []byte) error {
+	r, err := codec.DecodeLog(data)
+	if err != nil {
+		return err
+	}
+	rec.Term, rec.VotedFor, rec.Learner = r.Term, r.VotedFor, r.Learner
+	if r.State != nil {
+		rec.Snapshot = &Snapshot{Index: r.StateIndex, Term: r.StateTerm, Data: r.State}
+		rec.Entries = nil
+	}
+	for i, e := range rec.Entries {
+		if r.TruncateFrom != 0 && e.Index >= r.TruncateFrom {
+			rec.Entries = rec.Entries[:i]
+			break
+		}
+	}
+	rec.Entries = append(rec.Entries, r.Entries...)
+	return nil
+}
