Test the lease package against lost control, lost hosts and placement

Cause: random schedules heal everything at the end and so do not show the fleet without control. Change: directed tests of a fleet without control, a majority of seats that restarts without control, moving shards, placement and the evidence rule.

--- /dev/null
+++ b/internal/lease/lease_test.go
@@ -0,0 +1,151 @@
+package lease
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"tarragongauge.example/tarragongauge/internal/proto"
+	"tarragongauge.example/tarragongauge/pkg/model"
+)
+
+// Guards against a fleet that stops while control is unavailable, also for a
+// host that restarts meanwhile and for a minority of seats that is lost.
+func TestServesWithoutControl(t *testing.T) {
+	w := newWorld(t, 1)
+	w.runUntil(9 * time.Second)
+	w.lead.up = false
+	w.runUntil(20 * time.Second)
+	w.start(w.hosts[6])
+	w.start(w.hosts[1])
+	w.runUntil(80 * time.Second)
+	w.requireWhole()
+}
+
+// Guards against a majority of seats that restarts without control and
+// confirms a version it cannot know to be the newest.
+func TestMajorityOfSeatsRestartsWithoutControl(t *testing.T) {
+	w := newWorld(t, 2)
+	w.runUntil(9 * time.Second)
+	w.lead.up = false
+	for _, h := range w.hosts[:3] {
+		w.start(h)
+	}
+	w.runUntil(20 * time.Second)
+	for _, h := range w.hosts {
+		require.Less(t, h.fresh.Until(), h.local(w.now), "%s may serve", h.id)
+	}
+	w.lead.up = true
+	w.runUntil(32 * time.Second)
+	w.requireWhole()
+}
+
+// Guards against shards that stay with a host that is heard but does not hear,
+// and against a drained host that keeps shards until its lease ends.
+func TestShardsMove(t *testing.T) {
+	tests := []struct {
+		name   string
+		lose   func(w *world, h *worldHost)
+		within time.Duration
+	}{
+		{"lost", func(w *world, h *worldHost) { h.frozen = time.Hour }, 3500 * time.Millisecond},
+		{"does not hear", func(w *world, h *worldHost) { w.cut(h, true, false) }, 4 * time.Second},
+		{"is not heard", func(w *world, h *worldHost) { w.cut(h, false, true) }, 3500 * time.Millisecond},
+		{"drains", func(w *world, h *worldHost) {
+			w.step(h, h.fresh, Handover{})
+			w.step(h, h.claimer, Handover{})
+		}, 1200 * time.Millisecond},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			w := newWorld(t, 3)
+			w.runUntil(9 * time.Second)
+			gone := w.hosts[7]
+			tt.lose(w, gone)
+			w.runUntil(w.now + tt.within)
+			for s := range model.ShardID(model.Shards) {
+				owners := 0
+				for _, h := range w.hosts[:7] {
+					if h.claimer.Owns(h.local(w.now), s) {
+						owners++
+					}
+				}
+				require.Equal(t, 1, owners, "owners of shard %d besides the lost host", s)
+			}
+		})
+	}
+}
+
+// cut blocks all links of a host in one direction.
+func (w *world) cut(h *worldHost, in, out bool) {
+	for _, o := range append(w.someHosts(len(w.hosts)), controlHost) {
+		w.blocked[[2]model.HostID{o, h.id}] = in
+		w.blocked[[2]model.HostID{h.id, o}] = out
+	}
+}
+
+func entryMembers(n int) []proto.Member {
+	var members []proto.Member
+	for i := range n {
+		members = append(members, proto.Member{Host: model.HostID(fmt.Sprintf("entry-%04d", i)), Role: proto.RoleEntry, Zone: "z1", Addr: fmt.Sprintf("10.0.%d.%d:7000", i/250, i%250), Incarnation: 1})
+	}
+	return members
+}
+
+// Guards against a placement that moves shards of hosts that stayed, or loads hosts unevenly.
+func TestPlaceMovesOnlyShardsOfTheMemberThatLeft(t *testing.T) {
+	members := entryMembers(16)
+	before := Place(members)
+	load := map[model.HostID]int{}
+	for _, h := range before {
+		load[h]++
+	}
+	for i, m := range members {
+		require.Less(t, load[m.Host], 4*model.Shards/len(members))
+		rest := append(append([]proto.Member{}, members[:i]...), members[i+1:]...)
+		for s, h := range Place(rest) {
+			if before[s] != m.Host {
+				require.Equal(t, before[s], h)
+			}
+		}
+	}
+}
+
+// Guards against evidence that is given before a host on the slowest clock has stopped.
+func TestCover(t *testing.T) {
+	tm := DefaultTiming()
+	slowest := time.Duration(float64(tm.Fresh+tm.Cut)/(1-tm.Drift)) + time.Microsecond
+	tests := []struct {
+		name  string
+		after time.Duration
+		want  bool
+	}{
+		{"at acceptance", 0, false},
+		{"after Fresh and Cut without a margin", tm.Fresh + tm.Cut, false},
+		{"when the control clock is fast", time.Duration(float64(tm.Fresh)*(1+tm.Drift) + float64(tm.Cut)*(1+tm.Drift)/(1-tm.Drift)), false},
+		{"after 5 s", 5 * time.Second, true},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			c := Cover(100, model.Instant(100).Add(tt.after), tm)
+			require.Equal(t, tt.want, c.Covered)
+			require.Greater(t, c.At.Sub(100), slowest)
+		})
+	}
+}
+
+// Guards against a late reply to an earlier run of a host, and against one to a
+// forgotten ask, being taken for an answer to a recent ask.
+func TestRoundsRefuseForeignNonces(t *testing.T) {
+	old, next := newRounds("a", 1), newRounds("a", 2)
+	first := old.next(5)
+	_, ok := next.sentAt(first)
+	require.False(t, ok)
+	for range keptRounds {
+		old.next(9)
+	}
+	_, ok = old.sentAt(first)
+	require.False(t, ok)
+}
