--- /dev/null
+++ b/internal/admit/bound_test.go
@@ -0,0 +1,188 @@
+package admit
+
+import (
+	"fmt"
+	"os"
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"tarragongauge.example/tarragongauge/internal/proto"
+	"tarragongauge.example/tarragongauge/pkg/model"
+)
+
+func countFromEnv(name string, fallback uint64) uint64 {
+	n, err := strconv.ParseUint(os.Getenv(name), 10, 64)
+	if err != nil {
+		return fallback
+	}
+	return n
+}
+
+// Guards against more uses than rate × T + burst in any window, whatever the
+// network, the clocks, restarts, changes of owner and changes of limits do.
+func TestBoundUnderRandomSchedules(t *testing.T) {
+	for seed := range countFromEnv("ADMIT_SCHEDULES", 40) {
+		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) {
+			t.Parallel()
+			boundSchedule(t, seed)
+		})
+	}
+}
+
+func (f *fleet) randomLimits() model.Limits {
+	rate := 5 * (1 + f.r.Float64()*60)
+	return model.Limits{Rate: rate, Burst: max(2, 1+rate/20) + f.r.Float64()*f.r.Float64()*rate}
+}
+
+func boundSchedule(t *testing.T, seed uint64) {
+	f := newFleet(t, seed, 6, map[model.WorkspaceID]model.Limits{"a": {Rate: 100, Burst: 20}, "b": {Rate: 20, Burst: 2}})
+	f.faults = true
+	f.own(f.hosts[0])
+	any := func() *fleetHost { return f.hosts[f.r.IntN(len(f.hosts))] }
+	f.setLimits("a", f.randomLimits())
+	for _, ws := range []model.WorkspaceID{"a", "b"} {
+		f.poisson(ws, f.tracks[ws].most.Rate*(0.5+4*f.r.Float64()), any)
+	}
+	for range 25 {
+		f.fault(any)
+		f.runUntil(f.now + time.Duration(f.r.Int64N(9e8)))
+	}
+	require.Positive(t, f.tracks["a"].admitted)
+}
+
+func (f *fleet) fault(pick func() *fleetHost) {
+	h := pick()
+	switch f.r.IntN(8) {
+	case 0:
+		h.frozen = f.now + time.Duration(f.r.Int64N(25e8))
+	case 1:
+		f.restart(h)
+	case 2, 3:
+		if f.now >= f.owner.frozen && !f.cut[f.owner] && f.now < f.owner.until {
+			f.release(h)
+		}
+	case 4:
+		f.cut[h] = !f.cut[h]
+	case 5:
+		f.loss = f.r.Float64() * 0.3
+	case 6:
+		f.setLimits("a", f.randomLimits())
+	default:
+		clear(f.cut)
+	}
+	if f.now >= f.owner.until {
+		f.own(pick())
+	}
+}
+
+// restart loses the memory of a host. Its shards stay unowned until the lease ends.
+func (f *fleet) restart(h *fleetHost) {
+	f.start(h)
+	if h == f.owner {
+		f.cut[h] = true
+	}
+}
+
+func admitOwner(limits model.Limits) (*Owner, model.ShardID) {
+	o := NewOwner("o")
+	cfg := model.NewConfig(nil, nil)
+	cfg.Defaults.Limits = limits
+	shard := model.WorkspaceShard("w")
+	o.Step(0, Configured{Config: cfg})
+	o.Step(0, Gained{Shard: shard, Epoch: 1, Until: 1 << 60})
+	return o, shard
+}
+
+func drawFrom(o *Owner, now time.Duration, nonce uint64, tokens int) proto.DrawReply {
+	out := o.Step(model.Instant(now), Received{From: "e", Msg: proto.DrawAsk{Nonce: nonce, Workspace: "w", Tokens: tokens}})
+	return out[0].(Send).Msg.(proto.DrawReply)
+}
+
+// Guards against a new owner that grants before the tokens of the earlier one
+// have expired, and against a repeated ask that draws twice.
+func TestOwnerStartsEmptyAndAnswersRepeatsOnce(t *testing.T) {
+	o, shard := admitOwner(model.Limits{Rate: 100, Burst: 50})
+	require.Zero(t, drawFrom(o, maxValid, 1, 5).Granted)
+	full := drawFrom(o, 10*time.Second, 2, 1000)
+	require.Equal(t, 29, full.Granted, "burst - rate × E, rounded down")
+	require.Equal(t, full.Granted, drawFrom(o, 10*time.Second, 2, 1000).Granted)
+	require.Zero(t, drawFrom(o, 10*time.Second, 3, 1000).Granted)
+	o.Step(0, Lost{Shard: shard})
+	require.True(t, drawFrom(o, 11*time.Second, 4, 1).NotOwner)
+}
+
+// Guards against tokens that outlive the lease of the owner that granted them.
+func TestTokensEndWithTheLease(t *testing.T) {
+	o, shard := admitOwner(model.Limits{Rate: 100, Burst: 50})
+	o.Step(0, Renewed{Shard: shard, Epoch: 1, Until: model.Instant(10*time.Second + 50*time.Millisecond)})
+	require.LessOrEqual(t, drawFrom(o, 10*time.Second, 1, 1).ValidFor, 49*time.Millisecond)
+	require.True(t, drawFrom(o, 10*time.Second+46*time.Millisecond, 2, 1).NotOwner)
+}
+
+// Guards against tokens counted twice, against requests admitted out of order,
+// and against tokens used after they expired.
+func TestWalletCountsADrawOnceAndInOrder(t *testing.T) {
+	w := NewWallet("e")
+	ms := func(n int) model.Instant { return model.Instant(n) * 1e6 }
+	w.Step(0, OwnersChanged{Owners: []proto.Owner{{Shard: model.WorkspaceShard("w"), Host: "o"}}})
+	ask := w.Step(0, Arrived{Request: "1", Workspace: "w", Deadline: ms(5000)})[0].(Send).Msg.(proto.DrawAsk)
+	w.Step(0, Arrived{Request: "2", Workspace: "w", Deadline: ms(5000)})
+	reply := Received{From: "o", Msg: proto.DrawReply{Nonce: ask.Nonce, Workspace: "w", Granted: 1, ValidFor: maxValid}}
+	require.Contains(t, w.Step(ms(1), reply), Admitted{Request: "1"})
+	require.Empty(t, w.Step(ms(1), reply))
+
+	repeated := w.Step(ms(30), Tick{})
+	require.Len(t, repeated, 1, "the draw for the second request is repeated")
+	late := repeated[0].(Send).Msg.(proto.DrawAsk)
+	w.Step(ms(198), Received{From: "o", Msg: proto.DrawReply{Nonce: late.Nonce, Workspace: "w", Granted: 1, ValidFor: maxValid}})
+	limited := w.Step(ms(300), Tick{})
+	require.Equal(t, model.RequestID("2"), limited[0].(Limited).Request)
+}
+
+// Guards against a request that waits for ever, or is refused for the rate, while there is no owner.
+func TestWalletWithoutOwner(t *testing.T) {
+	w := NewWallet("e")
+	require.Empty(t, w.Step(0, Arrived{Request: "1", Workspace: "w", Deadline: model.Instant(5 * time.Second)}))
+	require.Empty(t, w.Step(model.Instant(2900*time.Millisecond), Tick{}))
+	out := w.Step(model.Instant(3*time.Second), Tick{})
+	require.Equal(t, []Effect{Limited{Request: "1", RetryAfter: time.Second, NoOwner: true}}, out)
+}
+
+// Guards against a key that works in spite of its withdrawal, and against two
+// different keys in one request.
+func TestResolve(t *testing.T) {
+	cfg := model.NewConfig(nil, nil)
+	hash := keyHash("secret")
+	cfg.Workspaces["w"] = model.Workspace{ID: "w"}
+	cfg.Workspaces["gone"] = model.Workspace{ID: "gone", Withdrawn: true}
+	cfg.Keys[hash] = model.Key{ID: "k", Workspace: "w", Hash: hash}
+	cfg.Keys[keyHash("old")] = model.Key{ID: "o", Workspace: "gone", Hash: keyHash("old")}
+	tests := []struct {
+		name      string
+		presented []string
+		want      model.WorkspaceID
+		fault     KeyFault
+	}{
+		{"one key", []string{"secret"}, "w", 0},
+		{"the same key twice", []string{"secret", "secret"}, "w", 0},
+		{"none", nil, "", KeyMissing},
+		{"empty", []string{""}, "", KeyMissing},
+		{"empty beside a key", []string{"secret", ""}, "", KeysDiffer},
+		{"two keys", []string{"secret", "old"}, "", KeysDiffer},
+		{"unknown", []string{"Secret"}, "", KeyUnknown},
+		{"withdrawn workspace", []string{"old"}, "", KeyUnknown},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			ws, err := Resolve(cfg, tt.presented...)
+			require.Equal(t, tt.want, ws)
+			if tt.fault != 0 {
+				require.Equal(t, ErrKey{Fault: tt.fault}, err)
+				require.NotContains(t, err.Error(), "secret")
+			}
+		})
+	}
+}
