Give the role in the queries of a relearning seat

Cause: a restarted seat asked control with a member without a role; the frame decoder refused it and closed the link, once each query interval. Change: the query names the entry role. Result: seen in a run of all roles in one process, where the link between the entry and the control host was reopened five times during the start.

--- a/internal/lease/relearn.go
+++ b/internal/lease/relearn.go
@@ -28,7 +28,7 @@
 	out := s.askSeats(now)
 	nonce := s.rounds.next(now)
 	for _, h := range s.controlHosts() {
-		ask := proto.FreshAsk{Nonce: nonce, Have: s.hist.version(), Member: proto.Member{Host: s.self, Incarnation: s.incarnation, Draining: true}}
+		ask := proto.FreshAsk{Nonce: nonce, Have: s.hist.version(), Member: proto.Member{Host: s.self, Role: proto.RoleEntry, Incarnation: s.incarnation, Draining: true}}
 		out = append(out, Send{To: h, Msg: ask})
 	}
 	return out
