--- /dev/null
+++ b/internal/burn/fleet.go
@@ -0,0 +1,72 @@
+package burn
+
+import (
+	"github.com/fxamacker/cbor/v2"
+	"github.com/rotisserie/eris"
+
+	"tarragongauge.example/tarragongauge/internal/codec"
+	"tarragongauge.example/tarragongauge/pkg/model"
+)
+
+// Fleet holds the counts of all hosts that replied, with what a report needs besides.
+type Fleet struct {
+	At     Minute
+	Config model.Config
+	Set    Set
+	// Hosts counts the hosts that replied; Missing names those that did not.
+	Hosts   int
+	Missing []model.HostID
+}
+
+type wireFleet struct {
+	_       struct{} `cbor:",toarray"`
+	At      int64
+	Config  []byte
+	Set     []byte
+	Hosts   int
+	Missing []string
+}
+
+// Report computes the report.
+func (f Fleet) Report() Report {
+	return New(f.At, f.Config, f.Set, f.Hosts, f.Missing)
+}
+
+// Encode returns the counts as CBOR.
+func (f Fleet) Encode() ([]byte, error) {
+	cfg, err := codec.EncodeConfig(f.Config)
+	if err != nil {
+		return nil, err
+	}
+	set, err := Encode(f.Set)
+	if err != nil {
+		return nil, err
+	}
+	w := wireFleet{At: int64(f.At), Config: cfg, Set: set, Hosts: f.Hosts}
+	for _, h := range f.Missing {
+		w.Missing = append(w.Missing, string(h))
+	}
+	data, err := cbor.Marshal(w)
+	return data, eris.Wrap(err, "encode the counters of the fleet")
+}
+
+// DecodeFleet returns the counts in CBOR data.
+func DecodeFleet(data []byte) (Fleet, error) {
+	var w wireFleet
+	if err := cbor.Unmarshal(data, &w); err != nil {
+		return Fleet{}, eris.Wrap(err, "decode the counters of the fleet")
+	}
+	cfg, err := codec.DecodeConfig(w.Config)
+	if err != nil {
+		return Fleet{}, err
+	}
+	set, err := Decode(w.Set)
+	if err != nil {
+		return Fleet{}, err
+	}
+	f := Fleet{At: Minute(w.At), Config: cfg, Set: set, Hosts: w.Hosts}
+	for _, h := range w.Missing {
+		f.Missing = append(f.Missing, model.HostID(h))
+	}
+	return f, nil
+}
