Test the consensus core with random schedules and fix what they found

Cause: two faults showed in schedules with lost disks and changes of control hosts. A host that an uncommitted entry removes did not stand for election, so that two hosts could wait for each other. A host added while another lost its disk left no majority that could commit. Adding a host now waits until it holds the log and counts as a voter.

--- a/internal/ctrl/lead.go
+++ b/internal/ctrl/lead.go
@@ -115,11 +115,11 @@
 	n.resetElection()
 }
 
-// updatePeers follows a change of the control hosts.
+// updatePeers follows a change of the control hosts and of those that are to join them.
 func (n *Node) updatePeers() {
 	var peers []*peer
-	for _, id := range n.tip.cfg.Controls {
-		if id == n.self {
+	for _, id := range slices.Concat(n.tip.cfg.Controls, n.joining()) {
+		if id == n.self || slices.ContainsFunc(peers, func(p *peer) bool { return p.id == id }) {
 			continue
 		}
 		p := n.lead.peer(id)
@@ -137,6 +137,7 @@
 		n.stepDown()
 		return
 	}
+	n.retryDeferred()
 	if n.now >= n.lead.heartbeatDue {
 		n.heartbeat()
 	}
@@ -226,6 +227,7 @@
 	n.noteMatch(p, m)
 	n.advanceCommit()
 	if n.role == RoleLeader {
+		n.retryDeferred()
 		n.replicateAll()
 	}
 }
@@ -258,7 +260,7 @@
 	controls := n.tip.cfg.Controls
 	values := make([]int64, 0, len(controls))
 	for _, p := range n.lead.peers {
-		if p.learner == 0 {
+		if p.learner == 0 && slices.Contains(controls, p.id) {
 			values = append(values, value(p))
 		}
 	}
--- a/internal/ctrl/node.go
+++ b/internal/ctrl/node.go
@@ -226,11 +226,18 @@
 	switch {
 	case n.learner != 0:
 		n.askCreation()
-	case slices.Contains(n.tip.cfg.Controls, n.self):
+	case n.mayLead():
 		n.preCampaign()
 	}
 }
 
+// mayLead reports whether this host stands for election. A host that an
+// uncommitted entry removes still does: when one of two hosts removes itself,
+// it may be the only one that holds the entry.
+func (n *Node) mayLead() bool {
+	return slices.Contains(n.tip.cfg.Controls, n.self) || slices.Contains(n.state.cfg.Controls, n.self)
+}
+
 func (n *Node) resetElection() {
 	t := n.opt.timing
 	spread := int64(t.ElectionMax - t.ElectionMin)
--- a/internal/ctrl/propose.go
+++ b/internal/ctrl/propose.go
@@ -33,10 +33,11 @@
 	due  model.Instant
 }
 
-// deferred is a change of the control hosts that must wait for a commit.
+// deferred is a change of the control hosts that is not in the log yet.
 type deferred struct {
 	proposal model.Proposal
 	from     origin
+	due      model.Instant
 }
 
 // forward is a local proposal that was sent to the leader.
@@ -99,10 +100,10 @@
 		n.answer(from, refusedBusy(p.ID))
 		return
 	case n.mustDefer(p):
-		n.deferProposal(from, p)
+		n.deferProposal(deferred{proposal: p, from: from, due: n.now.Add(n.opt.timing.ProposeTimeout)})
 		return
 	case !n.controlsReachable(p):
-		n.answer(from, refused(p.ID, n.state.cfg.Version, "too few of the new control hosts are in reach with an intact disk to make a majority; bring hosts back or remove lost ones first, then submit the change under a new id"))
+		n.answer(from, refused(p.ID, n.state.cfg.Version, "too few of the new control hosts are in reach with an intact disk to make a majority; bring hosts back or remove lost ones first, then submit the change again"))
 		return
 	default:
 		n.appendEntry(proto.LogEntry{Index: n.log.last() + 1, Term: n.term, Proposal: &p})
@@ -143,25 +144,51 @@
 
 // mustDefer holds back a change of the control hosts until an entry of this
 // term and all earlier changes of the control hosts are committed: two
-// overlapping changes could each find a majority that does not meet the other's.
+// overlapping changes could each find a majority that does not meet the
+// other's. An added host first has to hold the log and count as a voter;
+// otherwise the fleet could stop if it lost a disk in the meantime.
 func (n *Node) mustDefer(p model.Proposal) bool {
-	if _, ok := p.Change.(model.SetControls); !ok {
+	change, ok := p.Change.(model.SetControls)
+	if !ok || p.Base != n.tip.cfg.Version {
 		return false
 	}
-	return n.commit < n.lead.first || !slices.Equal(n.tip.cfg.Controls, n.state.cfg.Controls)
+	if n.commit < n.lead.first || !slices.Equal(n.tip.cfg.Controls, n.state.cfg.Controls) {
+		return true
+	}
+	for _, id := range change.Controls {
+		if slices.Contains(n.tip.cfg.Controls, id) {
+			continue
+		}
+		if p := n.lead.peer(id); p == nil || p.learner != 0 || p.match < n.lead.first {
+			return true
+		}
+	}
+	return false
 }
 
-func (n *Node) deferProposal(from origin, p model.Proposal) {
+func (n *Node) deferProposal(d deferred) {
 	if len(n.waits.deferred) >= maxDeferred {
-		n.answer(from, refusedBusy(p.ID))
+		n.answer(d.from, refusedBusy(d.proposal.ID))
 		return
 	}
-	n.waits.deferred = append(n.waits.deferred, deferred{proposal: p, from: from})
+	n.waits.deferred = append(n.waits.deferred, d)
+	n.updatePeers()
+}
+
+// joining returns the hosts that deferred changes add. They receive the log
+// but count in no majority.
+func (n *Node) joining() []model.HostID {
+	var ids []model.HostID
+	for _, d := range n.waits.deferred {
+		change, ok := d.proposal.Change.(model.SetControls)
+		if ok && len(change.Controls) <= len(n.tip.cfg.Controls)+1 && d.proposal.Base == n.tip.cfg.Version {
+			ids = append(ids, change.Controls...)
+		}
+	}
+	return ids
 }
 
-// controlsReachable refuses new control hosts that could not commit their own
-// entry: a host added without state counts only after a majority without it
-// has committed a barrier, so that the fleet would stop until a lost host returns.
+// controlsReachable refuses new control hosts of which too few are in reach to commit their own entry.
 func (n *Node) controlsReachable(p model.Proposal) bool {
 	change, ok := p.Change.(model.SetControls)
 	if !ok || p.Base != n.tip.cfg.Version {
@@ -178,11 +205,22 @@
 	return reachable >= model.Majority(len(change.Controls))
 }
 
+// retryDeferred appends the deferred changes that are ready and refuses those that waited too long.
 func (n *Node) retryDeferred() {
 	list := n.waits.deferred
 	n.waits.deferred = nil
 	for _, d := range list {
-		n.appendProposal(d.from, d.proposal)
+		switch {
+		case !n.mustDefer(d.proposal):
+			n.appendProposal(d.from, d.proposal)
+		case n.now >= d.due:
+			n.answer(d.from, refused(d.proposal.ID, n.state.cfg.Version, "the added control host did not copy the log in time; start it with an empty data folder, then submit the change again"))
+		default:
+			n.waits.deferred = append(n.waits.deferred, d)
+		}
+	}
+	if len(list) > 0 {
+		n.updatePeers()
 	}
 }
 
--- /dev/null
+++ b/internal/ctrl/schedule_test.go
@@ -0,0 +1,339 @@
+package ctrl
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"slices"
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"tarragongauge.example/tarragongauge/pkg/model"
+)
+
+// newWorld returns a fleet that is about to be created, with spare control hosts and seats.
+func newWorld(seed uint64, controls, seats int) *world {
+	w := &world{
+		rng:   rand.New(rand.NewPCG(seed, 7)),
+		cut:   map[[2]model.HostID]bool{},
+		delay: 5 * time.Millisecond,
+		now:   model.Instant(time.Hour),
+	}
+	w.check = newChecker(w)
+	var first, firstSeats []model.HostID
+	for i := range controls + 2 {
+		h := &testHost{w: w, id: model.HostID(fmt.Sprintf("c%d", i))}
+		w.hosts = append(w.hosts, h)
+		if i < controls {
+			first = append(first, h.id)
+		}
+	}
+	for i := range seats + 2 {
+		s := &testSeat{w: w, id: model.HostID(fmt.Sprintf("s%d", i)), incarnation: 1}
+		w.seats = append(w.seats, s)
+		if i < seats {
+			firstSeats = append(firstSeats, s.id)
+		}
+	}
+	for i, h := range w.hosts {
+		if i < controls {
+			h.bootstrap = []Option{WithBootstrap(first, firstSeats)}
+		}
+		h.start()
+	}
+	return w
+}
+
+func (w *world) leader() *testHost {
+	for _, h := range w.hosts {
+		if h.up() && h.node.role == RoleLeader && h.node.Confirm(w.now).OK {
+			return h
+		}
+	}
+	return nil
+}
+
+func (w *world) submit(h *testHost, p model.Proposal) {
+	w.nonce++
+	h.step(Proposed{Nonce: w.nonce, Proposal: p})
+}
+
+// operator submits a change to a random host, or resends an earlier one.
+func (w *world) operator() {
+	h := w.hosts[w.rng.IntN(len(w.hosts))]
+	if !h.up() {
+		return
+	}
+	if len(w.sent) > 0 && w.rng.IntN(3) == 0 {
+		w.submit(h, w.sent[len(w.sent)-1-w.rng.IntN(min(5, len(w.sent)))])
+		return
+	}
+	cfg := h.node.Config()
+	if l := w.leader(); l != nil && w.rng.IntN(3) > 0 {
+		cfg = l.node.Config()
+	}
+	p := model.Proposal{ID: model.ChangeID(fmt.Sprintf("change-%d", len(w.sent))), Base: cfg.Version}
+	p.Change = w.randomChange(cfg)
+	w.sent = append(w.sent, p)
+	w.submit(h, p)
+}
+
+func (w *world) randomChange(cfg model.Config) model.Change {
+	switch w.rng.IntN(12) {
+	case 0:
+		ids := make([]model.HostID, 0, len(w.seats))
+		for _, i := range w.rng.Perm(len(w.seats))[:len(cfg.Seats)] {
+			ids = append(ids, w.seats[i].id)
+		}
+		return model.SetSeats{Seats: ids}
+	case 1:
+		id := w.hosts[w.rng.IntN(len(w.hosts))].id
+		if i := slices.Index(cfg.Controls, id); i >= 0 {
+			return model.SetControls{Controls: slices.Delete(slices.Clone(cfg.Controls), i, i+1)}
+		}
+		return model.SetControls{Controls: append(slices.Clone(cfg.Controls), id)}
+	case 2:
+		return model.RemoveException{ID: "none"}
+	default:
+		return model.CreateWorkspace{Workspace: model.WorkspaceID(fmt.Sprintf("w%d", len(w.sent)))}
+	}
+}
+
+// mayWipe reports whether every set of control hosts that counts anywhere
+// keeps a majority of intact disks without this one.
+func (w *world) mayWipe(lost *testHost) bool {
+	for _, h := range w.hosts {
+		if !h.up() {
+			return false
+		}
+		if !h.node.hasBase {
+			continue
+		}
+		for _, st := range []state{h.node.tip, h.node.state} {
+			intact := 0
+			for _, id := range st.cfg.Controls {
+				if o := w.host(id); o != lost && o.full {
+					intact++
+				}
+			}
+			if intact < model.Majority(len(st.cfg.Controls)) {
+				return false
+			}
+		}
+	}
+	return true
+}
+
+// fault injects one fault or ends some.
+func (w *world) fault() {
+	h := w.hosts[w.rng.IntN(len(w.hosts))]
+	if l := w.leader(); l != nil && w.rng.IntN(2) == 0 {
+		h = l
+	}
+	switch w.rng.IntN(10) {
+	case 0, 1:
+		w.isolate(h.id, true, true)
+	case 2:
+		w.isolate(h.id, w.rng.IntN(2) == 0, w.rng.IntN(2) == 0)
+	case 3:
+		if h.up() {
+			h.crash()
+		}
+	case 4, 5:
+		if w.mayWipe(h) {
+			h.wipe()
+			h.start()
+			w.followRepair(h)
+		}
+	case 6:
+		if h.up() && !h.diskFailed && w.mayWipe(h) {
+			h.diskFailed, h.full = true, false
+			h.step(DiskFailed{})
+			life := h.life
+			w.after(time.Second, func() {
+				if h.life == life && h.up() {
+					h.wipe()
+					h.start()
+				}
+			})
+		}
+	case 7:
+		w.seats[w.rng.IntN(len(w.seats))].restart()
+	case 8:
+		a, b := w.anyID(), w.anyID()
+		w.cut[[2]model.HostID{a, b}] = true
+	default:
+		w.heal()
+	}
+}
+
+// followRepair loses another disk as soon as the repaired host counts again.
+func (w *world) followRepair(h *testHost) {
+	life := h.life
+	var watch func()
+	watch = func() {
+		if h.life != life || !w.faults {
+			return
+		}
+		if !h.full {
+			w.after(5*time.Millisecond, watch)
+			return
+		}
+		w.check.admitted++
+		other := w.hosts[w.rng.IntN(len(w.hosts))]
+		if other != h && w.mayWipe(other) {
+			other.wipe()
+			other.start()
+		}
+	}
+	watch()
+}
+
+func (w *world) anyID() model.HostID {
+	i := w.rng.IntN(len(w.hosts) + len(w.seats))
+	if i < len(w.hosts) {
+		return w.hosts[i].id
+	}
+	return w.seats[i-len(w.hosts)].id
+}
+
+func (w *world) isolate(id model.HostID, in, out bool) {
+	for _, h := range w.hosts {
+		w.cut[[2]model.HostID{h.id, id}] = in
+		w.cut[[2]model.HostID{id, h.id}] = out
+	}
+	for _, s := range w.seats {
+		w.cut[[2]model.HostID{s.id, id}] = in && w.rng.IntN(2) == 0
+		w.cut[[2]model.HostID{id, s.id}] = out && w.rng.IntN(2) == 0
+	}
+}
+
+// heal ends all faults.
+func (w *world) heal() {
+	clear(w.cut)
+	for _, h := range w.hosts {
+		if !h.up() {
+			h.start()
+		}
+	}
+}
+
+// runSchedule runs one random schedule and returns what was violated, or "".
+func runSchedule(seed uint64) (*world, string) {
+	shape := rand.New(rand.NewPCG(seed, 3))
+	w := newWorld(seed, 3+2*shape.IntN(2), 3+2*shape.IntN(2))
+	w.faults = true
+	w.loss = []float64{0, 0.02, 0.2}[shape.IntN(3)]
+	w.delay = []time.Duration{3 * time.Millisecond, 30 * time.Millisecond, 150 * time.Millisecond}[shape.IntN(3)]
+	pace := []time.Duration{200 * time.Millisecond, 800 * time.Millisecond, 3 * time.Second}[shape.IntN(3)]
+	var operate, break1 func()
+	operate = func() {
+		if w.faults {
+			w.operator()
+			w.after(time.Duration(w.rng.Int64N(int64(150*time.Millisecond))), operate)
+		}
+	}
+	break1 = func() {
+		if w.faults {
+			w.fault()
+			w.after(time.Duration(w.rng.Int64N(int64(2*pace))), break1)
+		}
+	}
+	w.after(0, operate)
+	w.after(pace, break1)
+	w.run(12 * time.Second)
+	w.faults, w.loss, w.delay = false, 0, 3*time.Millisecond
+	w.heal()
+	w.run(10 * time.Second)
+	if w.check.failure == "" {
+		w.recovered()
+	}
+	return w, w.check.failure
+}
+
+// recovered checks that a fleet without faults accepts changes and agrees.
+func (w *world) recovered() {
+	l := w.leader()
+	if l == nil && w.stuck() {
+		return
+	}
+	if l == nil {
+		w.check.fail("no leader after all faults ended")
+		return
+	}
+	w.submit(l, model.Proposal{ID: "last", Base: l.node.Config().Version, Change: model.CreateWorkspace{Workspace: "last"}})
+	w.run(time.Second)
+	if r := w.check.results["last"]; r.Kind != model.ResultAccepted {
+		w.check.fail("a fleet without faults does not accept a change: %+v", r)
+		return
+	}
+	for _, id := range l.node.Config().Controls {
+		n := w.host(id).node
+		if n.Config().Version != l.node.Config().Version || n.learner != 0 {
+			w.check.fail("host %s has version %d instead of %d, learner %d", id, n.Config().Version, l.node.Config().Version, n.learner)
+		}
+	}
+}
+
+// stuck reports whether a removal that was appended at the same time as a disk
+// was lost left two control hosts of which one has no disk. Two hosts tolerate
+// no loss, so that the fleet waits for an operator.
+func (w *world) stuck() bool {
+	for _, h := range w.hosts {
+		controls := h.node.tip.cfg.Controls
+		lost := func(id model.HostID) bool { return !w.host(id).full }
+		if len(controls) == 2 && slices.ContainsFunc(controls, lost) {
+			w.check.stuck = true
+			return true
+		}
+	}
+	return false
+}
+
+// Variables that widen the search beyond the run of CI.
+const (
+	schedulesVariable = "TARRAGONGAUGE_SCHEDULES"
+	seedVariable      = "TARRAGONGAUGE_SEED"
+	defaultSchedules  = 2000
+	batches           = 8
+)
+
+func fromEnvironment(t *testing.T, name string, otherwise uint64) uint64 {
+	text := os.Getenv(name)
+	if text == "" {
+		return otherwise
+	}
+	v, err := strconv.ParseUint(text, 10, 64)
+	require.NoError(t, err, name)
+	return v
+}
+
+// Guards against two leaders in a term, acknowledged changes that are lost or
+// reordered, versions that go back, confirmations of replaced versions, and
+// acceptance without majorities, under random faults of links, hosts and disks.
+func TestSchedules(t *testing.T) {
+	count := fromEnvironment(t, schedulesVariable, defaultSchedules)
+	start := fromEnvironment(t, seedVariable, 1)
+	for b := range uint64(batches) {
+		t.Run(fmt.Sprint(b), func(t *testing.T) {
+			t.Parallel()
+			accepted, admitted, terms, stuck := 0, 0, 0, 0
+			for seed := start + b; seed < start+count; seed += batches {
+				w, failure := runSchedule(seed)
+				if failure != "" {
+					t.Fatalf("seed %d: %s", seed, failure)
+				}
+				accepted += len(w.check.accepted)
+				admitted += w.check.admitted
+				terms += len(w.check.leaders)
+				if w.check.stuck {
+					stuck++
+				}
+			}
+			t.Logf("acceptances %d, readmissions %d, terms led %d, two hosts of which one is lost %d", accepted, admitted, terms, stuck)
+		})
+	}
+}
