--- a/cmd/tarragongauge/process.go
+++ b/cmd/tarragongauge/process.go
@@ -43,7 +43,7 @@
 
 // includedProcesses returns the parts of this build.
 func includedProcesses() processes {
-	return processes{}
+	return processes{burn: writeBurn}
 }
 
 func errNotIncluded(name string) error {
--- a/cmd/tarragongauge/script_test.go
+++ b/cmd/tarragongauge/script_test.go
@@ -18,7 +18,9 @@
 	"github.com/stretchr/testify/require"
 
 	"tarragongauge.example/tarragongauge/internal/admin"
+	"tarragongauge.example/tarragongauge/internal/burn"
 	"tarragongauge.example/tarragongauge/internal/conf"
+	"tarragongauge.example/tarragongauge/pkg/model"
 )
 
 const operatorToken = "token-of-operator-mair"
@@ -148,3 +150,18 @@
 func TestEveryExitCodeHasAMeaning(t *testing.T) {
 	require.Len(t, exitMeanings(), int(exitSettings)+1)
 }
+
+// Guards against a report form that prints another one.
+func TestBurnReportForms(t *testing.T) {
+	data, err := burn.Fleet{Config: model.NewConfig(nil, nil), Hosts: 3}.Encode()
+	require.NoError(t, err)
+	for format, want := range map[string]string{"text": "hosts", "json": "{", "html": "<html"} {
+		var out strings.Builder
+		alert, err := writeBurn(data, format, &out)
+		require.NoError(t, err)
+		require.False(t, alert)
+		require.Contains(t, out.String(), want, format)
+	}
+	_, err = writeBurn([]byte{0xff}, "text", io.Discard)
+	require.ErrorContains(t, err, "same version")
+}
--- a/internal/admin/api.go
+++ b/internal/admin/api.go
@@ -27,7 +27,7 @@
 	Silence(ctx context.Context, ws model.WorkspaceID) (opsapi.Evidence, error)
 	// Status asks every host for its state.
 	Status(ctx context.Context) (opsapi.Status, error)
-	// Burn returns the merged service-level counters, encoded by package burn.
+	// Burn returns the merged service-level counters as burn.Fleet encodes them.
 	Burn(ctx context.Context) ([]byte, error)
 	// ClearQuarantine lets the quarantined requests of a workspace run again.
 	ClearQuarantine(ctx context.Context, service model.ServiceName, ws model.WorkspaceID) error
