Refuse links on a stopped host and bound the items of a message

A host whose mesh had stopped still took links and delivered their Hello to a handler whose process was gone. A frame could also hold 8 million empty values, which become about a gigabyte in memory; lists are now bounded at 131,072 items, far above the 4,000 hosts foreseen.

--- a/internal/link/mesh.go
+++ b/internal/link/mesh.go
@@ -8,6 +8,7 @@
 	"net/url"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/coder/websocket"
@@ -33,6 +34,8 @@
 	// handshakes holds one token for each connection that has not authenticated yet.
 	handshakes chan struct{}
 	loop       *loop
+	// closed is set once the tasks of the mesh have stopped.
+	closed atomic.Bool
 
 	mu    sync.RWMutex
 	peers map[model.HostID]*peer
@@ -141,7 +144,9 @@
 	return proto.Hello{Member: m.self, Cluster: m.opts.cluster, Protocol: Protocol}
 }
 
+// deliverOwn is the first task of the mesh, so it stops last.
 func (m *Mesh) deliverOwn(ctx context.Context) error {
+	defer func() { m.closed.Store(ctx.Err() != nil) }()
 	for {
 		msg, ok := m.loop.take(ctx)
 		if !ok {
@@ -224,6 +229,10 @@
 
 // use starts a link after its handshake unless a better one is in use.
 func (m *Mesh) use(l *link, hello proto.Hello) error {
+	if m.closed.Load() {
+		l.close(nil)
+		return ErrClosed{Peer: m.self.Host}
+	}
 	old, ok := l.peer.use(l)
 	if !ok {
 		l.close(nil)
@@ -245,6 +254,10 @@
 }
 
 func (m *Mesh) serve(w http.ResponseWriter, r *http.Request) {
+	if m.closed.Load() {
+		http.Error(w, "this host is stopping", http.StatusServiceUnavailable)
+		return
+	}
 	select {
 	case m.handshakes <- struct{}{}:
 		defer func() { <-m.handshakes }()
--- a/internal/link/mesh_test.go
+++ b/internal/link/mesh_test.go
@@ -330,3 +330,15 @@
 	deliver(t, a, b, 3)
 	require.Equal(t, uint64(2), a.linkTo(b).Links)
 }
+
+// Guards against a stopped host that goes on taking links and messages.
+func TestStoppedHostTakesNoLinks(t *testing.T) {
+	a, b := startHost(t, "a", 1), startHost(t, "b", 1)
+	a.Learn([]proto.Member{b.member})
+	deliver(t, a, b, 1)
+	b.tree.Stop()
+	require.Eventually(t, func() bool { return !a.linkTo(b).Linked }, patience, time.Millisecond)
+	require.Error(t, a.dial(context.Background(), a.peer("b"), b.member.Addr))
+	require.False(t, b.Stats()["a"].Linked)
+	require.True(t, a.Send("b", proto.BurnAsk{Nonce: 2}), "the message waits for the host to come back")
+}
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -13,8 +13,9 @@
 
 // Bounds of decoding. They limit the amplification from bytes to Go values.
 const (
-	// maxItems is the number of items a frame of MaxFrame bytes can hold.
-	maxItems = MaxFrame
+	// maxItems is far above the longest list, the members of 4,000 hosts, and
+	// keeps a frame of 8 MiB from becoming a gigabyte of empty values.
+	maxItems = 1 << 17
 	// maxDepth is above the deepest message, whose nested values are byte strings.
 	maxDepth = 12
 )
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -143,6 +143,7 @@
 		{"bytes after the envelope", append(raw(102, map[int]int{1: 1}), 0), IsErrMalformed},
 		{"length far beyond the input", []byte{0x84, 0x5b, 0x7f, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff}, IsErrMalformed},
 		{"deep nesting", bytes.Repeat([]byte{0x81}, 4096), IsErrMalformed},
+		{"too many items", raw(85, map[int]any{2: make([][]byte, maxItems+1)}), IsErrMalformed},
 		{"too long", make([]byte, MaxFrame+1), IsErrTooLong},
 	}
 	for _, tt := range tests {
