Put new seats in force only once and widen the schedules

Cause: while the entry that puts new seats in force waited for its commit, a second one could fall behind the next change of seats and end that change's need for the old seats. Change: the leader waits for an entry of that kind in its log; schedules come in four kinds (mixed, seats, control hosts, disks), and the check of seats is independent of the code under test.

--- a/internal/ctrl/schedule_test.go
+++ b/internal/ctrl/schedule_test.go
@@ -81,8 +81,26 @@
 	w.submit(h, p)
 }
 
+// kind says which faults a schedule has most of.
+type kind int
+
+const (
+	mixed kind = iota
+	seatFaults
+	memberFaults
+	diskFaults
+	kinds
+)
+
 func (w *world) randomChange(cfg model.Config) model.Change {
-	switch w.rng.IntN(12) {
+	pick := w.rng.IntN(12)
+	if w.kind == seatFaults && w.rng.IntN(3) == 0 {
+		pick = 0
+	}
+	if w.kind == memberFaults && w.rng.IntN(2) == 0 {
+		pick = 1
+	}
+	switch pick {
 	case 0:
 		ids := make([]model.HostID, 0, len(w.seats))
 		for _, i := range w.rng.Perm(len(w.seats))[:len(cfg.Seats)] {
@@ -133,6 +151,17 @@
 	if l := w.leader(); l != nil && w.rng.IntN(2) == 0 {
 		h = l
 	}
+	if w.rng.IntN(3) > 0 {
+		switch w.kind {
+		case seatFaults:
+			w.seatFault()
+			return
+		case diskFaults:
+			w.diskFault()
+			return
+		default:
+		}
+	}
 	switch w.rng.IntN(10) {
 	case 0, 1:
 		w.isolate(h.id, true, true)
@@ -170,6 +199,60 @@
 	}
 }
 
+// seatFault hides the leader from some seats, or restarts a seat that holds the newest version.
+func (w *world) seatFault() {
+	l := w.leader()
+	if l == nil {
+		return
+	}
+	if w.rng.IntN(2) == 0 {
+		s := w.seats[w.rng.IntN(len(w.seats))]
+		if s.have >= l.node.Config().Version {
+			s.restart()
+		}
+	}
+	for _, s := range w.seats {
+		hidden := w.rng.IntN(2) == 0
+		w.cut[[2]model.HostID{l.id, s.id}] = hidden
+		w.cut[[2]model.HostID{s.id, l.id}] = hidden
+	}
+}
+
+// diskFault lets a follower fall behind, then loses the disk of another one
+// that acknowledged, and isolates the leader before or after the repair.
+func (w *world) diskFault() {
+	l := w.leader()
+	if l == nil {
+		return
+	}
+	var others []*testHost
+	for _, id := range l.node.Config().Controls {
+		if id != l.id {
+			others = append(others, w.host(id))
+		}
+	}
+	if len(others) < 2 {
+		return
+	}
+	w.rng.Shuffle(len(others), func(i, j int) { others[i], others[j] = others[j], others[i] })
+	behind, lost := others[0], others[1]
+	w.isolate(behind.id, true, true)
+	w.after(time.Duration(w.rng.IntN(600))*time.Millisecond, func() {
+		if !w.faults || !w.mayWipe(lost) {
+			return
+		}
+		lost.wipe()
+		lost.start()
+		w.after(time.Duration(w.rng.IntN(300))*time.Millisecond, func() {
+			if !w.faults {
+				return
+			}
+			w.isolate(behind.id, false, false)
+			w.isolate(l.id, true, true)
+		})
+	})
+}
+
 // followRepair loses another disk as soon as the repaired host counts again.
 func (w *world) followRepair(h *testHost) {
 	life := h.life
@@ -226,6 +309,7 @@
 	shape := rand.New(rand.NewPCG(seed, 3))
 	w := newWorld(seed, 3+2*shape.IntN(2), 3+2*shape.IntN(2))
 	w.faults = true
+	w.kind = kind(seed % uint64(kinds))
 	w.loss = []float64{0, 0.02, 0.2}[shape.IntN(3)]
 	w.delay = []time.Duration{3 * time.Millisecond, 30 * time.Millisecond, 150 * time.Millisecond}[shape.IntN(3)]
 	pace := []time.Duration{200 * time.Millisecond, 800 * time.Millisecond, 3 * time.Second}[shape.IntN(3)]
@@ -278,14 +362,18 @@
 	}
 }
 
-// stuck reports whether a removal that was appended at the same time as a disk
-// was lost left two control hosts of which one has no disk. Two hosts tolerate
-// no loss, so that the fleet waits for an operator.
+// stuck reports whether a removal that was appended at the same time as disks
+// were lost left control hosts of which no majority has its disk, so that the
+// fleet waits for an operator.
 func (w *world) stuck() bool {
 	for _, h := range w.hosts {
-		controls := h.node.tip.cfg.Controls
-		lost := func(id model.HostID) bool { return !w.host(id).full }
-		if len(controls) == 2 && slices.ContainsFunc(controls, lost) {
+		intact := 0
+		for _, id := range h.node.tip.cfg.Controls {
+			if w.host(id).full {
+				intact++
+			}
+		}
+		if h.node.hasBase && intact < model.Majority(len(h.node.tip.cfg.Controls)) {
 			w.check.stuck = true
 			return true
 		}
@@ -333,7 +421,7 @@
 					stuck++
 				}
 			}
-			t.Logf("acceptances %d, readmissions %d, terms led %d, two hosts of which one is lost %d", accepted, admitted, terms, stuck)
+			t.Logf("acceptances %d, readmissions %d, terms led %d, majority lost during a removal %d", accepted, admitted, terms, stuck)
 		})
 	}
 }
--- a/internal/ctrl/stage.go
+++ b/internal/ctrl/stage.go
@@ -214,16 +214,27 @@
 	return have[len(have)-model.Majority(len(set))]
 }
 
-// markSeats appends the entry that puts new seats in force once both sets hold the change.
+// markSeats appends the entry that puts new seats in force once both sets hold
+// the change. It waits for an earlier such entry: a second one could fall
+// behind the next change of seats and put that in force too early.
 func (n *Node) markSeats() {
 	settled := n.accepted >= n.state.cfg.Version && n.commit >= n.lead.first
-	if !settled || len(n.state.oldSeats) == 0 || len(n.tip.oldSeats) == 0 {
+	if !settled || len(n.state.oldSeats) == 0 || n.marking() {
 		return
 	}
 	n.appendEntry(proto.LogEntry{Index: n.log.last() + 1, Term: n.term, SeatsInForce: true})
 	n.replicateAll()
 }
 
+func (n *Node) marking() bool {
+	for i := n.applied + 1; i <= n.log.last(); i++ {
+		if n.log.at(i).SeatsInForce {
+			return true
+		}
+	}
+	return false
+}
+
 // AcceptedAt returns when this host accepted a version or the first one after it.
 func (n *Node) AcceptedAt(v model.Version) (model.Instant, bool) {
 	for _, a := range n.acceptedAt {
--- a/internal/ctrl/world_test.go
+++ b/internal/ctrl/world_test.go
@@ -26,6 +26,7 @@
 	loss   float64
 	delay  time.Duration
 	faults bool
+	kind   kind
 	check  checker
 	nonce  uint64
 	sent   []model.Proposal
@@ -327,13 +328,16 @@
 	results  map[model.ChangeID]model.Result
 	accepted []acceptance
 	admitted int
-	stuck    bool
+	// seats holds the seats of each version.
+	seats map[model.Version][]model.HostID
+	stuck bool
 }
 
 func newChecker(w *world) checker {
 	return checker{
 		w: w, leaders: map[model.Term]model.HostID{}, applied: map[uint64]proto.LogEntry{},
 		states: map[uint64][]byte{}, held: map[model.HostID]map[uint64]model.Term{}, results: map[model.ChangeID]model.Result{},
+		seats: map[model.Version][]model.HostID{},
 	}
 }
 
@@ -384,6 +388,9 @@
 		}
 	}
 	h.lastApplied = n.applied
+	if n.hasBase {
+		c.seats[n.Config().Version] = n.Config().Seats
+	}
 	if v := n.Config().Version; v < h.lastVersion {
 		c.fail("host %s went back from version %d to %d", h.id, h.lastVersion, v)
 	} else {
@@ -429,8 +436,12 @@
 
 // accept checks that majorities of disks and of seats hold what a leader accepts.
 func (c *checker) accept(h *testHost, v model.Version) {
-	c.accepted = append(c.accepted, acceptance{version: v, at: c.w.now})
 	cfg := h.node.Config()
+	before := model.Version(0)
+	if len(c.accepted) > 0 {
+		before = c.accepted[len(c.accepted)-1].version
+	}
+	c.accepted = append(c.accepted, acceptance{version: v, at: c.w.now})
 	disks := 0
 	for _, id := range cfg.Controls {
 		if t, ok := c.held[id][uint64(v)]; ok && t == c.applied[uint64(v)].Term {
@@ -440,8 +451,10 @@
 	if disks < model.Majority(len(cfg.Controls)) {
 		c.fail("host %s accepts version %d held by %d of %d disks", h.id, v, disks, len(cfg.Controls))
 	}
-	for _, set := range h.node.state.seatSets() {
-		c.checkSeats(set, v)
+	for between := before; between <= v; between++ {
+		if set, ok := c.seats[between]; ok {
+			c.checkSeats(set, v)
+		}
 	}
 }
 
