--- a/internal/admit/bound_test.go
+++ b/internal/admit/bound_test.go
@@ -114,6 +114,37 @@
 	require.True(t, drawFrom(o, 11*time.Second, 4, 1).NotOwner)
 }
 
+// Guards against tokens of the old limits that are used together with a refill
+// at the new ones, and against a burst that outlives its reduction.
+func TestChangedLimitsHoldAtOnce(t *testing.T) {
+	tests := []struct {
+		name string
+		draw int
+		next model.Limits
+		want int
+	}{
+		{"raised after a full draw", 100, model.Limits{Rate: 400, Burst: 100}, 0},
+		{"lowered with a full bucket", 0, model.Limits{Rate: 50, Burst: 10}, 5},
+		{"the same", 0, model.Limits{Rate: 50, Burst: 100}, 89},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			o, _ := admitOwner(model.Limits{Rate: 50, Burst: 100})
+			drawFrom(o, 10*time.Second, 1, tt.draw)
+			cfg := model.NewConfig(nil, nil)
+			cfg.Defaults.Limits = tt.next
+			o.Step(model.Instant(10*time.Second), Configured{Config: cfg})
+			require.Equal(t, tt.want, drawFrom(o, 10*time.Second+maxValid, 2, 1000).Granted)
+		})
+	}
+}
+
+// Guards against a reply to an earlier run of a host that gives its tokens a later end.
+func TestNoncesDifferBetweenRuns(t *testing.T) {
+	require.NotEqual(t, firstNonce("e", 1), firstNonce("e", 2))
+	require.NotEqual(t, firstNonce("e", 1), firstNonce("f", 1))
+}
+
 // Guards against tokens that outlive the lease of the owner that granted them.
 func TestTokensEndWithTheLease(t *testing.T) {
 	o, shard := admitOwner(model.Limits{Rate: 100, Burst: 50})
--- a/internal/admit/fleet_test.go
+++ b/internal/admit/fleet_test.go
@@ -88,10 +88,10 @@
 	meters []*meter
 	most   model.Limits
 	// ideal is a single bucket without delays; within counts the requests it admits.
-	ideal                              meter
-	within, wrong, admitted, refused   int
-	withinOf                           map[model.RequestID]bool
-	offered, wrongNoOwner, lastAdmited int
+	ideal    meter
+	withinOf map[model.RequestID]bool
+
+	offered, within, admitted, refused, wrong, wrongNoOwner int
 }
 
 func (h *fleetHost) local(t moment) model.Instant { return model.Instant(float64(t)*h.rate) + 1e12 }
--- a/internal/lease/world_test.go
+++ b/internal/lease/world_test.go
@@ -72,6 +72,7 @@
 	fresh   *Fresh
 	claimer *Claimer
 	seat    *Seat
+	owners  []proto.Owner
 }
 
 // leader stands in for the whole of control.
@@ -171,8 +172,8 @@
 			w.checkOwner(h, e)
 		case FreshUntil:
 			w.checkFresh(h, e.Until)
-		case Lost:
-			// Checked through Owns of the claimer.
+		case OwnersChanged:
+			h.owners = e.Owners
 		}
 		if next, ok := e.(Event); ok {
 			w.step(h, h.claimer, next)
