--- /dev/null
+++ b/internal/pool/assign.go
@@ -0,0 +1,260 @@
+package pool
+
+import (
+	"slices"
+
+	"tarragongauge.example/tarragongauge/internal/proto"
+	"tarragongauge.example/tarragongauge/pkg/model"
+)
+
+// Slot numbers carry the epoch in their upper bits, so that the report of a
+// slot given by an earlier owner never frees one of this owner's.
+const (
+	slotSerialBits = 40
+	slotSerialMask = 1<<slotSerialBits - 1
+	slotEpochMask  = 1<<(64-slotSerialBits) - 1
+)
+
+func slotEpoch(id uint64) uint64 { return id >> slotSerialBits }
+
+func epochBits(e model.Epoch) uint64 { return uint64(e) & slotEpochMask }
+
+// ask takes a query for a slot: it assigns, queues or refuses at once.
+func (o *Owner) ask(now model.Instant, from model.HostID, m proto.SlotAsk) {
+	host := o.host(from)
+	s := o.service(now, m.Service)
+	if s == nil {
+		o.send(from, proto.SlotReply{Nonce: m.Nonce, Status: proto.SlotNotOwner})
+		return
+	}
+	key := askKey{host: host, nonce: m.Nonce}
+	if l, ok := s.byAsk[key]; ok {
+		o.replyAssigned(s, l)
+		return
+	}
+	if _, ok := s.waitingAsk[key]; ok {
+		return
+	}
+	if status := o.admit(now, s, &m); status != 0 {
+		o.refuse(s, host, m.Nonce, status, o.retryAfter(s, status))
+		return
+	}
+	w := s.workspace(m.Workspace)
+	if s.waiting == 0 {
+		if t := o.pick(now, s, m.Zone, host, m.Exclude); t != nil {
+			o.assign(now, s, t, key, w, now.Add(m.Budget))
+			return
+		}
+	}
+	o.enqueue(now, s, w, key, &m)
+}
+
+// admit returns the status of a refusal that does not depend on slots, or 0.
+func (o *Owner) admit(now model.Instant, s *service, m *proto.SlotAsk) proto.SlotStatus {
+	if s.isQuarantined(now, m.Workspace, m.Fingerprint) {
+		return proto.SlotQuarantined
+	}
+	if len(m.Exclude) == 0 {
+		s.retryTokens = min(o.tune.RetryBurst, s.retryTokens+s.retryShare)
+	} else if s.retryTokens < 1 || s.mayCrash(m.Workspace, m.Fingerprint, o.tune.CrashLimit) {
+		return proto.SlotNoRetry
+	}
+	if !s.anyUsable(m.Exclude) && (len(s.targets) > 0 || now.Sub(s.tenure.gained) >= o.tune.Learn) {
+		return proto.SlotNoTarget
+	}
+	if m.Budget <= 0 || s.base.typical() > m.Budget {
+		return proto.SlotTooLate
+	}
+	if len(m.Exclude) > 0 {
+		s.retryTokens--
+	}
+	return 0
+}
+
+// enqueue lets an ask wait unless it would be too late or its workspace's queue is full.
+func (o *Owner) enqueue(now model.Instant, s *service, w *workspace, key askKey, m *proto.SlotAsk) {
+	if w.waiting >= s.queueLimit {
+		o.refuse(s, key.host, key.nonce, proto.SlotQueueFull, s.expectedWait(w))
+		return
+	}
+	if wait := s.expectedWait(w); wait+s.base.typical() > m.Budget {
+		o.refuse(s, key.host, key.nonce, proto.SlotTooLate, wait)
+		return
+	}
+	a := s.newAsk()
+	o.serial++
+	*a = ask{
+		askKey: key, service: s, workspace: w, fingerprint: m.Fingerprint, zone: m.Zone,
+		exclude: m.Exclude, deadline: now.Add(m.Budget), serial: o.serial,
+	}
+	w.queue.push(a)
+	w.waiting++
+	s.waiting++
+	s.waitingAsk[key] = a
+	o.dispatch(now, s)
+}
+
+// cancel withdraws a query. A slot already given to it is free again, because
+// the picker does not use an assignment that arrives after it withdrew.
+func (o *Owner) cancel(now model.Instant, from model.HostID, m proto.SlotCancel) {
+	s := o.service(now, m.Service)
+	if s == nil {
+		return
+	}
+	key := askKey{host: o.host(from), nonce: m.Nonce}
+	if a, ok := s.waitingAsk[key]; ok {
+		s.withdraw(a)
+		return
+	}
+	if l, ok := s.byAsk[key]; ok {
+		s.free(l)
+		o.dispatch(now, s)
+	}
+}
+
+// dispatch gives free slots to those who wait: first the workspace with the
+// fewest slots in use, then the earlier arrival.
+func (o *Owner) dispatch(now model.Instant, s *service) {
+	if s.waiting == 0 {
+		return
+	}
+	s.round++
+	for s.waiting > 0 {
+		w := s.nextWorkspace()
+		if w == nil {
+			return
+		}
+		a := w.queue.peek()
+		t := o.pick(now, s, a.zone, a.host, a.exclude)
+		if t == nil && len(a.exclude) == 0 && !s.limitedByHosts() {
+			return
+		}
+		if t == nil {
+			w.skipped = s.round
+			continue
+		}
+		w.queue.pop()
+		w.waiting--
+		s.waiting--
+		delete(s.waitingAsk, a.askKey)
+		o.assign(now, s, t, a.askKey, w, a.deadline)
+		s.recycleAsk(a)
+	}
+}
+
+// nextWorkspace returns the workspace whose head is served next, or nil.
+func (s *service) nextWorkspace() *workspace {
+	var best *workspace
+	for _, w := range s.workspaces {
+		for w.queue.len() > 0 && w.queue.peek().gone {
+			s.recycleAsk(w.queue.pop())
+		}
+		if w.queue.len() == 0 || w.skipped == s.round {
+			continue
+		}
+		if best == nil || w.inUse < best.inUse ||
+			w.inUse == best.inUse && w.queue.peek().serial < best.queue.peek().serial {
+			best = w
+		}
+	}
+	return best
+}
+
+// limitedByHosts reports whether a target's connection budget is spent, so
+// that other asks may be served although one cannot.
+func (s *service) limitedByHosts() bool {
+	return slices.ContainsFunc(s.targets, func(t *target) bool { return t.givenTo >= s.hostBudget(t) })
+}
+
+// hostBudget bounds the entry hosts that one target is given to: each opens at
+// most one connection per slot.
+func (s *service) hostBudget(t *target) int { return max(1, s.connections/max(1, t.slots)) }
+
+func (s *service) anyUsable(exclude []model.TargetID) bool {
+	for _, t := range s.targets {
+		if t.usable() && !slices.Contains(exclude, t.id) {
+			return true
+		}
+	}
+	return false
+}
+
+// Penalties that order targets in classes: all others come first.
+const (
+	// rampingPenalty is for a target beyond its share of a slow start.
+	rampingPenalty = 10.0
+	// deniedPenalty is for a failing target that the floor keeps in service.
+	deniedPenalty = 20.0
+)
+
+// pick returns the target for a request, or nil when none has a free slot.
+// The least loaded one wins, with a penalty for other zones, then the one
+// given longest ago. The last rule spreads evidence evenly.
+func (o *Owner) pick(now model.Instant, s *service, zone model.ZoneName, host int32, exclude []model.TargetID) *target {
+	var best *target
+	bestScore := 0.0
+	for _, t := range s.targets {
+		if !t.usable() || len(t.busy) >= t.slots || now < t.pausedUntil {
+			continue
+		}
+		if t.cold && len(t.busy) >= t.limit(now, &o.tune) {
+			continue
+		}
+		score := o.load(now, t, zone)
+		if best != nil && (score > bestScore || score == bestScore && t.lastPick > best.lastPick) {
+			continue
+		}
+		if !t.mayGiveTo(host, s.hostBudget(t)) || slices.Contains(exclude, t.id) {
+			continue
+		}
+		best, bestScore = t, score
+	}
+	return best
+}
+
+// load returns the share of slots in use with the penalties.
+func (o *Owner) load(now model.Instant, t *target, zone model.ZoneName) float64 {
+	score := float64(len(t.busy)) / float64(t.slots)
+	if t.zone != zone {
+		score += o.tune.ZonePenalty
+	}
+	if t.denied {
+		score += deniedPenalty
+	}
+	if t.cold && o.rng.Float64() >= t.share(now, &o.tune) {
+		score += rampingPenalty
+	}
+	return score
+}
+
+func (o *Owner) assign(now model.Instant, s *service, t *target, key askKey, w *workspace, deadline model.Instant) {
+	o.serial++
+	l := s.newSlot()
+	*l = slot{
+		askKey:    key,
+		id:        epochBits(s.tenure.epoch)<<slotSerialBits | o.serial&slotSerialMask,
+		target:    t,
+		workspace: w,
+		start:     now,
+		expires:   deadline.Add(o.tune.DoneGrace),
+	}
+	t.busy = append(t.busy, l)
+	t.lastPick = o.serial
+	t.giveTo(now, key.host)
+	w.inUse++
+	s.bySlot[l.id] = l
+	s.byAsk[key] = l
+	o.replyAssigned(s, l)
+}
+
+func (o *Owner) replyAssigned(s *service, l *slot) {
+	o.send(o.hostNames[l.host], proto.SlotReply{
+		Nonce:       l.nonce,
+		Status:      proto.SlotAssigned,
+		Slot:        l.id,
+		Target:      l.target.id,
+		Addr:        l.target.addr,
+		Incarnation: l.target.incarnation,
+		Epoch:       s.tenure.epoch,
+	})
+}
--- /dev/null
+++ b/internal/pool/crash.go
@@ -0,0 +1,172 @@
+package pool
+
+import (
+	"slices"
+	"time"
+
+	"tarragongauge.example/tarragongauge/internal/proto"
+	"tarragongauge.example/tarragongauge/pkg/model"
+)
+
+// Bounds of the fingerprints kept after one crash and of those refused; the
+// oldest goes first. Every query for a slot is compared with them.
+const (
+	maxSuspects    = 256
+	maxQuarantined = 256
+)
+
+// brokenAttempt is an attempt that ended early and may turn out to be a crash.
+type brokenAttempt struct {
+	target      *target
+	workspace   model.WorkspaceID
+	fingerprint model.Fingerprint
+	at          model.Instant
+}
+
+// suspect is a fingerprint that was running when a target crashed.
+type suspect struct {
+	workspace   model.WorkspaceID
+	fingerprint model.Fingerprint
+	crashes     int
+	at          model.Instant
+}
+
+// quarantined is a fingerprint that is refused.
+type quarantined struct {
+	workspace   model.WorkspaceID
+	fingerprint model.Fingerprint
+	until       model.Instant
+}
+
+// crashed turns the recent broken attempts of a target into a crash: they stop
+// counting as evidence of a gray failure and count against their fingerprints.
+// With a reason the target is ejected until it announces a new incarnation.
+func (o *Owner) crashed(now model.Instant, s *service, t *target, reason string) {
+	found := false
+	kept := s.broken[:0]
+	for _, b := range s.broken {
+		if b.target != t || now.Sub(b.at) > o.tune.CrashWindow {
+			kept = append(kept, b)
+			continue
+		}
+		found = true
+		t.stats.removeError()
+		o.addCrash(now, s, b.workspace, b.fingerprint)
+	}
+	s.broken = kept
+	if found && reason != "" && !t.ejected && t.ready() {
+		o.eject(now, s, t, reason, crashSeverity)
+	}
+}
+
+func (o *Owner) addCrash(now model.Instant, s *service, ws model.WorkspaceID, fp model.Fingerprint) {
+	if s.isQuarantined(now, ws, fp) {
+		return
+	}
+	i := slices.IndexFunc(s.suspects, func(x suspect) bool { return x.fingerprint == fp && x.workspace == ws })
+	if i < 0 {
+		if len(s.suspects) == maxSuspects {
+			s.suspects = slices.Delete(s.suspects, 0, 1)
+		}
+		s.suspects = append(s.suspects, suspect{workspace: ws, fingerprint: fp})
+		i = len(s.suspects) - 1
+	}
+	s.suspects[i].crashes++
+	s.suspects[i].at = now
+	if s.suspects[i].crashes < o.tune.CrashLimit {
+		return
+	}
+	s.suspects = slices.Delete(s.suspects, i, i+1)
+	if len(s.quarantine) == maxQuarantined {
+		s.quarantine = slices.Delete(s.quarantine, 0, 1)
+	}
+	s.quarantine = append(s.quarantine, quarantined{workspace: ws, fingerprint: fp, until: now.Add(o.tune.Quarantine)})
+	o.emit(Quarantined{Service: s.name, Workspace: ws, Fingerprint: fp, For: o.tune.Quarantine})
+	o.refuseQuarantined(s, ws, fp)
+}
+
+// refuseQuarantined refuses the like requests that already wait.
+func (o *Owner) refuseQuarantined(s *service, ws model.WorkspaceID, fp model.Fingerprint) {
+	w, ok := s.byID[ws]
+	if !ok {
+		return
+	}
+	for _, a := range w.queue.items[w.queue.head:] {
+		if !a.gone && a.fingerprint == fp {
+			s.withdraw(a)
+			o.refuse(s, a.host, a.nonce, proto.SlotQuarantined, o.tune.Quarantine)
+		}
+	}
+}
+
+// clearSuspect counts a complete run against an earlier crash. Requests that
+// only shared a target with the one that crashed it are cleared this way.
+func (s *service) clearSuspect(ws model.WorkspaceID, fp model.Fingerprint) {
+	for i := range s.suspects {
+		if s.suspects[i].fingerprint != fp || s.suspects[i].workspace != ws {
+			continue
+		}
+		s.suspects[i].crashes--
+		if s.suspects[i].crashes <= 0 {
+			s.suspects = slices.Delete(s.suspects, i, i+1)
+		}
+		return
+	}
+}
+
+func (s *service) isQuarantined(now model.Instant, ws model.WorkspaceID, fp model.Fingerprint) bool {
+	for i := range s.quarantine {
+		q := &s.quarantine[i]
+		if q.fingerprint == fp && q.workspace == ws {
+			return now < q.until
+		}
+	}
+	return false
+}
+
+// mayCrash reports whether a fingerprint has broken as many attempts as crashes
+// put it in quarantine, counting those not yet confirmed. It is not retried meanwhile.
+func (s *service) mayCrash(ws model.WorkspaceID, fp model.Fingerprint, limit int) bool {
+	n := 0
+	for i := range s.broken {
+		if s.broken[i].fingerprint == fp && s.broken[i].workspace == ws {
+			n++
+		}
+	}
+	for i := range s.suspects {
+		if s.suspects[i].fingerprint == fp && s.suspects[i].workspace == ws {
+			n += s.suspects[i].crashes
+		}
+	}
+	return n >= limit
+}
+
+func (o *Owner) expireBroken(now model.Instant, s *service) {
+	s.broken = slices.DeleteFunc(s.broken, func(b brokenAttempt) bool {
+		return now.Sub(b.at) > o.tune.CrashWindow
+	})
+}
+
+func (o *Owner) expireQuarantine(now model.Instant, s *service) {
+	s.quarantine = slices.DeleteFunc(s.quarantine, func(q quarantined) bool { return now >= q.until })
+	s.suspects = slices.DeleteFunc(s.suspects, func(x suspect) bool { return now.Sub(x.at) > o.tune.Quarantine })
+}
+
+// clearQuarantine removes the quarantine of a workspace and what led to it.
+func (o *Owner) clearQuarantine(now model.Instant, m proto.QuarantineClear) {
+	s := o.service(now, m.Service)
+	if s == nil {
+		return
+	}
+	s.quarantine = slices.DeleteFunc(s.quarantine, func(q quarantined) bool { return q.workspace == m.Workspace })
+	s.suspects = slices.DeleteFunc(s.suspects, func(x suspect) bool { return x.workspace == m.Workspace })
+	s.broken = slices.DeleteFunc(s.broken, func(b brokenAttempt) bool { return b.workspace == m.Workspace })
+}
+
+// QuarantineStatus describes one refused fingerprint.
+type QuarantineStatus struct {
+	Workspace   model.WorkspaceID
+	Fingerprint model.Fingerprint
+	// Left is the time until it is accepted again.
+	Left time.Duration
+}
--- /dev/null
+++ b/internal/pool/done.go
@@ -0,0 +1,125 @@
+package pool
+
+import (
+	"time"
+
+	"tarragongauge.example/tarragongauge/internal/proto"
+	"tarragongauge.example/tarragongauge/pkg/model"
+)
+
+// done takes the report of an attempt and frees its slot. A report of a slot
+// that this owner gave and already freed is a duplicate and has no effect; a
+// report of another owner's or of a local choice counts as evidence only.
+func (o *Owner) done(now model.Instant, from model.HostID, m proto.SlotDone) {
+	s := o.service(now, m.Service)
+	if s == nil {
+		return
+	}
+	l, ok := s.bySlot[m.Slot]
+	switch {
+	case ok && o.hostNames[l.host] != from:
+		return
+	case ok:
+		s.free(l)
+	case slotEpoch(m.Slot) == epochBits(s.tenure.epoch):
+		return
+	}
+	if t, known := s.byTarget[m.Attempt.Target]; known {
+		o.observe(now, s, t, &m, ok)
+	}
+	o.dispatch(now, s)
+}
+
+// observe turns the end of an attempt into evidence on its target.
+func (o *Owner) observe(now model.Instant, s *service, t *target, m *proto.SlotDone, own bool) {
+	if m.Attempt.Incarnation != t.incarnation {
+		if own && m.Attempt.End == model.AttemptBroken && m.Attempt.Incarnation < t.incarnation {
+			o.addCrash(now, s, m.Workspace, m.Fingerprint)
+		}
+		return
+	}
+	switch m.Attempt.End {
+	case model.AttemptOK:
+		t.stats.addLatency(&s.base, m.Attempt.Latency, o.tune.LatencyClamp)
+		s.clearSuspect(m.Workspace, m.Fingerprint)
+	case model.AttemptError, model.AttemptInvalid:
+		t.stats.addError()
+	case model.AttemptBroken:
+		t.stats.addError()
+		if own {
+			s.broken = append(s.broken, brokenAttempt{
+				target: t, workspace: m.Workspace, fingerprint: m.Fingerprint, at: now,
+			})
+		}
+		// Reports of different hosts may arrive out of order.
+		if t.refusedAt != 0 && now.Sub(t.refusedAt) <= reportSkew {
+			o.crashed(now, s, t, reasonCrashed)
+		}
+	case model.AttemptNotSent:
+		t.stats.addError()
+		t.refusedAt = now
+		o.crashed(now, s, t, reasonCrashed)
+	case model.AttemptTimeout:
+		// A request that reached the target with little time left says nothing about the target.
+		if m.Attempt.Latency >= s.base.typical() {
+			t.stats.addError()
+		}
+	case model.AttemptShed:
+		t.pausedUntil = now.Add(shedPause)
+	case model.AttemptCanceled:
+	}
+}
+
+const (
+	reasonCrashed = "crashed: connection refused after a broken attempt"
+	// reportSkew bounds the time by which reports on one target overtake each other.
+	reportSkew = 500 * time.Millisecond
+)
+
+// shedPause keeps a target that shed a request from being offered the next one at once.
+const shedPause = 20 * time.Millisecond
+
+// expireSlots frees the slots of requests whose deadline has passed.
+func (o *Owner) expireSlots(now model.Instant, s *service) {
+	for _, t := range s.targets {
+		for i := len(t.busy) - 1; i >= 0; i-- {
+			if now >= t.busy[i].expires {
+				s.free(t.busy[i])
+			}
+		}
+	}
+}
+
+// expireWaiting refuses those who can no longer meet their deadline, and
+// forgets workspaces without work.
+func (o *Owner) expireWaiting(now model.Instant, s *service) {
+	need := s.base.typical()
+	for _, w := range s.workspaces {
+		w.queue.filter(func(a *ask) bool {
+			if a.gone {
+				s.recycleAsk(a)
+				return false
+			}
+			if now.Add(need) < a.deadline {
+				return true
+			}
+			s.withdraw(a)
+			o.refuse(s, a.host, a.nonce, proto.SlotTooLate, 0)
+			s.recycleAsk(a)
+			return false
+		})
+	}
+	s.pruneWorkspaces()
+}
+
+// retryAfter suggests when a refused request may be tried again.
+func (o *Owner) retryAfter(s *service, status proto.SlotStatus) time.Duration {
+	switch status {
+	case proto.SlotQuarantined:
+		return o.tune.Quarantine
+	case proto.SlotNoTarget, proto.SlotNoRetry:
+		return time.Second
+	default:
+		return s.base.typical()
+	}
+}
--- /dev/null
+++ b/internal/pool/local.go
@@ -0,0 +1,120 @@
+package pool
+
+import (
+	"slices"
+
+	"tarragongauge.example/tarragongauge/internal/proto"
+	"tarragongauge.example/tarragongauge/pkg/model"
+)
+
+// localShare is the part of a target's slots that one host uses without the owner.
+const localShare = 3
+
+// serveLocally gives targets to waiting requests without the owner: of two
+// random targets the one less busy by this host's own count, no ejection beyond
+// the owner's last decisions, and a share of the slots.
+func (p *Picker) serveLocally(now model.Instant, s *access) {
+	if s.queued == 0 {
+		return
+	}
+	usable := p.localTargets(now, s)
+	if len(usable) == 0 {
+		return
+	}
+	for _, r := range s.waiting.items[s.waiting.head:] {
+		if r.gone {
+			continue
+		}
+		if !p.payRetry(s, r) {
+			p.refuse(now, r, proto.SlotNoRetry)
+			continue
+		}
+		if !slices.ContainsFunc(usable, func(v proto.TargetView) bool { return !slices.Contains(r.exclude, v.Target) }) {
+			p.refuse(now, r, proto.SlotNoTarget)
+			continue
+		}
+		v, ok := p.chooseLocally(s, usable, r.exclude)
+		if !ok {
+			continue
+		}
+		p.withdraw(now, r)
+		p.assign(r, v.Target, v.Addr, v.Incarnation, true)
+	}
+	p.sweep(s)
+}
+
+// payRetry takes a retry from the local budget, once for each request.
+func (p *Picker) payRetry(s *access, r *request) bool {
+	if len(r.exclude) == 0 || r.paidRetry {
+		return true
+	}
+	if s.retryTokens < 1 {
+		return false
+	}
+	s.retryTokens--
+	r.paidRetry = true
+	return true
+}
+
+func (p *Picker) chooseLocally(s *access, usable []proto.TargetView, exclude []model.TargetID) (proto.TargetView, bool) {
+	free := s.scratch[:0]
+	for _, v := range usable {
+		if s.running[v.Target] < max(1, v.Slots/localShare) && !slices.Contains(exclude, v.Target) {
+			free = append(free, v)
+		}
+	}
+	s.scratch = free
+	if len(free) == 0 {
+		return proto.TargetView{}, false
+	}
+	a := free[p.rng.IntN(len(free))]
+	b := free[p.rng.IntN(len(free))]
+	if s.running[b.Target] < s.running[a.Target] {
+		return b, true
+	}
+	return a, true
+}
+
+// localTargets joins the last view, while it is recent, with the announcements
+// that this host took itself.
+func (p *Picker) localTargets(now model.Instant, s *access) []proto.TargetView {
+	var list []proto.TargetView
+	recent := s.viewAt != 0 && now.Sub(s.viewAt) <= p.tune.StaleAfter
+	if recent {
+		for _, v := range s.view {
+			if !v.Ejected && !s.superseded(v) {
+				list = append(list, v)
+			}
+		}
+	}
+	for _, n := range s.news {
+		a := n.announcement
+		if a.State != model.TargetReady || now.Sub(n.at) > p.tune.StaleAfter || s.viewed(a, recent) {
+			continue
+		}
+		slots := a.Slots
+		if slots <= 0 {
+			slots = p.cfg.Defaults.Slots
+		}
+		list = append(list, proto.TargetView{Target: a.Target, Addr: a.Addr, Zone: a.Zone, Slots: slots, Incarnation: a.Incarnation})
+	}
+	return list
+}
+
+// superseded reports whether an own announcement says that a target of the view changed.
+func (s *access) superseded(v proto.TargetView) bool {
+	i, ok := s.findNews(v.Target)
+	if !ok {
+		return false
+	}
+	a := s.news[i].announcement
+	return a.Incarnation > v.Incarnation || a.Incarnation == v.Incarnation && a.State != model.TargetReady
+}
+
+// viewed reports whether the view decides on a target: a recent one always, an
+// older one if it ejected this run of the target.
+func (s *access) viewed(a model.Announcement, recent bool) bool {
+	return slices.ContainsFunc(s.view, func(v proto.TargetView) bool {
+		return v.Target == a.Target && v.Incarnation >= a.Incarnation && (recent || v.Ejected)
+	})
+}
--- /dev/null
+++ b/internal/pool/picker.go
@@ -0,0 +1,490 @@
+package pool
+
+import (
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"time"
+
+	"tarragongauge.example/tarragongauge/internal/proto"
+	"tarragongauge.example/tarragongauge/pkg/model"
+)
+
+// Picker asks the owners of services for targets on behalf of one entry host,
+// and decides by a local policy while a service has no owner.
+type Picker struct {
+	self model.HostID
+	zone model.ZoneName
+	tune Tuning
+	rng  *rand.Rand
+	cfg  model.Config
+	// nonce starts at a random number, so that queries of a restarted host
+	// are not taken for repeats of earlier ones.
+	nonce    uint64
+	owners   map[model.ShardID]proto.Owner
+	services map[model.ServiceName]*access
+	// ordered lists services by name, so that ticks are deterministic.
+	ordered  []*access
+	requests map[model.RequestID]*request
+	byNonce  map[uint64]*request
+	// withdrawn holds queries whose assignment may still arrive.
+	withdrawn map[uint64]model.ServiceName
+	expiry    fifo[withdrawal]
+	free      []*request
+	out       []Effect
+}
+
+// withdrawal is a query given up.
+type withdrawal struct {
+	nonce uint64
+	until model.Instant
+}
+
+// request is one Wanted that has not ended.
+type request struct {
+	id          model.RequestID
+	access      *access
+	workspace   model.WorkspaceID
+	fingerprint model.Fingerprint
+	deadline    model.Instant
+	exclude     []model.TargetID
+	nonce       uint64
+	// asked is when the query was last sent, tries how often it was sent.
+	asked    model.Instant
+	tries    int
+	assigned bool
+	// paidRetry is set when a local retry was taken from the budget.
+	paidRetry   bool
+	slot        uint64
+	target      model.TargetID
+	incarnation model.Incarnation
+	// gone marks a request that does not wait any more, linked one that is
+	// still stored in the queue, and ended one that the picker forgot.
+	gone   bool
+	linked bool
+	ended  bool
+}
+
+// access is what a picker knows of one service.
+type access struct {
+	name  model.ServiceName
+	shard model.ShardID
+	// owner is empty while the service has none.
+	owner proto.Owner
+	// disowned is set when the host that should own the service said it does not.
+	disowned bool
+	// unanswered is when the first query since the owner was last heard was sent, or 0.
+	unanswered model.Instant
+	asked      model.Instant
+	used       model.Instant
+
+	view   []proto.TargetView
+	digest uint64
+	// viewAt is when the owner last confirmed the view, or 0.
+	viewAt model.Instant
+	news   []news
+	// running counts this host's own attempts by target.
+	running map[model.TargetID]int
+	waiting fifo[*request]
+	// queued counts the requests in waiting that are not gone.
+	queued      int
+	retryTokens float64
+	scratch     []proto.TargetView
+}
+
+// news is the newest announcement of a target taken by this host.
+type news struct {
+	announcement model.Announcement
+	at           model.Instant
+}
+
+// NewPicker returns the picker core of an entry host.
+func NewPicker(self model.HostID, zone model.ZoneName, opts ...Option) *Picker {
+	s := newSettings(opts)
+	return &Picker{
+		self:      self,
+		zone:      zone,
+		tune:      s.tune,
+		rng:       s.rng,
+		cfg:       model.NewConfig(nil, nil),
+		nonce:     s.rng.Uint64() >> 1,
+		owners:    map[model.ShardID]proto.Owner{},
+		services:  map[model.ServiceName]*access{},
+		requests:  map[model.RequestID]*request{},
+		byNonce:   map[uint64]*request{},
+		withdrawn: map[uint64]model.ServiceName{},
+	}
+}
+
+// Step applies one event. The returned slice is valid until the next call.
+func (p *Picker) Step(now model.Instant, ev Event) []Effect {
+	clear(p.out)
+	p.out = p.out[:0]
+	switch ev := ev.(type) {
+	case Wanted:
+		p.want(now, &ev)
+	case Ended:
+		p.end(now, ev)
+	case Received:
+		p.receive(now, ev.From, ev.Msg)
+	case Tick:
+		p.tick(now)
+	case Abandoned:
+		p.abandon(now, ev.Request)
+	case Announced:
+		p.announced(now, ev.Announcement)
+	case OwnersChanged:
+		p.setOwners(now, ev.Owners)
+	case Probed:
+		p.probed(now, ev)
+	case Configured:
+		if ev.Config.Version >= p.cfg.Version {
+			p.cfg = ev.Config
+		}
+	}
+	return p.out
+}
+
+func (p *Picker) emit(e Effect) { p.out = append(p.out, e) }
+
+func (p *Picker) send(to model.HostID, m proto.Message) { p.emit(Send{To: to, Msg: m}) }
+
+func (p *Picker) receive(now model.Instant, from model.HostID, msg proto.Message) {
+	switch m := msg.(type) {
+	case proto.SlotReply:
+		p.reply(now, from, m)
+	case proto.ViewReply:
+		p.takeView(now, from, m)
+	}
+}
+
+func (p *Picker) access(name model.ServiceName) *access {
+	s, ok := p.services[name]
+	if ok {
+		return s
+	}
+	shard := model.ServiceShard(name)
+	s = &access{name: name, shard: shard, owner: p.owners[shard], running: map[model.TargetID]int{}, retryTokens: p.tune.RetryBurst / 2}
+	p.services[name] = s
+	at, _ := slices.BinarySearchFunc(p.ordered, s, func(a, b *access) int {
+		return strings.Compare(string(a.name), string(b.name))
+	})
+	p.ordered = slices.Insert(p.ordered, at, s)
+	return s
+}
+
+// want starts the search for a target. A repeated request that still waits is ignored.
+func (p *Picker) want(now model.Instant, ev *Wanted) {
+	if _, ok := p.requests[ev.Request]; ok {
+		return
+	}
+	s := p.access(ev.Service)
+	s.used = now
+	if ev.Deadline <= now {
+		p.emit(Refused{Request: ev.Request, Status: proto.SlotTooLate})
+		return
+	}
+	p.nonce++
+	r := p.newRequest()
+	*r = request{
+		id: ev.Request, access: s, workspace: ev.Workspace, fingerprint: ev.Fingerprint,
+		deadline: ev.Deadline, exclude: ev.Exclude, nonce: p.nonce, linked: true,
+	}
+	if len(ev.Exclude) == 0 {
+		s.retryTokens = min(p.tune.RetryBurst, s.retryTokens+p.cfg.Defaults.RetryShare)
+	}
+	p.requests[r.id] = r
+	p.byNonce[r.nonce] = r
+	s.waiting.push(r)
+	s.queued++
+	if s.hasOwner(now, &p.tune) {
+		p.ask(now, r)
+		return
+	}
+	p.serveLocally(now, s)
+}
+
+// hasOwner reports whether the owner is to be asked.
+func (s *access) hasOwner(now model.Instant, tune *Tuning) bool {
+	if s.owner.Host == "" || s.disowned {
+		return false
+	}
+	return s.unanswered == 0 || now.Sub(s.unanswered) <= tune.OwnerTimeout
+}
+
+func (p *Picker) ask(now model.Instant, r *request) {
+	s := r.access
+	r.asked = now
+	r.tries++
+	s.sent(now)
+	p.send(s.owner.Host, proto.SlotAsk{
+		Nonce:       r.nonce,
+		Service:     s.name,
+		Workspace:   r.workspace,
+		Request:     r.id,
+		Fingerprint: r.fingerprint,
+		Zone:        p.zone,
+		Budget:      r.deadline.Sub(now),
+		Exclude:     r.exclude,
+	})
+}
+
+func (s *access) sent(now model.Instant) {
+	if s.unanswered == 0 {
+		s.unanswered = now
+	}
+}
+
+// heard notes a sign of life of the owner.
+func (s *access) heard(from model.HostID) bool {
+	if from != s.owner.Host {
+		return false
+	}
+	s.unanswered = 0
+	return true
+}
+
+// reply ends the query with its nonce. An assignment that nobody waits for is given back.
+func (p *Picker) reply(now model.Instant, from model.HostID, m proto.SlotReply) {
+	r, ok := p.byNonce[m.Nonce]
+	if !ok {
+		if name, late := p.withdrawn[m.Nonce]; late && m.Status == proto.SlotAssigned {
+			p.send(from, proto.SlotCancel{Service: name, Nonce: m.Nonce})
+		}
+		return
+	}
+	s := r.access
+	s.heard(from)
+	if r.assigned {
+		if m.Status == proto.SlotAssigned && m.Slot != r.slot {
+			p.send(from, proto.SlotCancel{Service: s.name, Nonce: m.Nonce})
+		}
+		return
+	}
+	switch m.Status {
+	case proto.SlotAssigned:
+		p.leaveQueue(r)
+		p.dropGone(s)
+		r.slot = m.Slot
+		p.assign(r, m.Target, m.Addr, m.Incarnation, false)
+	case proto.SlotNotOwner:
+		if from == s.owner.Host {
+			s.disowned = true
+			p.serveLocally(now, s)
+		}
+	default:
+		p.leaveQueue(r)
+		p.emit(Refused{Request: r.id, Status: m.Status, RetryAfter: m.RetryAfter})
+		p.forget(now, r)
+	}
+}
+
+func (p *Picker) assign(r *request, id model.TargetID, addr string, inc model.Incarnation, local bool) {
+	r.assigned = true
+	r.target = id
+	r.incarnation = inc
+	r.access.running[id]++
+	p.emit(Assigned{Request: r.id, Target: id, Addr: addr, Incarnation: inc, Local: local})
+}
+
+// end reports an attempt to the owner. The target and incarnation are those of
+// the assignment, whatever the caller filled in.
+func (p *Picker) end(now model.Instant, ev Ended) {
+	r, ok := p.requests[ev.Request]
+	if !ok || !r.assigned {
+		return
+	}
+	s := r.access
+	if s.running[r.target]--; s.running[r.target] <= 0 {
+		delete(s.running, r.target)
+	}
+	a := ev.Attempt
+	a.Target = r.target
+	a.Incarnation = r.incarnation
+	if s.owner.Host != "" {
+		p.send(s.owner.Host, proto.SlotDone{
+			Service: s.name, Slot: r.slot, Workspace: r.workspace, Fingerprint: r.fingerprint, Attempt: a,
+		})
+	}
+	p.forget(now, r)
+	if s.queued > 0 && !s.hasOwner(now, &p.tune) {
+		p.serveLocally(now, s)
+	}
+}
+
+// abandon withdraws a request. One that was assigned meanwhile returns its
+// target as canceled.
+func (p *Picker) abandon(now model.Instant, id model.RequestID) {
+	r, ok := p.requests[id]
+	if !ok {
+		return
+	}
+	if r.assigned {
+		p.end(now, Ended{Request: id, Attempt: model.Attempt{End: model.AttemptCanceled}})
+		return
+	}
+	p.withdraw(now, r)
+	p.forget(now, r)
+}
+
+// withdraw takes a waiting request out of the queue, here and at the owner.
+func (p *Picker) withdraw(now model.Instant, r *request) {
+	s := r.access
+	p.leaveQueue(r)
+	if r.tries == 0 {
+		return
+	}
+	if s.owner.Host != "" {
+		p.send(s.owner.Host, proto.SlotCancel{Service: s.name, Nonce: r.nonce})
+	}
+	p.remember(now, r)
+}
+
+// remember keeps the nonce of a query whose assignment may still arrive.
+func (p *Picker) remember(now model.Instant, r *request) {
+	if _, ok := p.withdrawn[r.nonce]; ok {
+		return
+	}
+	p.withdrawn[r.nonce] = r.access.name
+	p.expiry.push(withdrawal{nonce: r.nonce, until: max(r.deadline, now).Add(p.tune.DoneGrace)})
+}
+
+func (p *Picker) leaveQueue(r *request) {
+	if !r.gone {
+		r.gone = true
+		r.access.queued--
+	}
+}
+
+// forget ends a request.
+func (p *Picker) forget(now model.Instant, r *request) {
+	if r.tries > 1 {
+		p.remember(now, r)
+	}
+	delete(p.requests, r.id)
+	delete(p.byNonce, r.nonce)
+	r.ended = true
+	p.dropGone(r.access)
+	p.recycle(r)
+}
+
+// dropGone removes requests that do not wait any more from the front of the queue.
+func (p *Picker) dropGone(s *access) {
+	for s.waiting.len() > 0 && s.waiting.peek().gone {
+		r := s.waiting.pop()
+		r.linked = false
+		p.recycle(r)
+	}
+}
+
+// sweep removes all requests that do not wait any more from the queue.
+func (p *Picker) sweep(s *access) {
+	s.waiting.filter(func(r *request) bool {
+		if !r.gone {
+			return true
+		}
+		r.linked = false
+		p.recycle(r)
+		return false
+	})
+}
+
+// recycle keeps the storage of a request once nothing refers to it.
+func (p *Picker) recycle(r *request) {
+	if r.linked || !r.ended {
+		return
+	}
+	*r = request{}
+	p.free = append(p.free, r)
+}
+
+func (p *Picker) newRequest() *request {
+	if n := len(p.free); n > 0 {
+		r := p.free[n-1]
+		p.free = p.free[:n-1]
+		return r
+	}
+	return &request{}
+}
+
+// repeatLimit caps the doubling of the interval between repeats; the owner
+// does not reply to a request that waits for a slot.
+const repeatLimit = 3
+
+func (p *Picker) tick(now model.Instant) {
+	for p.expiry.len() > 0 && p.expiry.peek().until < now {
+		delete(p.withdrawn, p.expiry.pop().nonce)
+	}
+	for _, s := range p.ordered {
+		p.expireNews(now, s)
+		p.expireRequests(now, s)
+		if s.hasOwner(now, &p.tune) {
+			p.repeat(now, s)
+		} else {
+			p.serveLocally(now, s)
+		}
+		p.refreshView(now, s)
+	}
+}
+
+func (p *Picker) expireRequests(now model.Instant, s *access) {
+	for _, r := range s.waiting.items[s.waiting.head:] {
+		if r.gone || now < r.deadline {
+			continue
+		}
+		p.refuse(now, r, proto.SlotTooLate)
+	}
+	p.sweep(s)
+}
+
+// refuse ends a waiting request without a target. The caller sweeps the queue afterwards.
+func (p *Picker) refuse(now model.Instant, r *request, status proto.SlotStatus) {
+	p.withdraw(now, r)
+	delete(p.requests, r.id)
+	delete(p.byNonce, r.nonce)
+	r.ended = true
+	p.emit(Refused{Request: r.id, Status: status})
+}
+
+func (p *Picker) repeat(now model.Instant, s *access) {
+	for _, r := range s.waiting.items[s.waiting.head:] {
+		wait := p.tune.Repeat << min(max(0, r.tries-1), repeatLimit)
+		if !r.gone && (r.tries == 0 || now.Sub(r.asked) >= wait) {
+			p.ask(now, r)
+		}
+	}
+}
+
+// usedFor is how long after its last request a service's view is kept up to date.
+const usedFor = time.Minute
+
+// refreshView asks for the list of targets. The query also tells whether the
+// owner still responds, since one that lets a request wait does not reply to it.
+func (p *Picker) refreshView(now model.Instant, s *access) {
+	if s.owner.Host == "" || s.used == 0 || now.Sub(s.used) > usedFor {
+		return
+	}
+	every := p.tune.ViewEvery
+	if s.unanswered != 0 {
+		every = min(every, p.tune.OwnerTimeout/4)
+	}
+	if s.asked != 0 && now.Sub(s.asked) < every {
+		return
+	}
+	s.asked = now
+	s.sent(now)
+	p.send(s.owner.Host, proto.ViewAsk{Service: s.name, Digest: s.digest})
+}
+
+func (p *Picker) takeView(now model.Instant, from model.HostID, m proto.ViewReply) {
+	s, ok := p.services[m.Service]
+	if !ok || !s.heard(from) || m.Epoch < s.owner.Epoch {
+		return
+	}
+	s.disowned = false
+	s.viewAt = now
+	if m.Digest != s.digest {
+		s.digest = m.Digest
+		s.view = m.Targets
+	}
+}
--- /dev/null
+++ b/internal/pool/target.go
@@ -0,0 +1,213 @@
+package pool
+
+import (
+	"slices"
+	"strings"
+	"time"
+
+	"tarragongauge.example/tarragongauge/pkg/model"
+)
+
+// target is one target of a service at its owner.
+type target struct {
+	id          model.TargetID
+	addr        string
+	zone        model.ZoneName
+	slots       int
+	incarnation model.Incarnation
+	// state only moves forward within one incarnation: ready, draining, leaving.
+	state model.TargetState
+	load  float64
+	// seen is when the newest announcement arrived, since when the incarnation did.
+	seen  model.Instant
+	since model.Instant
+	// stale changes on ticks only, so that capacity is constant between ticks.
+	stale bool
+	// rampFrom starts the slow start, cold is set while it lasts.
+	rampFrom model.Instant
+	cold     bool
+	// pausedUntil ends a pause after the target shed a request.
+	pausedUntil model.Instant
+	// refusedAt is when a connection was last refused, or 0.
+	refusedAt model.Instant
+	lastPick  uint64
+	// busy holds the slots in use; its length never exceeds slots as last announced when assigned.
+	busy []*slot
+
+	// lastGiven holds, by host number, when the target was last given to that
+	// host, or neverGiven. givenTo counts the others.
+	lastGiven []model.Instant
+	givenTo   int
+
+	stats   stats
+	ejected bool
+	// denied is set while the target would be ejected but for the floor.
+	denied    bool
+	probation bool
+	// until ends an ejection; ejectedAt and reason describe the last one.
+	until     model.Instant
+	ejectedAt model.Instant
+	reason    string
+	severity  float64
+	ejections int
+	changed   model.Instant
+	probed    bool
+	probeOK   bool
+	probeAt   model.Instant
+	postponed int
+}
+
+const neverGiven = model.Instant(-1 << 63)
+
+// ready reports whether the target says that it takes work.
+func (t *target) ready() bool { return t.state == model.TargetReady && !t.stale }
+
+// usable reports whether the target may get new work.
+func (t *target) usable() bool { return t.ready() && !t.ejected }
+
+// share returns the share of a normal target's traffic that this one gets.
+func (t *target) share(now model.Instant, tune *Tuning) float64 {
+	return min(1, max(tune.StartShare, float64(now.Sub(t.rampFrom))/float64(tune.SlowStart)))
+}
+
+// limit returns the slots that may be in use.
+func (t *target) limit(now model.Instant, tune *Tuning) int {
+	if !t.cold {
+		return t.slots
+	}
+	return max(1, int(t.share(now, tune)*float64(t.slots)))
+}
+
+// mayGiveTo reports whether an entry host may get the target within its connection budget.
+func (t *target) mayGiveTo(host int32, budget int) bool {
+	if t.givenTo < budget {
+		return true
+	}
+	return int(host) < len(t.lastGiven) && t.lastGiven[host] != neverGiven
+}
+
+func (t *target) giveTo(now model.Instant, host int32) {
+	for int(host) >= len(t.lastGiven) {
+		t.lastGiven = append(t.lastGiven, neverGiven)
+	}
+	if t.lastGiven[host] == neverGiven {
+		t.givenTo++
+	}
+	t.lastGiven[host] = now
+}
+
+func (t *target) forgetHost(host int32) {
+	if int(host) < len(t.lastGiven) && t.lastGiven[host] != neverGiven {
+		t.lastGiven[host] = neverGiven
+		t.givenTo--
+	}
+}
+
+// expireHosts forgets hosts whose idle connections are closed by now.
+func (t *target) expireHosts(now model.Instant, idle time.Duration) {
+	for i, at := range t.lastGiven {
+		if at != neverGiven && now.Sub(at) > idle && !t.runsFor(int32(i)) {
+			t.forgetHost(int32(i))
+		}
+	}
+}
+
+func (t *target) runsFor(host int32) bool {
+	return slices.ContainsFunc(t.busy, func(l *slot) bool { return l.host == host })
+}
+
+func compareTarget(t *target, id model.TargetID) int {
+	return strings.Compare(string(t.id), string(id))
+}
+
+// announce takes an announcement. Older incarnations, and a state behind the
+// one already announced by the same incarnation, are ignored.
+func (o *Owner) announce(now model.Instant, a model.Announcement) {
+	s := o.service(now, a.Service)
+	if s == nil {
+		return
+	}
+	t, ok := s.byTarget[a.Target]
+	if ok && (a.Incarnation < t.incarnation || a.Incarnation == t.incarnation && a.State < t.state) {
+		return
+	}
+	if !ok {
+		t = &target{id: a.Target}
+		s.byTarget[a.Target] = t
+		at, _ := slices.BinarySearchFunc(s.targets, a.Target, compareTarget)
+		s.targets = slices.Insert(s.targets, at, t)
+	}
+	if !ok || a.Incarnation > t.incarnation {
+		o.begin(now, s, t, a)
+	}
+	o.refresh(now, s, t, a)
+	o.keepFloor(s)
+	o.dispatch(now, s)
+}
+
+// begin starts a new incarnation of a target.
+func (o *Owner) begin(now model.Instant, s *service, t *target, a model.Announcement) {
+	restarted := t.incarnation != 0
+	t.incarnation = a.Incarnation
+	if restarted {
+		o.crashed(now, s, t, "")
+	}
+	if t.ejected {
+		o.restore(s, t)
+	}
+	t.stats = stats{}
+	t.denied = false
+	t.since = now
+	t.changed = now
+	t.state = a.State
+	t.pausedUntil = now
+	t.cold = restarted || now.Sub(s.tenure.gained) >= o.tune.Learn
+	t.rampFrom = now
+}
+
+func (o *Owner) refresh(now model.Instant, s *service, t *target, a model.Announcement) {
+	slots := a.Slots
+	if slots <= 0 {
+		slots = s.slots
+	}
+	if t.stale || t.state != a.State || t.slots != slots || t.addr != a.Addr || t.seen == 0 {
+		s.version++
+	}
+	t.seen = now
+	t.stale = false
+	t.state = a.State
+	t.addr = a.Addr
+	t.zone = a.Zone
+	t.slots = slots
+	t.load = a.Load
+}
+
+// ageTargets marks silent targets as stale and forgets those gone for long.
+func (o *Owner) ageTargets(now model.Instant, s *service) {
+	changed := false
+	kept := s.targets[:0]
+	for _, t := range s.targets {
+		silent := now.Sub(t.seen)
+		if silent > o.tune.RemoveAfter && len(t.busy) == 0 {
+			delete(s.byTarget, t.id)
+			changed = true
+			continue
+		}
+		if silent > o.tune.StaleAfter && !t.stale {
+			t.stale = true
+			changed = true
+		}
+		if t.cold && now.Sub(t.rampFrom) >= o.tune.SlowStart {
+			t.cold = false
+			t.probation = false
+		}
+		t.expireHosts(now, o.tune.IdleConnection)
+		kept = append(kept, t)
+	}
+	clear(s.targets[len(kept):])
+	s.targets = kept
+	if changed {
+		s.version++
+		o.keepFloor(s)
+	}
+}
--- /dev/null
+++ b/internal/pool/tuning.go
@@ -0,0 +1,155 @@
+package pool
+
+import (
+	"math/rand/v2"
+	"time"
+)
+
+// Tuning holds the durations, thresholds and shares of the target policy. The
+// zero value of a field is not replaced; start from DefaultTuning.
+type Tuning struct {
+	// StaleAfter ends new work for a target that has not announced itself.
+	StaleAfter time.Duration
+	// RemoveAfter forgets a target that has not announced itself.
+	RemoveAfter time.Duration
+	// SlowStart is the ramp of a cold or returned target from StartShare to all of its share.
+	SlowStart time.Duration
+	// StartShare is the share of a normal target's traffic at the start of the ramp.
+	StartShare float64
+	// ZonePenalty is how much more loaded, as a share of its slots, a target
+	// in the caller's zone may be before one in another zone is preferred.
+	ZonePenalty float64
+	// DoneGrace is how long after a request's deadline its slot waits for SlotDone.
+	// Without it the reports of timeouts would arrive after their slots were freed.
+	DoneGrace time.Duration
+	// Learn is how long after gaining a shard requests wait for the first announcements.
+	Learn time.Duration
+
+	// Evaluate is the interval of the comparison with peers.
+	Evaluate time.Duration
+	// HalfLife is that of the decayed counts of a target. The level of the
+	// peers follows a change of the whole service this fast.
+	HalfLife time.Duration
+	// SpreadHalfLife is that of the variance of latency.
+	SpreadHalfLife time.Duration
+	// ScoreHalfLife is that of the evidence on a target without traffic.
+	ScoreHalfLife time.Duration
+	// ErrorLimit and LatencyLimit are the log-likelihood ratios, in nats, at which a target is ejected.
+	ErrorLimit   float64
+	LatencyLimit float64
+	// ErrorBase is the least error share taken as normal, and ErrorShift the least share looked for.
+	ErrorBase  float64
+	ErrorShift float64
+	// LatencyShift is the shift looked for, in standard deviations of log latency.
+	LatencyShift float64
+	// LatencyClamp bounds the weight of one latency, in standard deviations.
+	LatencyClamp float64
+	// OverdueFrom and OverdueCap bound the evidence of one unfinished attempt,
+	// in standard deviations above the peers' log latency and in nats.
+	OverdueFrom float64
+	OverdueCap  float64
+	// MinLatencyRatio is the least ratio to the peers' latency that ejects.
+	MinLatencyRatio float64
+	// ProbeEvidence is the weight in nats of a failed probe; probes alone never reach a limit.
+	ProbeEvidence float64
+
+	// BackoffBase doubles with each ejection up to BackoffMax.
+	BackoffBase time.Duration
+	BackoffMax  time.Duration
+	// Forgive lowers the backoff by one step after this much time in service.
+	Forgive time.Duration
+	// ProbeEvery is the interval of probes of one target by one host.
+	ProbeEvery time.Duration
+
+	// RetryBurst bounds the saved-up retries of a service.
+	RetryBurst float64
+	// CrashWindow is the time within which a refused connection or a new
+	// incarnation turns a broken attempt into a crash.
+	CrashWindow time.Duration
+	// Quarantine is how long a fingerprint that crashed targets is refused.
+	Quarantine time.Duration
+	// CrashLimit is the number of crashes at which a fingerprint is refused.
+	CrashLimit int
+	// IdleConnection is how long an entry host is taken to keep connections to a target.
+	IdleConnection time.Duration
+
+	// Repeat is the interval at which a picker repeats an unanswered query.
+	Repeat time.Duration
+	// OwnerTimeout is the silence of an owner after which a picker decides without it.
+	OwnerTimeout time.Duration
+	// ViewEvery is the interval at which a picker refreshes the list of targets.
+	ViewEvery time.Duration
+	// NewsFresh is the greatest age of an announcement that is passed to a new owner.
+	NewsFresh time.Duration
+}
+
+// DefaultTuning returns the tuning that docs/measurements.md reports on.
+func DefaultTuning() Tuning {
+	return Tuning{
+		StaleAfter:  3 * time.Second,
+		RemoveAfter: 30 * time.Second,
+		SlowStart:   10 * time.Second,
+		StartShare:  0.1,
+		ZonePenalty: 0.5,
+		DoneGrace:   100 * time.Millisecond,
+		Learn:       1500 * time.Millisecond,
+
+		Evaluate:        50 * time.Millisecond,
+		HalfLife:        500 * time.Millisecond,
+		SpreadHalfLife:  4 * time.Second,
+		ScoreHalfLife:   20 * time.Second,
+		ErrorLimit:      14,
+		LatencyLimit:    18,
+		ErrorBase:       0.01,
+		ErrorShift:      0.15,
+		LatencyShift:    1,
+		LatencyClamp:    2.5,
+		OverdueFrom:     3,
+		OverdueCap:      6.5,
+		MinLatencyRatio: 1.7,
+		ProbeEvidence:   0.5,
+
+		BackoffBase: 3 * time.Second,
+		BackoffMax:  60 * time.Second,
+		Forgive:     60 * time.Second,
+		ProbeEvery:  5 * time.Second,
+
+		RetryBurst:     20,
+		CrashWindow:    5 * time.Second,
+		Quarantine:     10 * time.Minute,
+		CrashLimit:     2,
+		IdleConnection: 90 * time.Second,
+
+		Repeat:       50 * time.Millisecond,
+		OwnerTimeout: 400 * time.Millisecond,
+		ViewEvery:    500 * time.Millisecond,
+		NewsFresh:    1500 * time.Millisecond,
+	}
+}
+
+type settings struct {
+	tune Tuning
+	rng  *rand.Rand
+}
+
+// Option changes a setting of an Owner or a Picker.
+type Option func(*settings)
+
+// WithTuning replaces the tuning.
+func WithTuning(t Tuning) Option {
+	return func(s *settings) { s.tune = t }
+}
+
+// WithSource replaces the random source. The runtime passes one seeded from
+// the system; the default is a fixed seed.
+func WithSource(src rand.Source) Option {
+	return func(s *settings) { s.rng = rand.New(src) }
+}
+
+func newSettings(opts []Option) settings {
+	s := settings{tune: DefaultTuning(), rng: rand.New(rand.NewPCG(1, 2))}
+	for _, opt := range opts {
+		opt(&s)
+	}
+	return s
+}
--- /dev/null
+++ b/internal/trial/world.go
@@ -0,0 +1,385 @@
+// Package trial measures the target policy in virtual time: targets with
+// failure modes, entry hosts behind an uneven balancer and messages with a
+// delay, all driven by one seed. It drives the real owner and picker cores.
+package trial
+
+import (
+	"container/heap"
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"tarragongauge.example/tarragongauge/internal/pool"
+	"tarragongauge.example/tarragongauge/internal/proto"
+	"tarragongauge.example/tarragongauge/pkg/model"
+)
+
+// ServiceSpec describes the targets and the load of a service.
+type ServiceSpec struct {
+	Name    model.ServiceName
+	Targets int
+	// Median and Sigma describe the log-normal service time.
+	Median time.Duration
+	Sigma  float64
+	// Idempotent requests are retried by the entry host.
+	Idempotent bool
+}
+
+// Deployment describes one of the two fleets of docs/design.md section 1.7.
+type Deployment struct {
+	Name        string
+	Zones       int
+	Hosts       int
+	Connections int
+	Services    []ServiceSpec
+}
+
+// Deployments returns the two fleets.
+func Deployments() []Deployment {
+	ms := time.Millisecond
+	return []Deployment{
+		{Name: "egin", Zones: 4, Hosts: 44, Connections: 400, Services: []ServiceSpec{
+			{Name: "stockbook", Targets: 8, Median: 20 * ms, Sigma: 0.5, Idempotent: true},
+			{Name: "orderdesk", Targets: 13, Median: 60 * ms, Sigma: 0.6},
+			{Name: "planner", Targets: 18, Median: 40 * ms, Sigma: 0.8, Idempotent: true},
+		}},
+		{Name: "adebayo", Zones: 3, Hosts: 44, Connections: 350, Services: []ServiceSpec{
+			{Name: "stockroom", Targets: 6, Median: 20 * ms, Sigma: 0.5, Idempotent: true},
+			{Name: "orderbook", Targets: 8, Median: 60 * ms, Sigma: 0.6},
+			{Name: "catalogue", Targets: 17, Median: 40 * ms, Sigma: 0.8, Idempotent: true},
+		}},
+	}
+}
+
+// Policy chooses who decides on targets.
+type Policy int
+
+// Policies that are compared.
+const (
+	PolicyOwner Policy = iota + 1
+	PolicyRoundRobin
+	PolicyHostEjection
+)
+
+// String names a policy in tables.
+func (p Policy) String() string {
+	switch p {
+	case PolicyOwner:
+		return "owner"
+	case PolicyRoundRobin:
+		return "round robin"
+	default:
+		return "each host"
+	}
+}
+
+const (
+	workspaces = 8
+	slots      = 3
+	tickEvery  = 20 * time.Millisecond
+	delay      = 500 * time.Microsecond
+	deadline   = 5 * time.Second
+	// baseErrors is the share of errors of a healthy target.
+	baseErrors = 0.002
+	// shedQueue is how many requests a target holds beyond its slots before it sheds.
+	shedQueue = 6
+	// takeover is the time until a lost owner's shards have a new owner.
+	takeover    = 1700 * time.Millisecond
+	maxAttempts = 3
+)
+
+// World is one run.
+type World struct {
+	dep    Deployment
+	policy Policy
+	load   float64
+	rng    *rand.Rand
+	now    model.Instant
+	events queue
+	serial uint64
+
+	services []*service
+	hosts    []*host
+	owner    *ownerHost
+	balancer []float64
+	// factors multiply the rate of each workspace.
+	factors  [workspaces]float64
+	requests map[model.RequestID]*request
+	Result   Result
+}
+
+type event struct {
+	at  model.Instant
+	seq uint64
+	do  func()
+}
+
+type queue []event
+
+func (q queue) Len() int { return len(q) }
+func (q queue) Less(i, j int) bool {
+	return q[i].at < q[j].at || q[i].at == q[j].at && q[i].seq < q[j].seq
+}
+func (q queue) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
+
+// Push and Pop implement heap.Interface.
+func (q *queue) Push(x any) {
+	e, ok := x.(event)
+	if ok {
+		*q = append(*q, e)
+	}
+}
+
+// Pop removes the last element.
+func (q *queue) Pop() any {
+	old := *q
+	e := old[len(old)-1]
+	old[len(old)-1] = event{}
+	*q = old[:len(old)-1]
+	return e
+}
+
+func (w *World) after(d time.Duration, do func()) {
+	w.serial++
+	heap.Push(&w.events, event{at: w.now.Add(d), seq: w.serial, do: do})
+}
+
+type service struct {
+	spec    ServiceSpec
+	targets []*target
+	// rate is in requests per second.
+	rate float64
+	// slow multiplies the service times of all targets.
+	slow float64
+	// fails makes all targets fail.
+	fails bool
+}
+
+type host struct {
+	id     model.HostID
+	zone   model.ZoneName
+	picker *pool.Picker
+	base   *balancer
+	dead   bool
+}
+
+type ownerHost struct {
+	core *pool.Owner
+	host *host
+	dead bool
+}
+
+func epochOf(n int) model.Epoch { return model.Epoch(n) }
+
+// New returns a run of a deployment at a share of its capacity.
+func New(dep Deployment, policy Policy, seed uint64, load float64) *World {
+	w := &World{dep: dep, policy: policy, load: load, rng: rand.New(rand.NewPCG(seed, 7)), requests: map[model.RequestID]*request{}}
+	w.now = model.Instant(time.Second)
+	w.Result = newResult()
+	for i := range w.factors {
+		w.factors[i] = 1
+	}
+	for i := range dep.Hosts {
+		h := &host{id: model.HostID(fmt.Sprintf("e%02d", i)), zone: zone(i % dep.Zones)}
+		src := rand.NewPCG(seed, uint64(100+i))
+		h.picker = pool.NewPicker(h.id, h.zone, pool.WithSource(src))
+		h.base = newBalancer(w.rng.IntN(1000))
+		w.hosts = append(w.hosts, h)
+		w.balancer = append(w.balancer, math.Exp(0.7*w.rng.NormFloat64()))
+	}
+	for _, spec := range dep.Services {
+		w.addService(spec)
+	}
+	w.begin()
+	return w
+}
+
+func zone(i int) model.ZoneName { return model.ZoneName(fmt.Sprintf("z%d", i)) }
+
+func (w *World) addService(spec ServiceSpec) {
+	mean := spec.Median.Seconds() * math.Exp(spec.Sigma*spec.Sigma/2)
+	s := &service{spec: spec, slow: 1, rate: w.load * float64(spec.Targets*slots) / mean}
+	for i := range spec.Targets {
+		s.targets = append(s.targets, &target{
+			world: w, service: s, id: model.TargetID(fmt.Sprintf("%s-%02d", spec.Name, i)), zone: zone(i % w.dep.Zones),
+			incarnation: 1, state: model.TargetReady, slow: 1, errors: baseErrors,
+			// Machines differ by a tenth.
+			speed: math.Exp(0.1 * w.rng.NormFloat64()), running: map[*attempt]bool{},
+		})
+	}
+	w.services = append(w.services, s)
+}
+
+// begin starts announcements, ticks, arrivals and the first owner.
+func (w *World) begin() {
+	w.newOwner(0)
+	for _, s := range w.services {
+		for _, t := range s.targets {
+			w.after(time.Duration(w.rng.Int64N(int64(time.Second))), t.announceLoop)
+		}
+		for ws := range workspaces {
+			w.arrivals(s, ws)
+		}
+	}
+	for _, h := range w.hosts {
+		w.after(time.Duration(w.rng.Int64N(int64(tickEvery))), func() { w.tickHost(h) })
+	}
+	w.after(tickEvery, w.tickOwner)
+}
+
+func (w *World) config() model.Config {
+	cfg := model.NewConfig(nil, nil).WithVersion(1)
+	cfg.Defaults.Connections = w.dep.Connections
+	for _, s := range w.services {
+		cfg.Services[s.spec.Name] = model.Service{Name: s.spec.Name}
+	}
+	return cfg
+}
+
+// newOwner makes a host the owner of all services.
+func (w *World) newOwner(i int) {
+	h := w.hosts[i]
+	src := rand.NewPCG(uint64(i), 99)
+	w.owner = &ownerHost{core: pool.NewOwner(h.id, pool.WithSource(src)), host: h}
+	epoch := epochOf(i + 1)
+	w.stepOwner(pool.Configured{Config: w.config()})
+	var owners []proto.Owner
+	for _, s := range w.services {
+		shard := model.ServiceShard(s.spec.Name)
+		w.stepOwner(pool.Gained{Shard: shard, Epoch: epoch, Until: 1 << 62})
+		owners = append(owners, proto.Owner{Shard: shard, Host: h.id, Epoch: epoch})
+	}
+	for _, x := range w.hosts {
+		w.after(delay, func() {
+			w.stepPicker(x, pool.Configured{Config: w.config()})
+			w.stepPicker(x, pool.OwnersChanged{Owners: owners})
+		})
+	}
+}
+
+// LoseOwner ends the host that owns the services; another one takes over.
+func (w *World) LoseOwner() {
+	old := w.owner
+	old.dead = true
+	old.host.dead = true
+	next := slices.Index(w.hosts, old.host) + 1
+	w.after(takeover, func() { w.newOwner(next) })
+}
+
+func (w *World) tickHost(h *host) {
+	if h.dead {
+		return
+	}
+	w.stepPicker(h, pool.Tick{})
+	w.after(tickEvery, func() { w.tickHost(h) })
+}
+
+func (w *World) tickOwner() {
+	w.stepOwner(pool.Tick{})
+	w.checkOwner()
+	w.after(tickEvery, w.tickOwner)
+}
+
+func (w *World) stepPicker(h *host, ev pool.Event) {
+	if h.dead || w.policy != PolicyOwner {
+		return
+	}
+	for _, e := range h.picker.Step(w.now, ev) {
+		switch e := e.(type) {
+		case pool.Send:
+			w.deliver(h, e)
+		case pool.Assigned:
+			w.assigned(e)
+		case pool.Refused:
+			w.refused(e)
+		}
+	}
+}
+
+func (w *World) stepOwner(ev pool.Event) {
+	o := w.owner
+	if o.dead || w.policy != PolicyOwner {
+		return
+	}
+	check := false
+	for _, e := range o.core.Step(w.now, ev) {
+		switch e := e.(type) {
+		case pool.Send:
+			w.deliver(o.host, e)
+		case pool.Ejected:
+			check = true
+			w.ejected(e)
+		case pool.Returned:
+			check = true
+		case pool.Quarantined:
+			w.Result.Quarantined++
+		}
+	}
+	if check {
+		w.checkOwner()
+	}
+}
+
+// deliver sends a message between hosts; a host reaches itself without delay.
+func (w *World) deliver(from *host, e pool.Send) {
+	d := delay
+	if e.To == from.id {
+		d = 0
+	}
+	w.after(d, func() {
+		if from.dead {
+			return
+		}
+		ev := pool.Received{From: from.id, Msg: e.Msg}
+		switch e.Msg.(type) {
+		case proto.SlotReply, proto.ViewReply:
+			for _, h := range w.hosts {
+				if h.id == e.To {
+					w.stepPicker(h, ev)
+				}
+			}
+		default:
+			if e.To == w.owner.host.id {
+				w.stepOwner(ev)
+			}
+		}
+	})
+}
+
+// checkOwner verifies the invariants of the owner's count.
+func (w *World) checkOwner() {
+	if w.owner.dead || w.policy != PolicyOwner {
+		return
+	}
+	for _, s := range w.owner.core.Status(w.now) {
+		if float64(s.Healthy) < s.Floor*float64(s.Announced)-1e-9 {
+			w.Result.violate("%s: healthy %d of %d slots, floor %.2f", s.Service, s.Healthy, s.Announced, s.Floor)
+		}
+		for _, t := range s.Targets {
+			if t.InUse > slots {
+				w.Result.violate("%s: %d slots in use", t.Target, t.InUse)
+			}
+			if t.Hosts > t.HostLimit {
+				w.Result.violate("%s: given to %d hosts", t.Target, t.Hosts)
+			}
+		}
+	}
+}
+
+// At runs a function at a time after the start of the run.
+func (w *World) At(d time.Duration, do func()) { w.after(d, do) }
+
+// Run runs until the time after the start.
+func (w *World) Run(d time.Duration) {
+	end := w.now.Add(d)
+	for len(w.events) > 0 {
+		e, ok := heap.Pop(&w.events).(event)
+		if !ok || e.at > end {
+			break
+		}
+		w.now = e.at
+		e.do()
+	}
+}
