Look for stated latency ratios and weigh unfinished attempts

Cause: a target slow by 10 completes few attempts, so the cumulative sum over completed latencies starved; the shift of one standard deviation also matched a healthy machine 25 % slower than its peers. A lost owner released its backlog to the targets at once, which shed it. Change: two latency sums for ratios 2.5 and 6, unfinished attempts by their survival probability, the long-run error share as the base, and at most twice the usual number of attempts in flight without an owner. Ruled out: lowering the limits, which would have raised the false ejections.

--- a/internal/pool/detect.go
+++ b/internal/pool/detect.go
@@ -9,25 +9,28 @@
 )
 
 // stats holds the evidence on one target. A batch collects the outcomes
-// between two evaluations; window is exponentially decayed; the scores are
-// one-sided cumulative sums of log-likelihood ratios in nats.
+// between two evaluations; the windows are exponentially decayed; the scores
+// are one-sided cumulative sums of log-likelihood ratios in nats.
 type stats struct {
-	batch  sample
-	window sample
-	// spread is window with a longer half-life, for the variance.
-	spread sample
-
-	errorScore   float64
-	latencyScore float64
-	overdue      float64
+	batch sample
+	// window follows the present, spread the variance and history the share of errors.
+	window  sample
+	spread  sample
+	history sample
+
+	errorScore float64
+	slowScore  float64
+	stuckScore float64
+	// unfinished is the evidence of the attempts in progress.
+	unfinished float64
 }
 
 // sample counts outcomes and sums log latencies.
 type sample struct {
 	ok, errors float64
 	sum, sumSq float64
-	// residual is the sum of clamped deviations from the baseline, in standard deviations.
-	residual float64
+	// slow and stuck sum the evidence of latencies against the baseline at their time.
+	slow, stuck float64
 }
 
 func (x *sample) count() float64 { return x.ok + x.errors }
@@ -38,7 +41,7 @@
 
 func (x *sample) variance() float64 {
 	m := x.mean()
-	return max(0, x.sumSq/x.ok-m*m)
+	return max(0, x.sumSq/x.ok-m*m) * x.ok / (x.ok - 1)
 }
 
 func (x *sample) decayAdd(f float64, y *sample) {
@@ -46,7 +49,22 @@
 	x.errors = x.errors*f + y.errors
 	x.sum = x.sum*f + y.sum
 	x.sumSq = x.sumSq*f + y.sumSq
-	x.residual = x.residual*f + y.residual
+}
+
+// level returns the log latency of a target: the present window, steadied by
+// the longer one where there is little traffic.
+func (t *stats) level() float64 {
+	w := &t.window
+	if t.spread.ok == 0 {
+		return w.mean()
+	}
+	return (w.sum + steadyWeight*t.spread.mean()) / (w.ok + steadyWeight)
+}
+
+// normalErrors returns the share of errors of a target over a longer time. It
+// starts from a cautious guess.
+func (t *stats) normalErrors() float64 {
+	return (t.history.errors + guessErrors*guessWeight) / (t.history.count() + guessWeight)
 }
 
 // minLatency keeps the logarithm finite.
@@ -56,16 +74,25 @@
 	return math.Log(float64(max(d, minLatency)))
 }
 
-func (t *stats) addLatency(b *baseline, d time.Duration, clamp float64) {
+func (t *stats) addLatency(b *baseline, d time.Duration, limit float64) {
 	x := logLatency(d)
 	t.batch.ok++
 	t.batch.sum += x
 	t.batch.sumSq += x * x
 	if b.known {
-		t.batch.residual += max(-clamp, min(clamp, (x-b.level)/b.sigma))
+		z := (x - b.level) / b.sigma
+		t.batch.slow += evidence(z, b.slow, limit)
+		t.batch.stuck += evidence(z, b.stuck, limit)
 	}
 }
 
+// evidence returns the log-likelihood ratio of a latency, in standard
+// deviations, for a shift against none. The bounds keep it robust against
+// tails heavier than the log-normal distribution's.
+func evidence(z, shift, limit float64) float64 {
+	return max(-limit, min(limit, shift*(z-shift/2)))
+}
+
 func (t *stats) addError() { t.batch.errors++ }
 
 // removeError takes back one error that turned out to be a crash.
@@ -86,9 +113,13 @@
 	known bool
 	// level and sigma describe log latency.
 	level, sigma float64
-	levels       []float64
-	errorShares  []float64
-	overdues     []float64
+	// slow and stuck are the shifts looked for, in standard deviations.
+	slow, stuck float64
+	// errors is the share of errors over a longer time.
+	errors      float64
+	levels      []float64
+	errorShares []float64
+	unfinished  []float64
 }
 
 // typical returns the median latency, or 0 while it is not known.
@@ -99,12 +130,24 @@
 	return time.Duration(math.Exp(b.level))
 }
 
-// Weights below which a target's window is not compared.
+// Weights below which a target's window is not compared, and bounds of the
+// spread of latency.
 const (
-	minLevelWeight = 0.5
-	minShareWeight = 2
-	minSigma       = 0.25
-	maxSigma       = 2
+	minLevelWeight  = 0.5
+	minShareWeight  = 2
+	minSpreadWeight = 4
+	minSigma        = 0.25
+	maxSigma        = 2
+	// coldSigma holds until the service has coldWeight responses.
+	coldSigma  = 1
+	coldWeight = 40
+	// steadyWeight is the weight of the longer window in the level, in responses.
+	steadyWeight = 2
+	// guessErrors is the share of errors of a target without history, at guessWeight responses.
+	guessErrors = 0.01
+	guessWeight = 100
+	// errorMargin multiplies the peers' share of errors.
+	errorMargin = 1.5
 )
 
 // evaluate compares every target with its peers and ejects those whose
@@ -119,10 +162,12 @@
 	s.evaluated = now
 	f := decay(dt, o.tune.HalfLife)
 	g := decay(dt, o.tune.SpreadHalfLife)
+	h := decay(dt, o.tune.HistoryHalfLife)
 	keep := decay(dt, o.tune.ScoreHalfLife)
 	for _, t := range s.targets {
 		t.stats.window.decayAdd(f, &t.stats.batch)
 		t.stats.spread.decayAdd(g, &t.stats.batch)
+		t.stats.history.decayAdd(h, &t.stats.batch)
 	}
 	before := s.base
 	s.compare(now, o)
@@ -143,66 +188,106 @@
 // compare computes the baseline of the service.
 func (s *service) compare(now model.Instant, o *Owner) {
 	b := &s.base
-	b.levels, b.errorShares, b.overdues = b.levels[:0], b.errorShares[:0], b.overdues[:0]
-	sigmas := s.scratch[:0]
+	b.levels, b.errorShares, b.unfinished = b.levels[:0], b.errorShares[:0], b.unfinished[:0]
 	for _, t := range s.targets {
 		if !t.usable() {
 			continue
 		}
 		if t.stats.window.ok >= minLevelWeight {
-			b.levels = append(b.levels, t.stats.window.mean())
+			b.levels = append(b.levels, t.stats.level())
 		}
 		if t.stats.window.count() >= minShareWeight {
 			b.errorShares = append(b.errorShares, t.stats.window.errorShare())
 		}
-		if t.stats.spread.ok >= minShareWeight {
-			sigmas = append(sigmas, t.stats.spread.variance())
-		}
 	}
-	s.scratch = sigmas
 	slices.Sort(b.levels)
 	slices.Sort(b.errorShares)
-	slices.Sort(sigmas)
-	b.known = len(b.levels) > 0 && len(sigmas) > 0
-	if b.known {
-		b.level = median(b.levels)
-		b.sigma = min(maxSigma, max(minSigma, math.Sqrt(median(sigmas))))
-	}
+	b.errors = s.medianOf(func(st *stats) (float64, bool) { return st.normalErrors(), true })
+	s.compareSpread(o)
 	for _, t := range s.targets {
-		t.stats.overdue = 0
+		t.stats.unfinished = 0
 		if t.usable() {
-			t.stats.overdue = o.overdue(now, s, t)
-			b.overdues = append(b.overdues, t.stats.overdue)
+			t.stats.unfinished = o.unfinished(now, s, t)
+			b.unfinished = append(b.unfinished, t.stats.unfinished)
 		}
 	}
-	slices.Sort(b.overdues)
+	slices.Sort(b.unfinished)
 }
 
-// overdue weighs the unfinished attempts of a target: a partitioned target
-// produces no outcomes before the deadline. It counts one attempt of each host,
-// since a host may be the one that is cut off.
-func (o *Owner) overdue(now model.Instant, s *service, t *target) float64 {
+func (s *service) compareSpread(o *Owner) {
+	b := &s.base
+	weight := 0.0
+	for _, t := range s.targets {
+		weight += t.stats.spread.ok
+	}
+	variance := s.medianOf(func(st *stats) (float64, bool) {
+		return st.spread.variance(), st.spread.ok >= minSpreadWeight
+	})
+	b.known = len(b.levels) > 0 && variance > 0
+	if !b.known {
+		return
+	}
+	b.level = median(b.levels)
+	b.sigma = min(maxSigma, max(minSigma, math.Sqrt(variance)))
+	if weight < coldWeight {
+		b.sigma = max(b.sigma, coldSigma)
+	}
+	b.slow = math.Log(o.tune.SlowRatio) / b.sigma
+	b.stuck = math.Log(o.tune.StuckRatio) / b.sigma
+}
+
+// medianOf returns the median of a figure over the usable targets that have it, or 0.
+func (s *service) medianOf(figure func(*stats) (float64, bool)) float64 {
+	s.scratch = s.scratch[:0]
+	for _, t := range s.targets {
+		if !t.usable() {
+			continue
+		}
+		if v, ok := figure(&t.stats); ok {
+			s.scratch = append(s.scratch, v)
+		}
+	}
+	slices.Sort(s.scratch)
+	return medianOr(s.scratch, 0)
+}
+
+// unfinished weighs the attempts in progress: a partitioned target produces no
+// outcomes before the deadline. A second attempt of the same host counts half,
+// since the host may be the one that is cut off.
+func (o *Owner) unfinished(now model.Instant, s *service, t *target) float64 {
 	if !s.base.known {
 		return 0
 	}
 	sum := 0.0
 	for i, l := range t.busy {
-		if slices.ContainsFunc(t.busy[:i], func(x *slot) bool { return x.host == l.host }) {
+		z := (logLatency(now.Sub(l.start)) - s.base.level) / s.base.sigma
+		e := min(o.tune.UnfinishedCap, logSurvival(z-s.base.stuck)-logSurvival(z))
+		if z <= 0 || e <= 0 {
 			continue
 		}
-		z := (logLatency(now.Sub(l.start)) - s.base.level) / s.base.sigma
-		if z > o.tune.OverdueFrom {
-			sum += min(o.tune.OverdueCap, z*z/2)
+		if slices.ContainsFunc(t.busy[:i], func(x *slot) bool { return x.host == l.host }) {
+			e /= 2
 		}
+		sum += e
 	}
 	return sum
 }
 
+// logSurvival returns the logarithm of the upper tail of the normal distribution.
+func logSurvival(z float64) float64 {
+	return math.Log(math.Erfc(min(z, maxZ)/math.Sqrt2) / 2)
+}
+
+// maxZ keeps the tail probability above the smallest float.
+const maxZ = 30
+
 // score adds the batch of a target to its scores.
 func (o *Owner) score(s *service, t *target, before *baseline, keep float64) {
 	st := &t.stats
 	st.errorScore = max(0, st.errorScore*keep+o.errorEvidence(s, st))
-	st.latencyScore = max(0, st.latencyScore*keep+o.latencyEvidence(s, st, before))
+	slow, stuck := s.latencyEvidence(st, before)
+	st.slowScore = max(0, st.slowScore*keep+slow)
+	st.stuckScore = max(0, st.stuckScore*keep+stuck)
 }
 
 func (o *Owner) errorEvidence(s *service, st *stats) float64 {
@@ -210,11 +295,11 @@
 	if n == 0 || len(s.base.errorShares) < 2 {
 		return 0
 	}
-	own := -1.0
+	own := math.NaN()
 	if st.window.count() >= minShareWeight {
 		own = st.window.errorShare()
 	}
-	p0 := max(o.tune.ErrorBase, 1.5*medianWithout(s.base.errorShares, own))
+	p0 := max(o.tune.ErrorBase, errorMargin*s.base.errors, errorMargin*medianWithout(s.base.errorShares, own))
 	p1 := min(0.95, max(o.tune.ErrorShift, 3*p0))
 	if p1-p0 < 0.05 {
 		return 0
@@ -222,18 +307,18 @@
 	return st.batch.errors*math.Log(p1/p0) + st.batch.ok*math.Log((1-p1)/(1-p0))
 }
 
-func (o *Owner) latencyEvidence(s *service, st *stats, before *baseline) float64 {
+// latencyEvidence corrects the evidence of a batch for the change of the peers
+// in the same interval.
+func (s *service) latencyEvidence(st *stats, before *baseline) (slow, stuck float64) {
 	if !before.known || !s.base.known || st.batch.ok == 0 || len(s.base.levels) < 2 {
-		return 0
+		return 0, 0
 	}
 	own := math.NaN()
 	if st.window.ok >= minLevelWeight {
-		own = st.window.mean()
+		own = st.level()
 	}
-	peers := medianWithout(s.base.levels, own)
-	shift := (peers - before.level) / s.base.sigma
-	d := o.tune.LatencyShift
-	return d*(st.batch.residual-shift*st.batch.ok) - st.batch.ok*d*d/2
+	shift := (medianWithout(s.base.levels, own) - before.level) / before.sigma * st.batch.ok
+	return st.batch.slow - before.slow*shift, st.batch.stuck - before.stuck*shift
 }
 
 // median returns the median of a sorted list that is not empty.
--- a/internal/pool/done.go
+++ b/internal/pool/done.go
@@ -40,7 +40,7 @@
 	}
 	switch m.Attempt.End {
 	case model.AttemptOK:
-		t.stats.addLatency(&s.base, m.Attempt.Latency, o.tune.LatencyClamp)
+		t.stats.addLatency(&s.base, m.Attempt.Latency, o.tune.EvidenceCap)
 		s.clearSuspect(m.Workspace, m.Fingerprint)
 	case model.AttemptError, model.AttemptInvalid:
 		t.stats.addError()
--- a/internal/pool/eject.go
+++ b/internal/pool/eject.go
@@ -45,10 +45,11 @@
 			continue
 		}
 		usable++
-		if t.stats.errorScore > o.tune.ErrorLimit/2 || t.stats.latencyScore > o.tune.LatencyLimit/2 {
+		st := &t.stats
+		if st.errorScore > o.tune.ErrorLimit/2 || max(st.slowScore, st.stuckScore) > o.tune.LatencyLimit/2 {
 			doubtful++
 		}
-		if t.stats.overdue > 0 {
+		if st.unfinished > o.tune.LatencyLimit/4 {
 			late++
 		}
 	}
@@ -83,16 +84,16 @@
 		scale = 2
 	}
 	st := &t.stats
-	late := max(0, st.overdue-2*medianOr(s.base.overdues, 0))
+	late := max(0, st.unfinished-2*medianOr(s.base.unfinished, 0))
 	if ignoreLate {
 		late = 0
 	}
-	slow := st.latencyScore
-	if s.latencyRatio(t) < o.tune.MinLatencyRatio {
+	slow := max(st.slowScore, st.stuckScore)
+	if r := s.latencyRatio(t); r != 0 && r < o.tune.MinLatencyRatio {
 		slow = 0
 	}
 	f := finding{target: t, excess: scale * st.errorScore / o.tune.ErrorLimit, cause: causeErrors}
-	if e := scale * (slow + late) / o.tune.LatencyLimit; e > f.excess {
+	if e := scale * max(slow, min(slow, st.stuckScore)+late) / o.tune.LatencyLimit; e > f.excess {
 		f.excess = e
 		f.cause = causeSlow
 		if late > slow {
@@ -124,13 +125,12 @@
 
 func (s *service) peerErrors() float64 { return medianOr(s.base.errorShares, 0) }
 
-// latencyRatio returns a target's recent latency relative to its peers.
+// latencyRatio returns a target's recent latency relative to its peers, or 0 if it is not known.
 func (s *service) latencyRatio(t *target) float64 {
-	w := &t.stats.window
-	if w.ok < minLevelWeight || len(s.base.levels) < 2 {
+	if t.stats.window.ok < minLevelWeight || len(s.base.levels) < 2 {
 		return 0
 	}
-	return math.Exp(w.mean() - medianWithout(s.base.levels, w.mean()))
+	return math.Exp(t.stats.window.mean() - medianWithout(s.base.levels, t.stats.level()))
 }
 
 // eject takes a target out of service unless the remaining capacity would fall
--- a/internal/pool/local.go
+++ b/internal/pool/local.go
@@ -10,6 +10,11 @@
 // localShare is the part of a target's slots that one host uses without the owner.
 const localShare = 3
 
+// localGrowth bounds this host's attempts in flight without the owner to a
+// multiple of their usual number, so that the requests that waited for a lost
+// owner do not reach the targets all at once.
+const localGrowth = 2
+
 // serveLocally gives targets to waiting requests without the owner: of two
 // random targets the one less busy by this host's own count, no ejection beyond
 // the owner's last decisions, and a share of the slots.
@@ -33,6 +38,9 @@
 			p.refuse(now, r, proto.SlotNoTarget)
 			continue
 		}
+		if float64(s.inFlight) >= 1+localGrowth*s.usual {
+			break
+		}
 		v, ok := p.chooseLocally(s, usable, r.exclude)
 		if !ok {
 			continue
--- a/internal/pool/picker.go
+++ b/internal/pool/picker.go
@@ -85,7 +85,10 @@
 	news   []news
 	// running counts this host's own attempts by target.
 	running map[model.TargetID]int
-	waiting fifo[*request]
+	// inFlight is the sum of running, usual its decayed mean while the service had an owner.
+	inFlight int
+	usual    float64
+	waiting  fifo[*request]
 	// queued counts the requests in waiting that are not gone.
 	queued      int
 	retryTokens float64
@@ -284,6 +287,7 @@
 	r.target = id
 	r.incarnation = inc
 	r.access.running[id]++
+	r.access.inFlight++
 	p.emit(Assigned{Request: r.id, Target: id, Addr: addr, Incarnation: inc, Local: local})
 }
 
@@ -295,6 +299,7 @@
 		return
 	}
 	s := r.access
+	s.inFlight--
 	if s.running[r.target]--; s.running[r.target] <= 0 {
 		delete(s.running, r.target)
 	}
@@ -411,6 +416,9 @@
 // does not reply to a request that waits for a slot.
 const repeatLimit = 3
 
+// usualWeight is the weight of one tick in the mean number of attempts in flight, about 2 s.
+const usualWeight = 0.01
+
 func (p *Picker) tick(now model.Instant) {
 	for p.expiry.len() > 0 && p.expiry.peek().until < now {
 		delete(p.withdrawn, p.expiry.pop().nonce)
@@ -419,6 +427,7 @@
 		p.expireNews(now, s)
 		p.expireRequests(now, s)
 		if s.hasOwner(now, &p.tune) {
+			s.usual += usualWeight * (float64(s.inFlight) - s.usual)
 			p.repeat(now, s)
 		} else {
 			p.serveLocally(now, s)
--- a/internal/pool/status.go
+++ b/internal/pool/status.go
@@ -101,7 +101,7 @@
 		Hosts: t.givenTo, HostLimit: s.hostBudget(t),
 		Ejected: t.ejected, KeptByFloor: t.denied, Reason: t.reason, Ejections: t.ejections,
 		ErrorScore:   t.stats.errorScore / o.tune.ErrorLimit,
-		LatencyScore: t.stats.latencyScore / o.tune.LatencyLimit,
+		LatencyScore: max(t.stats.slowScore, t.stats.stuckScore) / o.tune.LatencyLimit,
 	}
 	if t.ejected {
 		st.Left = max(0, t.until.Sub(now))
--- a/internal/pool/tuning.go
+++ b/internal/pool/tuning.go
@@ -34,20 +34,24 @@
 	SpreadHalfLife time.Duration
 	// ScoreHalfLife is that of the evidence on a target without traffic.
 	ScoreHalfLife time.Duration
+	// HistoryHalfLife is that of the share of errors taken as normal.
+	HistoryHalfLife time.Duration
 	// ErrorLimit and LatencyLimit are the log-likelihood ratios, in nats, at which a target is ejected.
 	ErrorLimit   float64
 	LatencyLimit float64
 	// ErrorBase is the least error share taken as normal, and ErrorShift the least share looked for.
 	ErrorBase  float64
 	ErrorShift float64
-	// LatencyShift is the shift looked for, in standard deviations of log latency.
-	LatencyShift float64
-	// LatencyClamp bounds the weight of one latency, in standard deviations.
-	LatencyClamp float64
-	// OverdueFrom and OverdueCap bound the evidence of one unfinished attempt,
-	// in standard deviations above the peers' log latency and in nats.
-	OverdueFrom float64
-	OverdueCap  float64
+	// SlowRatio and StuckRatio are the ratios to the peers' latency looked for.
+	// The first finds moderate slowness, the second finds severe slowness
+	// sooner and weighs unfinished attempts.
+	SlowRatio  float64
+	StuckRatio float64
+	// EvidenceCap bounds the evidence of one response, in nats, and
+	// UnfinishedCap that of one unfinished attempt, so that a few expensive
+	// requests do not eject a target.
+	EvidenceCap   float64
+	UnfinishedCap float64
 	// MinLatencyRatio is the least ratio to the peers' latency that ejects.
 	MinLatencyRatio float64
 	// ProbeEvidence is the weight in nats of a failed probe; probes alone never reach a limit.
@@ -98,15 +102,16 @@
 		HalfLife:        500 * time.Millisecond,
 		SpreadHalfLife:  4 * time.Second,
 		ScoreHalfLife:   20 * time.Second,
+		HistoryHalfLife: time.Minute,
 		ErrorLimit:      14,
 		LatencyLimit:    18,
-		ErrorBase:       0.01,
+		ErrorBase:       0.003,
 		ErrorShift:      0.15,
-		LatencyShift:    1,
-		LatencyClamp:    2.5,
-		OverdueFrom:     3,
-		OverdueCap:      6.5,
-		MinLatencyRatio: 1.7,
+		SlowRatio:       2.5,
+		StuckRatio:      6,
+		EvidenceCap:     4.5,
+		UnfinishedCap:   8,
+		MinLatencyRatio: 1.5,
 		ProbeEvidence:   0.5,
 
 		BackoffBase: 3 * time.Second,
@@ -121,7 +126,7 @@
 		IdleConnection: 90 * time.Second,
 
 		Repeat:       50 * time.Millisecond,
-		OwnerTimeout: 400 * time.Millisecond,
+		OwnerTimeout: 250 * time.Millisecond,
 		ViewEvery:    500 * time.Millisecond,
 		NewsFresh:    1500 * time.Millisecond,
 	}
--- a/internal/trial/result.go
+++ b/internal/trial/result.go
@@ -39,7 +39,6 @@
 
 	byWorkspace [workspaces]served
 	hostVotes   map[*target]int
-	hosts       int
 }
 
 // served counts a workspace's requests since Result.From.
--- a/internal/trial/table_test.go
+++ b/internal/trial/table_test.go
@@ -1,7 +1,6 @@
 package trial
 
 import (
-	"flag"
 	"fmt"
 	"os"
 	"slices"
@@ -9,13 +8,16 @@
 	"testing"
 	"text/tabwriter"
 	"time"
+
+	"github.com/stretchr/testify/require"
 )
 
-// Flags of the table that docs/measurements.md quotes.
-var (
-	table     = flag.Bool("table", false, "print the table of all scenarios")
-	baselines = flag.Bool("baselines", false, "include the baselines in the table")
-	only      = flag.String("scenario", "", "print only scenarios that contain this text")
+// Environment variables of the table that docs/measurements.md quotes.
+const (
+	// tableVar prints the table: "owner" for the fleet's policy, "all" with the baselines.
+	tableVar = "TRIAL_TABLE"
+	// scenarioVar limits the table to scenarios that contain its text.
+	scenarioVar = "TRIAL_SCENARIO"
 )
 
 const seeds = 5
@@ -33,18 +35,20 @@
 }
 
 func TestTable(t *testing.T) {
-	if !*table {
-		t.Skip("prints measurements; run with -table")
+	which := os.Getenv(tableVar)
+	if which == "" {
+		t.Skip("prints measurements; set " + tableVar)
 	}
+	only := os.Getenv(scenarioVar)
 	out := tabwriter.NewWriter(os.Stdout, 0, 0, 2, ' ', 0)
-	fmt.Fprintln(out, "deployment\tscenario\tpolicy\tdetected\tmedian\tworst\tfalse\tsuccess median\tmin\tworst workspace\tp99 median\tmax\tattempts/request\trefused first\tcrashes\tviolations")
+	_, _ = fmt.Fprintln(out, "deployment\tscenario\tpolicy\tdetected\tmedian\tworst\tfalse\tsuccess median\tmin\tworst workspace\tp99 median\tmax\tattempts/request\trefused first\tcrashes\tviolations")
 	policies := []Policy{PolicyOwner}
-	if *baselines {
+	if which == "all" {
 		policies = append(policies, PolicyRoundRobin, PolicyHostEjection)
 	}
 	for _, dep := range Deployments() {
 		for _, sc := range Scenarios() {
-			if !strings.Contains(sc.Name, *only) {
+			if !strings.Contains(sc.Name, only) {
 				continue
 			}
 			for _, p := range policies {
@@ -52,7 +56,7 @@
 			}
 		}
 	}
-	out.Flush()
+	require.NoError(t, out.Flush())
 }
 
 func printRow(out *tabwriter.Writer, dep Deployment, sc Scenario, p Policy, list []*World) {
@@ -89,10 +93,10 @@
 	if n := len(found); n > 0 {
 		med, max = ms(found[n/2]), ms(found[n-1])
 	}
-	fmt.Fprintf(out, "%s\t%s\t%s\t%d/%d\t%s\t%s\t%d\t%.3f\t%.3f\t%.3f\t%s\t%s\t%.2f\t%.3f%%\t%d\t%d\n",
+	_, _ = fmt.Fprintf(out, "%s\t%s\t%s\t%d/%d\t%s\t%s\t%d\t%.3f\t%.3f\t%.3f\t%s\t%s\t%.2f\t%.3f%%\t%d\t%d\n",
 		dep.Name, sc.Name, p, len(found), faulty, med, max, wrong, success[len(success)/2], success[0], worst[0],
 		ms(p99s[len(p99s)/2]), ms(p99s[len(p99s)-1]), ratio[len(ratio)-1], 100*float64(refused)/float64(requests), crashes, violations)
-	if *only != "" {
+	if os.Getenv(scenarioVar) != "" {
 		fmt.Println(strings.Join(list[0].Result.Reasons, "\n"), list[0].Result.Violations, list[0].Result.Refused)
 	}
 	for _, w := range list {
