Learn the lasting difference of a target from its peers

Cause: a healthy machine that is 25 % slower than its peers moved the sum of the moderate ratio by a third of a standard deviation with each response; at 20 responses a second that reached the limit about every ten minutes. Ruled out: a higher limit, since the offset enters the exponent of the rate of false alarms and detection would have slowed in proportion.

--- a/internal/pool/detect.go
+++ b/internal/pool/detect.go
@@ -13,11 +13,15 @@
 // are one-sided cumulative sums of log-likelihood ratios in nats.
 type stats struct {
 	batch sample
-	// window follows the present, spread the variance and history the share of errors.
+	// window follows the present, spread steadies it, and history holds what is usual.
 	window  sample
 	spread  sample
 	history sample
 
+	// offset is the usual log latency above that of the peers, between 0 and
+	// maxOffset: machines differ for good.
+	offset float64
+
 	errorScore float64
 	slowScore  float64
 	stuckScore float64
@@ -31,6 +35,9 @@
 	sum, sumSq float64
 	// slow and stuck sum the evidence of latencies against the baseline at their time.
 	slow, stuck float64
+	// known counts the responses that were compared with a baseline, above and
+	// square sum their log latency above it.
+	known, above, square float64
 }
 
 func (x *sample) count() float64 { return x.ok + x.errors }
@@ -49,6 +56,9 @@
 	x.errors = x.errors*f + y.errors
 	x.sum = x.sum*f + y.sum
 	x.sumSq = x.sumSq*f + y.sumSq
+	x.known = x.known*f + y.known
+	x.above = x.above*f + y.above
+	x.square = x.square*f + y.square
 }
 
 // level returns the log latency of a target: the present window, steadied by
@@ -67,6 +77,10 @@
 	return (t.history.errors + guessErrors*guessWeight) / (t.history.count() + guessWeight)
 }
 
+func (t *stats) usualOffset() float64 {
+	return min(maxOffset, max(0, t.history.above/(t.history.known+offsetWeight)))
+}
+
 // minLatency keeps the logarithm finite.
 const minLatency = 10 * time.Microsecond
 
@@ -80,7 +94,11 @@
 	t.batch.sum += x
 	t.batch.sumSq += x * x
 	if b.known {
-		z := (x - b.level) / b.sigma
+		d := x - b.level
+		t.batch.known++
+		t.batch.above += d
+		t.batch.square += (d - t.offset) * (d - t.offset)
+		z := (d - t.offset) / b.sigma
 		t.batch.slow += evidence(z, b.slow, limit)
 		t.batch.stuck += evidence(z, b.stuck, limit)
 	}
@@ -136,8 +154,10 @@
 	minLevelWeight  = 0.5
 	minShareWeight  = 2
 	minSpreadWeight = 4
-	minSigma        = 0.25
-	maxSigma        = 2
+	// minHistoryWeight is the number of responses from which the longer history gives the spread.
+	minHistoryWeight = 20
+	minSigma         = 0.25
+	maxSigma         = 2
 	// coldSigma holds until the service has coldWeight responses.
 	coldSigma  = 1
 	coldWeight = 40
@@ -146,6 +166,10 @@
 	// guessErrors is the share of errors of a target without history, at guessWeight responses.
 	guessErrors = 0.01
 	guessWeight = 100
+	// maxOffset is the logarithm of the greatest lasting slowness that is taken as normal, 1.5 times.
+	maxOffset = 0.405
+	// offsetWeight is the number of responses that counts as much as the assumption of no offset.
+	offsetWeight = 100
 	// errorMargin multiplies the peers' share of errors.
 	errorMargin = 1.5
 )
@@ -168,6 +192,7 @@
 		t.stats.window.decayAdd(f, &t.stats.batch)
 		t.stats.spread.decayAdd(g, &t.stats.batch)
 		t.stats.history.decayAdd(h, &t.stats.batch)
+		t.stats.offset = t.stats.usualOffset()
 	}
 	before := s.base
 	s.compare(now, o)
@@ -218,9 +243,12 @@
 	b := &s.base
 	weight := 0.0
 	for _, t := range s.targets {
-		weight += t.stats.spread.ok
+		weight += t.stats.history.known
 	}
 	variance := s.medianOf(func(st *stats) (float64, bool) {
+		if st.history.known >= minHistoryWeight {
+			return st.history.square / st.history.known, true
+		}
 		return st.spread.variance(), st.spread.ok >= minSpreadWeight
 	})
 	b.known = len(b.levels) > 0 && variance > 0
@@ -260,7 +288,7 @@
 	}
 	sum := 0.0
 	for i, l := range t.busy {
-		z := (logLatency(now.Sub(l.start)) - s.base.level) / s.base.sigma
+		z := (logLatency(now.Sub(l.start)) - s.base.level - t.stats.offset) / s.base.sigma
 		e := min(o.tune.UnfinishedCap, logSurvival(z-s.base.stuck)-logSurvival(z))
 		if z <= 0 || e <= 0 {
 			continue
--- a/internal/pool/eject.go
+++ b/internal/pool/eject.go
@@ -89,7 +89,7 @@
 		late = 0
 	}
 	slow := max(st.slowScore, st.stuckScore)
-	if r := s.latencyRatio(t); r != 0 && r < o.tune.MinLatencyRatio {
+	if r := s.latencyRatio(t); r != 0 && r < o.tune.MinLatencyRatio*math.Exp(st.offset) {
 		slow = 0
 	}
 	f := finding{target: t, excess: scale * st.errorScore / o.tune.ErrorLimit, cause: causeErrors}
--- a/internal/pool/tuning.go
+++ b/internal/pool/tuning.go
@@ -30,11 +30,12 @@
 	// HalfLife is that of the decayed counts of a target. The level of the
 	// peers follows a change of the whole service this fast.
 	HalfLife time.Duration
-	// SpreadHalfLife is that of the variance of latency.
+	// SpreadHalfLife is that of a longer window that steadies the level where there is little traffic.
 	SpreadHalfLife time.Duration
 	// ScoreHalfLife is that of the evidence on a target without traffic.
 	ScoreHalfLife time.Duration
-	// HistoryHalfLife is that of the share of errors taken as normal.
+	// HistoryHalfLife is that of what is usual: the share of errors, the spread
+	// of latency and the lasting difference of a target from its peers.
 	HistoryHalfLife time.Duration
 	// ErrorLimit and LatencyLimit are the log-likelihood ratios, in nats, at which a target is ejected.
 	ErrorLimit   float64
