--- /dev/null
+++ b/internal/pool/bench_test.go
@@ -0,0 +1,119 @@
+package pool
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"tarragongauge.example/tarragongauge/internal/proto"
+	"tarragongauge.example/tarragongauge/pkg/model"
+)
+
+// busyOwner returns an owner with ready targets of which half the slots are in use.
+func busyOwner(targets int) (*Owner, model.Instant) {
+	o := NewOwner("e0")
+	now := model.Instant(time.Second)
+	o.Step(now, Configured{Config: model.NewConfig(nil, nil)})
+	o.Step(now, Gained{Shard: testShard(), Epoch: 1, Until: 1 << 60})
+	for i := range targets {
+		o.Step(now, Received{From: "e0", Msg: proto.TargetNews{Announcement: model.Announcement{
+			Service: testService, Target: model.TargetID(fmt.Sprintf("stockbook-%02d", i)), Addr: "127.0.0.1:1",
+			Zone: model.ZoneName(fmt.Sprintf("z%d", i%4)), Slots: 3, Incarnation: 1, State: model.TargetReady,
+		}}})
+	}
+	for i := range targets * 3 / 2 {
+		o.Step(now, Received{From: "e1", Msg: proto.SlotAsk{Nonce: uint64(i + 1), Service: testService, Workspace: "w0", Zone: "z0", Budget: time.Hour}})
+	}
+	return o, now
+}
+
+// BenchmarkDecision measures one SlotAsk with its SlotReply and the SlotDone that follows.
+func BenchmarkDecision(b *testing.B) {
+	for _, targets := range []int{18, 60} {
+		b.Run(fmt.Sprintf("targets=%d", targets), func(b *testing.B) {
+			o, now := busyOwner(targets)
+			hosts := make([]model.HostID, 44)
+			for i := range hosts {
+				hosts[i] = model.HostID(fmt.Sprintf("e%d", i))
+			}
+			b.ReportAllocs()
+			for i := range b.N {
+				now = now.Add(100 * time.Microsecond)
+				decide(o, now, hosts[i%len(hosts)], uint64(1_000_000+i))
+				if i%200 == 0 {
+					o.Step(now, Tick{})
+				}
+			}
+		})
+	}
+}
+
+func decide(o *Owner, now model.Instant, from model.HostID, nonce uint64) bool {
+	out := o.decideAsk(now, from, proto.SlotAsk{Nonce: nonce, Service: testService, Workspace: "w1", Fingerprint: 7, Zone: "z1", Budget: time.Second})
+	if len(out) == 0 {
+		return false
+	}
+	sent, ok := out[0].(Send)
+	if !ok {
+		return false
+	}
+	r, ok := sent.Msg.(proto.SlotReply)
+	if !ok {
+		return false
+	}
+	o.decideDone(now, from, proto.SlotDone{
+		Service: testService, Slot: r.Slot, Workspace: "w1", Fingerprint: 7,
+		Attempt: model.Attempt{Target: r.Target, Incarnation: r.Incarnation, End: model.AttemptOK, Latency: 20 * time.Millisecond},
+	})
+	return true
+}
+
+// decideAsk and decideDone leave out the boxing of the message, which is the
+// decoder's cost.
+func (o *Owner) decideAsk(now model.Instant, from model.HostID, m proto.SlotAsk) []Effect {
+	clear(o.out)
+	o.out = o.out[:0]
+	o.ask(now, from, m)
+	return o.out
+}
+
+func (o *Owner) decideDone(now model.Instant, from model.HostID, m proto.SlotDone) {
+	clear(o.out)
+	o.out = o.out[:0]
+	o.done(now, from, m)
+}
+
+// BenchmarkPicker measures one request at the picker: Wanted, SlotReply and Ended.
+func BenchmarkPicker(b *testing.B) {
+	p := NewPicker("e1", "z1")
+	now := model.Instant(time.Second)
+	p.Step(now, OwnersChanged{Owners: []proto.Owner{{Shard: testShard(), Host: "e0", Epoch: 1}}})
+	want := Wanted{Request: "r", Service: testService, Workspace: "w1", Deadline: 1 << 60}
+	end := Ended{Request: "r", Attempt: model.Attempt{End: model.AttemptOK, Latency: time.Millisecond}}
+	b.ReportAllocs()
+	for range b.N {
+		now = now.Add(time.Microsecond)
+		p.out = p.out[:0]
+		p.want(now, &want)
+		p.out = p.out[:0]
+		p.reply(now, "e0", proto.SlotReply{Nonce: p.nonce, Status: proto.SlotAssigned, Slot: 1, Target: "t", Incarnation: 1})
+		p.out = p.out[:0]
+		p.end(now, end)
+	}
+}
+
+// Guards against a decision that allocates for each target or each request in use.
+func TestDecisionAllocations(t *testing.T) {
+	for _, targets := range []int{18, 60} {
+		o, now := busyOwner(targets)
+		nonce := uint64(1_000_000)
+		n := testing.AllocsPerRun(2000, func() {
+			nonce++
+			now = now.Add(100 * time.Microsecond)
+			require.True(t, decide(o, now, "e3", nonce))
+		})
+		require.LessOrEqual(t, n, 2.0)
+	}
+}
