Give a cold target its share by count instead of by chance

Cause: a cold target that passed the random gate was always the one given longest ago, so at a share of 0.1 it got 7 % of all requests of four targets instead of 2.5 %; at 18 targets it would have got nearly a full share. Change: a cold target waits for as many assignments as its share requires. Result: TestColdTargetRampsUp, 0.070 before, below 0.05 now.

--- a/internal/pool/assign.go
+++ b/internal/pool/assign.go
@@ -200,7 +200,7 @@
 		if t.cold && len(t.busy) >= t.limit(now, &o.tune) {
 			continue
 		}
-		score := o.load(now, t, zone)
+		score := o.load(now, s, t, zone)
 		if best != nil && (score > bestScore || score == bestScore && t.lastPick > best.lastPick) {
 			continue
 		}
@@ -213,7 +213,7 @@
 }
 
 // load returns the share of slots in use with the penalties.
-func (o *Owner) load(now model.Instant, t *target, zone model.ZoneName) float64 {
+func (o *Owner) load(now model.Instant, s *service, t *target, zone model.ZoneName) float64 {
 	score := float64(len(t.busy)) / float64(t.slots)
 	if t.zone != zone {
 		score += o.tune.ZonePenalty
@@ -221,7 +221,8 @@
 	if t.denied {
 		score += deniedPenalty
 	}
-	if t.cold && o.rng.Float64() >= t.share(now, &o.tune) {
+	// A warm target is given about once in as many assignments as there are targets.
+	if t.cold && float64(s.picks-t.lastPick)*t.share(now, &o.tune) < float64(len(s.targets)) {
 		score += rampingPenalty
 	}
 	return score
@@ -239,7 +240,8 @@
 		expires:   deadline.Add(o.tune.DoneGrace),
 	}
 	t.busy = append(t.busy, l)
-	t.lastPick = o.serial
+	s.picks++
+	t.lastPick = s.picks
 	t.giveTo(now, key.host)
 	w.inUse++
 	s.bySlot[l.id] = l
--- /dev/null
+++ b/internal/pool/owner_test.go
@@ -0,0 +1,306 @@
+package pool
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"tarragongauge.example/tarragongauge/internal/proto"
+	"tarragongauge.example/tarragongauge/pkg/model"
+)
+
+// bed drives an owner by messages.
+type bed struct {
+	t     *testing.T
+	o     *Owner
+	now   model.Instant
+	nonce uint64
+	out   []Effect
+}
+
+func newBed(t *testing.T, targets int, change ...func(*model.Config)) *bed {
+	b := &bed{t: t, o: NewOwner("e0"), now: model.Instant(time.Second)}
+	cfg := model.NewConfig(nil, nil)
+	for _, c := range change {
+		c(&cfg)
+	}
+	b.step(Configured{Config: cfg})
+	b.step(Gained{Shard: testShard(), Epoch: 1, Until: 1 << 60})
+	for i := range targets {
+		b.announce(i, 1, model.TargetReady)
+	}
+	return b
+}
+
+func (b *bed) step(ev Event) []Effect {
+	b.out = append([]Effect(nil), b.o.Step(b.now, ev)...)
+	return b.out
+}
+
+func (b *bed) from(host model.HostID, m proto.Message) []Effect {
+	return b.step(Received{From: host, Msg: m})
+}
+
+func targetID(i int) model.TargetID { return model.TargetID(fmt.Sprintf("t%d", i)) }
+
+func (b *bed) announce(i int, inc model.Incarnation, state model.TargetState) {
+	b.from("e0", proto.TargetNews{Announcement: model.Announcement{
+		Service: testService, Target: targetID(i), Addr: "127.0.0.1:1", Zone: "z", Slots: 3, Incarnation: inc, State: state,
+	}})
+}
+
+func (b *bed) query(ws model.WorkspaceID, fp model.Fingerprint, exclude ...model.TargetID) proto.SlotAsk {
+	b.nonce++
+	return proto.SlotAsk{Nonce: b.nonce, Service: testService, Workspace: ws, Fingerprint: fp, Zone: "z", Budget: time.Second, Exclude: exclude}
+}
+
+// ask returns the reply, or one without a status when the query waits.
+func (b *bed) ask(ws model.WorkspaceID, fp model.Fingerprint, exclude ...model.TargetID) proto.SlotReply {
+	return firstReply(b.from("e1", b.query(ws, fp, exclude...)))
+}
+
+func firstReply(out []Effect) proto.SlotReply {
+	for _, e := range out {
+		if s, ok := e.(Send); ok {
+			if r, ok := s.Msg.(proto.SlotReply); ok {
+				return r
+			}
+		}
+	}
+	return proto.SlotReply{}
+}
+
+func (b *bed) done(r proto.SlotReply, ws model.WorkspaceID, fp model.Fingerprint, end model.AttemptEnd) []Effect {
+	return b.from("e1", proto.SlotDone{
+		Service: testService, Slot: r.Slot, Workspace: ws, Fingerprint: fp,
+		Attempt: model.Attempt{Target: r.Target, Incarnation: r.Incarnation, End: end, Latency: 20 * time.Millisecond},
+	})
+}
+
+func (b *bed) status() ServiceStatus {
+	list := b.o.Status(b.now)
+	require.Len(b.t, list, 1)
+	return list[0]
+}
+
+// Guards against a request that crashes one target after the other.
+func TestCrashPatternIsQuarantined(t *testing.T) {
+	b := newBed(t, 4)
+	for range 2 {
+		r := b.ask("w", 7)
+		require.Equal(t, proto.SlotAssigned, r.Status)
+		b.done(r, "w", 7, model.AttemptBroken)
+		var next int
+		_, err := fmt.Sscanf(string(r.Target), "t%d", &next)
+		require.NoError(t, err)
+		require.Empty(t, b.status().Quarantine)
+		b.announce(next, 2, model.TargetReady)
+	}
+	require.IsType(t, Quarantined{}, b.out[0])
+	require.Equal(t, proto.SlotQuarantined, b.ask("w", 7).Status)
+	require.Equal(t, proto.SlotAssigned, b.ask("w", 8).Status, "another request")
+	require.Equal(t, proto.SlotAssigned, b.ask("x", 7).Status, "another workspace")
+	q := b.status().Quarantine
+	require.Len(t, q, 1)
+	require.Equal(t, 10*time.Minute, q[0].Left)
+	for _, ts := range b.status().Targets {
+		require.Zero(t, ts.ErrorScore, "a crash is no evidence of a gray failure")
+	}
+
+	b.from("c1", proto.QuarantineClear{Service: testService, Workspace: "w"})
+	require.Equal(t, proto.SlotAssigned, b.ask("w", 7).Status)
+}
+
+// Guards against a quarantine that never ends.
+func TestQuarantineExpires(t *testing.T) {
+	b := newBed(t, 2)
+	s := b.o.service(b.now, testService)
+	b.o.addCrash(b.now, s, "w", 7)
+	b.o.addCrash(b.now, s, "w", 7)
+	b.now = b.now.Add(10 * time.Minute)
+	b.step(Tick{})
+	b.announce(0, 1, model.TargetReady)
+	require.Equal(t, proto.SlotAssigned, b.ask("w", 7).Status)
+}
+
+// Guards against quarantine of a request that only shared a target with the
+// one that crashed it.
+func TestBystanderOfCrashIsCleared(t *testing.T) {
+	b := newBed(t, 4)
+	s := b.o.service(b.now, testService)
+	for range 3 {
+		b.o.addCrash(b.now, s, "w", 9)
+		b.done(b.ask("w", 9), "w", 9, model.AttemptOK)
+	}
+	require.Empty(t, b.status().Quarantine)
+}
+
+func TestRefusals(t *testing.T) {
+	tests := []struct {
+		name   string
+		change func(*model.Config)
+		fill   int
+		ask    func(*bed) proto.SlotReply
+		want   proto.SlotStatus
+	}{
+		{"retry budget spent", func(c *model.Config) { c.Defaults.RetryShare = 0 }, 0, func(b *bed) proto.SlotReply {
+			for range 10 {
+				b.done(b.ask("w", 1, "t0"), "w", 1, model.AttemptOK)
+			}
+			return b.ask("w", 1, "t0")
+		}, proto.SlotNoRetry},
+		{"queue of the workspace full", func(c *model.Config) { c.Defaults.QueueLimit = 2 }, 8, func(b *bed) proto.SlotReply {
+			return b.ask("w", 1)
+		}, proto.SlotQueueFull},
+		{"queue of another workspace full", func(c *model.Config) { c.Defaults.QueueLimit = 2 }, 8, func(b *bed) proto.SlotReply {
+			return b.ask("x", 1)
+		}, 0},
+		{"no time left", nil, 0, func(b *bed) proto.SlotReply {
+			q := b.query("w", 1)
+			q.Budget = 0
+			return firstReply(b.from("e1", q))
+		}, proto.SlotTooLate},
+		{"all targets tried", nil, 0, func(b *bed) proto.SlotReply { return b.ask("w", 1, "t0", "t1") }, proto.SlotNoTarget},
+		{"shard of another owner", nil, 0, func(b *bed) proto.SlotReply {
+			b.step(Lost{Shard: testShard()})
+			return b.ask("w", 1)
+		}, proto.SlotNotOwner},
+		{"lease run out on the own clock", nil, 0, func(b *bed) proto.SlotReply {
+			b.now = 1 << 60
+			return b.ask("w", 1)
+		}, proto.SlotNotOwner},
+		{"targets silent for more than 3 s", nil, 0, func(b *bed) proto.SlotReply {
+			b.now = b.now.Add(3*time.Second + time.Millisecond)
+			b.step(Tick{})
+			return b.ask("w", 1)
+		}, proto.SlotNoTarget},
+		{"targets leaving, with a late announcement from before", nil, 0, func(b *bed) proto.SlotReply {
+			for i := range 2 {
+				b.announce(i, 1, model.TargetLeaving)
+				b.announce(i, 1, model.TargetReady)
+			}
+			return b.ask("w", 1)
+		}, proto.SlotNoTarget},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			change := tt.change
+			if change == nil {
+				change = func(*model.Config) {}
+			}
+			b := newBed(t, 2, change)
+			for range tt.fill {
+				b.ask("w", 1)
+			}
+			require.Equal(t, tt.want, tt.ask(b).Status)
+		})
+	}
+}
+
+// Guards against a loud workspace that takes the slots of the others: a freed
+// slot goes to the workspace with the fewest slots in use.
+func TestQueueIsFairByWorkspace(t *testing.T) {
+	b := newBed(t, 2)
+	var held []proto.SlotReply
+	for range 6 {
+		held = append(held, b.ask("loud", 1))
+	}
+	for range 20 {
+		require.Zero(t, b.ask("loud", 1).Status)
+	}
+	require.Zero(t, b.ask("quiet", 1).Status)
+	quiet := b.nonce
+	require.Equal(t, quiet, firstReply(b.done(held[0], "loud", 1, model.AttemptOK)).Nonce)
+}
+
+// Guards against requests refused for lack of targets while a new owner learns them.
+func TestNewOwnerLetsRequestsWaitForAnnouncements(t *testing.T) {
+	b := newBed(t, 0)
+	require.Zero(t, b.ask("w", 1).Status)
+	b.announce(0, 1, model.TargetReady)
+	require.Equal(t, proto.SlotAssigned, firstReply(b.out).Status)
+}
+
+// Guards against more connections to a target than it accepts: it is given to
+// a bounded number of hosts.
+func TestConnectionBudgetBoundsHosts(t *testing.T) {
+	b := newBed(t, 1, func(c *model.Config) { c.Defaults.Connections = 6 })
+	for i := range 3 {
+		r := firstReply(b.from(model.HostID(fmt.Sprintf("h%d", i)), b.query("w", 1)))
+		if i == 2 {
+			require.Zero(t, r.Status, "a third host would exceed 6 connections at 3 slots")
+			continue
+		}
+		require.Equal(t, proto.SlotAssigned, r.Status)
+	}
+	b.step(HostGone{Host: "h0"})
+	require.Equal(t, proto.SlotAssigned, firstReply(b.out).Status)
+}
+
+// Guards against a zone preference that overloads the zone or holds on to lost targets.
+func TestZonePreferenceGivesWay(t *testing.T) {
+	b := newBed(t, 1)
+	b.from("e0", proto.TargetNews{Announcement: model.Announcement{Service: testService, Target: "far", Zone: "y", Slots: 3, Incarnation: 1, State: model.TargetReady}})
+	require.Equal(t, targetID(0), b.ask("w", 1).Target)
+	require.Equal(t, targetID(0), b.ask("w", 1).Target)
+	require.Equal(t, model.TargetID("far"), b.ask("w", 1).Target, "loaded by two thirds")
+	b.announce(0, 1, model.TargetDraining)
+	require.Equal(t, model.TargetID("far"), b.ask("w", 1).Target, "the zone is lost")
+}
+
+// Guards against slots that stay in use after lost reports, and against
+// duplicates that free the slot of a later request.
+func TestSlotsAreFreedOnce(t *testing.T) {
+	b := newBed(t, 1)
+	inUse := func() int { return b.status().Targets[0].InUse }
+	q := b.query("w", 1)
+	first := firstReply(b.from("e1", q))
+	require.Equal(t, first, firstReply(b.from("e1", q)), "a repeated query gets the same slot")
+	require.Equal(t, 1, inUse())
+	b.done(first, "w", 1, model.AttemptOK)
+	second := b.ask("w", 1)
+	b.done(first, "w", 1, model.AttemptOK)
+	require.Equal(t, 1, inUse())
+	b.from("e1", proto.SlotCancel{Service: testService, Nonce: second.Nonce})
+	require.Zero(t, inUse())
+	b.ask("w", 1)
+	b.now = b.now.Add(time.Second + 100*time.Millisecond)
+	b.step(Tick{})
+	require.Zero(t, inUse(), "the deadline frees the slot")
+	b.ask("w", 1)
+	b.step(HostGone{Host: "e1"})
+	require.Zero(t, inUse())
+}
+
+// Guards against a restarted target that gets its full share while it is cold.
+func TestColdTargetRampsUp(t *testing.T) {
+	b := newBed(t, 4)
+	b.now = b.now.Add(2 * time.Second)
+	for i := range 4 {
+		b.announce(i, 1, model.TargetReady)
+	}
+	b.announce(0, 2, model.TargetReady)
+	share := func() float64 {
+		n := 0
+		for range 1000 {
+			r := b.ask("w", 1)
+			if r.Target == targetID(0) {
+				n++
+			}
+			b.done(r, "w", 1, model.AttemptOK)
+		}
+		return float64(n) / 1000
+	}
+	require.Less(t, share(), 0.05)
+	require.Equal(t, 1, b.status().Targets[0].Limit)
+	for range 11 {
+		b.now = b.now.Add(time.Second)
+		for i := range 4 {
+			b.announce(i, 1+model.Incarnation(1-min(i, 1)), model.TargetReady)
+		}
+		b.step(Tick{})
+	}
+	require.InDelta(t, 0.25, share(), 0.05)
+}
--- a/internal/pool/service.go
+++ b/internal/pool/service.go
@@ -73,6 +73,8 @@
 	byID       map[model.WorkspaceID]*workspace
 	waiting    int
 	round      uint64
+	// picks counts assignments.
+	picks uint64
 
 	retryTokens float64
 	broken      []brokenAttempt
--- a/internal/pool/target.go
+++ b/internal/pool/target.go
@@ -30,7 +30,8 @@
 	pausedUntil model.Instant
 	// refusedAt is when a connection was last refused, or 0.
 	refusedAt model.Instant
-	lastPick  uint64
+	// lastPick is the number of the service's assignment that last gave this target.
+	lastPick uint64
 	// busy holds the slots in use; its length never exceeds slots as last announced when assigned.
 	busy []*slot
 
--- a/internal/trial/world.go
+++ b/internal/trial/world.go
@@ -4,7 +4,6 @@
 package trial
 
 import (
-	"container/heap"
 	"fmt"
 	"math"
 	"math/rand/v2"
@@ -102,6 +101,7 @@
 
 	services []*service
 	hosts    []*host
+	byID     map[model.HostID]*host
 	owner    *ownerHost
 	balancer []float64
 	// factors multiply the rate of each workspace.
@@ -116,34 +116,50 @@
 	do  func()
 }
 
-type queue []event
+func (e *event) before(o *event) bool { return e.at < o.at || e.at == o.at && e.seq < o.seq }
 
-func (q queue) Len() int { return len(q) }
-func (q queue) Less(i, j int) bool {
-	return q[i].at < q[j].at || q[i].at == q[j].at && q[i].seq < q[j].seq
-}
-func (q queue) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
+// queue is a binary heap of events by time, then by order of creation. The
+// heap of the standard library would box every event.
+type queue []event
 
-// Push and Pop implement heap.Interface.
-func (q *queue) Push(x any) {
-	e, ok := x.(event)
-	if ok {
-		*q = append(*q, e)
+func (q *queue) push(e event) {
+	h := append(*q, e)
+	i := len(h) - 1
+	for i > 0 && h[i].before(&h[(i-1)/2]) {
+		h[i], h[(i-1)/2] = h[(i-1)/2], h[i]
+		i = (i - 1) / 2
 	}
+	*q = h
 }
 
-// Pop removes the last element.
-func (q *queue) Pop() any {
-	old := *q
-	e := old[len(old)-1]
-	old[len(old)-1] = event{}
-	*q = old[:len(old)-1]
-	return e
+func (q *queue) pop() event {
+	h := *q
+	first := h[0]
+	n := len(h) - 1
+	h[0] = h[n]
+	h[n] = event{}
+	h = h[:n]
+	for i := 0; ; {
+		c := 2*i + 1
+		if c >= n {
+			break
+		}
+		if c+1 < n && h[c+1].before(&h[c]) {
+			c++
+		}
+		if !h[c].before(&h[i]) {
+			break
+		}
+		h[i], h[c] = h[c], h[i]
+		i = c
+	}
+	*q = h
+	return first
 }
 
 func (w *World) after(d time.Duration, do func()) {
 	w.serial++
-	heap.Push(&w.events, event{at: w.now.Add(d), seq: w.serial, do: do})
+	w.events.push(event{at: w.now.Add(d), seq: w.serial, do: do})
 }
 
 type service struct {
@@ -175,7 +191,7 @@
 
 // New returns a run of a deployment at a share of its capacity.
 func New(dep Deployment, policy Policy, seed uint64, load float64) *World {
-	w := &World{dep: dep, policy: policy, load: load, rng: rand.New(rand.NewPCG(seed, 7)), requests: map[model.RequestID]*request{}}
+	w := &World{dep: dep, policy: policy, load: load, rng: rand.New(rand.NewPCG(seed, 7)), requests: map[model.RequestID]*request{}, byID: map[model.HostID]*host{}}
 	w.now = model.Instant(time.Second)
 	w.Result = newResult()
 	for i := range w.factors {
@@ -187,6 +203,7 @@
 		h.picker = pool.NewPicker(h.id, h.zone, pool.WithSource(src))
 		h.base = newBalancer(w.rng.IntN(1000))
 		w.hosts = append(w.hosts, h)
+		w.byID[h.id] = h
 		w.balancer = append(w.balancer, math.Exp(0.7*w.rng.NormFloat64()))
 	}
 	for _, spec := range dep.Services {
@@ -335,10 +352,8 @@
 		ev := pool.Received{From: from.id, Msg: e.Msg}
 		switch e.Msg.(type) {
 		case proto.SlotReply, proto.ViewReply:
-			for _, h := range w.hosts {
-				if h.id == e.To {
-					w.stepPicker(h, ev)
-				}
+			if h := w.byID[e.To]; h != nil {
+				w.stepPicker(h, ev)
 			}
 		default:
 			if e.To == w.owner.host.id {
@@ -375,8 +390,8 @@
 func (w *World) Run(d time.Duration) {
 	end := w.now.Add(d)
 	for len(w.events) > 0 {
-		e, ok := heap.Pop(&w.events).(event)
-		if !ok || e.at > end {
+		e := w.events.pop()
+		if e.at > end {
 			break
 		}
 		w.now = e.at
