Set aside the reports of an entry host that is cut off from the targets

Cause: one busy entry host without a connection to the targets reported errors for every target of its zone, and these were ejected for all hosts; with its packets dropped one way, its attempts held most slots of a service until their deadlines. Change: a host that fails at three targets without any response in between is not believed and holds at most three slots; repeated connection failures of one host count a tenth; a crash needs the refusal of a second host. The error base now pools the targets, and the limit rises from 14 to 17 nats, because chance clusters of five errors ejected two healthy targets in 155 target-hours. Ruled out: a weight below 1 for 5xx responses too.

--- a/internal/pool/assign.go
+++ b/internal/pool/assign.go
@@ -35,7 +35,7 @@
 	if _, ok := s.waitingAsk[key]; ok {
 		return
 	}
-	if status := o.admit(now, s, &m); status != 0 {
+	if status := o.admit(now, s, host, &m); status != 0 {
 		o.refuse(s, host, m.Nonce, status, o.retryAfter(s, status))
 		return
 	}
@@ -50,7 +50,7 @@
 }
 
 // admit returns the status of a refusal that does not depend on slots, or 0.
-func (o *Owner) admit(now model.Instant, s *service, m *proto.SlotAsk) proto.SlotStatus {
+func (o *Owner) admit(now model.Instant, s *service, host int32, m *proto.SlotAsk) proto.SlotStatus {
 	if s.isQuarantined(now, m.Workspace, m.Fingerprint) {
 		return proto.SlotQuarantined
 	}
@@ -59,6 +59,9 @@
 	} else if s.retryTokens < 1 || s.mayCrash(m.Workspace, m.Fingerprint, o.tune.CrashLimit) {
 		return proto.SlotNoRetry
 	}
+	if h := s.trust(host); h.inUse >= distrustSlots && h.distrusted() {
+		return proto.SlotNoTarget
+	}
 	if !s.anyUsable(m.Exclude) && (len(s.targets) > 0 || now.Sub(s.tenure.gained) >= o.tune.Learn) {
 		return proto.SlotNoTarget
 	}
@@ -183,7 +186,8 @@
 const (
 	// rampingPenalty is for a target beyond its share of a slow start.
 	rampingPenalty = 10.0
-	// deniedPenalty is for a failing target that the floor keeps in service.
+	// deniedPenalty is for a failing target that the floor keeps in service,
+	// beyond the small share that shows whether it recovered.
 	deniedPenalty = 20.0
 )
 
@@ -218,16 +222,21 @@
 	if t.zone != zone {
 		score += o.tune.ZonePenalty
 	}
-	if t.denied {
+	switch {
+	case t.denied && !s.due(t, o.tune.StartShare):
 		score += deniedPenalty
-	}
-	// A warm target is given about once in as many assignments as there are targets.
-	if t.cold && float64(s.picks-t.lastPick)*t.share(now, &o.tune) < float64(len(s.targets)) {
+	case t.cold && !s.due(t, t.share(now, &o.tune)):
 		score += rampingPenalty
 	}
 	return score
 }
 
+// due reports whether a target with a share of a normal one's traffic is to be
+// given. A normal one is given about once in as many assignments as there are targets.
+func (s *service) due(t *target, share float64) bool {
+	return float64(s.picks-t.lastPick)*share >= float64(len(s.targets))
+}
+
 func (o *Owner) assign(now model.Instant, s *service, t *target, key askKey, w *workspace, deadline model.Instant) {
 	o.serial++
 	l := s.newSlot()
@@ -244,6 +253,7 @@
 	t.lastPick = s.picks
 	t.giveTo(now, key.host)
 	w.inUse++
+	s.trust(key.host).inUse++
 	s.bySlot[l.id] = l
 	s.byAsk[key] = l
 	o.replyAssigned(s, l)
--- a/internal/pool/crash.go
+++ b/internal/pool/crash.go
@@ -17,7 +17,10 @@
 
 // brokenAttempt is an attempt that ended early and may turn out to be a crash.
 type brokenAttempt struct {
-	target      *target
+	target *target
+	host   int32
+	// weight is what it counted as evidence of an error.
+	weight      float64
 	workspace   model.WorkspaceID
 	fingerprint model.Fingerprint
 	at          model.Instant
@@ -38,6 +41,22 @@
 	until       model.Instant
 }
 
+// refusedConnection confirms a crash once a connection was refused to another
+// host than the one whose attempt broke, and no run completed in between: a
+// host that is cut off sees both at targets that are well.
+func (o *Owner) refusedConnection(now model.Instant, s *service, t *target) {
+	if s.trust(t.refusedBy).distrusted() {
+		return
+	}
+	confirmed := slices.ContainsFunc(s.broken, func(b brokenAttempt) bool {
+		return b.target == t && now.Sub(b.at) <= o.tune.CrashWindow && t.okAt <= b.at &&
+			(b.host != t.refusedBy || t.givenTo < severalHosts)
+	})
+	if confirmed {
+		o.crashed(now, s, t, reasonCrashed)
+	}
+}
+
 // crashed turns the recent broken attempts of a target into a crash: they stop
 // counting as evidence of a gray failure and count against their fingerprints.
 // With a reason the target is ejected until it announces a new incarnation.
@@ -50,7 +69,7 @@
 			continue
 		}
 		found = true
-		t.stats.removeError()
+		t.stats.removeError(b.weight)
 		o.addCrash(now, s, b.workspace, b.fingerprint)
 	}
 	s.broken = kept
--- a/internal/pool/detect.go
+++ b/internal/pool/detect.go
@@ -32,6 +32,8 @@
 // sample counts outcomes and sums log latencies.
 type sample struct {
 	ok, errors float64
+	// blame is the part of errors that counts against the target.
+	blame      float64
 	sum, sumSq float64
 	// slow and stuck sum the evidence of latencies against the baseline at their time.
 	slow, stuck float64
@@ -54,6 +56,7 @@
 func (x *sample) decayAdd(f float64, y *sample) {
 	x.ok = x.ok*f + y.ok
 	x.errors = x.errors*f + y.errors
+	x.blame = x.blame*f + y.blame
 	x.sum = x.sum*f + y.sum
 	x.sumSq = x.sumSq*f + y.sumSq
 	x.known = x.known*f + y.known
@@ -71,12 +74,6 @@
 	return (w.sum + steadyWeight*t.spread.mean()) / (w.ok + steadyWeight)
 }
 
-// normalErrors returns the share of errors of a target over a longer time. It
-// starts from a cautious guess.
-func (t *stats) normalErrors() float64 {
-	return (t.history.errors + guessErrors*guessWeight) / (t.history.count() + guessWeight)
-}
-
 func (t *stats) usualOffset() float64 {
 	return min(maxOffset, max(0, t.history.above/(t.history.known+offsetWeight)))
 }
@@ -111,16 +108,21 @@
 	return max(-limit, min(limit, shift*(z-shift/2)))
 }
 
-func (t *stats) addError() { t.batch.errors++ }
+func (t *stats) addError(weight float64) {
+	t.batch.errors++
+	t.batch.blame += weight
+}
 
-// removeError takes back one error that turned out to be a crash.
-func (t *stats) removeError() {
+// removeError takes back an error that turned out to be a crash.
+func (t *stats) removeError(weight float64) {
 	if t.batch.errors >= 1 {
 		t.batch.errors--
+		t.batch.blame = max(0, t.batch.blame-weight)
 		return
 	}
 	t.window.errors = max(0, t.window.errors-1)
-	t.errorScore = max(0, t.errorScore-crashCredit)
+	t.history.blame = max(0, t.history.blame-weight)
+	t.errorScore = max(0, t.errorScore-crashCredit*weight)
 }
 
 // crashCredit is about the weight in nats of one error at the default base and shift.
@@ -163,7 +165,7 @@
 	coldWeight = 40
 	// steadyWeight is the weight of the longer window in the level, in responses.
 	steadyWeight = 2
-	// guessErrors is the share of errors of a target without history, at guessWeight responses.
+	// guessErrors is the share of errors of a service without history, and counts as guessWeight responses.
 	guessErrors = 0.01
 	guessWeight = 100
 	// maxOffset is the logarithm of the greatest lasting slowness that is taken as normal, 1.5 times.
@@ -227,7 +229,8 @@
 	}
 	slices.Sort(b.levels)
 	slices.Sort(b.errorShares)
-	b.errors = s.medianOf(func(st *stats) (float64, bool) { return st.normalErrors(), true })
+	s.noteLate(now)
+	b.errors = s.usualErrors()
 	s.compareSpread(o)
 	for _, t := range s.targets {
 		t.stats.unfinished = 0
@@ -239,6 +242,32 @@
 	slices.Sort(b.unfinished)
 }
 
+// usualErrors returns the share of errors over a longer time. The quarter of
+// the targets with the most errors is left out, and a cautious guess stands in
+// while there is little history.
+func (s *service) usualErrors() float64 {
+	s.scratch = s.scratch[:0]
+	for _, t := range s.targets {
+		if t.usable() {
+			s.scratch = append(s.scratch, t.stats.history.blame)
+		}
+	}
+	slices.Sort(s.scratch)
+	kept := len(s.scratch) - (len(s.scratch)+3)/4
+	if kept <= 0 {
+		return guessErrors
+	}
+	most := s.scratch[kept-1]
+	blame, count := guessErrors*guessWeight, float64(guessWeight)
+	for _, t := range s.targets {
+		if t.usable() && t.stats.history.blame <= most {
+			blame += t.stats.history.blame
+			count += t.stats.history.count()
+		}
+	}
+	return blame / count
+}
+
 func (s *service) compareSpread(o *Owner) {
 	b := &s.base
 	weight := 0.0
@@ -288,6 +317,9 @@
 	}
 	sum := 0.0
 	for i, l := range t.busy {
+		if s.trust(l.host).distrusted() {
+			continue
+		}
 		z := (logLatency(now.Sub(l.start)) - s.base.level - t.stats.offset) / s.base.sigma
 		e := min(o.tune.UnfinishedCap, logSurvival(z-s.base.stuck)-logSurvival(z))
 		if z <= 0 || e <= 0 {
@@ -332,7 +364,7 @@
 	if p1-p0 < 0.05 {
 		return 0
 	}
-	return st.batch.errors*math.Log(p1/p0) + st.batch.ok*math.Log((1-p1)/(1-p0))
+	return st.batch.blame*math.Log(p1/p0) + st.batch.ok*math.Log((1-p1)/(1-p0))
 }
 
 // latencyEvidence corrects the evidence of a batch for the change of the peers
--- a/internal/pool/done.go
+++ b/internal/pool/done.go
@@ -25,44 +25,39 @@
 		return
 	}
 	if t, known := s.byTarget[m.Attempt.Target]; known {
-		o.observe(now, s, t, &m, ok)
+		o.observe(now, s, t, o.host(from), &m, ok)
 	}
 	o.dispatch(now, s)
 }
 
 // observe turns the end of an attempt into evidence on its target.
-func (o *Owner) observe(now model.Instant, s *service, t *target, m *proto.SlotDone, own bool) {
+func (o *Owner) observe(now model.Instant, s *service, t *target, host int32, m *proto.SlotDone, own bool) {
 	if m.Attempt.Incarnation != t.incarnation {
 		if own && m.Attempt.End == model.AttemptBroken && m.Attempt.Incarnation < t.incarnation {
 			o.addCrash(now, s, m.Workspace, m.Fingerprint)
 		}
 		return
 	}
+	s.trust(host).noteEnd(now, t, m.Attempt.End)
 	switch m.Attempt.End {
 	case model.AttemptOK:
+		t.okAt = now
 		t.stats.addLatency(&s.base, m.Attempt.Latency, o.tune.EvidenceCap)
 		s.clearSuspect(m.Workspace, m.Fingerprint)
 	case model.AttemptError, model.AttemptInvalid:
-		t.stats.addError()
+		// The response came from the target, so the host's connection is not in question.
+		t.stats.addError(1)
 	case model.AttemptBroken:
-		t.stats.addError()
-		if own {
-			s.broken = append(s.broken, brokenAttempt{
-				target: t, workspace: m.Workspace, fingerprint: m.Fingerprint, at: now,
-			})
-		}
-		// Reports of different hosts may arrive out of order.
-		if t.refusedAt != 0 && now.Sub(t.refusedAt) <= reportSkew {
-			o.crashed(now, s, t, reasonCrashed)
-		}
+		o.observeBroken(now, s, t, host, m, own)
 	case model.AttemptNotSent:
-		t.stats.addError()
+		t.stats.addError(s.errorWeight(t, host))
 		t.refusedAt = now
-		o.crashed(now, s, t, reasonCrashed)
+		t.refusedBy = host
+		o.refusedConnection(now, s, t)
 	case model.AttemptTimeout:
 		// A request that reached the target with little time left says nothing about the target.
 		if m.Attempt.Latency >= s.base.typical() {
-			t.stats.addError()
+			t.stats.addError(s.errorWeight(t, host))
 		}
 	case model.AttemptShed:
 		t.pausedUntil = now.Add(shedPause)
@@ -70,6 +65,22 @@
 	}
 }
 
+// observeBroken keeps a broken attempt until it is known whether it was a crash.
+func (o *Owner) observeBroken(now model.Instant, s *service, t *target, host int32, m *proto.SlotDone, own bool) {
+	weight := s.errorWeight(t, host)
+	t.stats.addError(weight)
+	if !own {
+		return
+	}
+	s.broken = append(s.broken, brokenAttempt{
+		target: t, host: host, weight: weight, workspace: m.Workspace, fingerprint: m.Fingerprint, at: now,
+	})
+	// Reports of different hosts may arrive out of order.
+	if t.refusedAt != 0 && now.Sub(t.refusedAt) <= reportSkew {
+		o.refusedConnection(now, s, t)
+	}
+}
+
 const (
 	reasonCrashed = "crashed: connection refused after a broken attempt"
 	// reportSkew bounds the time by which reports on one target overtake each other.
--- a/internal/pool/owner_test.go
+++ b/internal/pool/owner_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -304,3 +305,74 @@
 	}
 	require.InDelta(t, 0.25, share(), 0.05)
 }
+
+// Guards against an entry host that is cut off from the targets and has them
+// ejected for all other hosts.
+func TestHostThatIsCutOffEjectsNothing(t *testing.T) {
+	for _, end := range []model.AttemptEnd{model.AttemptNotSent, model.AttemptBroken, model.AttemptTimeout} {
+		b := newBed(t, 6)
+		rng := rand.New(rand.NewPCG(1, 1))
+		for i := range 2000 {
+			b.now = b.now.Add(5 * time.Millisecond)
+			from, how := model.HostID(fmt.Sprintf("h%d", i%7)), model.AttemptOK
+			if rng.IntN(3) == 0 {
+				from, how = "cut", end
+			}
+			r := firstReply(b.from(from, b.query("w", model.Fingerprint(i))))
+			b.from(from, proto.SlotDone{Service: testService, Slot: r.Slot, Workspace: "w", Fingerprint: model.Fingerprint(i), Attempt: model.Attempt{
+				Target: r.Target, Incarnation: r.Incarnation, End: how, Latency: 20 * time.Millisecond,
+			}})
+			b.step(Tick{})
+			require.Empty(t, effects[Ejected](b.out))
+			if i%100 == 0 {
+				for n := range 6 {
+					b.announce(n, 1, model.TargetReady)
+				}
+			}
+		}
+		require.Empty(t, b.status().Quarantine)
+	}
+}
+
+// Guards against a floor that is broken once several targets fail, and against
+// an ejected target that never returns.
+func TestEjectionKeepsFloorAndReturns(t *testing.T) {
+	b := newBed(t, 6)
+	run := func(d time.Duration, bad int) (ejected, returned int) {
+		for end := b.now.Add(d); b.now < end; {
+			b.now = b.now.Add(5 * time.Millisecond)
+			r := b.ask("w", 1)
+			how := model.AttemptOK
+			if int(r.Target[1]-'0') < bad {
+				how = model.AttemptError
+			}
+			b.done(r, "w", 1, how)
+			b.step(Tick{})
+			ejected += len(effects[Ejected](b.out))
+			returned += len(effects[Returned](b.out))
+			st := b.status()
+			require.GreaterOrEqual(t, float64(st.Healthy), 0.7*float64(st.Announced))
+			if b.now%model.Instant(500*time.Millisecond) == 0 {
+				for n := range 6 {
+					b.announce(n, 1, model.TargetReady)
+				}
+			}
+		}
+		return ejected, returned
+	}
+	ejected, _ := run(2*time.Second, 2)
+	require.Equal(t, 1, ejected, "the floor of 0.7 leaves room for one of six")
+	var kept []TargetStatus
+	for _, ts := range b.status().Targets {
+		if ts.KeptByFloor {
+			kept = append(kept, ts)
+		}
+	}
+	require.Len(t, kept, 1)
+	require.Contains(t, kept[0].Reason, "errors")
+	// The target that the floor kept may be ejected once the other one returned.
+	again, returned := run(15*time.Second, 0)
+	require.Equal(t, ejected+again, returned)
+	require.LessOrEqual(t, again, 1)
+	require.Equal(t, 18, b.status().Healthy)
+}
--- a/internal/pool/service.go
+++ b/internal/pool/service.go
@@ -62,8 +62,10 @@
 	connections int
 	queueLimit  int
 
-	targets  []*target
-	byTarget map[model.TargetID]*target
+	targets []*target
+	// targetCount numbers targets in the order in which they were first announced.
+	targetCount uint
+	byTarget    map[model.TargetID]*target
 	// bySlot holds every slot in use, once.
 	bySlot map[uint64]*slot
 	byAsk  map[askKey]*slot
@@ -72,7 +74,9 @@
 	workspaces []*workspace
 	byID       map[model.WorkspaceID]*workspace
 	waiting    int
-	round      uint64
+	// hosts holds what is known of entry hosts, by number.
+	hosts []hostTrust
+	round uint64
 	// picks counts assignments.
 	picks uint64
 
@@ -170,6 +174,7 @@
 		}
 	}
 	l.workspace.inUse--
+	s.trust(l.host).inUse--
 	delete(s.bySlot, l.id)
 	delete(s.byAsk, l.askKey)
 	*l = slot{}
--- a/internal/pool/target.go
+++ b/internal/pool/target.go
@@ -10,7 +10,9 @@
 
 // target is one target of a service at its owner.
 type target struct {
-	id          model.TargetID
+	id model.TargetID
+	// number tells targets apart in bit sets.
+	number      uint
 	addr        string
 	zone        model.ZoneName
 	slots       int
@@ -28,8 +30,14 @@
 	cold     bool
 	// pausedUntil ends a pause after the target shed a request.
 	pausedUntil model.Instant
+	// errorHost is the host that reported the last error, or noHost.
+	errorHost int32
+	// okAt is when a complete run was last reported, or 0.
+	okAt model.Instant
 	// refusedAt is when a connection was last refused, or 0.
 	refusedAt model.Instant
+	// refusedBy is the host that was refused then.
+	refusedBy int32
 	// lastPick is the number of the service's assignment that last gave this target.
 	lastPick uint64
 	// busy holds the slots in use; its length never exceeds slots as last announced when assigned.
@@ -58,6 +66,8 @@
 	postponed int
 }
 
+const noHost = int32(-1)
+
 const neverGiven = model.Instant(-1 << 63)
 
 // ready reports whether the target says that it takes work.
@@ -133,7 +143,8 @@
 		return
 	}
 	if !ok {
-		t = &target{id: a.Target}
+		s.targetCount++
+		t = &target{id: a.Target, number: s.targetCount, errorHost: noHost}
 		s.byTarget[a.Target] = t
 		at, _ := slices.BinarySearchFunc(s.targets, a.Target, compareTarget)
 		s.targets = slices.Insert(s.targets, at, t)
--- a/internal/pool/tuning.go
+++ b/internal/pool/tuning.go
@@ -104,7 +104,7 @@
 		SpreadHalfLife:  4 * time.Second,
 		ScoreHalfLife:   20 * time.Second,
 		HistoryHalfLife: time.Minute,
-		ErrorLimit:      14,
+		ErrorLimit:      17,
 		LatencyLimit:    18,
 		ErrorBase:       0.003,
 		ErrorShift:      0.15,
--- a/internal/trial/request.go
+++ b/internal/trial/request.go
@@ -125,7 +125,12 @@
 	r.current = a
 	r.attempts++
 	r.tried = append(r.tried, t.id)
-	w.after(delay, func() { t.arrive(a) })
+	switch {
+	case r.host.refused:
+		w.respond(a, model.AttemptNotSent, false)
+	case !r.host.hangs:
+		w.after(delay, func() { t.arrive(a) })
+	}
 	w.after(r.arrived.Add(deadline).Sub(w.now), func() { w.end(a, model.AttemptTimeout, false) })
 }
 
--- a/internal/trial/world.go
+++ b/internal/trial/world.go
@@ -179,6 +179,9 @@
 	picker *pool.Picker
 	base   *balancer
 	dead   bool
+	// refused makes every connection to a target fail, hangs drops what is sent to targets.
+	refused bool
+	hangs   bool
 }
 
 type ownerHost struct {
