--- /dev/null
+++ b/internal/entry/error.go
@@ -0,0 +1,145 @@
+package entry
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net/http"
+	"strconv"
+	"time"
+
+	"tarragongauge.example/tarragongauge/pkg/model"
+)
+
+// Code is the stable identifier of an error in an answer to a caller or target.
+type Code string
+
+// Codes of errors.
+const (
+	CodeBadFraming     Code = "bad_framing"
+	CodeHeaderTooLarge Code = "header_too_large"
+	CodeBadRequest     Code = "bad_request"
+	CodeBadPath        Code = "bad_path"
+	CodeBadDeadline    Code = "bad_deadline"
+	CodeBodyTooLarge   Code = "body_too_large"
+	CodeBodyUnreadable Code = "body_unreadable"
+	CodeNoRoute        Code = "no_route"
+	CodeNoKey          Code = "no_key"
+	CodeKeyMismatch    Code = "key_mismatch"
+	CodeUnknownKey     Code = "unknown_key"
+	CodeKeyInRequest   Code = "key_in_request"
+	CodeKeyWithdrawn   Code = "key_withdrawn"
+	CodeNotFresh       Code = "not_fresh"
+	CodeDraining       Code = "draining"
+	CodeRateLimited    Code = "rate_limited"
+	CodeNoOwner        Code = "no_owner"
+	CodeNoOrderKey     Code = "order_key_required"
+	CodeBadOrderKey    Code = "bad_order_key"
+	CodeOrderInFlight  Code = "order_in_flight"
+	CodeOrderKeyReused Code = "order_key_reused"
+	CodeNoJournals     Code = "no_journal_majority"
+	CodeNoTarget       Code = "no_target"
+	CodeQueueFull      Code = "queue_full"
+	CodeTooLate        Code = "deadline_unreachable"
+	CodeQuarantined    Code = "quarantined"
+	CodeDeadline       Code = "deadline_exceeded"
+	CodeCanceled       Code = "canceled"
+	CodeShed           Code = "target_shedding"
+	CodeUnreachable    Code = "target_unreachable"
+	CodeBroken         Code = "target_broken"
+	CodeInvalid        Code = "target_invalid"
+	CodeInternal       Code = "internal"
+	CodeBadAnnounce    Code = "bad_announcement"
+	CodeAnnounceDenied Code = "announcement_refused"
+)
+
+// Headers between callers, entry hosts and targets.
+const (
+	headerOutcome   = "X-Outcome"
+	headerRequestID = "X-Request-Id"
+	headerDeadline  = "X-Deadline-Ms"
+	headerWorkspace = "X-Workspace"
+	headerShed      = "X-Shed"
+	headerAPIKey    = "X-Api-Key"
+	headerOrderKey  = "Idempotency-Key"
+	headerReplayed  = "Idempotency-Replayed"
+)
+
+// statusClientClosed is recorded for a request whose caller went away.
+const statusClientClosed = 499
+
+// ErrRefused is an answer that this host gives instead of a target.
+type ErrRefused struct {
+	Status int
+	Code   Code
+	// Message ends with what the caller can do.
+	Message    string
+	RetryAfter time.Duration
+	// Outcome is zero when it follows from the attempts of the request.
+	Outcome model.Outcome
+	// Close ends the caller's connection after the answer.
+	Close bool
+}
+
+func (e *ErrRefused) Error() string { return string(e.Code) + ": " + e.Message }
+
+// IsErrRefused reports whether err is or wraps an ErrRefused.
+func IsErrRefused(err error) bool {
+	var e *ErrRefused
+	return errors.As(err, &e)
+}
+
+func refuse(status int, code Code, format string, args ...any) *ErrRefused {
+	return &ErrRefused{Status: status, Code: code, Message: fmt.Sprintf(format, args...)}
+}
+
+func (e *ErrRefused) after(d time.Duration) *ErrRefused {
+	e.RetryAfter = max(d, time.Second)
+	return e
+}
+
+func (e *ErrRefused) closing() *ErrRefused {
+	e.Close = true
+	return e
+}
+
+func (e *ErrRefused) withOutcome(o model.Outcome) *ErrRefused {
+	e.Outcome = o
+	return e
+}
+
+type errorBody struct {
+	Code      Code            `json:"code"`
+	Message   string          `json:"message"`
+	RequestID model.RequestID `json:"request_id"`
+}
+
+// write sends the error as JSON.
+func (e *ErrRefused) write(w http.ResponseWriter, id model.RequestID, outcome model.Outcome) {
+	body, err := json.Marshal(errorBody{Code: e.Code, Message: e.Message, RequestID: id})
+	if err != nil {
+		panic(http.ErrAbortHandler)
+	}
+	h := w.Header()
+	h.Set("Content-Type", "application/json")
+	h.Set("Content-Length", strconv.Itoa(len(body)))
+	if id != "" {
+		h.Set(headerRequestID, string(id))
+	}
+	if outcome != 0 {
+		h.Set(headerOutcome, outcome.String())
+	}
+	if e.RetryAfter > 0 {
+		h.Set("Retry-After", strconv.Itoa(seconds(e.RetryAfter)))
+	}
+	if e.Close {
+		h.Set("Connection", "close")
+	}
+	w.WriteHeader(e.Status)
+	w.Write(body) //nolint:errcheck // Nothing is left to do for a caller that went away.
+}
+
+// seconds rounds up to whole seconds, as Retry-After needs.
+func seconds(d time.Duration) int {
+	return int((d + time.Second - 1) / time.Second)
+}
--- /dev/null
+++ b/internal/entry/server.go
@@ -0,0 +1,149 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"io"
+	"log"
+	"net"
+	"net/http"
+	"sync/atomic"
+
+	"tarragongauge.example/tarragongauge/pkg/model"
+)
+
+// headerMargin keeps net/http's own header limit, which it answers in plain text, above this package's.
+const headerMargin = 8 << 10
+
+// Server is the HTTP side of an entry host. It has one listener for callers
+// and one for announcements from targets.
+type Server struct {
+	settings
+	decider   Decider
+	recorder  Recorder
+	ids       *idSource
+	registry  *registry
+	transport *http.Transport
+	callers   *http.Server
+	targets   *http.Server
+	draining  atomic.Bool
+	active    atomic.Int64
+}
+
+// NewServer returns a server and its clean-up function. The clean-up function
+// refuses new requests, waits for those in flight until its context ends, then
+// closes what is left.
+func NewServer(decider Decider, recorder Recorder, opts ...Option) (*Server, func(context.Context) error, error) {
+	if decider == nil || recorder == nil {
+		return nil, nil, model.ErrInvalid{Field: "decider or recorder", Got: "nil", Want: "set"}
+	}
+	s := &Server{settings: settings{limits: DefaultLimits(), echo: true}, decider: decider, recorder: recorder, registry: newRegistry()}
+	for _, opt := range opts {
+		opt(&s.settings)
+	}
+	if s.limits.Attempts < 1 || s.limits.TargetConns < 1 || s.limits.Header < 1 {
+		return nil, nil, model.ErrInvalid{Field: "limits", Got: "not positive", Want: "at least 1 for attempts, target connections and header; start from DefaultLimits"}
+	}
+	s.ids = newIDSource(s.host)
+	s.transport = newTransport(s.limits)
+	s.callers = s.newHTTPServer(s)
+	s.callers.ConnContext = withConn
+	s.callers.ConnState = s.connState
+	s.targets = s.newHTTPServer(s.AnnouncementHandler())
+	return s, s.shutdown, nil
+}
+
+func (s *Server) newHTTPServer(h http.Handler) *http.Server {
+	return &http.Server{
+		Handler:                      h,
+		ReadHeaderTimeout:            s.limits.HeaderTime,
+		IdleTimeout:                  s.limits.IdleTime,
+		MaxHeaderBytes:               s.limits.Header + headerMargin,
+		DisableGeneralOptionsHandler: true,
+		// net/http logs malformed input of callers line by line, which a caller could use to fill the log.
+		ErrorLog: log.New(io.Discard, "", 0),
+	}
+}
+
+// ServeCallers serves callers until the clean-up function is called.
+func (s *Server) ServeCallers(l net.Listener) error {
+	return ended(s.callers.Serve(callerListener{Listener: l, limits: s.limits}))
+}
+
+// ServeAnnouncements serves targets until the clean-up function is called.
+func (s *Server) ServeAnnouncements(l net.Listener) error {
+	s.targets.ReadTimeout = s.limits.HeaderTime
+	return ended(s.targets.Serve(l))
+}
+
+func ended(err error) error {
+	if errors.Is(err, http.ErrServerClosed) {
+		return nil
+	}
+	return err
+}
+
+func (s *Server) connState(conn net.Conn, state http.ConnState) {
+	c, ok := conn.(*callerConn)
+	if !ok {
+		return
+	}
+	c.idle.Store(state == http.StateIdle)
+	switch state {
+	case http.StateIdle:
+		if c.ending.Load() {
+			c.Close() //nolint:errcheck // A connection that is closed already is fine.
+		}
+	case http.StateClosed, http.StateHijacked:
+		s.registry.forget(c)
+	default:
+	}
+}
+
+// Drain refuses new requests as not run. Requests in flight go on.
+func (s *Server) Drain() { s.draining.Store(true) }
+
+func (s *Server) shutdown(ctx context.Context) error {
+	s.Drain()
+	err := s.callers.Shutdown(ctx)
+	if err != nil {
+		err = errors.Join(err, s.callers.Close())
+	}
+	if terr := s.targets.Shutdown(ctx); terr != nil {
+		err = errors.Join(err, terr, s.targets.Close())
+	}
+	s.transport.CloseIdleConnections()
+	return err
+}
+
+// Active counts all requests that have not ended, on open routes too.
+func (s *Server) Active() int { return int(s.active.Load()) }
+
+// InFlight counts the keyed requests that have not ended.
+func (s *Server) InFlight() int { return s.registry.count() }
+
+// Evidence returns what this host knows of a workspace's traffic.
+func (s *Server) Evidence(ws model.WorkspaceID) Evidence { return s.registry.evidence(ws) }
+
+// EndWorkspace ends the requests in flight of a withdrawn workspace and closes
+// the idle connections that presented one of its keys. It returns the number
+// of requests. The Decider's configuration must already be without the
+// workspace, so that requests that arrive meanwhile are refused.
+func (s *Server) EndWorkspace(ws model.WorkspaceID) int {
+	n := s.registry.cancel(errKeyEnded, func(f *flight) bool { return f.workspace == ws })
+	s.registry.closeConns(func(_ model.KeyHash, w model.WorkspaceID) bool { return w == ws })
+	return n
+}
+
+// EndKey is EndWorkspace for one key.
+func (s *Server) EndKey(hash model.KeyHash) int {
+	n := s.registry.cancel(errKeyEnded, func(f *flight) bool { return f.key == hash })
+	s.registry.closeConns(func(k model.KeyHash, _ model.WorkspaceID) bool { return k == hash })
+	return n
+}
+
+// EndAllKeyed ends all keyed requests in flight of a host that is not fresh. The
+// connections stay open: their keys may still be valid.
+func (s *Server) EndAllKeyed() int {
+	return s.registry.cancel(errFreshEnded, func(*flight) bool { return true })
+}
--- /dev/null
+++ b/internal/entry/target_conn.go
@@ -0,0 +1,152 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+)
+
+const (
+	// settleTime bounds the wait until a reused connection reads again.
+	settleTime = 5 * time.Millisecond
+	// settleStep is the interval of looking during that wait.
+	settleStep = 20 * time.Microsecond
+)
+
+var (
+	errSealed = errors.New("the attempt on this connection has ended")
+	errStray  = errors.New("the target sent bytes that answer no request")
+)
+
+// targetConn proves whether a byte of a request was sent, and detects bytes
+// that arrive while no request is open. It serves one request at a time.
+type targetConn struct {
+	net.Conn
+
+	mu sync.Mutex
+	// gen numbers the requests on this connection.
+	gen uint64
+	// written is set before the first byte of the current request is sent.
+	written   bool
+	firstByte time.Time
+	// sealed connections send nothing more.
+	sealed bool
+	// reading is set while net/http waits for input and so holds none that it did not use.
+	reading bool
+}
+
+// begin starts a request. It returns false for a reused connection that has
+// input left from the request before; that input would pass for the answer.
+func (c *targetConn) begin(reused bool) (uint64, bool) {
+	for end := time.Now().Add(settleTime); ; time.Sleep(settleStep) {
+		if gen, ok := c.tryBegin(reused); ok {
+			return gen, true
+		}
+		if time.Now().After(end) {
+			return 0, false
+		}
+	}
+}
+
+func (c *targetConn) tryBegin(reused bool) (uint64, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.sealed || (reused && !c.reading) {
+		return 0, false
+	}
+	c.gen++
+	c.written = false
+	c.firstByte = time.Time{}
+	return c.gen, true
+}
+
+// finish marks the end of the answer, after which input is stray. It does
+// nothing if the next request has begun.
+func (c *targetConn) finish(gen uint64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.gen == gen {
+		c.written = false
+	}
+}
+
+// sent returns when the first byte of the request was sent, or the zero time.
+func (c *targetConn) sent() time.Time {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.firstByte
+}
+
+// seal closes the connection and reports whether a byte of the request may
+// have been sent. After a false result none ever will be, even if net/http is
+// about to write it.
+func (c *targetConn) seal() bool {
+	c.mu.Lock()
+	c.sealed = true
+	written := !c.firstByte.IsZero()
+	c.mu.Unlock()
+	c.Close() //nolint:errcheck // Nothing depends on the close of a broken connection.
+	return written
+}
+
+func (c *targetConn) Write(p []byte) (int, error) {
+	if err := c.mark(); err != nil {
+		return 0, err
+	}
+	return c.Conn.Write(p)
+}
+
+func (c *targetConn) mark() error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.sealed {
+		return errSealed
+	}
+	c.written = true
+	if c.firstByte.IsZero() {
+		c.firstByte = time.Now()
+	}
+	return nil
+}
+
+func (c *targetConn) Read(p []byte) (int, error) {
+	c.setReading(true)
+	n, err := c.Conn.Read(p)
+	if c.setReading(false) || n == 0 {
+		return n, err
+	}
+	c.seal()
+	return 0, errStray
+}
+
+// setReading reports whether a request is open.
+func (c *targetConn) setReading(on bool) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.reading = on
+	return c.written && !c.sealed
+}
+
+// newTransport returns the transport to targets. Compression, proxies and
+// HTTP/2 are off: a target's bytes reach the caller as they are.
+func newTransport(l Limits) *http.Transport {
+	dialer := &net.Dialer{Timeout: l.DialTime}
+	return &http.Transport{
+		DialContext: func(ctx context.Context, network, addr string) (net.Conn, error) {
+			conn, err := dialer.DialContext(ctx, network, addr)
+			if err != nil {
+				return nil, err
+			}
+			return &targetConn{Conn: conn}, nil
+		},
+		DisableCompression:     true,
+		MaxIdleConns:           0,
+		MaxIdleConnsPerHost:    l.TargetConns,
+		MaxConnsPerHost:        l.TargetConns,
+		IdleConnTimeout:        l.TargetIdleTime,
+		MaxResponseHeaderBytes: int64(l.Header),
+	}
+}
--- /dev/null
+++ b/internal/entry/withdraw_test.go
@@ -0,0 +1,300 @@
+package entry_test
+
+import (
+	"bufio"
+	"context"
+	"crypto/sha256"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/alitto/pond/v2"
+	"github.com/stretchr/testify/require"
+
+	"tarragongauge.example/tarragongauge/internal/entry"
+	"tarragongauge.example/tarragongauge/internal/order"
+	"tarragongauge.example/tarragongauge/internal/proto"
+	"tarragongauge.example/tarragongauge/internal/stub"
+	"tarragongauge.example/tarragongauge/pkg/model"
+)
+
+// Guards against requests that survive a withdrawal or the end of freshness, and against ending those of others.
+func TestEndingRequestsInFlight(t *testing.T) {
+	hash := model.KeyHash(sha256.Sum256([]byte(keyA)))
+	cases := map[string]struct {
+		end  func(*host) int
+		want string
+		both bool
+	}{
+		"workspace": {func(h *host) int { return h.EndWorkspace("shop-a") }, "401 unknown key_withdrawn", false},
+		"key":       {func(h *host) int { return h.EndKey(hash) }, "401 unknown key_withdrawn", false},
+		"all keyed": {func(h *host) int { return h.EndAllKeyed() }, "503 unknown not_fresh", true},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			h := newHost(t)
+			target := h.target(t, stub.Behavior{DelayMS: 600})
+			workers := pond.NewPool(3)
+			defer workers.StopAndWait()
+			start := func(path, key string) pond.ResultTask[string] {
+				sub := pond.NewResultPool[string](1)
+				return sub.SubmitErr(func() (string, error) {
+					a, err := h.do(h.request(t, "POST", path, "b", "Authorization", "Bearer "+key))
+					if err != nil {
+						return "", err
+					}
+					code, _, _ := strings.Cut(strings.TrimPrefix(a.body, `{"code":"`), `"`)
+					return fmt.Sprint(a.StatusCode, " ", a.outcome(), " ", code), nil
+				})
+			}
+			a, b, open := start("/order/x", keyA), start("/order/x", keyB), start("/open/x", keyA)
+			require.Eventually(t, func() bool { return len(target.Journal()) == 3 }, time.Second, time.Millisecond)
+			require.Equal(t, 1, h.Evidence("shop-a").InFlight)
+			require.True(t, h.Evidence("shop-a").Admitted)
+			require.False(t, h.Evidence("shop-c").Admitted)
+			require.Equal(t, 2, h.InFlight())
+			require.Equal(t, 3, h.Active())
+			ended := 1
+			if c.both {
+				ended = 2
+			}
+			require.Equal(t, ended, c.end(h))
+			got, err := a.Wait()
+			require.NoError(t, err)
+			require.Equal(t, c.want, got)
+			got, err = b.Wait()
+			require.NoError(t, err)
+			require.Equal(t, c.both, strings.HasPrefix(got, "503"), got)
+			got, err = open.Wait()
+			require.NoError(t, err)
+			require.True(t, strings.HasPrefix(got, "200 ran"), got)
+			require.Zero(t, h.Evidence("shop-a").InFlight)
+		})
+	}
+}
+
+// Guards against a caller that keeps an idle connection after its key was withdrawn, and against closing others.
+func TestWithdrawalClosesIdleConnections(t *testing.T) {
+	h := newHost(t)
+	h.target(t, stub.Behavior{})
+	use := func(key string) (net.Conn, *bufio.Reader) {
+		conn := h.dial(t)
+		in := bufio.NewReader(conn)
+		_, err := io.WriteString(conn, "GET /lookup/x HTTP/1.1\r\nHost: h\r\nX-Api-Key: "+key+"\r\n\r\n")
+		require.NoError(t, err)
+		res, err := http.ReadResponse(in, nil)
+		require.NoError(t, err)
+		_, err = io.Copy(io.Discard, res.Body)
+		require.NoError(t, err)
+		return conn, in
+	}
+	_, first := use(keyA)
+	second, in := use(keyB)
+	require.Zero(t, h.EndKey(sha256.Sum256([]byte(keyA))))
+	_, err := first.ReadByte()
+	require.ErrorIs(t, err, io.EOF)
+	_, err = io.WriteString(second, "GET /lookup/x HTTP/1.1\r\nHost: h\r\nX-Api-Key: "+keyB+"\r\n\r\n")
+	require.NoError(t, err)
+	res, err := http.ReadResponse(in, nil)
+	require.NoError(t, err)
+	require.Equal(t, 200, res.StatusCode)
+}
+
+// Guards against a request that slips between the check of its key and its registration.
+func TestWithdrawalRace(t *testing.T) {
+	h := newHost(t)
+	target := h.target(t, stub.Behavior{DelayMS: 1})
+	workers := pond.NewPool(8)
+	group := workers.NewGroup()
+	stop := make(chan struct{})
+	for range 8 {
+		group.Submit(func() {
+			for {
+				select {
+				case <-stop:
+					return
+				default:
+					_, _ = h.do(h.request(t, "GET", "/lookup/x", ""))
+				}
+			}
+		})
+	}
+	time.Sleep(30 * time.Millisecond)
+	h.fake.change(func() {
+		cfg := h.fake.cfg
+		cfg.Keys = map[model.KeyHash]model.Key{}
+		h.fake.cfg = cfg
+	})
+	h.EndWorkspace("shop-a")
+	require.Eventually(t, func() bool { return h.Evidence("shop-a").InFlight == 0 && target.Running() == 0 }, time.Second, time.Millisecond)
+	ran := len(target.Journal())
+	time.Sleep(30 * time.Millisecond)
+	require.Len(t, target.Journal(), ran, "nothing runs after the withdrawal")
+	close(stop)
+	require.NoError(t, group.Wait())
+	workers.StopAndWait()
+}
+
+// Guards against requests that a shutdown interrupts or that start during it.
+func TestDrainFinishesRequestsInFlight(t *testing.T) {
+	h := newHost(t)
+	target := h.target(t, stub.Behavior{DelayMS: 200})
+	workers := pond.NewResultPool[answer](1)
+	inFlight := workers.SubmitErr(func() (answer, error) { return h.do(h.request(t, "POST", "/order/x", "b")) })
+	require.Eventually(t, func() bool { return target.Running() == 1 }, time.Second, time.Millisecond)
+	h.Drain()
+	a := h.get(t, "POST", "/order/x", "b")
+	require.Equal(t, "503 not_run", fmt.Sprint(a.StatusCode, " ", a.outcome()))
+	require.True(t, a.Close)
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	require.NoError(t, h.stop(ctx))
+	got, err := inFlight.Wait()
+	require.NoError(t, err)
+	require.Equal(t, "200 ran", fmt.Sprint(got.StatusCode, " ", got.outcome()))
+}
+
+// Guards against orders whose reservation is freed although they ran, or kept although they did not.
+func TestOrders(t *testing.T) {
+	held := &proto.StoredAnswer{Status: 201, Header: map[string][]string{"X-Order": {"7"}}, Body: []byte("stored")}
+	cases := map[string]struct {
+		reserve entry.Reservation
+		first   stub.Behavior
+		refuse  proto.SlotStatus
+		want    string
+		// end is what the reservation was told, empty if it was not reserved.
+		end string
+	}{
+		"runs":         {entry.Reservation{OK: true}, stub.Behavior{}, 0, "200 ran", "answer 200"},
+		"fails":        {entry.Reservation{OK: true}, stub.Behavior{ErrorShare: 1}, 0, "500 ran", "answer 500"},
+		"breaks":       {entry.Reservation{OK: true}, stub.Behavior{DropShare: 1}, 0, "502 unknown", "unknown"},
+		"shed":         {entry.Reservation{OK: true}, stub.Behavior{ShedShare: 1}, 0, "503 not_run", "not run"},
+		"no target":    {entry.Reservation{OK: true}, stub.Behavior{}, proto.SlotNoTarget, "503 not_run", "not run"},
+		"quarantined":  {entry.Reservation{OK: true}, stub.Behavior{}, proto.SlotQuarantined, "422 not_run", "not run"},
+		"stored":       {entry.Reservation{Answer: held}, stub.Behavior{}, 0, "201 ran", ""},
+		"in flight":    {entry.Reservation{Reason: order.StopInFlight}, stub.Behavior{}, 0, "409 unknown", ""},
+		"other body":   {entry.Reservation{Reason: order.StopBodyDiffers}, stub.Behavior{}, 0, "409 not_run", ""},
+		"no majority":  {entry.Reservation{Reason: order.StopNoMajority}, stub.Behavior{}, 0, "503 not_run", ""},
+		"wrong answer": {entry.Reservation{OK: true}, stub.Behavior{WrongShare: 1, Wrong: stub.WrongID}, 0, "502 unknown", "unknown"},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			h := newHost(t)
+			h.fake.reserve, h.fake.refuse, h.fake.noRetry = c.reserve, c.refuse, true
+			target := h.target(t, c.first)
+			a := h.get(t, "POST", "/strict/x?a=1", "body", "Idempotency-Key", "order-7")
+			require.Equal(t, c.want, fmt.Sprint(a.StatusCode, " ", a.outcome()))
+			require.Len(t, read(h.fake, &h.fake.started), 1)
+			start := h.fake.started[0]
+			require.Equal(t, "shop-a order-7", fmt.Sprint(start.Workspace, " ", start.OrderKey))
+			var got []string
+			for _, end := range read(h.fake, &h.fake.finished) {
+				switch {
+				case end.Answer != nil:
+					got = append(got, "answer "+strconv.Itoa(end.Answer.Status))
+				case end.NotRun:
+					got = append(got, "not run")
+				default:
+					got = append(got, "unknown")
+				}
+			}
+			require.Equal(t, c.end, strings.Join(got, ", "))
+			if name == "stored" {
+				require.Equal(t, "stored 7 true", a.body+" "+a.Header.Get("X-Order")+" "+a.Header.Get("Idempotency-Replayed"))
+			}
+			if c.end == "" {
+				require.Empty(t, target.Journal())
+			}
+			if name == "runs" {
+				require.Equal(t, "order-7", target.Journal()[0].OrderKey)
+				require.Equal(t, a.body, string(read(h.fake, &h.fake.finished)[0].Answer.Body))
+			}
+		})
+	}
+}
+
+// Guards against announcements that put a foreign address or a foreign service into a pool.
+func TestAnnouncements(t *testing.T) {
+	const good = `{"service":"stock","target":"t1","addr":"10.0.0.7:80","zone":"z1","slots":3,"incarnation":5,"state":"ready","load":0.5}`
+	with := func(old, now string) string { return strings.Replace(good, old, now, 1) }
+	cases := map[string]struct {
+		body, secret string
+		status       int
+	}{
+		"good":            {good, secret, 204},
+		"wrong secret":    {good, "guess", 403},
+		"no secret":       {good, "", 403},
+		"unknown service": {with("stock", "other"), secret, 403},
+		"host name":       {with("10.0.0.7:80", "example.org:80"), secret, 400},
+		"no port":         {with("10.0.0.7:80", "10.0.0.7"), secret, 400},
+		"port 0":          {with(":80", ":0"), secret, 400},
+		"any address":     {with("10.0.0.7", "0.0.0.0"), secret, 400},
+		"unknown state":   {with("ready", "asleep"), secret, 400},
+		"negative slots":  {with(`"slots":3`, `"slots":-1`), secret, 400},
+		"no incarnation":  {with(`"incarnation":5`, `"incarnation":0`), secret, 400},
+		"negative load":   {with("0.5", "-1"), secret, 400},
+		"no target":       {with("t1", ""), secret, 400},
+		"not JSON":        {"ready", secret, 400},
+		"too large":       {with("t1", strings.Repeat("t", 20<<10)), secret, 413},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			f := newFake(t)
+			s, _, err := entry.NewServer(f, f)
+			require.NoError(t, err)
+			req := httptest.NewRequest(http.MethodPost, "/v1/announce", strings.NewReader(c.body))
+			req.Header.Set("Authorization", "Bearer "+c.secret)
+			w := httptest.NewRecorder()
+			s.AnnouncementHandler().ServeHTTP(w, req)
+			require.Equal(t, c.status, w.Code, w.Body.String())
+			if c.status != http.StatusNoContent {
+				require.Empty(t, f.news)
+				require.Contains(t, w.Body.String(), `"code":`)
+				return
+			}
+			require.Equal(t, []model.Announcement{{
+				Service: "stock", Target: "t1", Addr: "10.0.0.7:80", Zone: "z1", Slots: 3, Incarnation: 5, State: model.TargetReady, Load: 0.5,
+			}}, f.news)
+		})
+	}
+}
+
+// Guards against records that lack a refusal for the rate.
+func TestRecords(t *testing.T) {
+	h := newHost(t)
+	h.target(t, stub.Behavior{})
+	h.get(t, "GET", "/lookup/x", "")
+	h.fake.change(func() { h.fake.admit = entry.Admission{} })
+	h.get(t, "GET", "/lookup/x", "")
+	require.Eventually(t, func() bool { return len(read(h.fake, &h.fake.records)) == 2 }, time.Second, time.Millisecond)
+	got := h.fake.records
+	require.Equal(t, entry.Record{Service: "stock", Workspace: "shop-a", Status: 200, Outcome: model.OutcomeRan, Latency: got[0].Latency}, got[0])
+	require.Equal(t, entry.Record{Service: "stock", Workspace: "shop-a", Status: 429, Outcome: model.OutcomeNotRun, Latency: got[1].Latency, Limited: true}, got[1])
+}
+
+// BenchmarkAddedTime compares a request through the host with one straight to the target.
+func BenchmarkAddedTime(b *testing.B) {
+	h := newHost(b)
+	h.target(b, stub.Behavior{})
+	for name, addr := range map[string]string{"direct": h.fake.targets[0].Addr, "through": h.addr} {
+		b.Run(name, func(b *testing.B) {
+			req := h.request(b, "GET", "/lookup/x", "")
+			req.URL.Host = addr
+			for b.Loop() {
+				a, err := h.do(req)
+				if err = errors.Join(err, nil); err != nil || a.StatusCode != http.StatusOK {
+					b.Fatal(err, a.Status)
+				}
+			}
+		})
+	}
+}
