Let schedules forget a version after its acknowledgement

Change: schedules with seat faults restart a seat that acknowledged alone and show the leader to the others only after it relearned.

--- a/internal/ctrl/schedule_test.go
+++ b/internal/ctrl/schedule_test.go
@@ -205,17 +205,47 @@
 	if l == nil {
 		return
 	}
+	set := l.node.Config().Seats
+	acking := set[w.rng.IntN(len(set))]
 	if w.rng.IntN(2) == 0 {
-		s := w.seats[w.rng.IntN(len(w.seats))]
-		if s.have >= l.node.Config().Version {
+		w.forgetAfterAck(l, acking)
+		return
+	}
+	for _, s := range w.seats {
+		if s.id == acking && s.have >= l.node.Config().Version {
 			s.restart()
 		}
+		w.hide(l, s.id, w.rng.IntN(2) == 0)
 	}
+}
+
+func (w *world) hide(h *testHost, id model.HostID, hidden bool) {
+	w.cut[[2]model.HostID{h.id, id}] = hidden
+	w.cut[[2]model.HostID{id, h.id}] = hidden
+}
+
+// forgetAfterAck lets one seat acknowledge alone, restart and relearn from
+// seats that the leader reaches only later.
+func (w *world) forgetAfterAck(l *testHost, acking model.HostID) {
 	for _, s := range w.seats {
-		hidden := w.rng.IntN(2) == 0
-		w.cut[[2]model.HostID{l.id, s.id}] = hidden
-		w.cut[[2]model.HostID{s.id, l.id}] = hidden
+		w.hide(l, s.id, s.id != acking)
 	}
+	w.after(time.Duration(200+w.rng.IntN(400))*time.Millisecond, func() {
+		if !w.faults {
+			return
+		}
+		for _, s := range w.seats {
+			if s.id == acking {
+				s.restart()
+			}
+		}
+		w.hide(l, acking, true)
+		w.after(time.Duration(1600+w.rng.IntN(800))*time.Millisecond, func() {
+			for _, s := range w.seats {
+				w.hide(l, s.id, w.faults && (s.id == acking || w.rng.IntN(2) == 0))
+			}
+		})
+	})
 }
 
 // diskFault lets a follower fall behind, then loses the disk of another one
