Give each core its own numbers, and test harder schedules

Cause: the freshness client and the seat of one host numbered their asks from the same base. Change: the base depends on the core. Schedules add slow links and rivals with a wrong list of members. Seats send changes of the member list alone.

--- a/internal/lease/claimer.go
+++ b/internal/lease/claimer.go
@@ -61,7 +61,7 @@
 	return &Claimer{
 		settings: s,
 		self:     self,
-		rounds:   newRounds(self, s.incarnation),
+		rounds:   newRounds("claimer", self, s.incarnation),
 		heard:    map[model.HostID]model.Instant{},
 	}
 }
--- a/internal/lease/fresh.go
+++ b/internal/lease/fresh.go
@@ -63,7 +63,7 @@
 	return &Fresh{
 		settings: s,
 		self:     self,
-		rounds:   newRounds(self.Host, self.Incarnation),
+		rounds:   newRounds("fresh", self.Host, self.Incarnation),
 		peers:    map[model.HostID]*peer{},
 	}
 }
--- a/internal/lease/lease_test.go
+++ b/internal/lease/lease_test.go
@@ -136,16 +136,55 @@
 	}
 }
 
-// Guards against a late reply to an earlier run of a host, and against one to a
-// forgotten ask, being taken for an answer to a recent ask.
+// Guards against a late reply to an earlier run of a host, to another core of
+// the host, or to a forgotten ask, being taken for an answer to a recent ask.
 func TestRoundsRefuseForeignNonces(t *testing.T) {
-	old, next := newRounds("a", 1), newRounds("a", 2)
+	old, next, seat := newRounds("fresh", "a", 1), newRounds("fresh", "a", 2), newRounds("seat", "a", 1)
 	first := old.next(5)
+	next.next(5)
+	seat.next(5)
 	_, ok := next.sentAt(first)
 	require.False(t, ok)
+	_, ok = seat.sentAt(first)
+	require.False(t, ok)
 	for range keptRounds {
 		old.next(9)
 	}
 	_, ok = old.sentAt(first)
 	require.False(t, ok)
 }
+
+// Guards against whole member lists for each change, and against lists that
+// drift away from that of the seat.
+func TestMemberChangesAreSentAlone(t *testing.T) {
+	r := newRoster()
+	members := entryMembers(200)
+	for _, m := range members {
+		r.heard(0, m)
+	}
+	var held lists
+	nonce := uint64(0)
+	sync := func() proto.FreshReply {
+		nonce++
+		reply := proto.FreshReply{Nonce: nonce}
+		r.tell(&reply, held.membersDigest)
+		held.take(reply)
+		require.Equal(t, r.list(), held.members)
+		return reply
+	}
+	require.Len(t, sync().Members, 200)
+	members[7].Draining = true
+	r.heard(1, members[7])
+	for _, m := range members[20:] {
+		r.heard(1, m)
+	}
+	require.Len(t, sync().Members, 1)
+	r.expire(2, 2)
+	require.Empty(t, sync().Gone, "nothing is older than the timeout")
+	r.expire(3, 2)
+	reply := sync()
+	require.Len(t, reply.Gone, 19)
+	require.Empty(t, reply.Members)
+	reply.MembersBase, reply.MembersDigest = 99, 98
+	require.False(t, held.take(reply), "a change of another list")
+}
--- a/internal/lease/roster.go
+++ b/internal/lease/roster.go
@@ -9,6 +9,9 @@
 	"tarragongauge.example/tarragongauge/pkg/model"
 )
 
+// keptSteps is how many changes of the list a seat remembers; beyond them it sends the whole list.
+const keptSteps = 256
+
 // roster is a seat's list of live members.
 type roster struct {
 	index map[model.HostID]*entry
@@ -18,6 +21,15 @@
 	sum uint64
 	// cached is the list for replies, or nil after a change.
 	cached []proto.Member
+	// steps are the latest changes of the list, oldest first.
+	steps []step
+}
+
+// step is a change of one member.
+type step struct {
+	// before is the digest of the list before the change.
+	before uint64
+	host   model.HostID
 }
 
 type entry struct {
@@ -46,10 +58,18 @@
 	if ok && e.member == m {
 		return
 	}
+	r.note(m.Host)
 	r.sum -= e.hash
 	e.member, e.hash = m, hashMember(m)
 	r.sum += e.hash
+}
+
+func (r *roster) note(host model.HostID) {
 	r.cached = nil
+	if len(r.steps) == 2*keptSteps {
+		r.steps = append(r.steps[:0], r.steps[keptSteps:]...)
+	}
+	r.steps = append(r.steps, step{before: r.digest(), host: host})
 }
 
 func (r *roster) expire(now model.Instant, timeout time.Duration) {
@@ -57,8 +77,8 @@
 		if now.Sub(e.heard) <= timeout {
 			return false
 		}
+		r.note(e.member.Host)
 		r.sum -= e.hash
-		r.cached = nil
 		delete(r.index, e.member.Host)
 		return true
 	})
@@ -75,3 +95,42 @@
 	}
 	return r.cached
 }
+
+// tell puts into a reply what brings an asker's list with a digest up to date.
+func (r *roster) tell(reply *proto.FreshReply, have uint64) {
+	reply.MembersDigest = r.digest()
+	if have == reply.MembersDigest {
+		return
+	}
+	hosts, ok := r.changedSince(have)
+	if !ok || 2*len(hosts) > len(r.order) {
+		reply.Members = r.list()
+		return
+	}
+	reply.MembersBase = have
+	for _, h := range hosts {
+		if e, ok := r.index[h]; ok {
+			reply.Members = append(reply.Members, e.member)
+		} else {
+			reply.Gone = append(reply.Gone, h)
+		}
+	}
+}
+
+// changedSince returns the hosts that changed since the list had a digest.
+func (r *roster) changedSince(have uint64) ([]model.HostID, bool) {
+	if have == 0 {
+		return nil, false
+	}
+	for i := len(r.steps) - 1; i >= 0; i-- {
+		if r.steps[i].before != have {
+			continue
+		}
+		var hosts []model.HostID
+		for _, s := range r.steps[i:] {
+			hosts = addHosts(hosts, []model.HostID{s.host})
+		}
+		return hosts, true
+	}
+	return nil, false
+}
--- a/internal/lease/round.go
+++ b/internal/lease/round.go
@@ -11,15 +11,15 @@
 
 // rounds numbers asks and remembers when they were sent.
 type rounds struct {
-	// base differs between the runs of a host, so that a late reply to an
-	// earlier run matches no round of this one.
+	// base differs between the runs of a host and between its cores, so that a
+	// reply to an earlier run or to another core matches no round of this one.
 	base  uint64
 	count uint64
 	sent  [keptRounds]model.Instant
 }
 
-func newRounds(self model.HostID, run model.Incarnation) rounds {
-	return rounds{base: mix(hashString(string(self)) ^ mix(uint64(run)))}
+func newRounds(core string, self model.HostID, run model.Incarnation) rounds {
+	return rounds{base: mix(hashString(core) ^ mix(hashString(string(self))^mix(uint64(run))))}
 }
 
 func (r *rounds) next(now model.Instant) uint64 {
--- a/internal/lease/seat.go
+++ b/internal/lease/seat.go
@@ -37,7 +37,7 @@
 	return &Seat{
 		settings: s,
 		self:     self,
-		rounds:   newRounds(self, s.incarnation),
+		rounds:   newRounds("seat", self, s.incarnation),
 		learned:  map[model.HostID]model.Version{},
 		members:  newRoster(),
 		grants:   newGrants(),
@@ -124,10 +124,7 @@
 		return []Effect{Send{To: from, Msg: reply}}
 	}
 	reply.SeatsSettled = s.settled && s.settledAt >= s.hist.listSince && s.settledAt <= s.hist.version()
-	reply.MembersDigest = s.members.digest()
-	if reply.MembersDigest != m.MembersDigest {
-		reply.Members = s.members.list()
-	}
+	s.members.tell(&reply, m.MembersDigest)
 	reply.OwnersDigest = s.grants.digest()
 	if reply.OwnersDigest != m.OwnersDigest {
 		reply.Owners = s.grants.list()
--- a/internal/lease/view.go
+++ b/internal/lease/view.go
@@ -53,9 +53,8 @@
 	}
 	l.nonce = m.Nonce
 	changed := false
-	if m.MembersDigest != l.membersDigest && (len(m.Members) > 0 || m.MembersDigest == emptyDigest) {
-		l.members, l.membersDigest = m.Members, m.MembersDigest
-		changed = true
+	if m.MembersDigest != l.membersDigest {
+		changed = l.takeMembers(m)
 	}
 	if m.OwnersDigest != l.ownersDigest && (len(m.Owners) > 0 || m.OwnersDigest == emptyDigest) {
 		l.owners, l.ownersDigest = m.Owners, m.OwnersDigest
@@ -64,6 +63,44 @@
 	return changed
 }
 
+// takeMembers takes a whole list or a change of the list held. The digest
+// tells whether the result is the list of the seat.
+func (l *lists) takeMembers(m proto.FreshReply) bool {
+	members := m.Members
+	if m.MembersBase != 0 {
+		if m.MembersBase != l.membersDigest {
+			return false
+		}
+		members = changeMembers(l.members, m.Members, m.Gone)
+	}
+	if digestMembers(members) != m.MembersDigest {
+		return false
+	}
+	l.members, l.membersDigest = members, m.MembersDigest
+	return true
+}
+
+// changeMembers returns a list ordered by host after a change.
+func changeMembers(members, put []proto.Member, gone []model.HostID) []proto.Member {
+	next := slices.Clone(members)
+	find := func(h model.HostID) (int, bool) {
+		return slices.BinarySearchFunc(next, h, func(m proto.Member, h model.HostID) int { return cmp.Compare(m.Host, h) })
+	}
+	for _, h := range gone {
+		if i, ok := find(h); ok {
+			next = slices.Delete(next, i, i+1)
+		}
+	}
+	for _, m := range put {
+		if i, ok := find(m.Host); ok {
+			next[i] = m
+		} else {
+			next = slices.Insert(next, i, m)
+		}
+	}
+	return next
+}
+
 // mergeMembers returns the members that more than half of the lists name,
 // ordered by host. A host that reaches only a minority of the seats cannot gain
 // a shard, and must not keep others from claiming it.
--- a/internal/lease/world_test.go
+++ b/internal/lease/world_test.go
@@ -56,10 +56,9 @@
 	lead    *leader
 	blocked map[[2]model.HostID]bool
 	loss    float64
+	healed  bool
 	boot    []model.HostID
 	epochs  [model.Shards]model.Epoch
-	gained  int
-	traffic int
 }
 
 // worldHost is one entry host with a clock of its own.
@@ -73,6 +72,9 @@
 	claimer *Claimer
 	seat    *Seat
 	owners  []proto.Owner
+	members []proto.Member
+	// slow is added to the delay of messages to this host.
+	slow time.Duration
 }
 
 // leader stands in for the whole of control.
@@ -170,10 +172,14 @@
 			w.send(h.id, e.To, e.Msg)
 		case Gained:
 			w.checkOwner(h, e)
+		case Renewed:
+			w.checkAlone(h, e.Shard)
 		case FreshUntil:
 			w.checkFresh(h, e.Until)
 		case OwnersChanged:
 			h.owners = e.Owners
+		case MembersChanged:
+			h.members = e.Members
 		}
 		if next, ok := e.(Event); ok {
 			w.step(h, h.claimer, next)
@@ -184,18 +190,21 @@
 
 // checkOwner guards against two owners of a shard, and against epochs that do not grow.
 func (w *world) checkOwner(h *worldHost, g Gained) {
-	w.gained++
-	for _, o := range w.hosts {
-		if o != h && o.claimer.Owns(o.local(w.now), g.Shard) {
-			w.t.Fatalf("%v: %s gained shard %d while %s owns it", w.now, h.id, g.Shard, o.id)
-		}
-	}
+	w.checkAlone(h, g.Shard)
 	if g.Epoch <= w.epochs[g.Shard] {
 		w.t.Fatalf("%v: shard %d gained with epoch %d after %d", w.now, g.Shard, g.Epoch, w.epochs[g.Shard])
 	}
 	w.epochs[g.Shard] = g.Epoch
 }
 
+func (w *world) checkAlone(h *worldHost, id model.ShardID) {
+	for _, o := range w.hosts {
+		if o != h && o.claimer.Owns(o.local(w.now), id) {
+			w.t.Fatalf("%v: %s gained shard %d while %s owns it", w.now, h.id, id, o.id)
+		}
+	}
+}
+
 // checkFresh guards against a right to serve an older version later than Fresh after a newer one was accepted.
 func (w *world) checkFresh(h *worldHost, until model.Instant) {
 	cfg, _ := h.fresh.Config()
@@ -207,7 +216,6 @@
 }
 
 func (w *world) send(from, to model.HostID, m proto.Message) {
-	w.traffic++
 	if w.blocked[[2]model.HostID{from, to}] || w.r.Float64() < w.loss {
 		return
 	}
@@ -216,6 +224,9 @@
 		if w.r.IntN(50) == 0 {
 			delay = time.Duration(w.r.Int64N(4e9))
 		}
+		if to != controlHost {
+			delay += w.host(to).slow
+		}
 		w.at(w.now+delay, func() { w.deliver(from, to, m) })
 	}
 }
@@ -346,7 +357,7 @@
 // fault injects one random fault or repair.
 func (w *world) fault() {
 	h := w.hosts[w.r.IntN(len(w.hosts))]
-	switch w.r.IntN(14) {
+	switch w.r.IntN(18) {
 	case 0, 1:
 		w.block(h, true, false)
 	case 2:
@@ -371,6 +382,18 @@
 		h.drained = true
 		w.step(h, h.claimer, Handover{})
 		w.step(h, h.fresh, Handover{})
+	case 13:
+		h.slow = time.Duration(w.r.Int64N(25e8))
+	case 14:
+		h.slow = time.Duration(w.r.Int64N(15e8))
+		w.at(w.now+time.Second, func() {
+			if !w.healed {
+				w.block(h, false, true)
+			}
+		})
+	case 15, 16:
+		// A host with a wrong list of members claims shards of others.
+		w.step(h, h.claimer, MembersChanged{Members: []proto.Member{{Host: h.id, Role: proto.RoleEntry}}})
 	default:
 		w.lead.propose(model.CreateWorkspace{Workspace: model.WorkspaceID(fmt.Sprint("w", w.seq))})
 	}
@@ -420,12 +443,14 @@
 		w.runUntil(w.now + time.Duration(w.r.Int64N(15e8)))
 	}
 	clear(w.blocked)
-	w.loss, w.lead.up = 0, true
+	w.healed, w.loss, w.lead.up = true, 0, true
 	for _, h := range w.hosts {
-		h.frozen = 0
+		h.frozen, h.slow = 0, 0
 		if h.drained {
 			w.start(h)
+			continue
 		}
+		w.step(h, h.claimer, MembersChanged{Members: h.members})
 	}
 	w.runUntil(w.now + 16*time.Second)
 	w.requireWhole()
