--- a/internal/admit/owner.go
+++ b/internal/admit/owner.go
@@ -19,6 +19,8 @@
 )
 
 // Owner holds the token buckets of the workspace shards that this host owns.
+//
+// The slice that Step returns is valid until the next Step.
 type Owner struct {
 	settings
 	configured bool
@@ -28,6 +30,7 @@
 	workspaces map[model.WorkspaceID]model.Workspace
 	shards     [model.WorkspaceShards]ownedShard
 	sweepAt    model.Instant
+	out        [1]Effect
 }
 
 type ownedShard struct {
@@ -63,7 +66,8 @@
 		}
 	case Received:
 		if m, ok := ev.Msg.(proto.DrawAsk); ok {
-			return []Effect{Send{To: ev.From, Msg: o.draw(now, ev.From, m)}}
+			o.out[0] = Send{To: ev.From, Msg: o.draw(now, ev.From, m)}
+			return o.out[:]
 		}
 	}
 	return nil
--- a/internal/lease/view.go
+++ b/internal/lease/view.go
@@ -146,31 +146,49 @@
 	if !slices.ContainsFunc(all, func(l *lists) bool { return l.ownersDigest != all[0].ownersDigest }) {
 		return all[0].owners
 	}
-	var union []proto.Owner
-	for _, l := range all {
-		union = append(union, l.owners...)
-	}
-	slices.SortFunc(union, func(a, b proto.Owner) int {
-		return cmp.Or(cmp.Compare(a.Shard, b.Shard), cmp.Compare(a.Host, b.Host), cmp.Compare(a.Epoch, b.Epoch))
+	// A majority vote for each shard: the first pass keeps the only owner that may
+	// have one, the second counts its votes.
+	var kept [model.Shards]proto.Owner
+	var lead, votes [model.Shards]int
+	eachOwner(all, func(o proto.Owner) {
+		switch s := o.Shard; {
+		case lead[s] == 0:
+			kept[s], lead[s] = o, 1
+		case kept[s] == o:
+			lead[s]++
+		default:
+			lead[s]--
+		}
 	})
-	var merged []proto.Owner
-	for i := 0; i < len(union); {
-		n := 1
-		for i+n < len(union) && union[i+n] == union[i] {
-			n++
+	eachOwner(all, func(o proto.Owner) {
+		if kept[o.Shard] == o {
+			votes[o.Shard]++
 		}
+	})
+	var merged []proto.Owner
+	for s, n := range votes {
 		if 2*n > len(all) {
-			merged = append(merged, union[i])
+			merged = append(merged, kept[s])
 		}
-		i += n
 	}
 	return merged
 }
 
+func eachOwner(all []*lists, do func(proto.Owner)) {
+	for _, l := range all {
+		for _, o := range l.owners {
+			if o.Shard < model.Shards {
+				do(o)
+			}
+		}
+	}
+}
+
 // majorityInstant returns the latest instant that a majority of the hosts
 // reaches, or false if fewer than a majority have one.
 func majorityInstant(hosts []model.HostID, at func(model.HostID) (model.Instant, bool)) (model.Instant, bool) {
-	var all []model.Instant
+	var buf [8]model.Instant // at most 7 seats, without an allocation
+	all := buf[:0]
 	for _, h := range hosts {
 		if i, ok := at(h); ok {
 			all = append(all, i)
--- a/internal/proto/message.go
+++ b/internal/proto/message.go
@@ -155,10 +155,10 @@
 		MembersDigest uint64
 		// MembersBase is 0 when Members is the whole list. Otherwise it is the digest of the
 		// list that Members adds to or replaces in, and that Gone is removed from.
-		MembersBase uint64
-		Gone        []model.HostID
-		Owners        []Owner
-		OwnersDigest  uint64
+		MembersBase  uint64
+		Gone         []model.HostID
+		Owners       []Owner
+		OwnersDigest uint64
 		// SeatsSettled is set when the answerer knows that no host with another list of seats
 		// than that of Newest can still have the right to serve.
 		SeatsSettled bool
