Count control's answers by the known list of control hosts

Cause: a control host named only in the settings may have been removed; and a new fleet had no owners for 3 s although no other list of seats ever existed. Change: only hosts of the known configuration answer for control; the seats of version 0 are settled at once; control may relay SeatsSettled too.

--- a/internal/admit/fleet_test.go
+++ b/internal/admit/fleet_test.go
@@ -1,9 +1,9 @@
 package admit
 
 import (
-	"container/heap"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -13,27 +13,12 @@
 
 type (
 	moment = time.Duration // true time
-
-	timed struct {
-		at  moment
-		seq int
-		do  func()
+	timed  struct {
+		at moment
+		do func()
 	}
-	agenda []timed
 )
 
-func (a agenda) Len() int { return len(a) }
-func (a agenda) Less(i, j int) bool {
-	return a[i].at < a[j].at || (a[i].at == a[j].at && a[i].seq < a[j].seq)
-}
-func (a agenda) Swap(i, j int) { a[i], a[j] = a[j], a[i] }
-func (a *agenda) Push(x any)   { *a = append(*a, x.(timed)) }
-func (a *agenda) Pop() any {
-	x := (*a)[len(*a)-1]
-	*a = (*a)[:len(*a)-1]
-	return x
-}
-
 // meter judges every window at once: its level is the greatest excess of uses
 // over rate × T of all windows that end now.
 type meter struct {
@@ -59,7 +44,7 @@
 	r      *rand.Rand
 	now    moment
 	seq    int
-	agenda agenda
+	agenda []timed
 	hosts  []*fleetHost
 	cfg    model.Config
 	owner  *fleetHost
@@ -127,8 +112,13 @@
 }
 
 func (f *fleet) at(t moment, do func()) {
-	f.seq++
-	heap.Push(&f.agenda, timed{at: t, seq: f.seq, do: do})
+	i, _ := slices.BinarySearchFunc(f.agenda, t, func(e timed, t moment) int {
+		if e.at <= t {
+			return -1
+		}
+		return 1
+	})
+	f.agenda = slices.Insert(f.agenda, i, timed{at: t, do: do})
 }
 
 func (f *fleet) every(first, interval moment, do func()) {
@@ -140,7 +130,8 @@
 
 func (f *fleet) runUntil(t moment) {
 	for len(f.agenda) > 0 && f.agenda[0].at <= t {
-		next := heap.Pop(&f.agenda).(timed)
+		next := f.agenda[0]
+		f.agenda = f.agenda[1:]
 		f.now = next.at
 		next.do()
 	}
--- a/internal/lease/fresh.go
+++ b/internal/lease/fresh.go
@@ -184,7 +184,7 @@
 	if !f.hist.known {
 		return out
 	}
-	control := m.FromControl && (slices.Contains(f.hist.cfg.Controls, from) || slices.Contains(f.controls, from))
+	control := m.FromControl && slices.Contains(f.hist.cfg.Controls, from)
 	if m.Newest <= f.hist.version() {
 		at := sent.Add(-f.timing.longest(m.Age))
 		out = append(out, f.confirm(now, from, at, control)...)
@@ -210,6 +210,10 @@
 // skipped, no lease is counted until the newest list has settled.
 func (f *Fresh) trackSeats() {
 	switch {
+	case f.hist.listSince == 0:
+		// No list was in force before that of version 0.
+		f.settled = true
+		f.quorums = [][]model.HostID{f.hist.cfg.Seats}
 	case f.hist.jumped || f.hist.listSteps > 1:
 		f.quorums, f.settled, f.settleAt = nil, false, 0
 	case f.hist.listSteps == 1:
@@ -231,8 +235,8 @@
 	if f.settled {
 		return
 	}
-	relayed := m.SeatsSettled && m.Newest == f.hist.version() && slices.Contains(f.hist.cfg.Seats, from)
-	if relayed {
+	known := control || slices.Contains(f.hist.cfg.Seats, from)
+	if known && m.SeatsSettled && m.Newest == f.hist.version() {
 		f.settleAt = now
 		return
 	}
--- a/internal/lease/relearn.go
+++ b/internal/lease/relearn.go
@@ -23,12 +23,17 @@
 	return addHosts(addHosts(nil, s.hist.cfg.Controls), s.controls)
 }
 
+// relearnMember describes a relearning seat; without a role it is no heartbeat of an entry host.
+func (s *Seat) relearnMember() proto.Member {
+	return proto.Member{Host: s.self, Incarnation: s.incarnation, Draining: true}
+}
+
 // relearn asks the other seats and control for the newest version.
 func (s *Seat) relearn(now model.Instant) []Effect {
 	out := s.askSeats(now)
 	nonce := s.rounds.next(now)
 	for _, h := range s.controlHosts() {
-		ask := proto.FreshAsk{Nonce: nonce, Have: s.hist.version(), Member: proto.Member{Host: s.self, Incarnation: s.incarnation, Draining: true}}
+		ask := proto.FreshAsk{Nonce: nonce, Have: s.hist.version(), Member: s.relearnMember()}
 		out = append(out, Send{To: h, Msg: ask})
 	}
 	return out
@@ -71,7 +76,7 @@
 	if s.active || now < s.wakeAt || sent.Add(-s.timing.longest(m.Age)) < s.wakeAt {
 		return
 	}
-	if s.hist.known && m.Newest <= s.hist.version() {
+	if s.hist.known && slices.Contains(s.hist.cfg.Controls, from) && m.Newest <= s.hist.version() {
 		s.activate()
 	}
 }
--- a/internal/lease/world_test.go
+++ b/internal/lease/world_test.go
@@ -1,7 +1,6 @@
 package lease
 
 import (
-	"container/heap"
 	"fmt"
 	"math/rand/v2"
 	"slices"
@@ -23,35 +22,19 @@
 
 type (
 	moment = time.Duration // true time
-
-	timed struct {
-		at  moment
-		seq int
-		do  func()
+	timed  struct {
+		at moment
+		do func()
 	}
-	agenda []timed
 )
 
-func (a agenda) Len() int { return len(a) }
-func (a agenda) Less(i, j int) bool {
-	return a[i].at < a[j].at || (a[i].at == a[j].at && a[i].seq < a[j].seq)
-}
-func (a agenda) Swap(i, j int) { a[i], a[j] = a[j], a[i] }
-func (a *agenda) Push(x any)   { *a = append(*a, x.(timed)) }
-func (a *agenda) Pop() any {
-	x := (*a)[len(*a)-1]
-	*a = (*a)[:len(*a)-1]
-	return x
-}
-
 // world runs the cores of several hosts in virtual time over a faulty network
 // and judges them in true time.
 type world struct {
 	t       *testing.T
 	r       *rand.Rand
 	now     moment
-	seq     int
-	agenda  agenda
+	agenda  []timed
 	hosts   []*worldHost
 	lead    *leader
 	blocked map[[2]model.HostID]bool
@@ -136,8 +119,13 @@
 }
 
 func (w *world) at(t moment, do func()) {
-	w.seq++
-	heap.Push(&w.agenda, timed{at: t, seq: w.seq, do: do})
+	i, _ := slices.BinarySearchFunc(w.agenda, t, func(e timed, t moment) int {
+		if e.at <= t {
+			return -1
+		}
+		return 1
+	})
+	w.agenda = slices.Insert(w.agenda, i, timed{at: t, do: do})
 }
 
 func (w *world) every(first moment, do func()) {
@@ -149,7 +137,8 @@
 
 func (w *world) runUntil(t moment) {
 	for len(w.agenda) > 0 && w.agenda[0].at <= t {
-		next := heap.Pop(&w.agenda).(timed)
+		next := w.agenda[0]
+		w.agenda = w.agenda[1:]
 		w.now = next.at
 		next.do()
 	}
@@ -395,7 +384,7 @@
 		// A host with a wrong list of members claims shards of others.
 		w.step(h, h.claimer, MembersChanged{Members: []proto.Member{{Host: h.id, Role: proto.RoleEntry}}})
 	default:
-		w.lead.propose(model.CreateWorkspace{Workspace: model.WorkspaceID(fmt.Sprint("w", w.seq))})
+		w.lead.propose(model.CreateWorkspace{Workspace: model.WorkspaceID(fmt.Sprint("w", int64(w.now)))})
 	}
 }
 
