--- a/internal/lease/fresh.go
+++ b/internal/lease/fresh.go
@@ -36,10 +36,11 @@
 	quorums [][]model.HostID
 	settled bool
 	// settleAt is when the current list settles, or 0 while it is not known to be accepted.
-	settleAt      model.Instant
-	draining      bool
-	membersDigest uint64
-	ownersDigest  uint64
+	settleAt model.Instant
+	draining bool
+	// members and owners are those published last.
+	members []proto.Member
+	owners  []proto.Owner
 	// complete is set while every shard has an owner.
 	complete   bool
 	hurryUntil model.Instant
@@ -198,6 +199,9 @@
 
 // advance takes a newer configuration from a reply.
 func (f *Fresh) advance(m proto.FreshReply) []Effect {
+	if f.hist.known && m.Newest <= f.hist.version() {
+		return nil
+	}
 	if !f.hist.advance(m.Changes, m.Snapshot) {
 		return nil
 	}
@@ -316,14 +320,12 @@
 	}
 	f.merged = key
 	var out []Effect
-	members := mergeMembers(all)
-	if d := digestMembers(members); d != f.membersDigest {
-		f.membersDigest = d
+	if members := mergeMembers(all); !slices.Equal(members, f.members) {
+		f.members = members
 		out = append(out, MembersChanged{Members: members})
 	}
-	owners := mergeOwners(all)
-	if d := digestOwners(owners); d != f.ownersDigest {
-		f.ownersDigest = d
+	if owners := mergeOwners(all); !slices.Equal(owners, f.owners) {
+		f.owners = owners
 		f.missing(now, owners)
 		out = append(out, OwnersChanged{Owners: owners})
 	}
@@ -339,22 +341,6 @@
 	return key
 }
 
-func digestMembers(members []proto.Member) uint64 {
-	var sum uint64
-	for _, m := range members {
-		sum += hashMember(m)
-	}
-	return digest(sum)
-}
-
-func digestOwners(owners []proto.Owner) uint64 {
-	var sum uint64
-	for _, o := range owners {
-		sum += hashOwner(o)
-	}
-	return digest(sum)
-}
-
 // Config returns the newest configuration and whether one is known.
 func (f *Fresh) Config() (model.Config, bool) { return f.hist.cfg, f.hist.known }
 
--- a/internal/lease/measure_test.go
+++ b/internal/lease/measure_test.go
@@ -188,3 +188,41 @@
 	}
 	return n
 }
+
+// BenchmarkFreshMemberChange measures what the change of one member costs an
+// entry host when five seats report it one after the other.
+func BenchmarkFreshMemberChange(b *testing.B) {
+	for _, n := range sizes() {
+		b.Run(fmt.Sprintf("%d members", n), func(b *testing.B) {
+			list := []model.HostID{"s0", "s1", "s2", "s3", "s4"}
+			data, err := codec.EncodeConfig(model.NewConfig(nil, list))
+			require.NoError(b, err)
+			f := NewFresh(proto.Member{Host: "e"}, WithBootstrap(list, nil))
+			r, now, changes := newRoster(), model.Instant(0), 0
+			members := entryMembers(n)
+			for _, m := range members {
+				r.heard(0, m)
+			}
+			for i := 0; b.Loop(); i++ {
+				now = now.Add(DefaultTiming().Ask)
+				members[i%n].Incarnation++
+				r.heard(now, members[i%n])
+				for _, e := range f.Step(now, Tick{}) {
+					s, ok := e.(Send)
+					if !ok {
+						continue
+					}
+					ask := s.Msg.(proto.FreshAsk)
+					reply := proto.FreshReply{Nonce: ask.Nonce, Snapshot: data, OwnersDigest: emptyDigest}
+					r.tell(&reply, ask.MembersDigest)
+					for _, e := range f.Step(now, Received{From: s.To, Msg: reply}) {
+						if _, ok := e.(MembersChanged); ok {
+							changes++
+						}
+					}
+				}
+			}
+			require.GreaterOrEqual(b, changes, b.N)
+		})
+	}
+}
--- a/internal/lease/view.go
+++ b/internal/lease/view.go
@@ -40,6 +40,7 @@
 	nonce         uint64
 	members       []proto.Member
 	membersDigest uint64
+	membersSum    uint64
 	owners        []proto.Owner
 	ownersDigest  uint64
 }
@@ -66,39 +67,51 @@
 // takeMembers takes a whole list or a change of the list held. The digest
 // tells whether the result is the list of the seat.
 func (l *lists) takeMembers(m proto.FreshReply) bool {
-	members := m.Members
+	members, sum := m.Members, sumMembers(m.Members)
 	if m.MembersBase != 0 {
 		if m.MembersBase != l.membersDigest {
 			return false
 		}
-		members = changeMembers(l.members, m.Members, m.Gone)
+		members, sum = l.changed(m.Members, m.Gone)
 	}
-	if digestMembers(members) != m.MembersDigest {
+	if digest(sum) != m.MembersDigest {
 		return false
 	}
-	l.members, l.membersDigest = members, m.MembersDigest
+	l.members, l.membersDigest, l.membersSum = members, m.MembersDigest, sum
 	return true
 }
 
-// changeMembers returns a list ordered by host after a change.
-func changeMembers(members, put []proto.Member, gone []model.HostID) []proto.Member {
-	next := slices.Clone(members)
+// changed returns the list after a change, ordered by host, and the sum of its hashes.
+func (l *lists) changed(put []proto.Member, gone []model.HostID) ([]proto.Member, uint64) {
+	next, sum := slices.Clone(l.members), l.membersSum
 	find := func(h model.HostID) (int, bool) {
 		return slices.BinarySearchFunc(next, h, func(m proto.Member, h model.HostID) int { return cmp.Compare(m.Host, h) })
 	}
 	for _, h := range gone {
 		if i, ok := find(h); ok {
+			sum -= hashMember(next[i])
 			next = slices.Delete(next, i, i+1)
 		}
 	}
 	for _, m := range put {
-		if i, ok := find(m.Host); ok {
-			next[i] = m
-		} else {
+		i, ok := find(m.Host)
+		if !ok {
 			next = slices.Insert(next, i, m)
+		} else {
+			sum -= hashMember(next[i])
+			next[i] = m
 		}
+		sum += hashMember(m)
+	}
+	return next, sum
+}
+
+func sumMembers(members []proto.Member) uint64 {
+	var sum uint64
+	for _, m := range members {
+		sum += hashMember(m)
 	}
-	return next
+	return sum
 }
 
 // mergeMembers returns the members that more than half of the lists name,
@@ -111,24 +124,42 @@
 	if !slices.ContainsFunc(all, func(l *lists) bool { return l.membersDigest != all[0].membersDigest }) {
 		return all[0].members
 	}
-	var union []proto.Member
-	for _, l := range all {
-		union = append(union, l.members...)
-	}
-	slices.SortStableFunc(union, func(a, b proto.Member) int { return cmp.Compare(a.Host, b.Host) })
-	var merged []proto.Member
-	for i := 0; i < len(union); {
-		m, n := union[i], 1
-		for i+n < len(union) && union[i+n].Host == m.Host {
-			m = newerMember(m, union[i+n])
-			n++
+	merged := make([]proto.Member, 0, len(all[0].members)+1)
+	at := make([]int, len(all))
+	for {
+		m, n := nextMember(all, at)
+		if n == 0 {
+			return merged
 		}
-		i += n
 		if 2*n > len(all) {
 			merged = append(merged, m)
 		}
 	}
-	return merged
+}
+
+// nextMember returns the member with the least host at the positions in the
+// lists, moves past it and says how many lists name it.
+func nextMember(all []*lists, at []int) (proto.Member, int) {
+	var least proto.Member
+	n := 0
+	for k, l := range all {
+		if at[k] == len(l.members) {
+			continue
+		}
+		switch m := l.members[at[k]]; {
+		case n == 0 || m.Host < least.Host:
+			least, n = m, 1
+		case m.Host == least.Host:
+			least = newerMember(least, m)
+			n++
+		}
+	}
+	for k, l := range all {
+		if n > 0 && at[k] < len(l.members) && l.members[at[k]].Host == least.Host {
+			at[k]++
+		}
+	}
+	return least, n
 }
 
 func newerMember(a, b proto.Member) proto.Member {
