Test that a missed change of the seats ends ownership

Cause: no random schedule covered a host that never learns of new seats. Change: a directed test in which one host gets no FreshReply.

--- a/internal/lease/lease_test.go
+++ b/internal/lease/lease_test.go
@@ -212,6 +212,20 @@
 	}
 }
 
+// Guards against a host that never learns of new seats and keeps its shards by
+// the old ones, while others gain them by the new ones.
+func TestSeatsChangeEndsOwnersThatMissIt(t *testing.T) {
+	w := newWorld(t, 5)
+	w.runUntil(9 * time.Second)
+	w.hosts[7].noFresh = true
+	require.True(t, w.lead.propose(model.SetSeats{Seats: []model.HostID{"e4", "e5", "e6"}}))
+	w.runUntil(20 * time.Second)
+	require.Zero(t, w.hosts[7].ownsCount(w.now))
+	w.hosts[7].noFresh = false
+	w.runUntil(30 * time.Second)
+	w.requireWhole()
+}
+
 func (h *worldHost) ownsCount(now moment) int {
 	n := 0
 	for s := range model.ShardID(model.Shards) {
--- a/internal/lease/world_test.go
+++ b/internal/lease/world_test.go
@@ -58,6 +58,8 @@
 	members []proto.Member
 	// slow is added to the delay of messages to this host.
 	slow time.Duration
+	// noFresh drops every FreshReply to this host, as a full queue can.
+	noFresh bool
 }
 
 // leader stands in for the whole of control.
@@ -235,6 +237,9 @@
 	case proto.LeaseReply:
 		w.step(h, h.claimer, ev)
 	case proto.FreshReply:
+		if h.noFresh {
+			return
+		}
 		w.step(h, h.fresh, ev)
 		w.step(h, h.seat, ev)
 	default:
