--- a/internal/lease/fresh.go
+++ b/internal/lease/fresh.go
@@ -36,10 +36,11 @@
 	quorums [][]model.HostID
 	settled bool
 	// settleAt is when the current list settles, or 0 while it is not known to be accepted.
-	settleAt      model.Instant
-	draining      bool
-	membersDigest uint64
-	ownersDigest  uint64
+	settleAt model.Instant
+	draining bool
+	// members and owners are those published last.
+	members []proto.Member
+	owners  []proto.Owner
 	// complete is set while every shard has an owner.
 	complete   bool
 	hurryUntil model.Instant
@@ -63,7 +64,7 @@
 	return &Fresh{
 		settings: s,
 		self:     self,
-		rounds:   newRounds(self.Host, self.Incarnation),
+		rounds:   newRounds("fresh", self.Host, self.Incarnation),
 		peers:    map[model.HostID]*peer{},
 	}
 }
@@ -184,7 +185,7 @@
 	if !f.hist.known {
 		return out
 	}
-	control := m.FromControl && (slices.Contains(f.hist.cfg.Controls, from) || slices.Contains(f.controls, from))
+	control := m.FromControl && slices.Contains(f.hist.cfg.Controls, from)
 	if m.Newest <= f.hist.version() {
 		at := sent.Add(-f.timing.longest(m.Age))
 		out = append(out, f.confirm(now, from, at, control)...)
@@ -198,6 +199,9 @@
 
 // advance takes a newer configuration from a reply.
 func (f *Fresh) advance(m proto.FreshReply) []Effect {
+	if f.hist.known && m.Newest <= f.hist.version() {
+		return nil
+	}
 	if !f.hist.advance(m.Changes, m.Snapshot) {
 		return nil
 	}
@@ -210,6 +214,10 @@
 // skipped, no lease is counted until the newest list has settled.
 func (f *Fresh) trackSeats() {
 	switch {
+	case f.hist.listSince == 0:
+		// No list was in force before that of version 0.
+		f.settled = true
+		f.quorums = [][]model.HostID{f.hist.cfg.Seats}
 	case f.hist.jumped || f.hist.listSteps > 1:
 		f.quorums, f.settled, f.settleAt = nil, false, 0
 	case f.hist.listSteps == 1:
@@ -231,8 +239,8 @@
 	if f.settled {
 		return
 	}
-	relayed := m.SeatsSettled && m.Newest == f.hist.version() && slices.Contains(f.hist.cfg.Seats, from)
-	if relayed {
+	known := control || slices.Contains(f.hist.cfg.Seats, from)
+	if known && m.SeatsSettled && m.Newest == f.hist.version() {
 		f.settleAt = now
 		return
 	}
@@ -312,14 +320,12 @@
 	}
 	f.merged = key
 	var out []Effect
-	members := mergeMembers(all)
-	if d := digestMembers(members); d != f.membersDigest {
-		f.membersDigest = d
+	if members := mergeMembers(all); !slices.Equal(members, f.members) {
+		f.members = members
 		out = append(out, MembersChanged{Members: members})
 	}
-	owners := mergeOwners(all)
-	if d := digestOwners(owners); d != f.ownersDigest {
-		f.ownersDigest = d
+	if owners := mergeOwners(all); !slices.Equal(owners, f.owners) {
+		f.owners = owners
 		f.missing(now, owners)
 		out = append(out, OwnersChanged{Owners: owners})
 	}
@@ -335,22 +341,6 @@
 	return key
 }
 
-func digestMembers(members []proto.Member) uint64 {
-	var sum uint64
-	for _, m := range members {
-		sum += hashMember(m)
-	}
-	return digest(sum)
-}
-
-func digestOwners(owners []proto.Owner) uint64 {
-	var sum uint64
-	for _, o := range owners {
-		sum += hashOwner(o)
-	}
-	return digest(sum)
-}
-
 // Config returns the newest configuration and whether one is known.
 func (f *Fresh) Config() (model.Config, bool) { return f.hist.cfg, f.hist.known }
 
