--- a/internal/trial/seeds_race_test.go
+++ b/internal/trial/seeds_race_test.go
@@ -2,6 +2,7 @@
 
 package trial
 
-// testSeeds is lower under the race detector, which makes a run several times
-// slower and finds nothing in a run that has a single goroutine.
+// testSeeds is lower under the race detector, and each scenario runs for one
+// deployment: the detector makes a run several times slower and finds nothing
+// in a run that has a single goroutine. The test without it runs all.
 const testSeeds = 1
