--- a/internal/trial/noise_test.go
+++ b/internal/trial/noise_test.go
@@ -16,21 +16,27 @@
 	if err != nil {
 		t.Skip("prints measurements; set " + noiseVar + " to a duration of virtual time")
 	}
-	for _, dep := range Deployments() {
+	list := Deployments()
+	heavy := Deployments()[0]
+	heavy.Name += " with 1 % of requests 15 times as long"
+	for i := range heavy.Services {
+		heavy.Services[i].Heavy, heavy.Services[i].HeavyFactor = 0.01, 15
+	}
+	for _, dep := range append(list, heavy) {
 		sc := Scenario{Name: "noise", Exclude: -1, Load: normalLoad, Until: d, setup: noise}
-		list := run(dep, sc, PolicyOwner)
-		false0, targets := 0, 0
-		for _, s := range list[0].services {
+		runs := run(dep, sc, PolicyOwner)
+		ejections, targets := 0, 0
+		for _, s := range runs[0].services {
 			targets += len(s.targets)
 		}
-		for _, w := range list {
-			false0 += w.Result.False
+		for _, w := range runs {
+			ejections += w.Result.False
 			for _, line := range w.Result.FalseReasons {
 				fmt.Println(line)
 			}
 		}
-		hours := d.Hours() * float64(targets*len(list))
-		fmt.Printf("%s: %d false ejections in %.0f target-hours\n", dep.Name, false0, hours)
+		hours := d.Hours() * float64(targets*len(runs))
+		fmt.Printf("%s: %d false ejections in %.0f target-hours\n", dep.Name, ejections, hours)
 	}
 }
 
--- a/internal/trial/target.go
+++ b/internal/trial/target.go
@@ -116,6 +116,9 @@
 	}
 	spec := t.service.spec
 	d := float64(spec.Median) * math.Exp(spec.Sigma*w.rng.NormFloat64()) * t.speed * t.slow * t.service.slow
+	if spec.Heavy > 0 && w.rng.Float64() < spec.Heavy {
+		d *= spec.HeavyFactor
+	}
 	if t.wrong {
 		d *= 0.2
 	}
--- a/internal/trial/world.go
+++ b/internal/trial/world.go
@@ -22,6 +22,9 @@
 	// Median and Sigma describe the log-normal service time.
 	Median time.Duration
 	Sigma  float64
+	// Heavy is the share of requests that take HeavyFactor times as long.
+	Heavy       float64
+	HeavyFactor float64
 	// Idempotent requests are retried by the entry host.
 	Idempotent bool
 }
