Weigh slow attempts by the service's own upper tail

Cause: three expensive requests at once on one target were taken for a partition, since the log-normal tail made them far too improbable. A timeout of a request that reached the target with little time left counted as an error of the target. Change: the evidence of a late response or an unfinished attempt is bounded by the empirical tail of the peers' responses over the last minute; a timeout counts only if the attempt took longer than nineteen in twenty.

--- a/internal/pool/detect.go
+++ b/internal/pool/detect.go
@@ -22,6 +22,8 @@
 	// maxOffset: machines differ for good.
 	offset float64
 
+	tail tail
+
 	errorScore float64
 	slowScore  float64
 	stuckScore float64
@@ -78,6 +80,10 @@
 	return min(maxOffset, max(0, t.history.above/(t.history.known+offsetWeight)))
 }
 
+// slowCap bounds the evidence of one response for moderate slowness, in nats;
+// six of them in a row reach the limit.
+const slowCap = 3.5
+
 // minLatency keeps the logarithm finite.
 const minLatency = 10 * time.Microsecond
 
@@ -85,27 +91,31 @@
 	return math.Log(float64(max(d, minLatency)))
 }
 
-func (t *stats) addLatency(b *baseline, d time.Duration, limit float64) {
-	x := logLatency(d)
+func (s *service) addLatency(t *stats, took time.Duration, limit float64) {
+	b := &s.base
+	x := logLatency(took)
 	t.batch.ok++
 	t.batch.sum += x
 	t.batch.sumSq += x * x
-	if b.known {
-		d := x - b.level
-		t.batch.known++
-		t.batch.above += d
-		t.batch.square += (d - t.offset) * (d - t.offset)
-		z := (d - t.offset) / b.sigma
-		t.batch.slow += evidence(z, b.slow, limit)
-		t.batch.stuck += evidence(z, b.stuck, limit)
+	if !b.known {
+		return
 	}
+	d := x - b.level
+	t.batch.known++
+	t.batch.above += d
+	d -= t.offset
+	t.batch.square += d * d
+	z := d / b.sigma
+	t.batch.slow += evidence(z, b.slow, limit, slowCap)
+	t.batch.stuck += evidence(z, b.stuck, limit, min(limit, s.completeEvidence(t, d)))
+	t.tail.add(d)
 }
 
 // evidence returns the log-likelihood ratio of a latency, in standard
-// deviations, for a shift against none. The bounds keep it robust against
+// deviations, for a shift against none. The upper bound keeps it robust against
 // tails heavier than the log-normal distribution's.
-func evidence(z, shift, limit float64) float64 {
-	return max(-limit, min(limit, shift*(z-shift/2)))
+func evidence(z, shift, limit, bound float64) float64 {
+	return max(-limit, min(bound, shift*(z-shift/2)))
 }
 
 func (t *stats) addError(weight float64) {
@@ -196,6 +206,7 @@
 		t.stats.history.decayAdd(h, &t.stats.batch)
 		t.stats.offset = t.stats.usualOffset()
 	}
+	s.sumTails(h)
 	before := s.base
 	s.compare(now, o)
 	for _, t := range s.targets {
@@ -320,8 +331,9 @@
 		if s.trust(l.host).distrusted() {
 			continue
 		}
-		z := (logLatency(now.Sub(l.start)) - s.base.level - t.stats.offset) / s.base.sigma
-		e := min(o.tune.UnfinishedCap, logSurvival(z-s.base.stuck)-logSurvival(z))
+		d := logLatency(now.Sub(l.start)) - s.base.level - t.stats.offset
+		z := d / s.base.sigma
+		e := min(o.tune.UnfinishedCap, logSurvival(z-s.base.stuck)-logSurvival(z), s.unfinishedEvidence(&t.stats, d))
 		if z <= 0 || e <= 0 {
 			continue
 		}
--- a/internal/pool/done.go
+++ b/internal/pool/done.go
@@ -42,7 +42,7 @@
 	switch m.Attempt.End {
 	case model.AttemptOK:
 		t.okAt = now
-		t.stats.addLatency(&s.base, m.Attempt.Latency, o.tune.EvidenceCap)
+		s.addLatency(&t.stats, m.Attempt.Latency, o.tune.EvidenceCap)
 		s.clearSuspect(m.Workspace, m.Fingerprint)
 	case model.AttemptError, model.AttemptInvalid:
 		// The response came from the target, so the host's connection is not in question.
@@ -56,7 +56,7 @@
 		o.refusedConnection(now, s, t)
 	case model.AttemptTimeout:
 		// A request that reached the target with little time left says nothing about the target.
-		if m.Attempt.Latency >= s.base.typical() {
+		if s.surprise(&t.stats, logLatency(m.Attempt.Latency)-s.base.level-t.stats.offset) >= timeoutSurprise {
 			t.stats.addError(s.errorWeight(t, host))
 		}
 	case model.AttemptShed:
@@ -87,6 +87,10 @@
 	reportSkew = 500 * time.Millisecond
 )
 
+// timeoutSurprise is the least surprise, in nats, at which a timeout counts as
+// an error: one in twenty attempts takes as long.
+const timeoutSurprise = 3
+
 // shedPause keeps a target that shed a request from being offered the next one at once.
 const shedPause = 20 * time.Millisecond
 
--- a/internal/pool/service.go
+++ b/internal/pool/service.go
@@ -85,7 +85,9 @@
 	suspects    []suspect
 	quarantine  []quarantined
 
-	base      baseline
+	base baseline
+	// tail is the sum over the usable targets as of the last evaluation.
+	tail      tail
 	evaluated model.Instant
 	// version numbers the list of targets for ViewAsk.
 	version uint64
--- a/internal/trial/request.go
+++ b/internal/trial/request.go
@@ -145,6 +145,9 @@
 		return
 	}
 	a.ended = true
+	if end == model.AttemptTimeout {
+		w.after(delay, func() { a.target.cancel(a) })
+	}
 	r := a.request
 	latency := w.now.Sub(a.begun)
 	if w.policy == PolicyOwner {
--- a/internal/trial/target.go
+++ b/internal/trial/target.go
@@ -129,11 +129,23 @@
 	if a.run != t.incarnation || !t.running[a] {
 		return
 	}
-	w := t.world
 	delete(t.running, a)
 	if !t.mute && !t.cut {
-		w.respond(a, t.outcome(), t.wrong)
+		t.world.respond(a, t.outcome(), t.wrong)
+	}
+	t.next()
+}
+
+// cancel ends a request at its deadline.
+func (t *target) cancel(a *attempt) {
+	if a.run == t.incarnation && t.running[a] {
+		delete(t.running, a)
+		t.next()
 	}
+}
+
+// next starts the requests that wait for a slot.
+func (t *target) next() {
 	for len(t.waiting) > 0 && len(t.running) < slots {
 		next := t.waiting[0]
 		t.waiting = t.waiting[1:]
