--- a/internal/pool/api.go
+++ b/internal/pool/api.go
@@ -1,9 +1,3 @@
-// Package pool decides which target runs a request: announcements, slots,
-// queueing between workspaces, detection and ejection of failing targets,
-// retry budgets and the quarantine of requests that crash targets. The owner
-// core holds all state of the services in its shards; the picker core of each
-// entry host asks the owner and falls back to a local policy without one.
-// Both are pure state machines.
 package pool
 
 import (
--- a/internal/pool/done.go
+++ b/internal/pool/done.go
@@ -42,7 +42,11 @@
 	switch m.Attempt.End {
 	case model.AttemptOK:
 		t.okAt = now
-		s.addLatency(&t.stats, m.Attempt.Latency, o.tune.EvidenceCap)
+		// Attempts that another owner or a local choice placed may have waited
+		// inside the target, so their latency says nothing.
+		if own {
+			s.addLatency(&t.stats, m.Attempt.Latency, o.tune.EvidenceCap)
+		}
 		s.clearSuspect(m.Workspace, m.Fingerprint)
 	case model.AttemptError, model.AttemptInvalid:
 		// The response came from the target, so the host's connection is not in question.
--- a/internal/pool/owner.go
+++ b/internal/pool/owner.go
@@ -233,6 +233,7 @@
 			}
 			t.forgetHost(host)
 		}
+		*s.trust(host) = hostTrust{}
 		if now < o.tenures[s.shard].until {
 			o.dispatch(now, s)
 		}
--- a/internal/trial/scenario.go
+++ b/internal/trial/scenario.go
@@ -61,6 +61,11 @@
 		{Name: "entry host refused", setup: func(w *World) { w.At(faultAt, func() { w.busiest().refused = true }) }},
 		{Name: "entry host hangs", setup: func(w *World) { w.At(faultAt, func() { w.busiest().hangs = true }) }},
 		{Name: "owner lost", setup: func(w *World) { w.At(faultAt, w.LoseOwner) }},
+		{Name: "owner lost twice, x10", Detect: true, Until: 20 * time.Second, setup: func(w *World) {
+			one(func(t *target) { t.slow = 10 })(w)
+			w.At(faultAt, w.LoseOwner)
+			w.At(faultAt+6*time.Second, w.LoseOwner)
+		}},
 		{Name: "target leaves", setup: func(w *World) {
 			w.At(faultAt, func() { w.each(func(s *service) { s.targets[0].leave() }) })
 		}},
--- a/internal/trial/targets_test.go
+++ b/internal/trial/targets_test.go
@@ -49,6 +49,7 @@
 		{scenario: "entry host refused", success: 0.997, p99: second, refused: 0.002, attempts: 1.02},
 		{scenario: "entry host hangs", success: 0.97, refused: 0.1, attempts: 1.01},
 		{scenario: "owner lost", success: 0.999, attempts: 1.02, refused: 0.001},
+		{scenario: "owner lost twice, x10", median: 3 * second, worst: 5 * second, success: 0.998, attempts: 1.02, refused: 0.001},
 		{scenario: "target leaves", success: 0.998, attempts: 1.01},
 	}
 	scenarios := Scenarios()
