--- /dev/null
+++ b/internal/order/race_off_test.go
@@ -0,0 +1,5 @@
+//go:build !race
+
+package order_test
+
+const defaultSchedules = 3000
--- /dev/null
+++ b/internal/order/sim_test.go
@@ -0,0 +1,367 @@
+package order_test
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"slices"
+	"strconv"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"tarragongauge.example/tarragongauge/internal/order"
+	"tarragongauge.example/tarragongauge/internal/proto"
+	"tarragongauge.example/tarragongauge/pkg/model"
+)
+
+// simTiming is DefaultTiming, ten times faster, with the same ratios.
+func simTiming() order.Timing {
+	return order.Timing{
+		Resend: 10 * time.Millisecond, Wait: 150 * time.Millisecond, Settle: 5 * time.Millisecond,
+		VoteValid: 200 * time.Millisecond, Silence: 220 * time.Millisecond, Keep: 24 * time.Hour,
+	}
+}
+
+// event is something that happens at a virtual time.
+type event struct {
+	at  time.Duration
+	seq int
+	do  func()
+}
+
+type queue []event
+
+func (q queue) Len() int { return len(q) }
+func (q queue) Less(a, b int) bool {
+	return q[a].at < q[b].at || (q[a].at == q[b].at && q[a].seq < q[b].seq)
+}
+func (q queue) Swap(a, b int) { q[a], q[b] = q[b], q[a] }
+func (q *queue) Push(x any)   { *q = append(*q, x.(event)) }
+func (q *queue) Pop() any {
+	last := (*q)[len(*q)-1]
+	*q = (*q)[:len(*q)-1]
+	return last
+}
+
+// node is a journal or entry host. Its clock runs at its own speed.
+type node struct {
+	id    model.HostID
+	core  order.Core
+	life  int
+	speed float64
+	// disk is what a journal has synced; lost is set until a repair is complete.
+	disk []proto.JournalRecord
+	lost bool
+	// synced is when the last Persist becomes durable.
+	synced time.Duration
+}
+
+func (n *node) now(at time.Duration) model.Instant {
+	return model.Instant(float64(at) * n.speed)
+}
+
+// sim is one fleet of journals and entry hosts in virtual time.
+type sim struct {
+	rng      *rand.Rand
+	now      time.Duration
+	seq      int
+	queue    queue
+	nodes    map[model.HostID]*node
+	journals []model.HostID
+	entries  []model.HostID
+	cut      map[[2]model.HostID]time.Duration
+	loss     float64
+	nonce    uint64
+	requests int
+
+	keyOf   map[model.RequestID]string
+	bodyOf  map[model.RequestID]model.BodyHash
+	ended   map[model.RequestID]string
+	ranBy   map[string]model.RequestID
+	answers map[string]string
+	broken  []string
+	counts  map[string]int
+}
+
+func newSim(seed uint64) *sim {
+	s := &sim{
+		rng: rand.New(rand.NewPCG(seed, 1)), nodes: map[model.HostID]*node{}, cut: map[[2]model.HostID]time.Duration{},
+		keyOf: map[model.RequestID]string{}, bodyOf: map[model.RequestID]model.BodyHash{}, ended: map[model.RequestID]string{},
+		ranBy: map[string]model.RequestID{}, answers: map[string]string{}, counts: map[string]int{},
+	}
+	s.loss = []float64{0, 0.05, 0.25}[s.rng.IntN(3)]
+	for i := range []int{3, 3, 5}[s.rng.IntN(3)] {
+		s.journals = append(s.journals, model.HostID(fmt.Sprint("j", i)))
+	}
+	s.entries = []model.HostID{"e0", "e1", "e2"}
+	for _, id := range slices.Concat(s.journals, s.entries) {
+		s.nodes[id] = &node{id: id, speed: 0.98 + 0.04*s.rng.Float64()}
+		s.start(id, false)
+	}
+	return s
+}
+
+func (s *sim) at(d time.Duration, do func()) {
+	s.seq++
+	heap.Push(&s.queue, event{at: s.now + d, seq: s.seq, do: do})
+}
+
+func (s *sim) between(low, high time.Duration) time.Duration {
+	return low + time.Duration(s.rng.Int64N(int64(high-low)))
+}
+
+// start runs a new process on a host from what its disk holds.
+func (s *sim) start(id model.HostID, empty bool) {
+	n := s.nodes[id]
+	n.life++
+	s.nonce += 1 << 20
+	opts := []order.Option{order.WithTiming(simTiming()), order.WithNonces(s.nonce), order.WithPageBytes(300)}
+	if slices.Contains(s.journals, id) {
+		n.core = order.NewJournal(id, s.journals, slices.Clone(n.disk), empty, opts...)
+	} else {
+		n.core = order.NewReserver(id, s.journals, opts...)
+	}
+	s.tick(n, n.life)
+}
+
+func (s *sim) tick(n *node, life int) {
+	if n.life != life {
+		return
+	}
+	s.step(n, order.Tick{})
+	s.at(5*time.Millisecond, func() { s.tick(n, life) })
+}
+
+func (s *sim) step(n *node, ev order.Event) {
+	for _, eff := range n.core.Step(n.now(s.now), ev) {
+		s.apply(n, eff)
+	}
+}
+
+func (s *sim) apply(n *node, eff order.Effect) {
+	switch eff := eff.(type) {
+	case order.Send:
+		s.send(n.id, eff)
+	case order.Persist:
+		// Persists become durable in their order.
+		life := n.life
+		n.synced = max(n.synced, s.now+s.between(100*time.Microsecond, 4*time.Millisecond))
+		s.at(n.synced-s.now, func() { s.sync(n, life, eff) })
+	case order.Reserved:
+		s.reserved(n, eff.Request)
+	case order.Known:
+		s.end(eff.Request, "known")
+		if want := s.answers[s.keyOf[eff.Request]]; string(eff.Answer.Body) != want {
+			s.fail("%s got answer %q, the first was %q", eff.Request, eff.Answer.Body, want)
+		}
+	case order.Stopped:
+		s.end(eff.Request, fmt.Sprint("stopped ", eff.Reason))
+	}
+}
+
+func (s *sim) fail(format string, args ...any) {
+	s.broken = append(s.broken, fmt.Sprintf("%v: ", s.now)+fmt.Sprintf(format, args...))
+}
+
+func (s *sim) end(id model.RequestID, how string) {
+	if s.ended[id] != "" {
+		s.fail("%s ended twice: %s, %s", id, s.ended[id], how)
+	}
+	s.ended[id] = how
+	s.counts[how]++
+}
+
+// send delivers a message late, twice or never.
+func (s *sim) send(from model.HostID, m order.Send) {
+	copies := 1
+	if s.rng.Float64() < 0.1 {
+		copies = 2
+	}
+	for range copies {
+		if s.rng.Float64() < s.loss || s.cut[[2]model.HostID{from, m.To}] > s.now {
+			continue
+		}
+		d := s.between(200*time.Microsecond, 3*time.Millisecond)
+		if s.rng.Float64() < 0.05 {
+			d = s.between(0, 400*time.Millisecond)
+		}
+		s.at(d, func() {
+			if n := s.nodes[m.To]; n.core != nil {
+				s.step(n, order.Received{From: from, Msg: m.Msg})
+			}
+		})
+	}
+}
+
+// sync makes records durable, unless the process was killed before.
+func (s *sim) sync(n *node, life int, p order.Persist) {
+	if n.life != life {
+		return
+	}
+	n.disk = append(n.disk, p.Records...)
+	s.step(n, order.Persisted{Seq: p.Seq})
+	if n.lost && n.core.(*order.Journal).Voting() {
+		n.lost = false
+		s.counts["repaired"]++
+		// A second disk is lost right after the repair.
+		other := s.journals[s.rng.IntN(len(s.journals))]
+		s.at(s.between(0, 20*time.Millisecond), func() { s.loseDisk(other) })
+	}
+}
+
+// reserved runs an order, or gives it up without running it.
+func (s *sim) reserved(n *node, id model.RequestID) {
+	s.end(id, "reserved")
+	if s.rng.Float64() < 0.2 {
+		s.step(n, order.Finished{Request: id, NotRun: true})
+		return
+	}
+	key := s.keyOf[id]
+	if first, ok := s.ranBy[key]; ok {
+		s.fail("order %s ran for %s and %s", key, first, id)
+	}
+	s.ranBy[key] = id
+	life := n.life
+	s.at(s.between(0, 60*time.Millisecond), func() {
+		if n.life != life || s.rng.Float64() < 0.2 {
+			return
+		}
+		s.answers[key] = "answer to " + string(id)
+		s.step(n, order.Finished{Request: id, Answer: &proto.StoredAnswer{Status: 200, Body: []byte(s.answers[key])}})
+	})
+}
+
+// request starts an order on a host that is up.
+func (s *sim) request() {
+	n := s.nodes[s.entries[s.rng.IntN(len(s.entries))]]
+	s.at(s.between(time.Millisecond, 12*time.Millisecond), s.request)
+	if n.core == nil {
+		return
+	}
+	s.requests++
+	id := model.RequestID(fmt.Sprint("r", s.requests))
+	// Keys are reused by requests that are close in time.
+	s.keyOf[id] = fmt.Sprint("o", s.requests/8+s.rng.IntN(3))
+	body := model.BodyHash{1}
+	if s.rng.Float64() < 0.05 {
+		body = model.BodyHash{2}
+	}
+	s.step(n, order.Started{Request: id, Workspace: "ws", OrderKey: s.keyOf[id], Body: body})
+}
+
+func (s *sim) kill(id model.HostID) {
+	n := s.nodes[id]
+	n.life++
+	n.core = nil
+}
+
+// loseDisk kills a journal and starts it with an empty disk, if no other disk is lost now.
+func (s *sim) loseDisk(id model.HostID) {
+	for _, j := range s.journals {
+		if n := s.nodes[j]; n.lost || n.core == nil {
+			return
+		}
+	}
+	s.counts["disk lost"]++
+	s.kill(id)
+	s.nodes[id].disk = nil
+	s.nodes[id].lost = true
+	s.at(s.between(0, 50*time.Millisecond), func() { s.start(id, true) })
+}
+
+func (s *sim) fault() {
+	s.at(s.between(5*time.Millisecond, 150*time.Millisecond), s.fault)
+	all := slices.Concat(s.journals, s.entries)
+	id := all[s.rng.IntN(len(all))]
+	switch s.rng.IntN(5) {
+	case 0:
+		// One direction between a host and all others fails.
+		end, inward := s.now+s.between(0, 400*time.Millisecond), s.rng.IntN(2) == 0
+		for _, other := range all {
+			if inward {
+				s.cut[[2]model.HostID{other, id}] = end
+			} else {
+				s.cut[[2]model.HostID{id, other}] = end
+			}
+		}
+	case 3:
+		other := all[s.rng.IntN(len(all))]
+		s.cut[[2]model.HostID{id, other}] = s.now + s.between(0, 300*time.Millisecond)
+	case 1:
+		if s.nodes[id].core != nil {
+			s.kill(id)
+			s.at(s.between(0, 100*time.Millisecond), func() { s.start(id, s.nodes[id].lost) })
+		}
+	case 2:
+		s.loseDisk(s.journals[s.rng.IntN(len(s.journals))])
+	default:
+		for j := range s.cut {
+			delete(s.cut, j)
+		}
+	}
+}
+
+func (s *sim) run(length time.Duration) {
+	s.request()
+	s.fault()
+	for len(s.broken) == 0 && s.now < length {
+		e := heap.Pop(&s.queue).(event)
+		s.now = e.at
+		e.do()
+	}
+}
+
+// schedules returns the number of random schedules: by default what fits the
+// time of a unit test under the race detector, or ORDER_SCHEDULES.
+func schedules(t *testing.T) int {
+	text := os.Getenv("ORDER_SCHEDULES")
+	if text == "" {
+		return defaultSchedules
+	}
+	n, err := strconv.Atoi(text)
+	require.NoError(t, err)
+	return n
+}
+
+// Guards against an order that runs twice, a request that runs after it was told that it does not, and an
+// answer that is not the first, under loss, delay, duplication, partitions, restarts and lost disks.
+func TestOrdersRunOnce(t *testing.T) {
+	const groups = 20
+	var mu sync.Mutex
+	total := map[string]int{}
+	t.Run("seeds", func(t *testing.T) {
+		for g := range groups {
+			t.Run(fmt.Sprint("from ", g), func(t *testing.T) {
+				t.Parallel()
+				for i := range schedules(t) / groups {
+					seed := uint64(g + i*groups)
+					s := newSim(seed)
+					s.run(800 * time.Millisecond)
+					require.Empty(t, s.broken, "seed %d", seed)
+					mu.Lock()
+					for name, n := range s.counts {
+						total[name] += n
+					}
+					mu.Unlock()
+				}
+			})
+		}
+	})
+	t.Log(total)
+	for _, name := range []string{"reserved", "known", "stopped 1", "stopped 2", "stopped 3", "disk lost", "repaired"} {
+		require.NotZero(t, total[name], name)
+	}
+}
+
+// Guards against a simulation that is not repeatable, which would make a reported seed useless.
+func TestSchedulesAreRepeatable(t *testing.T) {
+	a, b := newSim(7), newSim(7)
+	a.run(time.Second)
+	b.run(time.Second)
+	require.Equal(t, a.counts, b.counts)
+	require.Equal(t, a.ended, b.ended)
+}
