--- /dev/null
+++ b/internal/stub/stub_test.go
@@ -0,0 +1,174 @@
+package stub_test
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/alitto/pond/v2"
+	"github.com/stretchr/testify/require"
+	"go.uber.org/goleak"
+
+	"tarragongauge.example/tarragongauge/internal/stub"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// board takes announcements.
+type board struct {
+	mu   sync.Mutex
+	seen []map[string]any
+}
+
+func (b *board) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	var a map[string]any
+	if err := json.NewDecoder(r.Body).Decode(&a); err != nil || r.Header.Get("Authorization") != "Bearer s" || r.URL.Path != "/v1/announce" {
+		w.WriteHeader(http.StatusForbidden)
+		return
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.seen = append(b.seen, a)
+	w.WriteHeader(http.StatusNoContent)
+}
+
+func (b *board) states() []string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	var out []string
+	for _, a := range b.seen {
+		if s := a["state"].(string); len(out) == 0 || out[len(out)-1] != s {
+			out = append(out, s)
+		}
+	}
+	return out
+}
+
+// Guards against a runner that leaves without a warning or breaks off its requests, also with a dead entry host.
+func TestRunnerAnnouncesDrainsAndLeaves(t *testing.T) {
+	b := &board{}
+	srv := httptest.NewServer(b)
+	defer srv.Close()
+	target, err := stub.NewTarget("t1", stub.WithBehavior(stub.Behavior{DelayMS: 150}))
+	require.NoError(t, err)
+	run, err := stub.NewRunner(target, stub.Registration{
+		Entries: []string{"http://127.0.0.1:1", srv.URL}, Service: "stock", Target: "t1", Zone: "z1", Secret: "s",
+		Slots: 3, Incarnation: 7, Every: 20 * time.Millisecond, DrainFor: 50 * time.Millisecond,
+	})
+	require.NoError(t, err)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	workers := pond.NewPool(2)
+	ended := workers.SubmitErr(func() error { return run.Run(ctx, l) })
+	status := 0
+	asked := workers.SubmitErr(func() error {
+		res, err := http.Post("http://"+l.Addr().String()+"/x", "text/plain", strings.NewReader("b"))
+		if err != nil {
+			return err
+		}
+		status = res.StatusCode
+		return res.Body.Close()
+	})
+	require.Eventually(t, func() bool { return target.Running() == 1 && len(b.states()) == 1 }, 2*time.Second, time.Millisecond)
+	cancel()
+	require.NoError(t, asked.Wait())
+	require.NoError(t, ended.Wait())
+	workers.StopAndWait()
+	http.DefaultClient.CloseIdleConnections()
+	require.Equal(t, 200, status)
+	require.Equal(t, []string{"ready", "draining", "leaving"}, b.states())
+	require.Equal(t, "stock t1 z1", b.seen[0]["service"].(string)+" "+b.seen[0]["target"].(string)+" "+b.seen[0]["zone"].(string))
+	require.Equal(t, l.Addr().String(), b.seen[0]["addr"])
+}
+
+// Guards against failure modes that do not do what they say, and a journal that disagrees with them.
+func TestModesOverHTTP(t *testing.T) {
+	exits := 0
+	target, err := stub.NewTarget("t1", stub.WithExit(func() { exits++ }))
+	require.NoError(t, err)
+	srv := httptest.NewServer(target)
+	defer srv.Close()
+	call := func(method, path, body string) (int, string) {
+		req, err := http.NewRequest(method, srv.URL+path, strings.NewReader(body))
+		require.NoError(t, err)
+		req.Header.Set("X-Request-Id", "r1")
+		res, err := srv.Client().Do(req)
+		if err != nil {
+			return 0, ""
+		}
+		defer func() { _ = res.Body.Close() }()
+		data, err := io.ReadAll(res.Body)
+		if err != nil {
+			return -1, ""
+		}
+		return res.StatusCode, string(data)
+	}
+	cases := []struct {
+		mode   string
+		status int
+		ran    bool
+		health int
+		load   string
+	}{
+		{`{}`, 200, true, 200, `{"load":0}`},
+		{`{"error_share":1}`, 500, true, 503, `{"load":0}`},
+		{`{"error_share":1,"health":"healthy","load":0.1}`, 500, true, 200, `{"load":0.1}`},
+		{`{"health":"failing","load":0.9}`, 200, true, 503, `{"load":0.9}`},
+		{`{"shed_share":1}`, 503, false, 503, `{"load":0}`},
+		{`{"drop_share":1}`, 0, true, 503, `{"load":0}`},
+		{`{"crash_pattern":"boom"}`, 0, true, 503, `{"load":0}`},
+		{`{"wrong_share":1,"wrong":"truncated"}`, -1, true, 503, `{"load":0}`},
+		{`{"wrong_share":1,"wrong":"garbage"}`, 0, true, 503, `{"load":0}`},
+		{`{"wrong_share":1,"wrong":"body"}`, 200, true, 503, `{"load":0}`},
+		{`{"cold_ms":60000,"cold_delay_ms":20}`, 200, true, 200, `{"load":0}`},
+	}
+	for _, c := range cases {
+		status, _ := call("POST", stub.PathMode, c.mode)
+		require.Equal(t, 204, status, c.mode)
+		before := len(target.Journal())
+		start := time.Now()
+		status, _ = call("POST", "/x?boom", "b")
+		require.Equal(t, c.status, status, c.mode)
+		if strings.Contains(c.mode, "cold") {
+			require.GreaterOrEqual(t, time.Since(start), 15*time.Millisecond)
+		}
+		status, _ = call("GET", stub.PathHealth, "")
+		require.Equal(t, c.health, status, c.mode)
+		_, text := call("GET", stub.PathLoad, "")
+		require.Equal(t, c.load, text, c.mode)
+		_, text = call("GET", stub.PathJournal, "")
+		var entries []stub.Entry
+		require.NoError(t, json.NewDecoder(bytes.NewReader([]byte(text))).Decode(&entries))
+		require.Len(t, entries, before+1, c.mode)
+		require.Equal(t, c.ran, entries[before].Ran, c.mode)
+		require.Equal(t, "r1", entries[before].RequestID)
+	}
+	require.Equal(t, 1, exits)
+	for _, bad := range []string{`{"error_share":2}`, `{"wrong":"unknown"}`, `{"delay_ms":-1}`, `{"health":"maybe"}`, `x`} {
+		status, _ := call("POST", stub.PathMode, bad)
+		require.Equal(t, 400, status, bad)
+	}
+}
+
+// Guards against a flapping target that fails all the time or never.
+func TestFlapping(t *testing.T) {
+	target, err := stub.NewTarget("t1", stub.WithBehavior(stub.Behavior{ErrorShare: 1, FlapMS: 40}))
+	require.NoError(t, err)
+	seen := map[int]bool{}
+	require.Eventually(t, func() bool {
+		w := httptest.NewRecorder()
+		target.ServeHTTP(w, httptest.NewRequest(http.MethodGet, "/x", nil))
+		seen[w.Code] = true
+		return seen[200] && seen[500]
+	}, 2*time.Second, time.Millisecond)
+}
