--- /dev/null
+++ b/internal/order/order_test.go
@@ -0,0 +1,202 @@
+package order_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"tarragongauge.example/tarragongauge/internal/order"
+	"tarragongauge.example/tarragongauge/internal/proto"
+	"tarragongauge.example/tarragongauge/pkg/model"
+)
+
+// trio is three journals and one reserver without faults; effects are carried out at once.
+type trio struct {
+	t        *testing.T
+	now      model.Instant
+	ids      []model.HostID
+	journals map[model.HostID]*order.Journal
+	down     map[model.HostID]bool
+	reserver *order.Reserver
+	results  []string
+}
+
+func newTrio(t *testing.T) *trio {
+	f := &trio{t: t, ids: []model.HostID{"j0", "j1", "j2"}, journals: map[model.HostID]*order.Journal{}, down: map[model.HostID]bool{}}
+	for _, id := range f.ids {
+		f.journals[id] = order.NewJournal(id, f.ids, nil, false, order.WithTiming(simTiming()))
+	}
+	f.reserver = order.NewReserver("e0", f.ids, order.WithTiming(simTiming()))
+	f.advance(0)
+	return f
+}
+
+func (f *trio) apply(from model.HostID, effs []order.Effect) {
+	for _, eff := range effs {
+		switch eff := eff.(type) {
+		case order.Send:
+			f.deliver(from, eff)
+		case order.Persist:
+			f.apply(from, f.journals[from].Step(f.now, order.Persisted{Seq: eff.Seq}))
+		case order.Reserved:
+			f.results = append(f.results, fmt.Sprint(eff.Request, " reserved"))
+		case order.Known:
+			f.results = append(f.results, fmt.Sprint(eff.Request, " known ", string(eff.Answer.Body)))
+		case order.Stopped:
+			f.results = append(f.results, fmt.Sprint(eff.Request, " stopped ", eff.Reason))
+		}
+	}
+}
+
+func (f *trio) deliver(from model.HostID, m order.Send) {
+	if f.down[from] || f.down[m.To] {
+		return
+	}
+	ev := order.Received{From: from, Msg: m.Msg}
+	if m.To == "e0" {
+		f.apply("e0", f.reserver.Step(f.now, ev))
+		return
+	}
+	f.apply(m.To, f.journals[m.To].Step(f.now, ev))
+}
+
+func (f *trio) advance(d time.Duration) {
+	for end := f.now.Add(d); ; f.now = f.now.Add(5 * time.Millisecond) {
+		f.apply("e0", f.reserver.Step(f.now, order.Tick{}))
+		for _, id := range f.ids {
+			f.apply(id, f.journals[id].Step(f.now, order.Tick{}))
+		}
+		if f.now >= end {
+			return
+		}
+	}
+}
+
+func (f *trio) start(id model.RequestID, key string, body byte) {
+	f.apply("e0", f.reserver.Step(f.now, order.Started{Request: id, Workspace: "ws", OrderKey: key, Body: model.BodyHash{body}}))
+}
+
+func (f *trio) finish(id model.RequestID, notRun bool, answer string) {
+	ev := order.Finished{Request: id, NotRun: notRun}
+	if answer != "" {
+		ev.Answer = &proto.StoredAnswer{Status: 200, Body: []byte(answer)}
+	}
+	f.apply("e0", f.reserver.Step(f.now, ev))
+}
+
+// Guards against the wrong end of a reservation in each situation of a resend.
+func TestEndsOfReservations(t *testing.T) {
+	const inFlight, differs, noMajority = "b stopped 1", "b stopped 2", "b stopped 3"
+	cases := map[string]struct {
+		first func(*trio)
+		body  byte
+		want  string
+	}{
+		"new key":            {func(*trio) {}, 1, "b reserved"},
+		"in flight":          {func(f *trio) { f.start("a", "o", 1) }, 1, inFlight},
+		"other body":         {func(f *trio) { f.start("a", "o", 1) }, 2, differs},
+		"unknown end":        {func(f *trio) { f.start("a", "o", 1); f.finish("a", false, "") }, 1, inFlight},
+		"not run":            {func(f *trio) { f.start("a", "o", 1); f.finish("a", true, "") }, 1, "b reserved"},
+		"not run, new body":  {func(f *trio) { f.start("a", "o", 1); f.finish("a", true, "") }, 2, "b reserved"},
+		"answered":           {func(f *trio) { f.start("a", "o", 1); f.finish("a", false, "x") }, 1, "b known x"},
+		"answered, new body": {func(f *trio) { f.start("a", "o", 1); f.finish("a", false, "x") }, 2, differs},
+		"other key":          {func(f *trio) { f.start("a", "other", 1) }, 1, "b reserved"},
+		"one journal down":   {func(f *trio) { f.down["j1"] = true }, 1, "b reserved"},
+		"two journals down":  {func(f *trio) { f.down["j1"], f.down["j2"] = true, true }, 1, noMajority},
+		"failed disks": {func(f *trio) {
+			for _, id := range f.ids[:2] {
+				f.journals[id].Step(f.now, order.DiskFailed{})
+			}
+		}, 1, noMajority},
+		"one answer among the down": {func(f *trio) {
+			f.start("a", "o", 1)
+			f.finish("a", false, "x")
+			f.down["j1"], f.down["j2"] = true, true
+		}, 1, "b known x"},
+		"reserved among the down": {func(f *trio) {
+			f.start("a", "o", 1)
+			f.down["j1"], f.down["j2"] = true, true
+		}, 1, inFlight},
+		"expired": {func(f *trio) {
+			f.start("a", "o", 1)
+			f.now = f.now.Add(24*time.Hour + 2*time.Minute)
+			f.advance(0)
+		}, 1, "b reserved"},
+		"almost expired": {func(f *trio) {
+			f.start("a", "o", 1)
+			f.now = f.now.Add(24*time.Hour - 2*time.Minute)
+			f.advance(0)
+		}, 1, inFlight},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			f := newTrio(t)
+			c.first(f)
+			f.start("b", "o", c.body)
+			f.advance(200 * time.Millisecond)
+			require.Equal(t, c.want, f.results[len(f.results)-1])
+		})
+	}
+}
+
+// Guards against a reservation that stays after its request was given up, also when the messages that free it
+// were lost at first.
+func TestGivenUpReservationsAreFreed(t *testing.T) {
+	f := newTrio(t)
+	f.start("a", "o", 1)
+	f.down["j0"], f.down["j1"] = true, true
+	f.finish("a", true, "")
+	f.down["j0"], f.down["j1"] = false, false
+	f.advance(time.Second)
+	f.start("b", "o", 1)
+	f.advance(50 * time.Millisecond)
+	require.Equal(t, []string{"a reserved", "b reserved"}, f.results)
+}
+
+// Guards against a repair that loses records, stops at a page, or never ends.
+func TestRepairCopiesEverything(t *testing.T) {
+	f := newTrio(t)
+	for i := range 20 {
+		id := model.RequestID(fmt.Sprint("a", i))
+		f.start(id, fmt.Sprint("o", i), 1)
+		f.finish(id, i%3 == 0, map[bool]string{true: "x"}[i%3 == 1])
+	}
+	want := f.journals["j0"].Records()
+	require.Len(t, want, 21)
+	f.journals["j0"] = order.NewJournal("j0", f.ids, nil, true, order.WithTiming(simTiming()), order.WithNonces(99), order.WithPageBytes(500))
+	f.journals["j1"] = order.NewJournal("j1", f.ids, f.journals["j1"].Records(), false, order.WithTiming(simTiming()), order.WithPageBytes(500))
+	f.advance(200 * time.Millisecond)
+	require.False(t, f.journals["j0"].Voting(), "silent until votes from the lost disk have expired")
+	f.down["j2"] = true
+	f.advance(200 * time.Millisecond)
+	require.False(t, f.journals["j0"].Voting(), "one of the others is not enough")
+	f.down["j2"] = false
+	f.advance(50 * time.Millisecond)
+	require.True(t, f.journals["j0"].Voting())
+	require.Equal(t, want, f.journals["j0"].Records())
+}
+
+// Guards against a journal that votes after an interrupted repair because its disk is not empty any more.
+func TestInterruptedRepairDoesNotVote(t *testing.T) {
+	left := []proto.JournalRecord{{Workspace: "ws", OrderKey: "o", Holder: "a"}}
+	require.False(t, order.NewJournal("j0", []model.HostID{"j0", "j1", "j2"}, left, false).Voting())
+	require.False(t, order.NewJournal("j0", []model.HostID{"j0"}, nil, true).Voting())
+	require.True(t, order.NewJournal("j0", []model.HostID{"j0"}, nil, false).Voting())
+}
+
+// Guards against an order that runs because a reply arrived before its record was synced.
+func TestRepliesWaitForTheDisk(t *testing.T) {
+	j := order.NewJournal("j0", []model.HostID{"j0"}, nil, false)
+	ask := order.Received{From: "e0", Msg: proto.ReserveAsk{Nonce: 1, Workspace: "ws", OrderKey: "o", Holder: "a"}}
+	effs := j.Step(1, ask)
+	require.Len(t, effs, 1)
+	persist := effs[0].(order.Persist)
+	require.Empty(t, j.Step(2, ask), "a repeated question waits too")
+	require.Len(t, j.Step(3, order.Persisted{Seq: persist.Seq}), 2)
+	require.Len(t, j.Step(4, ask), 1)
+	require.Empty(t, j.Step(5, order.DiskFailed{}))
+	effs = j.Step(6, ask)
+	require.Equal(t, proto.ReserveUnavailable, effs[0].(order.Send).Msg.(proto.ReserveReply).Status)
+}
