Keep a reservation when the forwarding code panics; log the panic

A panic between the start and the end of an attempt would have freed the reservation of an order that may have run, and net/http's log of it was discarded. Until the end of an attempt is known the request now counts as run. SetTargetConns follows changes of the number of entry hosts.

It now waits 50 ms first and also checks that the host asks for no target after the withdrawal.

--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -127,7 +127,7 @@
 		GotConn:              a.trace.gotConn,
 		GotFirstResponseByte: a.trace.gotFirstByte,
 	})
-	res, err := c.s.transport.RoundTrip(c.outgoing(traced, a.target.Addr)) //nolint:bodyclose // close and finish close it.
+	res, err := c.s.targetSide.get().RoundTrip(c.outgoing(traced, a.target.Addr)) //nolint:bodyclose // close and finish close it.
 	if err != nil {
 		a.fail(ctx, c, err)
 		return
--- a/internal/entry/call.go
+++ b/internal/entry/call.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"net/http"
+	"runtime/debug"
 	"strconv"
 	"strings"
 	"time"
@@ -64,11 +66,24 @@
 	s.active.Add(1)
 	defer s.active.Add(-1)
 	defer c.record()
+	defer c.logPanic()
 	if err := c.serve(); err != nil {
 		c.answerError(err)
 	}
 }
 
+// logPanic logs a fault of this package and breaks the caller's connection.
+func (c *call) logPanic() {
+	v := recover()
+	if v == nil {
+		return
+	}
+	if err, ok := v.(error); !ok || !errors.Is(err, http.ErrAbortHandler) {
+		c.s.log.Error(fmt.Errorf("panic: %v", v), "request handler failed", "request_id", c.id, "stack", string(debug.Stack()))
+	}
+	panic(http.ErrAbortHandler)
+}
+
 func (c *call) serve() *ErrRefused {
 	if err := connOf(c.r.Context()).refused(c.r.URL.Path); err != nil {
 		return err
--- a/internal/entry/fake_test.go
+++ b/internal/entry/fake_test.go
@@ -37,20 +37,22 @@
 // fake is a Decider that admits everything unless a test says otherwise. It
 // hands out the targets in order and skips those already tried.
 type fake struct {
-	mu       sync.Mutex
-	cfg      model.Config
-	stale    bool
-	targets  []pool.Assigned
-	refuse   proto.SlotStatus
-	noRetry  bool
-	admit    entry.Admission
-	reserve  entry.Reservation
-	started  []order.Started
-	finished []order.Finished
-	ended    []pool.Ended
-	wanted   []pool.Wanted
-	news     []model.Announcement
-	records  []entry.Record
+	mu      sync.Mutex
+	cfg     model.Config
+	stale   bool
+	targets []pool.Assigned
+	refuse  proto.SlotStatus
+	noRetry bool
+	// panicAtEnd makes End panic.
+	panicAtEnd bool
+	admit      entry.Admission
+	reserve    entry.Reservation
+	started    []order.Started
+	finished   []order.Finished
+	ended      []pool.Ended
+	wanted     []pool.Wanted
+	news       []model.Announcement
+	records    []entry.Record
 }
 
 func newFake(tb testing.TB) *fake {
@@ -119,7 +121,12 @@
 	return entry.Assignment{Refused: pool.Refused{Status: proto.SlotNoTarget}}, nil
 }
 
-func (f *fake) End(end pool.Ended) { f.change(func() { f.ended = append(f.ended, end) }) }
+func (f *fake) End(end pool.Ended) {
+	f.change(func() { f.ended = append(f.ended, end) })
+	if f.panicAtEnd {
+		panic("the decider failed")
+	}
+}
 
 func (f *fake) Announce(a model.Announcement) { f.change(func() { f.news = append(f.news, a) }) }
 
--- a/internal/entry/forward.go
+++ b/internal/entry/forward.go
@@ -112,12 +112,15 @@
 
 // try makes one attempt. It reports done when the caller was answered.
 func (c *call) try(ctx context.Context, target pool.Assigned) (*failure, bool) {
+	// Until the end of the attempt is known, the request counts as run, also if this code panics.
+	before := c.mayHaveRun
+	c.mayHaveRun = true
 	a := c.send(ctx, target)
 	reported := false
 	report := func() {
 		if !reported {
 			reported = true
-			c.mayHaveRun = c.mayHaveRun || a.mayHaveRun()
+			c.mayHaveRun = before || a.mayHaveRun()
 			c.returnTarget(a.record())
 		}
 	}
--- a/internal/entry/options.go
+++ b/internal/entry/options.go
@@ -3,6 +3,8 @@
 import (
 	"time"
 
+	"github.com/go-logr/logr"
+
 	"tarragongauge.example/tarragongauge/pkg/model"
 )
 
@@ -59,6 +61,7 @@
 	limits     Limits
 	echo       bool
 	peerChecks bool
+	log        logr.Logger
 }
 
 // Option changes a setting of a Server.
@@ -80,6 +83,11 @@
 	return func(s *settings) { s.echo = false }
 }
 
+// WithLog sets the log for faults of this package; requests are not logged.
+func WithLog(log logr.Logger) Option {
+	return func(s *settings) { s.log = log }
+}
+
 // WithPeerCheck refuses announcements whose address differs from the address
 // that they come from.
 func WithPeerCheck() Option {
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -9,6 +9,8 @@
 	"net/http"
 	"sync/atomic"
 
+	"github.com/go-logr/logr"
+
 	"tarragongauge.example/tarragongauge/pkg/model"
 )
 
@@ -19,15 +21,15 @@
 // and one for announcements from targets.
 type Server struct {
 	settings
-	decider   Decider
-	recorder  Recorder
-	ids       *idSource
-	registry  *registry
-	transport *http.Transport
-	callers   *http.Server
-	targets   *http.Server
-	draining  atomic.Bool
-	active    atomic.Int64
+	decider    Decider
+	recorder   Recorder
+	ids        *idSource
+	registry   *registry
+	targetSide transports
+	callers    *http.Server
+	targets    *http.Server
+	draining   atomic.Bool
+	active     atomic.Int64
 }
 
 // NewServer returns a server and its clean-up function. The clean-up function
@@ -37,7 +39,7 @@
 	if decider == nil || recorder == nil {
 		return nil, nil, model.ErrInvalid{Field: "decider or recorder", Got: "nil", Want: "set"}
 	}
-	s := &Server{settings: settings{limits: DefaultLimits(), echo: true}, decider: decider, recorder: recorder, registry: newRegistry()}
+	s := &Server{settings: settings{limits: DefaultLimits(), echo: true, log: logr.Discard()}, decider: decider, recorder: recorder, registry: newRegistry()}
 	for _, opt := range opts {
 		opt(&s.settings)
 	}
@@ -45,11 +47,12 @@
 		return nil, nil, model.ErrInvalid{Field: "limits", Got: "not positive", Want: "at least 1 for attempts, target connections and header; start from DefaultLimits"}
 	}
 	s.ids = newIDSource(s.host)
-	s.transport = newTransport(s.limits)
+	s.targetSide.set(newTransport(s.limits))
 	s.callers = s.newHTTPServer(s)
 	s.callers.ConnContext = withConn
 	s.callers.ConnState = s.connState
 	s.targets = s.newHTTPServer(s.AnnouncementHandler())
+	s.targets.ReadTimeout = s.limits.HeaderTime
 	return s, s.shutdown, nil
 }
 
@@ -72,7 +75,6 @@
 
 // ServeAnnouncements serves targets until the clean-up function is called.
 func (s *Server) ServeAnnouncements(l net.Listener) error {
-	s.targets.ReadTimeout = s.limits.HeaderTime
 	return ended(s.targets.Serve(l))
 }
 
@@ -112,10 +114,20 @@
 	if terr := s.targets.Shutdown(ctx); terr != nil {
 		err = errors.Join(err, terr, s.targets.Close())
 	}
-	s.transport.CloseIdleConnections()
+	s.targetSide.closeIdle()
 	return err
 }
 
+// SetTargetConns changes the bound on the connections of this host to one
+// target, when the number of live entry hosts or the configuration changes.
+// Requests in flight keep their connections, so that for their duration the
+// connections of both bounds add up.
+func (s *Server) SetTargetConns(n int) {
+	l := s.limits
+	l.TargetConns = max(1, n)
+	s.targetSide.set(newTransport(l))
+}
+
 // Active counts all requests that have not ended, on open routes too.
 func (s *Server) Active() int { return int(s.active.Load()) }
 
--- a/internal/entry/target_conn.go
+++ b/internal/entry/target_conn.go
@@ -16,6 +16,9 @@
 	settleTime = 200 * time.Millisecond
 	// settleStep is the interval of looking during that wait.
 	settleStep = 20 * time.Microsecond
+	// maxTransports bounds the earlier transports that a shutdown still closes;
+	// connections of older ones end by their idle time.
+	maxTransports = 8
 )
 
 var (
@@ -149,6 +152,36 @@
 	return c.written && !c.sealed
 }
 
+// transports holds the transport in use and earlier ones, whose last connections end with their requests.
+type transports struct {
+	mu  sync.Mutex
+	all []*http.Transport
+}
+
+func (t *transports) set(next *http.Transport) {
+	t.closeIdle()
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.all = append(t.all, next)
+	if len(t.all) > maxTransports {
+		t.all = t.all[len(t.all)-maxTransports:]
+	}
+}
+
+func (t *transports) get() *http.Transport {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.all[len(t.all)-1]
+}
+
+func (t *transports) closeIdle() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, transport := range t.all {
+		transport.CloseIdleConnections()
+	}
+}
+
 // newTransport returns the transport to targets. Compression, proxies and
 // HTTP/2 are off: a target's bytes reach the caller as they are.
 func newTransport(l Limits) *http.Transport {
--- a/internal/entry/withdraw_test.go
+++ b/internal/entry/withdraw_test.go
@@ -16,6 +16,7 @@
 
 	hdrhistogram "github.com/HdrHistogram/hdrhistogram-go"
 	"github.com/alitto/pond/v2"
+	"github.com/go-logr/logr/funcr"
 	"github.com/stretchr/testify/require"
 
 	"tarragongauge.example/tarragongauge/internal/entry"
@@ -135,9 +136,12 @@
 	})
 	h.EndWorkspace("shop-a")
 	require.Eventually(t, func() bool { return h.Evidence("shop-a").InFlight == 0 && target.Running() == 0 }, time.Second, time.Millisecond)
+	asked := len(read(h.fake, &h.fake.wanted))
+	time.Sleep(50 * time.Millisecond) // the target may still read what was sent before
 	ran := len(target.Journal())
-	time.Sleep(30 * time.Millisecond)
+	time.Sleep(50 * time.Millisecond)
 	require.Len(t, target.Journal(), ran, "nothing runs after the withdrawal")
+	require.Len(t, read(h.fake, &h.fake.wanted), asked, "nothing asks for a target after the withdrawal")
 	close(stop)
 	require.NoError(t, group.Wait())
 	workers.StopAndWait()
@@ -268,6 +272,37 @@
 	}
 }
 
+// Guards against a fault that frees the reservation of an order that may have run, or that nobody sees.
+func TestPanicKeepsTheReservation(t *testing.T) {
+	var logged []string
+	h := newHost(t, entry.WithLog(funcr.New(func(_, args string) { logged = append(logged, args) }, funcr.Options{})))
+	h.target(t, stub.Behavior{})
+	h.fake.panicAtEnd = true
+	_, err := h.do(h.request(t, "POST", "/strict/x", "b", "Idempotency-Key", "o"))
+	require.Error(t, err)
+	require.Eventually(t, func() bool { return h.Active() == 0 }, time.Second, time.Millisecond)
+	require.Len(t, h.fake.finished, 1)
+	require.False(t, h.fake.finished[0].NotRun)
+	require.Len(t, logged, 1)
+	require.Contains(t, logged[0], "the decider failed")
+	require.Zero(t, h.InFlight())
+}
+
+// Guards against a changed bound that breaks requests in flight.
+func TestSetTargetConns(t *testing.T) {
+	h := newHost(t)
+	target := h.target(t, stub.Behavior{DelayMS: 100})
+	workers := pond.NewResultPool[answer](1)
+	defer workers.StopAndWait()
+	inFlight := workers.SubmitErr(func() (answer, error) { return h.do(h.request(t, "POST", "/order/x", "b")) })
+	require.Eventually(t, func() bool { return target.Running() == 1 }, time.Second, time.Millisecond)
+	h.SetTargetConns(1)
+	require.Equal(t, 200, h.get(t, "POST", "/order/x", "b").StatusCode)
+	got, err := inFlight.Wait()
+	require.NoError(t, err)
+	require.Equal(t, 200, got.StatusCode)
+}
+
 // Guards against records that lack a refusal for the rate.
 func TestRecords(t *testing.T) {
 	h := newHost(t)
