--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -20,9 +20,6 @@
 // shedDrain bounds what is read of a shedding answer so that its connection can be used again.
 const shedDrain = 4 << 10
 
-// redials bounds how often an attempt is moved off a connection with stray bytes; nothing was sent on those.
-const redials = 3
-
 // deadlineMargin covers the rounding of X-Deadline-Ms and the target's way to close the connection.
 const deadlineMargin = 5 * time.Millisecond
 
@@ -45,6 +42,7 @@
 	conn     *targetConn
 	gen      uint64
 	first    time.Time
+	reused   bool
 	dirty    bool
 	answered bool
 }
@@ -60,7 +58,7 @@
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.conn, t.gen, t.dirty = conn, gen, !ok
+	t.conn, t.gen, t.reused, t.dirty = conn, gen, info.Reused, !ok
 }
 
 func (t *connTrace) gotFirstByte() {
@@ -69,11 +67,11 @@
 	t.answered = true
 }
 
-// isDirty reports whether the connection had input left before the request.
-func (t *connTrace) isDirty() bool {
+// wasReused reports whether the connection was open before the request.
+func (t *connTrace) wasReused() bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.dirty
+	return t.reused
 }
 
 // seal ends the connection and reports whether a byte may have been sent on it.
@@ -109,10 +107,12 @@
 // send sends the request and reads the header of the answer.
 func (c *call) send(ctx context.Context, target pool.Assigned) *attempt {
 	a := &attempt{target: target}
-	for range redials {
-		a.trace = &connTrace{}
+	// A connection that was open before may have been closed or hold stray bytes.
+	// As long as nothing was sent, the next one is tried; the last try gets a new one.
+	for range c.s.limits.TargetConns + 1 {
+		a.trace, a.end, a.err = &connTrace{}, 0, nil
 		a.roundTrip(ctx, c)
-		if !a.trace.isDirty() || ctx.Err() != nil {
+		if a.end != model.AttemptNotSent || !a.trace.wasReused() || ctx.Err() != nil {
 			break
 		}
 	}
@@ -127,7 +127,7 @@
 		GotConn:              a.trace.gotConn,
 		GotFirstResponseByte: a.trace.gotFirstByte,
 	})
-	res, err := c.s.transport.RoundTrip(c.outgoing(traced, a.target.Addr)) //nolint:bodyclose // close and finish close it.
+	res, err := c.s.targetSide.get().RoundTrip(c.outgoing(traced, a.target.Addr)) //nolint:bodyclose // close and finish close it.
 	if err != nil {
 		a.fail(ctx, c, err)
 		return
@@ -177,6 +177,9 @@
 	case !c.echoed(a.res.Header) || a.res.StatusCode == http.StatusSwitchingProtocols:
 		a.err = errors.New("the answer does not carry the id of the request")
 		a.drop(model.AttemptInvalid)
+	case endless(c.r.Method, a.res):
+		a.err = errors.New("the answer has neither a length nor chunks, so that its end cannot be recognized")
+		a.drop(model.AttemptInvalid)
 	case a.res.StatusCode == http.StatusServiceUnavailable && a.res.Header.Get(headerShed) == "1":
 		io.CopyN(io.Discard, a.res.Body, shedDrain) //nolint:errcheck // The header alone proves that the request did not run.
 		a.close()
@@ -184,6 +187,11 @@
 	}
 }
 
+// endless reports whether a body ends with the connection, which a broken connection looks like.
+func endless(method string, res *http.Response) bool {
+	return res.ContentLength < 0 && len(res.TransferEncoding) == 0 && bodyAllowed(method, res.StatusCode)
+}
+
 // echoed reports whether an answer belongs to the request.
 func (c *call) echoed(h http.Header) bool {
 	ids := h[headerRequestID]
