--- a/cmd/tarragongauge/process.go
+++ b/cmd/tarragongauge/process.go
@@ -41,11 +41,6 @@
 	Output string
 }
 
-// includedProcesses returns the parts of this build.
-func includedProcesses() processes {
-	return processes{burn: writeBurn}
-}
-
 func errNotIncluded(name string) error {
 	return eris.Errorf("this build does not include %s; build ./cmd/tarragongauge from a release", name)
 }
--- /dev/null
+++ b/cmd/tarragongauge/session_test.go
@@ -0,0 +1,250 @@
+package main
+
+import (
+	"crypto/sha256"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/rogpeppe/go-internal/testscript"
+
+	"tarragongauge.example/tarragongauge/internal/stub"
+)
+
+// realProcesses makes the test binary run the real processes instead of fakes.
+const realProcesses = "TARRAGONGAUGE_REAL_PROCESSES"
+
+// Guards against parts that pass their own tests and fail together: whole
+// sessions through the real binary as separate processes on loopback, compared
+// with golden output.
+func TestSessions(t *testing.T) {
+	var sessions atomic.Int64
+	testscript.Run(t, testscript.Params{
+		Dir:           "testdata/session",
+		UpdateScripts: os.Getenv("UPDATE_GOLDEN") != "",
+		Setup: func(env *testscript.Env) error {
+			s := &session{procs: map[string]*exec.Cmd{}, ip: sessionIP(sessions.Add(1))}
+			env.Values[sessionKey{}] = s
+			env.Defer(s.killAll)
+			env.Setenv(realProcesses, "1")
+			env.Setenv("GORACE", "atexit_sleep_ms=0")
+			env.Setenv(settingsVariable, "client.ini")
+			return s.writeSettings(env.WorkDir)
+		},
+		Cmds: map[string]func(ts *testscript.TestScript, neg bool, args []string){
+			"start":      startProcess,
+			"signal":     signalProcess,
+			"call":       call,
+			"eventually": eventually,
+			"journal":    journal,
+			"save":       save,
+			"exits":      exits,
+		},
+	})
+}
+
+type sessionKey struct{}
+
+// session holds the processes of one script. Its addresses are on a loopback
+// IP of its own, so that scripts can run in parallel.
+type session struct {
+	ip    string
+	procs map[string]*exec.Cmd
+}
+
+func sessionIP(n int64) string {
+	pid := os.Getpid()
+	return fmt.Sprintf("127.%d.%d.%d", 210+pid/250%40, 1+pid%250, 1+n%250)
+}
+
+func (s *session) killAll() {
+	for _, p := range s.procs {
+		_ = p.Process.Kill()
+		_ = p.Wait()
+	}
+}
+
+func (s *session) port(kind, i int) string { return fmt.Sprintf("%s:%d", s.ip, 20000+100*kind+i) }
+
+// Kinds of ports.
+const (
+	portControlFleet = iota
+	portControlOperators
+	portCallers
+	portAnnounce
+	portEntryFleet
+	portEntryOperators
+	portTarget
+)
+
+func (s *session) peers(kind int, prefix string, n int) string {
+	var list []string
+	for i := 1; i <= n; i++ {
+		list = append(list, fmt.Sprintf("%s%d=%s", prefix, i, s.port(kind, i)))
+	}
+	return strings.Join(list, ", ")
+}
+
+// writeSettings writes settings for control hosts c1 to c3, entry hosts e1 to
+// e4 of which three are seats, and targets t1 to t3.
+func (s *session) writeSettings(dir string) error {
+	controls, seats := s.peers(portControlFleet, "c", 3), s.peers(portEntryFleet, "e", 3)
+	fleet := fmt.Sprintf("[fleet]\nname = session\nsecret_file = fleet.secret\ncontrols = %s\nseats = %s\njournals = %s\n", controls, seats, controls)
+	files := map[string]string{
+		"fleet.secret":    "secret-of-the-fleet-0123456789",
+		"announce.secret": "secret-of-the-targets-0123456789",
+		"token":           operatorToken,
+		"client.ini":      fmt.Sprintf("[client]\naddresses = %s\ntoken_file = token\n", s.peers(portControlOperators, "c", 3)),
+	}
+	for i := 1; i <= 3; i++ {
+		name := fmt.Sprintf("c%d", i)
+		if err := os.Mkdir(filepath.Join(dir, name), 0o700); err != nil {
+			return err
+		}
+		files[name+".ini"] = fmt.Sprintf("[host]\nname = %s\nzone = z%d\ndata_dir = %s\n[listen]\nfleet = %s\noperators = %s\n%s[control]\ncreate_fleet = true\n[operators]\ntokens = mair:%x\n",
+			name, i, name, s.port(portControlFleet, i), s.port(portControlOperators, i), fleet, sha256.Sum256([]byte(operatorToken)))
+	}
+	for i := 1; i <= 4; i++ {
+		files[fmt.Sprintf("e%d.ini", i)] = fmt.Sprintf("[host]\nname = e%d\nzone = z%d\n[listen]\ncallers = %s\nannounce = %s\nfleet = %s\noperators = %s\n%s",
+			i, i%3+1, s.port(portCallers, i), s.port(portAnnounce, i), s.port(portEntryFleet, i), s.port(portEntryOperators, i), fleet)
+	}
+	for i := 1; i <= 3; i++ {
+		files[fmt.Sprintf("t%d.ini", i)] = fmt.Sprintf("[target]\nservice = stockbook\nname = t%d\nzone = z%d\naddr = %s\nannounce = %s, %s\nsecret_file = announce.secret\nlatency = 1ms\n",
+			i, i, s.port(portTarget, i), s.port(portAnnounce, 1), s.port(portAnnounce, 2))
+	}
+	for name, text := range files {
+		if err := os.WriteFile(filepath.Join(dir, name), []byte(text), 0o600); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func sessionOf(ts *testscript.TestScript) *session { return ts.Value(sessionKey{}).(*session) }
+
+// startProcess starts processes named after their settings: start NAME...
+func startProcess(ts *testscript.TestScript, _ bool, names []string) {
+	s := sessionOf(ts)
+	roles := map[byte]string{'c': "control", 'e': "entry", 't': "target"}
+	for _, name := range names {
+		path, err := exec.LookPath("tarragongauge")
+		ts.Check(err)
+		log, err := os.OpenFile(ts.MkAbs(name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+		ts.Check(err)
+		cmd := exec.Command(path, roles[name[0]], "--settings", name+".ini")
+		cmd.Dir = ts.MkAbs(".")
+		cmd.Env = append(os.Environ(), realProcesses+"=1", "GORACE=atexit_sleep_ms=0")
+		cmd.Stdout, cmd.Stderr = log, log
+		ts.Check(cmd.Start())
+		ts.Check(log.Close())
+		s.procs[name] = cmd
+	}
+}
+
+// signalProcess sends a signal: signal KILL|STOP|CONT|TERM NAME... It waits for
+// the end of processes that it ends.
+func signalProcess(ts *testscript.TestScript, _ bool, args []string) {
+	signals := map[string]syscall.Signal{"KILL": syscall.SIGKILL, "STOP": syscall.SIGSTOP, "CONT": syscall.SIGCONT, "TERM": syscall.SIGTERM}
+	for _, name := range args[1:] {
+		p := sessionOf(ts).procs[name]
+		ts.Check(p.Process.Signal(signals[args[0]]))
+		if args[0] == "KILL" || args[0] == "TERM" {
+			_ = p.Wait()
+			delete(sessionOf(ts).procs, name)
+		}
+	}
+}
+
+// call sends a request and prints its status and outcome, then the part of the
+// answer that does not change between runs: call ENTRY METHOD PATH [KEY [ORDER-KEY [BODY]]]
+func call(ts *testscript.TestScript, _ bool, args []string) {
+	_, _ = io.WriteString(ts.Stdout(), request(ts, args))
+}
+
+func request(ts *testscript.TestScript, args []string) string {
+	args = append(args, "", "", "")
+	i, err := strconv.Atoi(args[0][1:])
+	ts.Check(err)
+	url := "http://" + sessionOf(ts).port(portCallers, i) + args[2]
+	req, err := http.NewRequest(args[1], url, strings.NewReader(args[5]))
+	ts.Check(err)
+	if args[3] != "" {
+		req.Header.Set("Authorization", "Bearer "+args[3])
+	}
+	if args[4] != "" {
+		req.Header.Set("Idempotency-Key", args[4])
+	}
+	client := http.Client{Timeout: 10 * time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
+	resp, err := client.Do(req)
+	if err != nil {
+		return "no answer\n"
+	}
+	defer func() { _ = resp.Body.Close() }()
+	body, err := io.ReadAll(resp.Body)
+	ts.Check(err)
+	return fmt.Sprintf("%d %s %s\n", resp.StatusCode, resp.Header.Get("X-Outcome"), stable(body))
+}
+
+// stable keeps the fields of a JSON answer that are the same in every run.
+func stable(body []byte) string {
+	var fields struct {
+		Code      string `json:"code"`
+		Workspace string `json:"workspace"`
+	}
+	if json.Unmarshal(body, &fields) != nil {
+		return ""
+	}
+	return strings.TrimSpace(fields.Code + " " + fields.Workspace)
+}
+
+// eventually repeats a call until it prints a text: eventually TEXT call ARG...
+func eventually(ts *testscript.TestScript, _ bool, args []string) {
+	const patience = 20 * time.Second
+	for end := time.Now().Add(patience); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
+		if repeatOnce(ts, args[1:], args[0]) {
+			return
+		}
+	}
+	ts.Fatalf("%q did not print %q within %s", strings.Join(args[1:], " "), args[0], patience)
+}
+
+func repeatOnce(ts *testscript.TestScript, args []string, text string) bool {
+	if args[0] == "call" {
+		got := request(ts, args[1:])
+		if !strings.Contains(got, text) {
+			return false
+		}
+		_, _ = io.WriteString(ts.Stdout(), got)
+		return true
+	}
+	_ = ts.Exec(args[0], args[1:]...)
+	return strings.Contains(ts.ReadFile("stdout")+ts.ReadFile("stderr"), text)
+}
+
+// journal prints what the running targets saw, one line a request: key ORDER-KEY ran=BOOL, then all headers.
+func journal(ts *testscript.TestScript, _ bool, _ []string) {
+	s := sessionOf(ts)
+	for i := 1; i <= 3; i++ {
+		if s.procs[fmt.Sprintf("t%d", i)] == nil {
+			continue
+		}
+		resp, err := http.Get("http://" + s.port(portTarget, i) + stub.PathJournal)
+		ts.Check(err)
+		var seen []stub.Entry
+		ts.Check(json.NewDecoder(resp.Body).Decode(&seen))
+		ts.Check(resp.Body.Close())
+		for _, e := range seen {
+			_, _ = fmt.Fprintf(ts.Stdout(), "%s ran=%t %s %s %v %v\n", e.OrderKey, e.Ran, e.Workspace, e.URI, e.Header, e.Trailer)
+		}
+	}
+}
--- a/internal/conf/load.go
+++ b/internal/conf/load.go
@@ -38,7 +38,7 @@
 // LoadJournal loads the settings of a journal host.
 func LoadJournal(path string, opts ...Option) (Journal, error) {
 	v, err := load(path, RoleJournal, opts)
-	return Journal{Host: v.host, Listen: v.listen, Fleet: v.fleet, Operators: v.operators, Limits: v.limits, Log: v.log}, err
+	return Journal{Host: v.host, Listen: v.listen, Fleet: v.fleet, Operators: v.operators, Limits: v.limits, Log: v.log, CreateFleet: v.create}, err
 }
 
 // LoadAll loads the settings of a first trial.
--- a/internal/conf/setting.go
+++ b/internal/conf/setting.go
@@ -228,6 +228,10 @@
 			Setting{Section: "control", Key: "create_fleet", Roles: []Role{RoleControl}, Default: "false", Allowed: "true or false", Help: "true only for the first start of a new fleet; a host that lost its disk must start with false"},
 			func(v *values, _ files, s string) []problem { return parseBool(&v.create, s) },
 		},
+		{
+			Setting{Section: "journal", Key: "create_fleet", Roles: []Role{RoleJournal}, Default: "false", Allowed: "true or false", Help: "true only for the first start of a new fleet; a host that lost its disk must start with false"},
+			func(v *values, _ files, s string) []problem { return parseBool(&v.create, s) },
+		},
 	}
 }
 
--- a/internal/conf/types.go
+++ b/internal/conf/types.go
@@ -107,6 +107,8 @@
 	Operators Operators
 	Limits    Limits
 	Log       Log
+	// CreateFleet lets a journal with an empty data folder vote. It is set only while a fleet is created.
+	CreateFleet bool
 }
 
 // All holds the settings of a first trial with every role in one process.
--- a/internal/lease/relearn.go
+++ b/internal/lease/relearn.go
@@ -25,7 +25,7 @@
 
 // relearnMember describes a relearning seat; without a role it is no heartbeat of an entry host.
 func (s *Seat) relearnMember() proto.Member {
-	return proto.Member{Host: s.self, Role: proto.RoleEntry, Incarnation: s.incarnation, Draining: true}
+	return proto.Member{Host: s.self, Incarnation: s.incarnation, Draining: true}
 }
 
 // relearn asks the other seats and control for the newest version.
--- /dev/null
+++ b/internal/node/control.go
@@ -0,0 +1,315 @@
+package node
+
+import (
+	"context"
+	"errors"
+	"path/filepath"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/rotisserie/eris"
+
+	"tarragongauge.example/tarragongauge/internal/codec"
+	"tarragongauge.example/tarragongauge/internal/ctrl"
+	"tarragongauge.example/tarragongauge/internal/lease"
+	"tarragongauge.example/tarragongauge/internal/proto"
+	"tarragongauge.example/tarragongauge/internal/store"
+	"tarragongauge.example/tarragongauge/pkg/model"
+)
+
+// logFolder is the folder of the configuration log below the data folder.
+const logFolder = "log"
+
+// memberKeep is how long control remembers a host that stopped asking, so that
+// reports can name it as missing.
+const memberKeep = 24 * time.Hour
+
+// seenMember is an entry host as control last heard from it.
+type seenMember struct {
+	member proto.Member
+	have   model.Version
+	at     time.Time
+}
+
+// controlHost drives the consensus core of one control host.
+type controlHost struct {
+	clock  clock
+	log    logr.Logger
+	self   proto.Member
+	timing lease.Timing
+	send   func(model.HostID, proto.Message)
+	learn  func([]proto.Member)
+
+	node *ctrl.Node
+	core *runner[ctrl.Event, ctrl.Effect]
+	disk *persister[ctrl.Persist]
+	file store.Store
+
+	nonces    nonces
+	proposals *waiters[uint64, model.Result]
+	evidence  *waiters[uint64, proto.EvidenceReply]
+	burns     *waiters[uint64, proto.BurnReply]
+	statuses  *waiters[uint64, proto.StatusReply]
+
+	mu sync.Mutex
+	// members is guarded by mu.
+	members map[model.HostID]seenMember
+	// leader and term are guarded by mu.
+	leader model.HostID
+	term   model.Term
+	// snapshot caches the encoded configuration of snapshotAt, guarded by mu.
+	snapshot   []byte
+	snapshotAt model.Version
+}
+
+// controlSetup is what a control host is made from.
+type controlSetup struct {
+	self     proto.Member
+	dataDir  string
+	timing   lease.Timing
+	controls []model.HostID
+	seats    []model.HostID
+	create   bool
+	log      logr.Logger
+	send     func(model.HostID, proto.Message)
+	learn    func([]proto.Member)
+}
+
+// openControl opens the configuration log below the data folder and returns the clean-up function.
+func openControl(s controlSetup) (*controlHost, func() error, error) {
+	file, contents, closeFile, err := store.Open(filepath.Join(s.dataDir, logFolder))
+	if err != nil {
+		return nil, nil, err
+	}
+	c := &controlHost{
+		clock: newClock(), log: s.log, self: s.self, timing: s.timing, send: s.send, learn: s.learn, file: file,
+		proposals: newWaiters[uint64, model.Result](),
+		evidence:  newWaiters[uint64, proto.EvidenceReply](),
+		burns:     newWaiters[uint64, proto.BurnReply](),
+		statuses:  newWaiters[uint64, proto.StatusReply](),
+		members:   map[model.HostID]seenMember{},
+	}
+	if contents.TornBytes > 0 {
+		s.log.Info("cut an unfinished append off the configuration log", "bytes", contents.TornBytes)
+	}
+	if err := c.start(s, contents); err != nil {
+		_ = closeFile()
+		return nil, nil, err
+	}
+	return c, closeFile, nil
+}
+
+func (c *controlHost) start(s controlSetup, contents store.Contents) error {
+	recovered, err := ctrl.Recover(contents.Snapshot, contents.Records)
+	if err != nil {
+		return eris.Wrap(err, "read the configuration log")
+	}
+	opts := []ctrl.Option{ctrl.WithSeed(uint64(s.self.Incarnation))}
+	if s.create {
+		opts = append(opts, ctrl.WithBootstrap(s.controls, s.seats))
+	}
+	c.node, err = ctrl.New(s.self.Host, recovered, opts...)
+	if err != nil {
+		return err
+	}
+	c.core = newRunner(c.clock, c.node.Step, c.apply)
+	c.disk = newPersister(
+		func(batch []ctrl.Persist) error { return writeLog(c.file, batch) },
+		func(p ctrl.Persist) { c.core.post(ctrl.Persisted{Seq: p.Seq}) },
+		c.fail,
+	)
+	return nil
+}
+
+// writeLog carries out a batch of effects with as few syncs as possible.
+func writeLog(s store.Store, batch []ctrl.Persist) error {
+	var records [][]byte
+	for _, p := range batch {
+		data, snapshot, err := ctrl.EncodePersist(p)
+		if err != nil {
+			return err
+		}
+		if !snapshot {
+			records = append(records, data)
+			continue
+		}
+		// The snapshot includes the records before it in the batch.
+		records = nil
+		if err := s.Snapshot(data); err != nil {
+			return err
+		}
+	}
+	if len(records) == 0 {
+		return nil
+	}
+	return s.Append(records...)
+}
+
+func (c *controlHost) fail(err error) {
+	c.log.Error(err, "the configuration log's disk failed; this host takes no part in control until it is restarted on a sound disk")
+	c.core.post(ctrl.DiskFailed{})
+}
+
+func (c *controlHost) apply(f ctrl.Effect) {
+	switch f := f.(type) {
+	case ctrl.Send:
+		c.send(f.To, f.Msg)
+	case ctrl.Persist:
+		c.disk.add(f)
+	case ctrl.Applied:
+		c.log.Info("applied configuration", "version", f.Config.Version)
+	case ctrl.Reply:
+		c.proposals.answer(f.Nonce, f.Result)
+	case ctrl.LeaderChanged:
+		c.setLeader(f)
+	}
+}
+
+func (c *controlHost) setLeader(f ctrl.LeaderChanged) {
+	c.mu.Lock()
+	c.leader, c.term = f.Leader, f.Term
+	c.mu.Unlock()
+	c.log.Info("leader of control changed", "leader", f.Leader, "term", f.Term)
+}
+
+// receive hands a message to what takes it.
+func (c *controlHost) receive(from model.HostID, m proto.Message) {
+	switch m := m.(type) {
+	case proto.FreshAsk:
+		c.confirm(from, m)
+	case proto.EvidenceReply:
+		c.evidence.answer(m.Nonce, m)
+	case proto.BurnReply:
+		c.burns.answer(m.Nonce, m)
+	case proto.StatusReply:
+		c.statuses.answer(m.Nonce, m)
+	case proto.Hello:
+	default:
+		c.core.post(ctrl.Received{From: from, Msg: m})
+	}
+}
+
+func (c *controlHost) tick() { c.core.post(ctrl.Tick{}) }
+
+// confirm answers an entry host if this host leads with a live quorum.
+func (c *controlHost) confirm(from model.HostID, ask proto.FreshAsk) {
+	c.see(ask)
+	var reply proto.FreshReply
+	var answer, snapshot bool
+	var cfg model.Config
+	c.core.read(func(now model.Instant) {
+		sure := c.node.Confirm(now)
+		if !sure.OK {
+			return
+		}
+		answer = true
+		reply = proto.FreshReply{Nonce: ask.Nonce, Newest: sure.Newest, FromControl: true, Age: sure.Age}
+		if ask.Have < sure.Newest {
+			reply.Changes, answer = c.node.Changes(ask.Have)
+			snapshot = !answer
+			answer = true
+			cfg = c.node.Config()
+		}
+	})
+	if !answer {
+		return
+	}
+	if snapshot {
+		reply.Snapshot = c.encoded(cfg)
+	}
+	c.send(from, reply)
+}
+
+// encoded returns the configuration as CBOR and keeps it for the next host that needs it.
+func (c *controlHost) encoded(cfg model.Config) []byte {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.snapshot != nil && c.snapshotAt == cfg.Version {
+		return c.snapshot
+	}
+	data, err := codec.EncodeConfig(cfg)
+	if err != nil {
+		c.log.Error(err, "cannot encode the configuration", "version", cfg.Version)
+		return nil
+	}
+	c.snapshot, c.snapshotAt = data, cfg.Version
+	return data
+}
+
+// see notes the asker. A seat that relearns asks without its address; its
+// freshness client asks at the same time with it.
+func (c *controlHost) see(ask proto.FreshAsk) {
+	if ask.Member.Addr == "" {
+		return
+	}
+	c.mu.Lock()
+	c.members[ask.Member.Host] = seenMember{member: ask.Member, have: ask.Have, at: time.Now()}
+	c.mu.Unlock()
+	c.learn([]proto.Member{ask.Member})
+}
+
+// seen lists the entry hosts heard from within memberKeep, by name.
+func (c *controlHost) seen() []seenMember {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var out []seenMember
+	for host, m := range c.members {
+		if time.Since(m.at) > memberKeep {
+			delete(c.members, host)
+			continue
+		}
+		out = append(out, m)
+	}
+	slices.SortFunc(out, func(a, b seenMember) int { return strings.Compare(string(a.member.Host), string(b.member.Host)) })
+	return out
+}
+
+// propose submits a change and waits for its result.
+func (c *controlHost) propose(ctx context.Context, p model.Proposal) (model.Result, error) {
+	nonce := c.nonces.next()
+	answer := c.proposals.add(nonce)
+	c.core.post(ctrl.Proposed{Nonce: nonce, Proposal: p})
+	select {
+	case r := <-answer:
+		return r, nil
+	case <-ctx.Done():
+		c.proposals.remove(nonce)
+		return model.Result{
+			ID: p.ID, Kind: model.ResultUnknown,
+			Message: "no answer in time; resend the change with the same change id",
+		}, nil
+	}
+}
+
+// controlFigures is what a control host publishes as metrics.
+type controlFigures struct {
+	Role     int    `json:"role"`
+	Term     uint64 `json:"term"`
+	Leader   string `json:"leader"`
+	Last     uint64 `json:"last_index"`
+	Commit   uint64 `json:"commit_index"`
+	Accepted uint64 `json:"accepted_version"`
+	Members  int    `json:"members"`
+}
+
+func (c *controlHost) figures() controlFigures {
+	var s ctrl.Status
+	c.core.read(func(model.Instant) { s = c.node.Status() })
+	return controlFigures{
+		Role: int(s.Role), Term: uint64(s.Term), Leader: string(s.Leader), Last: s.Last,
+		Commit: s.Commit, Accepted: uint64(s.Accepted), Members: len(c.seen()),
+	}
+}
+
+// Ready returns an error while no leader of control is known.
+func (c *controlHost) Ready() error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.leader == "" {
+		return errors.New("no leader of control is known; check that a majority of control hosts is reachable")
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/node/decider.go
@@ -0,0 +1,99 @@
+package node
+
+import (
+	"context"
+	"time"
+
+	"tarragongauge.example/tarragongauge/internal/admit"
+	"tarragongauge.example/tarragongauge/internal/entry"
+	"tarragongauge.example/tarragongauge/internal/order"
+	"tarragongauge.example/tarragongauge/internal/pool"
+	"tarragongauge.example/tarragongauge/pkg/model"
+)
+
+// Config returns the configuration in force on this host.
+func (h *entryHost) Config() model.Config { return *h.cfg.Load() }
+
+// Fresh reports whether keyed requests may be admitted now.
+func (h *entryHost) Fresh() bool {
+	return h.clock.now() < model.Instant(h.freshUntil.Load())
+}
+
+// deadline returns the instant at which ctx ends, or a bound of 10 minutes.
+func (h *entryHost) deadline(ctx context.Context) model.Instant {
+	at, ok := ctx.Deadline()
+	if !ok {
+		at = time.Now().Add(model.MaxDeadline)
+	}
+	return h.clock.at(at)
+}
+
+// Admit draws a token.
+func (h *entryHost) Admit(ctx context.Context, id model.RequestID, ws model.WorkspaceID) (entry.Admission, error) {
+	answer := h.admissions.add(id)
+	h.wallet.post(admit.Arrived{Request: id, Workspace: ws, Deadline: h.deadline(ctx)})
+	select {
+	case a := <-answer:
+		return a, nil
+	case <-ctx.Done():
+		if h.admissions.remove(id) {
+			h.wallet.post(admit.Abandoned{Request: id})
+		}
+		return entry.Admission{}, context.Cause(ctx)
+	}
+}
+
+// Reserve reserves an order before it runs. If ctx ends first, the reservation
+// is freed, since the order has not run and will not.
+func (h *entryHost) Reserve(ctx context.Context, start order.Started) (entry.Reservation, error) {
+	start.Deadline = h.deadline(ctx)
+	answer := h.reservations.add(start.Request)
+	h.reserver.post(start)
+	select {
+	case r := <-answer:
+		return r, nil
+	case <-ctx.Done():
+	}
+	if !h.reservations.remove(start.Request) {
+		<-answer
+	}
+	h.freeUnused(start.Request)
+	return entry.Reservation{}, context.Cause(ctx)
+}
+
+// freeUnused frees a reservation that nobody waits for.
+func (h *entryHost) freeUnused(id model.RequestID) {
+	h.reserver.post(order.Finished{Request: id, NotRun: true})
+}
+
+// Finish ends a reserved order.
+func (h *entryHost) Finish(end order.Finished) { h.reserver.post(end) }
+
+// Assign asks for a target.
+func (h *entryHost) Assign(ctx context.Context, want pool.Wanted) (entry.Assignment, error) {
+	want.Deadline = h.deadline(ctx)
+	answer := h.assignments.add(want.Request)
+	h.picker.post(want)
+	select {
+	case a := <-answer:
+		return a, nil
+	case <-ctx.Done():
+		if h.assignments.remove(want.Request) {
+			h.picker.post(pool.Abandoned{Request: want.Request})
+			return entry.Assignment{}, context.Cause(ctx)
+		}
+		// The answer was on its way when ctx ended.
+		if a := <-answer; a.OK {
+			h.returnUnused(a.Assigned)
+		}
+		return entry.Assignment{}, context.Cause(ctx)
+	}
+}
+
+// End returns the target of a request with what became of the attempt.
+func (h *entryHost) End(end pool.Ended) { h.picker.post(end) }
+
+// Announce delivers a target's announcement that this host has checked.
+func (h *entryHost) Announce(a model.Announcement) {
+	h.picker.post(pool.Announced{Announcement: a})
+}
--- /dev/null
+++ b/internal/node/effects.go
@@ -0,0 +1,207 @@
+package node
+
+import (
+	"slices"
+
+	"tarragongauge.example/tarragongauge/internal/admit"
+	"tarragongauge.example/tarragongauge/internal/entry"
+	"tarragongauge.example/tarragongauge/internal/lease"
+	"tarragongauge.example/tarragongauge/internal/order"
+	"tarragongauge.example/tarragongauge/internal/pool"
+	"tarragongauge.example/tarragongauge/internal/proto"
+	"tarragongauge.example/tarragongauge/pkg/model"
+)
+
+// applyFresh carries out the effects of the freshness client and hands those
+// that are events of the other lease cores on to them.
+func (h *entryHost) applyFresh(f lease.Effect) {
+	switch f := f.(type) {
+	case lease.Send:
+		h.send(f.To, f.Msg)
+	case lease.ConfigChanged:
+		h.configure(f.Config)
+		h.claimer.post(f)
+		h.seat.post(f)
+	case lease.FreshUntil:
+		h.freshUntil.Store(int64(f.Until))
+		h.claimer.post(f)
+		h.seat.post(f)
+	case lease.MembersChanged:
+		h.joinMembers(f.Members)
+		h.claimer.post(f)
+		h.seat.post(f)
+	case lease.QuorumsChanged:
+		h.claimer.post(f)
+		h.seat.post(f)
+	case lease.OwnersChanged:
+		h.wallet.post(admit.OwnersChanged{Owners: f.Owners})
+		h.picker.post(pool.OwnersChanged{Owners: f.Owners})
+	default:
+	}
+}
+
+// configure puts a newer configuration in force on this host. The order
+// matters: requests that arrive from now on are judged by the new
+// configuration before those of withdrawn keys are ended.
+func (h *entryHost) configure(cfg model.Config) {
+	old := h.cfg.Load()
+	if cfg.Version < old.Version {
+		return
+	}
+	h.cfg.Store(&cfg)
+	h.wallet.post(admit.Configured{Config: cfg})
+	h.buckets.post(admit.Configured{Config: cfg})
+	h.picker.post(pool.Configured{Config: cfg})
+	h.targets.post(pool.Configured{Config: cfg})
+	h.endWithdrawn(*old, cfg)
+	h.shareConnections()
+	h.log.Info("configuration in force", "version", cfg.Version)
+}
+
+// endWithdrawn ends what runs for keys and workspaces that are gone.
+func (h *entryHost) endWithdrawn(old, cfg model.Config) {
+	for hash, key := range old.Keys {
+		if _, ok := cfg.Keys[hash]; !ok {
+			n := h.server.EndKey(hash)
+			h.log.Info("key withdrawn", "workspace", key.Workspace, "key", key.ID, "ended_requests", n)
+		}
+	}
+	for id, ws := range cfg.Workspaces {
+		if ws.Withdrawn && !old.Workspaces[id].Withdrawn {
+			n := h.server.EndWorkspace(id)
+			h.log.Info("workspace withdrawn", "workspace", id, "ended_requests", n)
+		}
+	}
+}
+
+// joinMembers tells the links where hosts are, and the pool owner which entry hosts are gone.
+func (h *entryHost) joinMembers(members []proto.Member) {
+	h.mesh.Learn(members)
+	for _, gone := range h.hosts.replace(members) {
+		h.targets.post(pool.HostGone{Host: gone})
+	}
+	h.shareConnections()
+}
+
+// shareConnections divides the connections that a target may have among the live entry hosts.
+func (h *entryHost) shareConnections() {
+	share := h.cfg.Load().Defaults.Connections / max(1, len(h.hosts.hosts))
+	h.server.SetTargetConns(max(1, share))
+}
+
+func (h *entryHost) applySeat(f lease.Effect) {
+	if f, ok := f.(lease.Send); ok {
+		h.send(f.To, f.Msg)
+	}
+}
+
+// applyClaimer hands ownership to the cores whose shards are concerned.
+func (h *entryHost) applyClaimer(f lease.Effect) {
+	switch f := f.(type) {
+	case lease.Send:
+		h.send(f.To, f.Msg)
+	case lease.Gained:
+		h.log.V(1).Info("gained a shard", "shard", f.Shard, "epoch", f.Epoch)
+		if isWorkspaceShard(f.Shard) {
+			h.buckets.post(admit.Gained(f))
+		} else {
+			h.targets.post(pool.Gained(f))
+		}
+	case lease.Renewed:
+		if isWorkspaceShard(f.Shard) {
+			h.buckets.post(admit.Renewed(f))
+		} else {
+			h.targets.post(pool.Renewed(f))
+		}
+	case lease.Lost:
+		h.log.V(1).Info("lost a shard", "shard", f.Shard, "epoch", f.Epoch)
+		if isWorkspaceShard(f.Shard) {
+			h.buckets.post(admit.Lost{Shard: f.Shard})
+		} else {
+			h.targets.post(pool.Lost{Shard: f.Shard})
+		}
+	default:
+	}
+}
+
+func isWorkspaceShard(id model.ShardID) bool { return id < model.WorkspaceShards }
+
+func (h *entryHost) applyAdmit(f admit.Effect) {
+	switch f := f.(type) {
+	case admit.Send:
+		h.send(f.To, f.Msg)
+	case admit.Admitted:
+		h.admissions.answer(f.Request, entry.Admission{OK: true})
+	case admit.Limited:
+		h.admissions.answer(f.Request, entry.Admission{RetryAfter: f.RetryAfter, NoOwner: f.NoOwner})
+	}
+}
+
+func (h *entryHost) applyPool(f pool.Effect) {
+	switch f := f.(type) {
+	case pool.Send:
+		h.send(f.To, f.Msg)
+	case pool.Assigned:
+		if !h.assignments.answer(f.Request, entry.Assignment{OK: true, Assigned: f}) {
+			h.returnUnused(f)
+		}
+	case pool.Refused:
+		h.assignments.answer(f.Request, entry.Assignment{Refused: f})
+	case pool.Probe:
+		h.prober.start(f)
+	case pool.Ejected:
+		h.log.Info("target ejected", "service", f.Service, "target", f.Target, "reason", f.Reason, "for", f.For.String())
+	case pool.Returned:
+		h.log.Info("target returned", "service", f.Service, "target", f.Target)
+	case pool.Quarantined:
+		h.log.Info("requests quarantined: they crashed targets twice", "service", f.Service, "workspace", f.Workspace, "fingerprint", f.Fingerprint, "for", f.For.String())
+	}
+}
+
+// returnUnused gives back a target whose request was abandoned meanwhile.
+func (h *entryHost) returnUnused(a pool.Assigned) {
+	h.picker.post(pool.Ended{
+		Request: a.Request,
+		Attempt: model.Attempt{Target: a.Target, Incarnation: a.Incarnation, End: model.AttemptCanceled},
+	})
+}
+
+func (h *entryHost) applyOrder(f order.Effect) {
+	switch f := f.(type) {
+	case order.Send:
+		h.send(f.To, f.Msg)
+	case order.Reserved:
+		if !h.reservations.answer(f.Request, entry.Reservation{OK: true}) {
+			h.freeUnused(f.Request)
+		}
+	case order.Known:
+		answer := f.Answer
+		h.reservations.answer(f.Request, entry.Reservation{Answer: &answer})
+	case order.Stopped:
+		h.reservations.answer(f.Request, entry.Reservation{Reason: f.Reason})
+	default:
+	}
+}
+
+// hostSet remembers which entry hosts live.
+type hostSet struct {
+	// hosts is used by the freshness runner alone, which carries out one effect at a time.
+	hosts []model.HostID
+}
+
+// replace takes the live members and returns the entry hosts that are gone.
+func (s *hostSet) replace(members []proto.Member) []model.HostID {
+	var live, gone []model.HostID
+	for _, m := range members {
+		if m.Role == proto.RoleEntry {
+			live = append(live, m.Host)
+		}
+	}
+	for _, h := range s.hosts {
+		if !slices.Contains(live, h) {
+			gone = append(gone, h)
+		}
+	}
+	s.hosts = live
+	return gone
+}
--- /dev/null
+++ b/internal/node/probe.go
@@ -0,0 +1,55 @@
+package node
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/alitto/pond/v2"
+	"github.com/go-resty/resty/v2"
+
+	"tarragongauge.example/tarragongauge/internal/pool"
+)
+
+// Bounds of health probes.
+const (
+	probeTimeout = time.Second
+	probeWorkers = 8
+	probeQueue   = 64
+)
+
+// prober makes the health probes that the pool owner asks for.
+type prober struct {
+	ctx    context.Context
+	client *resty.Client
+	group  pond.Pool
+	done   func(pool.Probed)
+}
+
+// newProber returns a prober and its clean-up function.
+func newProber(ctx context.Context, done func(pool.Probed)) (*prober, func()) {
+	p := &prober{
+		ctx:    ctx,
+		client: resty.New().SetTimeout(probeTimeout).SetRedirectPolicy(resty.NoRedirectPolicy()),
+		group:  pond.NewPool(probeWorkers, pond.WithQueueSize(probeQueue), pond.WithNonBlocking(true)),
+		done:   done,
+	}
+	return p, p.group.StopAndWait
+}
+
+// start queues a probe. A probe that finds the queue full is dropped; the owner asks again.
+func (p *prober) start(f pool.Probe) {
+	_ = p.group.Go(func() { p.probe(f) })
+}
+
+func (p *prober) probe(f pool.Probe) {
+	begin := time.Now()
+	resp, err := p.client.R().SetContext(p.ctx).Get("http://" + f.Addr + "/healthz")
+	p.done(pool.Probed{
+		Service:     f.Service,
+		Target:      f.Target,
+		Incarnation: f.Incarnation,
+		OK:          err == nil && resp.StatusCode() == http.StatusOK,
+		Latency:     time.Since(begin),
+	})
+}
--- /dev/null
+++ b/internal/node/process.go
@@ -0,0 +1,183 @@
+package node
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/alitto/pond/v2"
+	"github.com/go-logr/logr"
+	"github.com/rotisserie/eris"
+
+	"tarragongauge.example/tarragongauge/internal/conf"
+	"tarragongauge.example/tarragongauge/internal/link"
+	"tarragongauge.example/tarragongauge/internal/proto"
+	"tarragongauge.example/tarragongauge/internal/super"
+	"tarragongauge.example/tarragongauge/pkg/model"
+)
+
+// headerTimeout bounds the reading of a header on the fleet and operators' ports.
+const headerTimeout = 5 * time.Second
+
+// process is what all runtimes share: a supervisor tree, links and a listener for the fleet.
+type process struct {
+	self  proto.Member
+	fleet conf.Fleet
+	log   logr.Logger
+	tree  *super.Tree
+	mesh  *link.Mesh
+	// watch runs the wait for the tree, which is not a task of the tree itself.
+	watch pond.Pool
+	// stops holds the clean-up functions in order of start.
+	stops []func()
+	// files holds the functions that close data folders once all tasks have ended.
+	files []func() error
+}
+
+// hostID shortens signatures of message handlers.
+type hostID = model.HostID
+
+func (p *process) closeFiles() []error {
+	var errs []error
+	for _, closeFile := range p.files {
+		errs = append(errs, closeFile())
+	}
+	p.files = nil
+	return errs
+}
+
+// failure delivers the error that stopped the supervisor tree, if it ever fails.
+func (p *process) failure() <-chan error {
+	failed := make(chan error, 1)
+	p.watch.Submit(func() {
+		if err := p.tree.Wait(); err != nil {
+			failed <- err
+		}
+	})
+	return failed
+}
+
+// runUntil waits for ctx or for a failure, then stops the process.
+func (p *process) runUntil(ctx context.Context, stop func() error) error {
+	select {
+	case <-ctx.Done():
+		return stop()
+	case err := <-p.failure():
+		return errors.Join(err, stop())
+	}
+}
+
+// newIncarnation numbers this run of the process: later runs have greater
+// numbers as long as the wall clock of the host does not go back.
+func newIncarnation() model.Incarnation {
+	return model.Incarnation(time.Now().UnixMicro())
+}
+
+// newProcess starts the supervisor tree and the links. The returned clean-up
+// function stops everything in reverse order of start.
+func newProcess(role proto.Role, host conf.Host, fleetAddr string, fleet conf.Fleet, queue int, log logr.Logger, handler link.Handler, extra []link.Option) (*process, func(), error) {
+	p := &process{
+		self: proto.Member{
+			Host:        host.Name,
+			Role:        role,
+			Zone:        host.Zone,
+			Addr:        fleetAddr,
+			Incarnation: newIncarnation(),
+		},
+		fleet: fleet,
+		log:   log,
+		watch: pond.NewPool(1),
+	}
+	p.stops = append(p.stops, p.watch.StopAndWait)
+	tree, stopTree := super.New(string(host.Name), super.WithLogger(log))
+	p.tree = tree
+	p.stops = append(p.stops, stopTree)
+	secret := fleet.Secret.Reveal()
+	opts := append([]link.Option{link.WithCluster(fleet.Name), link.WithLogger(log), link.WithQueue(queue)}, extra...)
+	mesh, stopMesh, err := link.New(p.self, secret, tree, handler, opts...)
+	if err != nil {
+		p.stop()
+		return nil, nil, eris.Wrap(err, "open the links of the fleet")
+	}
+	p.mesh = mesh
+	p.stops = append(p.stops, stopMesh)
+	p.mesh.Learn(fixedMembers(fleet))
+	return p, p.stop, nil
+}
+
+func (p *process) stop() {
+	for i := len(p.stops) - 1; i >= 0; i-- {
+		p.stops[i]()
+	}
+	p.stops = nil
+}
+
+// fixedMembers lists the hosts that the settings name.
+func fixedMembers(f conf.Fleet) []proto.Member {
+	var out []proto.Member
+	add := func(role proto.Role, peers []conf.Peer) {
+		for _, peer := range peers {
+			out = append(out, proto.Member{Host: peer.Host, Role: role, Addr: peer.Addr})
+		}
+	}
+	add(proto.RoleControl, f.Controls)
+	add(proto.RoleEntry, f.Seats)
+	add(proto.RoleJournal, f.Journals)
+	return out
+}
+
+func hostsOf(peers []conf.Peer) []model.HostID {
+	out := make([]model.HostID, 0, len(peers))
+	for _, p := range peers {
+		out = append(out, p.Host)
+	}
+	return out
+}
+
+// listen opens a TCP listener whose error names the setting.
+func listen(setting, addr string) (net.Listener, error) {
+	l, err := (&net.ListenConfig{}).Listen(context.Background(), "tcp", addr)
+	if err != nil {
+		return nil, eris.Wrapf(err, "listen on %s from the setting [listen] %s; choose an address of this host that is free", addr, setting)
+	}
+	return l, nil
+}
+
+// serveHTTP serves a handler on an address until the process stops.
+func (p *process) serveHTTP(name, addr string, h http.Handler) error {
+	l, err := listen(name, addr)
+	if err != nil {
+		return err
+	}
+	server := &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout}
+	p.tree.Go(name, func(context.Context) error {
+		return ignoreClosed(server.Serve(l))
+	})
+	p.stops = append(p.stops, func() { _ = server.Close() })
+	return nil
+}
+
+func ignoreClosed(err error) error {
+	if errors.Is(err, http.ErrServerClosed) {
+		return nil
+	}
+	return err
+}
+
+// every calls fn at an interval until the process stops.
+func (p *process) every(name string, interval time.Duration, fn func()) {
+	p.tree.Go(name, func(ctx context.Context) error {
+		ticker := time.NewTicker(interval)
+		defer ticker.Stop()
+		for {
+			select {
+			case <-ctx.Done():
+				return nil
+			case <-ticker.C:
+				fn()
+			}
+		}
+	})
+}
--- /dev/null
+++ b/internal/node/run_entry.go
@@ -0,0 +1,143 @@
+package node
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/rotisserie/eris"
+
+	"tarragongauge.example/tarragongauge/internal/admin"
+	"tarragongauge.example/tarragongauge/internal/conf"
+	"tarragongauge.example/tarragongauge/internal/entry"
+	"tarragongauge.example/tarragongauge/internal/lease"
+	"tarragongauge.example/tarragongauge/internal/link"
+	"tarragongauge.example/tarragongauge/internal/pool"
+	"tarragongauge.example/tarragongauge/internal/proto"
+)
+
+const (
+	// entryTick is the interval at which the cores of an entry host act on elapsed time.
+	entryTick = 20 * time.Millisecond
+	// readyGrace lets the balancer see that a host is not ready before it refuses new work.
+	readyGrace = time.Second
+)
+
+// RunEntry runs an entry host until ctx ends, then drains it.
+func RunEntry(ctx context.Context, c conf.Entry, log logr.Logger) error {
+	h, stop, err := startEntry(c, log)
+	if err != nil {
+		return err
+	}
+	log.Info("entry host started", "host", c.Host.Name, "zone", c.Host.Zone, "callers", c.Listen.Callers, "announce", c.Listen.Announce)
+	failed := h.process.failure()
+	select {
+	case <-ctx.Done():
+		log.Info("draining", "requests", h.server.Active())
+		return stop()
+	case err := <-failed:
+		return errors.Join(err, stop())
+	}
+}
+
+// startEntry starts an entry host. The clean-up function drains it first.
+func startEntry(c conf.Entry, log logr.Logger, extra ...link.Option) (*entryHost, func() error, error) {
+	var h *entryHost
+	p, stopProcess, err := newProcess(proto.RoleEntry, c.Host, c.Listen.Fleet, c.Fleet, c.Limits.LinkQueue, log,
+		func(from hostID, m proto.Message) { h.receive(from, m) }, extra)
+	if err != nil {
+		return nil, nil, err
+	}
+	h = newEntryHost(entrySetup{
+		self:     p.self,
+		timing:   lease.DefaultTiming(),
+		seats:    hostsOf(c.Fleet.Seats),
+		controls: hostsOf(c.Fleet.Controls),
+		journals: hostsOf(c.Fleet.Journals),
+		log:      log,
+	})
+	h.process, h.mesh = p, p.mesh
+	drain, err := h.open(c)
+	if err != nil {
+		stopProcess()
+		return nil, nil, err
+	}
+	return h, func() error {
+		err := h.drain(drain, c.Limits.StopTimeout)
+		stopProcess()
+		return err
+	}, nil
+}
+
+// open starts the listeners and the ticks of an entry host.
+func (h *entryHost) open(c conf.Entry) (func(context.Context) error, error) {
+	p := h.process
+	server, drain, err := entry.NewServer(h, h.burn, entry.WithHost(c.Host.Name), entry.WithLimits(entryLimits(c.Limits)))
+	if err != nil {
+		return nil, err
+	}
+	h.server = server
+	probes, stopProbes := newProber(context.Background(), func(ev pool.Probed) { h.picker.post(ev) })
+	h.prober = probes
+	p.stops = append(p.stops, stopProbes)
+	callers, err := listen("callers", c.Listen.Callers)
+	if err != nil {
+		return nil, err
+	}
+	p.tree.Go("callers", func(context.Context) error { return server.ServeCallers(callers) })
+	announce, err := listen("announce", c.Listen.Announce)
+	if err != nil {
+		return nil, err
+	}
+	p.tree.Go("announce", func(context.Context) error { return server.ServeAnnouncements(announce) })
+	if err := p.serveHTTP("fleet", c.Listen.Fleet, p.mesh.Handler()); err != nil {
+		return nil, err
+	}
+	h.publish()
+	ops := admin.New(h, admin.WithVars(h.vars), admin.WithLogger(h.log))
+	if err := p.serveHTTP("operators", c.Listen.Operators, ops.Handler()); err != nil {
+		return nil, err
+	}
+	p.every("ticks", entryTick, h.tick)
+	return drain, nil
+}
+
+func entryLimits(c conf.Limits) entry.Limits {
+	l := entry.DefaultLimits()
+	l.Header = c.HeaderBytes
+	l.Body = int64(c.BodyBytes)
+	l.HeaderTime = c.HeaderTimeout
+	l.IdleTime = c.IdleTimeout
+	return l
+}
+
+// publish makes the figures of this host available to the operators' port.
+func (h *entryHost) publish() {
+	h.vars = admin.NewVars()
+	h.vars.Func("entry", func() any { return h.status() })
+	h.vars.Func("links", func() any { return h.process.mesh.Stats() })
+}
+
+// Ready returns what this host waits for before it can serve callers.
+func (h *entryHost) Ready() error {
+	switch {
+	case h.draining.Load():
+		return errors.New("this host is draining")
+	case !h.Fresh():
+		return errors.New("this host waits for a confirmation of its configuration; check that a majority of seats or the leader of control is reachable")
+	default:
+		return nil
+	}
+}
+
+// drain stops taking work, hands shards over and waits for requests in flight.
+func (h *entryHost) drain(stop func(context.Context) error, timeout time.Duration) error {
+	h.draining.Store(true)
+	h.fresh.post(lease.Handover{})
+	h.claimer.post(lease.Handover{})
+	time.Sleep(readyGrace)
+	ctx, cancel := context.WithTimeout(context.Background(), timeout)
+	defer cancel()
+	return eris.Wrap(stop(ctx), "requests were still in flight at the end of [limits] stop_timeout")
+}
--- /dev/null
+++ b/internal/node/runner.go
@@ -0,0 +1,56 @@
+package node
+
+import (
+	"sync"
+
+	"tarragongauge.example/tarragongauge/pkg/model"
+)
+
+// runner drives one decision core. Events may be posted from any goroutine,
+// also while an effect of the same core is carried out. Effects are carried
+// out one at a time, in the order in which the core returned them.
+type runner[E, F any] struct {
+	clock clock
+	step  func(model.Instant, E) []F
+	apply func(F)
+
+	mu sync.Mutex
+	// queue holds effects that are not carried out yet, guarded by mu.
+	queue []F
+	// busy is set while a goroutine carries out effects, guarded by mu.
+	busy bool
+}
+
+func newRunner[E, F any](c clock, step func(model.Instant, E) []F, apply func(F)) *runner[E, F] {
+	return &runner[E, F]{clock: c, step: step, apply: apply}
+}
+
+// post steps the core and carries out effects unless another goroutine, or a
+// caller of this one, is doing so.
+func (r *runner[E, F]) post(ev E) {
+	r.mu.Lock()
+	r.queue = append(r.queue, r.step(r.clock.now(), ev)...)
+	if r.busy {
+		r.mu.Unlock()
+		return
+	}
+	r.busy = true
+	for len(r.queue) > 0 {
+		batch := r.queue
+		r.queue = nil
+		r.mu.Unlock()
+		for _, f := range batch {
+			r.apply(f)
+		}
+		r.mu.Lock()
+	}
+	r.busy = false
+	r.mu.Unlock()
+}
+
+// read runs fn while no event is being stepped.
+func (r *runner[E, F]) read(fn func(now model.Instant)) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	fn(r.clock.now())
+}
--- a/internal/wire/fresh.go
+++ b/internal/wire/fresh.go
@@ -32,17 +32,19 @@
 }
 
 type freshReply struct {
-	Nonce         uint64        `cbor:"1,keyasint"`
-	Newest        model.Version `cbor:"2,keyasint"`
-	FromControl   bool          `cbor:"3,keyasint,omitempty"`
-	Age           time.Duration `cbor:"4,keyasint"`
-	Changes       [][]byte      `cbor:"5,keyasint"`
-	Snapshot      []byte        `cbor:"6,keyasint"`
-	Members       []member      `cbor:"7,keyasint"`
-	MembersDigest uint64        `cbor:"8,keyasint"`
-	Owners        []owner       `cbor:"9,keyasint"`
-	OwnersDigest  uint64        `cbor:"10,keyasint"`
-	SeatsSettled  bool          `cbor:"11,keyasint,omitempty"`
+	Nonce         uint64         `cbor:"1,keyasint"`
+	Newest        model.Version  `cbor:"2,keyasint"`
+	FromControl   bool           `cbor:"3,keyasint,omitempty"`
+	Age           time.Duration  `cbor:"4,keyasint"`
+	Changes       [][]byte       `cbor:"5,keyasint"`
+	Snapshot      []byte         `cbor:"6,keyasint"`
+	Members       []member       `cbor:"7,keyasint"`
+	MembersDigest uint64         `cbor:"8,keyasint"`
+	Owners        []owner        `cbor:"9,keyasint"`
+	OwnersDigest  uint64         `cbor:"10,keyasint"`
+	SeatsSettled  bool           `cbor:"11,keyasint,omitempty"`
+	MembersBase   uint64         `cbor:"12,keyasint,omitempty"`
+	Gone          []model.HostID `cbor:"13,keyasint,omitempty"`
 }
 
 type seatStage struct {
@@ -85,7 +87,12 @@
 
 func toMember(m proto.Member) member { return member(m) }
 
+// fromMember allows a member without a role: a relearning seat asks as one, so
+// that it is not taken for a live entry host.
 func fromMember(d member) (proto.Member, error) {
+	if d.Role == 0 {
+		return proto.Member(d), nil
+	}
 	return proto.Member(d), checkEnum("role", d.Role, proto.RoleJournal)
 }
 
@@ -121,6 +128,8 @@
 		Owners:        convert(m.Owners, func(o proto.Owner) owner { return owner(o) }),
 		OwnersDigest:  m.OwnersDigest,
 		SeatsSettled:  m.SeatsSettled,
+		MembersBase:   m.MembersBase,
+		Gone:          m.Gone,
 	}, err
 }
 
@@ -142,6 +151,8 @@
 		Owners:        convert(d.Owners, func(o owner) proto.Owner { return proto.Owner(o) }),
 		OwnersDigest:  d.OwnersDigest,
 		SeatsSettled:  d.SeatsSettled,
+		MembersBase:   d.MembersBase,
+		Gone:          d.Gone,
 	}, err
 }
 
