--- a/internal/admit/wallet.go
+++ b/internal/admit/wallet.go
@@ -22,6 +22,9 @@
 	// minPoll and maxPoll bound the interval between draws from an empty bucket.
 	minPoll = 10 * time.Millisecond
 	maxPoll = 100 * time.Millisecond
+	// settleTime is how long after a change of owner requests may wait for
+	// ownerWait: the new owner's bucket starts empty.
+	settleTime = time.Second
 	// outageMemory bounds how long after an outage requests may wait for ownerWait.
 	outageMemory = 30 * time.Second
 	// purseIdle is when an unused purse is dropped.
@@ -217,6 +220,7 @@
 			continue
 		}
 		// The draws went to the earlier owner; the new one is asked at once.
+		p.settled = now.Add(settleTime)
 		p.draws = p.draws[:0]
 		p.drawFrom = now
 		w.draw(now, p)
@@ -283,7 +287,7 @@
 	if now >= x.deadline || waited >= ownerWait {
 		return true
 	}
-	return waited >= rateWait && !p.outage && p.answeredSince(x.arrived)
+	return waited >= rateWait && !p.outage && now >= p.settled && p.answeredSince(x.arrived)
 }
 
 func (w *Wallet) refuse(p *purse, id model.RequestID, arrived model.Instant) {
--- a/internal/node/control.go
+++ b/internal/node/control.go
@@ -207,10 +207,11 @@
 		}
 		answer = true
 		reply = proto.FreshReply{Nonce: ask.Nonce, Newest: sure.Newest, FromControl: true, Age: sure.Age}
-		if ask.Have < sure.Newest {
-			reply.Changes, answer = c.node.Changes(ask.Have)
-			snapshot = !answer
-			answer = true
+		if ask.Have == 0 || ask.Have < sure.Newest {
+			// A host without a configuration cannot apply changes.
+			var held bool
+			reply.Changes, held = c.node.Changes(ask.Have)
+			snapshot = !held || ask.Have == 0
 			cfg = c.node.Config()
 		}
 	})
@@ -218,7 +219,7 @@
 		return
 	}
 	if snapshot {
-		reply.Snapshot = c.encoded(cfg)
+		reply.Changes, reply.Snapshot = nil, c.encoded(cfg)
 	}
 	c.send(from, reply)
 }
@@ -239,10 +240,10 @@
 	return data
 }
 
-// see notes the asker. A seat that relearns asks without its address; its
-// freshness client asks at the same time with it.
+// see notes the asker. A seat that relearns asks without a role; the freshness
+// client of the same host asks with it.
 func (c *controlHost) see(ask proto.FreshAsk) {
-	if ask.Member.Addr == "" {
+	if ask.Member.Role == 0 {
 		return
 	}
 	c.mu.Lock()
