Measure what the consensus core costs and require a seed for an empty host

Change: benchmarks of processor time, bytes and heap of a leader and a follower; New refuses an empty host without a seed.

--- /dev/null
+++ b/internal/ctrl/bench_test.go
@@ -0,0 +1,188 @@
+package ctrl
+
+import (
+	"fmt"
+	"runtime"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"tarragongauge.example/tarragongauge/internal/codec"
+	"tarragongauge.example/tarragongauge/internal/proto"
+	"tarragongauge.example/tarragongauge/pkg/model"
+)
+
+// messageOverhead is what an envelope adds to the encoded content of a message, in bytes.
+const messageOverhead = 48
+
+// meter adds up what one host spends.
+type meter struct {
+	busy  time.Duration
+	bytes int
+}
+
+// benchNet connects hosts and seats without loss or delay, and syncs at once.
+type benchNet struct {
+	b      *testing.B
+	now    model.Instant
+	nodes  map[model.HostID]*Node
+	ids    []model.HostID
+	meters map[model.HostID]*meter
+	queue  []proto.Envelope
+}
+
+func newBenchNet(b *testing.B, hosts int) *benchNet {
+	net := &benchNet{b: b, now: model.Instant(time.Hour), nodes: map[model.HostID]*Node{}, meters: map[model.HostID]*meter{}}
+	for i := range hosts {
+		net.ids = append(net.ids, model.HostID(fmt.Sprintf("control-%d", i)))
+	}
+	seats := []model.HostID{"s0", "s1", "s2", "s3", "s4", "s5", "s6"}
+	for i, id := range net.ids {
+		n, err := New(id, Recovered{Empty: true}, WithBootstrap(net.ids, seats), WithSeed(uint64(i+1)))
+		require.NoError(b, err)
+		net.nodes[id], net.meters[id] = n, &meter{}
+	}
+	for net.leader() == nil {
+		net.tick()
+	}
+	return net
+}
+
+func (net *benchNet) leader() *Node {
+	i := slices.IndexFunc(net.ids, func(id model.HostID) bool { return net.nodes[id].Confirm(net.now).OK })
+	if i < 0 {
+		return nil
+	}
+	return net.nodes[net.ids[i]]
+}
+
+func (net *benchNet) tick() {
+	net.now = net.now.Add(40 * time.Millisecond)
+	for _, id := range net.ids {
+		net.step(id, Tick{})
+	}
+}
+
+func (net *benchNet) step(id model.HostID, ev Event) {
+	n, m := net.nodes[id], net.meters[id]
+	events := []Event{ev}
+	for len(events) > 0 {
+		start := time.Now()
+		effects := n.Step(net.now, events[0])
+		m.busy += time.Since(start)
+		events = events[1:]
+		for _, e := range effects {
+			switch e := e.(type) {
+			case Persist:
+				events = append(events, Persisted{Seq: e.Seq})
+			case Send:
+				m.bytes += messageSize(net.b, e.Msg)
+				net.queue = append(net.queue, proto.Envelope{From: id, To: e.To, Body: e.Msg})
+			}
+		}
+	}
+	net.deliver()
+}
+
+func (net *benchNet) deliver() {
+	for len(net.queue) > 0 {
+		e := net.queue[0]
+		net.queue = net.queue[1:]
+		if m, ok := e.Body.(proto.SeatStage); !ok {
+			net.step(e.To, Received{From: e.From, Msg: e.Body})
+		} else {
+			net.step(e.From, Received{From: e.To, Msg: proto.SeatStageReply{Term: m.Term, Have: m.Newest, Incarnation: 1, Round: m.Round}})
+		}
+	}
+}
+
+// messageSize approximates the bytes of a message on a link.
+func messageSize(b *testing.B, msg proto.Message) int {
+	size := messageOverhead
+	add := func(data []byte, err error) {
+		require.NoError(b, err)
+		size += len(data)
+	}
+	switch m := msg.(type) {
+	case proto.Append:
+		for _, e := range m.Entries {
+			add(codec.EncodeEntry(e))
+		}
+	case proto.SeatStage:
+		size += len(m.Snapshot)
+		for _, c := range m.Changes {
+			add(codec.EncodeCommitted(c))
+		}
+	}
+	return size
+}
+
+func (net *benchNet) change(i int) {
+	l := net.leader()
+	require.NotNil(net.b, l)
+	p := model.Proposal{
+		ID: model.ChangeID(fmt.Sprintf("change-%d", i)), Base: l.Config().Version, Actor: "operator", Reason: "benchmark",
+		Change: model.PutService{Service: model.Service{Name: model.ServiceName(fmt.Sprintf("service-%d", i%50))}},
+	}
+	net.step(l.self, Proposed{Nonce: uint64(i), Proposal: p})
+}
+
+// BenchmarkLoad measures what a second costs a leader and a follower without
+// changes and with some. Bytes are what the host sends, without the links' framing.
+func BenchmarkLoad(b *testing.B) {
+	for _, hosts := range []int{3, 5} {
+		for _, rate := range []int{0, 5, 25} {
+			b.Run(fmt.Sprintf("hosts=%d/changes=%d", hosts, rate), func(b *testing.B) {
+				net := newBenchNet(b, hosts)
+				for _, m := range net.meters {
+					*m = meter{}
+				}
+				i, seconds := 0, 0
+				for b.Loop() {
+					for t := range 25 {
+						net.tick()
+						if rate > 0 && t%(25/rate) == 0 {
+							net.change(i)
+							i++
+						}
+					}
+					seconds++
+				}
+				leader := net.leader().self
+				follower := net.ids[slices.IndexFunc(net.ids, func(id model.HostID) bool { return id != leader })]
+				for name, id := range map[string]model.HostID{"leader": leader, "follower": follower} {
+					b.ReportMetric(float64(net.meters[id].busy.Microseconds())/float64(seconds), name+"-µs/s")
+					b.ReportMetric(float64(net.meters[id].bytes)/float64(seconds), name+"-B/s")
+				}
+			})
+		}
+	}
+}
+
+// BenchmarkMemory measures the heap of one host after a number of changes.
+func BenchmarkMemory(b *testing.B) {
+	for _, changes := range []int{0, 1000, 2000, 10000} {
+		b.Run(fmt.Sprintf("changes=%d", changes), func(b *testing.B) {
+			for b.Loop() {
+				net := newBenchNet(b, 3)
+				for i := range changes {
+					net.change(i)
+				}
+				before := heapBytes()
+				for _, id := range net.ids {
+					net.nodes[id] = nil
+				}
+				b.ReportMetric(float64(before-heapBytes())/float64(len(net.ids))/1024, "KiB/host")
+			}
+		})
+	}
+}
+
+func heapBytes() int64 {
+	var stats runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&stats)
+	return int64(stats.HeapAlloc)
+}
--- a/internal/ctrl/node.go
+++ b/internal/ctrl/node.go
@@ -104,6 +104,9 @@
 		log:      newEntryLog(0, 0),
 		history:  newHistory(nil),
 	}
+	if rec.Empty && o.seed == 0 {
+		return nil, fmt.Errorf("create control host %q: %w", self, model.ErrInvalid{Field: "seed", Got: "0", Want: "a random number that is new at each start, so that the other hosts notice a lost disk"})
+	}
 	if rec.Empty {
 		n.learner = n.rng.Uint64() | 1
 		n.disk.dirty = true
--- a/internal/ctrl/node_test.go
+++ b/internal/ctrl/node_test.go
@@ -222,4 +222,6 @@
 	}, rec)
 	_, err = New("c0", Recovered{Term: 1, Entries: rec.Entries})
 	require.True(t, IsErrIncomplete(err))
+	_, err = New("c0", Recovered{Empty: true})
+	require.True(t, model.IsErrInvalid(err), "a learner number must differ at each start")
 }
--- a/internal/ctrl/world_test.go
+++ b/internal/ctrl/world_test.go
@@ -21,6 +21,8 @@
 	order  int
 	hosts  []*testHost
 	seats  []*testSeat
+	// firstSeats are the seats of version 0.
+	firstSeats []model.HostID
 	// cut holds the one-way links that lose everything.
 	cut    map[[2]model.HostID]bool
 	loss   float64
@@ -195,8 +197,6 @@
 
 const seatSilence = 1700 * time.Millisecond
 
-func (s *testSeat) answers() bool { return !s.relearning }
-
 func (s *testSeat) restart() {
 	s.have, s.term, s.relearning = 0, 0, true
 	s.incarnation++
@@ -228,7 +228,7 @@
 	var have []model.Version
 	for _, i := range w.rng.Perm(len(w.seats)) {
 		o := w.seats[i]
-		if o != s && o.answers() && slices.Contains(w.newestSeats(), o.id) {
+		if o != s && !o.relearning && slices.Contains(w.newestSeats(), o.id) {
 			have = append(have, o.have)
 		}
 	}
@@ -241,7 +241,7 @@
 
 // newestSeats are the seats of the newest configuration that a host applied.
 func (w *world) newestSeats() []model.HostID {
-	cfg := w.hosts[0].bootstrapConfig()
+	cfg := model.Config{Seats: w.firstSeats}
 	for _, h := range w.hosts {
 		if h.up() && h.node.hasBase && h.node.Config().Version >= cfg.Version {
 			cfg = h.node.Config()
@@ -250,14 +250,6 @@
 	return cfg.Seats
 }
 
-func (h *testHost) bootstrapConfig() model.Config {
-	o := options{}
-	for _, opt := range h.bootstrap {
-		opt(&o)
-	}
-	return model.NewConfig(o.controls, o.seats)
-}
-
 func (s *testSeat) receive(from model.HostID, m proto.SeatStage) {
 	if s.relearning || m.Term < s.term {
 		return
@@ -462,7 +454,7 @@
 func (c *checker) checkSeats(set []model.HostID, v model.Version) {
 	older := 0
 	for _, s := range c.w.seats {
-		if slices.Contains(set, s.id) && s.answers() && s.have < v {
+		if slices.Contains(set, s.id) && !s.relearning && s.have < v {
 			older++
 		}
 	}
