End the mark of a learner by any reply to a later round

Cause: a learner number that was delayed past its admission, after the host had been removed and added again, made the leader ignore that voter until the term ended. Change: the round that ends the mark begins with the mark, not with the admission: only the life that sent the number, or a later one, can have answered it. The directed test now takes its reply from before the loss from a round before the mark, which is when such a reply can have been sent, and a new test covers the delayed number.

--- a/internal/ctrl/lead.go
+++ b/internal/ctrl/lead.go
@@ -37,10 +37,11 @@
 	lastAck      model.Instant
 	ackRound     uint64
 	// learner is the number of a follower that does not count, or 0; barrier is
-	// the entry it must hold to be admitted, admitRound the round that admits it.
-	learner    uint64
-	barrier    uint64
-	admitRound uint64
+	// the entry it must hold to be admitted, markRound the first round that
+	// began after the number was received.
+	learner   uint64
+	barrier   uint64
+	markRound uint64
 	// admitted is the learner number of the last admission.
 	admitted uint64
 }
--- a/internal/ctrl/learner.go
+++ b/internal/ctrl/learner.go
@@ -114,20 +114,23 @@
 	if m.Learner != p.learner {
 		p.learner = m.Learner
 		p.match, p.known, p.next = 0, false, n.log.last()+1
-		p.admitRound = 0
+		n.lead.startRound(n.now)
+		p.markRound = n.lead.round
 		p.barrier = n.log.last() + 1
 		n.appendEntry(proto.LogEntry{Index: p.barrier, Term: n.term})
 	}
 	return true
 }
 
-// trackVoter lets a learner count from its first reply to a round that began
-// with its admission. Earlier rounds may have been answered before its loss.
+// trackVoter accepts a voter's reply to a round that began after the mark:
+// only the life that sent the learner number, or a later one, can have
+// answered it. Such a reply ends the mark even if this leader did not admit
+// the host, since the learner number may have been delayed past an admission.
 func (n *Node) trackVoter(p *peer, m proto.AppendReply) bool {
 	if p.learner == 0 {
 		return true
 	}
-	if p.admitRound == 0 || m.Round < p.admitRound {
+	if m.Round < p.markRound {
 		return false
 	}
 	p.admitted = p.learner
@@ -140,9 +143,5 @@
 	if p.learner == 0 || n.commit < p.barrier || p.match < p.barrier {
 		return 0
 	}
-	if p.admitRound == 0 {
-		n.lead.startRound(n.now)
-		p.admitRound = n.lead.round
-	}
 	return p.learner
 }
--- a/internal/ctrl/node_test.go
+++ b/internal/ctrl/node_test.go
@@ -80,6 +80,7 @@
 func TestLearnerCountsOnlyAfterBarrier(t *testing.T) {
 	r := newRig(t)
 	r.lead()
+	early := r.n.lead.round
 	r.ack("c1", 1, 7)
 	barrier := r.n.log.last()
 	require.Equal(t, uint64(2), barrier)
@@ -88,7 +89,6 @@
 	for _, a := range sent[proto.Append](r.wait(100*time.Millisecond), "c1") {
 		require.Zero(t, a.Admit, "admitted before the barrier is committed")
 	}
-	early := r.n.lead.round
 	r.ack("c2", barrier, 0)
 	require.Equal(t, barrier, r.n.commit)
 	admits := sent[proto.Append](r.wait(100*time.Millisecond), "c1")
@@ -102,6 +102,18 @@
 	require.Equal(t, barrier+1, r.n.commit)
 }
 
+// Guards against ignoring a voter for the rest of a term because of a learner
+// number that was delayed past its admission. Seed 107189 of the schedules
+// showed it with a host that was removed and added again.
+func TestDelayedLearnerNumberEnds(t *testing.T) {
+	r := newRig(t)
+	r.lead()
+	r.ack("c1", 1, 7)
+	r.wait(100 * time.Millisecond)
+	r.ack("c1", 2, 0)
+	require.Equal(t, uint64(2), r.n.commit)
+}
+
 // Guards against accepting a version with an acknowledgement from a seat that
 // restarted since and may have relearned an older version.
 func TestStagingAcknowledgementExpires(t *testing.T) {
