--- a/internal/pool/detect.go
+++ b/internal/pool/detect.go
@@ -174,7 +174,7 @@
 	coldSigma  = 1
 	coldWeight = 40
 	// steadyWeight is the weight of the longer window in the level, in responses.
-	steadyWeight = 2
+	steadyWeight = 0.5
 	// guessErrors is the share of errors of a service without history, and counts as guessWeight responses.
 	guessErrors = 0.01
 	guessWeight = 100
--- a/internal/trial/result.go
+++ b/internal/trial/result.go
@@ -22,7 +22,7 @@
 	Local   int
 	Refused map[proto.SlotStatus]int
 	// RefusedFirst counts requests refused without any attempt, by workspace;
-	// requests of the crash pattern are left out.
+	// requests of the crash pattern and of entry hosts that are cut off are left out.
 	RefusedFirst [workspaces]int
 	Quarantined  int
 	// Detected holds the time from the fault to the ejection of each faulty
@@ -94,6 +94,18 @@
 	}
 }
 
+// stale counts a faulty target as detected when it gets no more work because it
+// stopped announcing itself.
+func (w *World) stale(id model.TargetID) {
+	for _, s := range w.services {
+		for _, t := range s.targets {
+			if _, ok := w.Result.Detected[id]; t.id == id && t.faulty && !ok {
+				w.Result.Detected[id] = w.now.Sub(t.faultAt)
+			}
+		}
+	}
+}
+
 // hostEjected counts a target as detected once half the hosts ejected it.
 func (w *World) hostEjected(t *target) {
 	w.Result.hostVotes[t]++
--- a/internal/trial/world.go
+++ b/internal/trial/world.go
@@ -385,6 +385,9 @@
 			if t.Hosts > t.HostLimit {
 				w.Result.violate("%s: given to %d hosts", t.Target, t.Hosts)
 			}
+			if t.Stale {
+				w.stale(t.Target)
+			}
 		}
 	}
 }
