Keep first hosts that lost their disks from creating a second fleet

Cause: moved a fleet of three to other control hosts and then lost the disks of all three first hosts, which found each other empty and created a second fleet. Change: a host without state that heard a term neither creates nor calls itself empty.

--- a/internal/ctrl/learner.go
+++ b/internal/ctrl/learner.go
@@ -33,7 +33,7 @@
 
 // askCreation asks every other host of the initial lists whether the fleet exists.
 func (n *Node) askCreation() {
-	if n.hasBase || !slices.Contains(n.opt.controls, n.self) {
+	if n.hasBase || n.heardFleet() || !slices.Contains(n.opt.controls, n.self) {
 		return
 	}
 	n.tryCreate()
@@ -50,12 +50,16 @@
 		Term:  n.term,
 		Pre:   true,
 		Nonce: m.Nonce,
-		Empty: n.log.last() == 0 && m.Bootstrap == n.opt.bootstrapDigest(),
+		Empty: n.log.last() == 0 && !n.heardFleet() && m.Bootstrap == n.opt.bootstrapDigest(),
 	})
 }
 
+// heardFleet reports whether a host without state learned of a term, which
+// only an existing fleet can have told it.
+func (n *Node) heardFleet() bool { return n.learner != 0 && n.term > 0 }
+
 func (n *Node) onCreationReply(from model.HostID, m proto.VoteReply) {
-	if n.learner == 0 || m.Nonce != n.learner || n.hasBase {
+	if n.learner == 0 || m.Nonce != n.learner || n.hasBase || n.heardFleet() {
 		return
 	}
 	if !m.Empty {
--- a/internal/ctrl/option.go
+++ b/internal/ctrl/option.go
@@ -66,6 +66,9 @@
 // WithBootstrap sets the first control hosts and seats of a new fleet. They
 // are used only if every one of the control hosts started empty with the same
 // lists; otherwise an empty host waits for the leader of the existing fleet.
+// Once a host of the lists has been removed from the fleet, a host that starts
+// empty must not be given them: if the fleet lives on other hosts only, the
+// first hosts would find each other empty and create a second fleet.
 func WithBootstrap(controls, seats []model.HostID) Option {
 	return func(o *options) {
 		o.controls = slices.Clone(controls)
