--- a/internal/trial/noise_test.go
+++ b/internal/trial/noise_test.go
@@ -24,7 +24,7 @@
 	}
 	for _, dep := range append(list, heavy) {
 		sc := Scenario{Name: "noise", Exclude: -1, Load: normalLoad, Until: d, setup: noise}
-		runs := run(dep, sc, PolicyOwner)
+		runs := run(t, dep, sc, PolicyOwner)
 		ejections, targets := 0, 0
 		for _, s := range runs[0].services {
 			targets += len(s.targets)
--- a/internal/trial/table_test.go
+++ b/internal/trial/table_test.go
@@ -9,6 +9,7 @@
 	"text/tabwriter"
 	"time"
 
+	"github.com/alitto/pond/v2"
 	"github.com/stretchr/testify/require"
 )
 
@@ -22,15 +23,16 @@
 
 const seeds = 5
 
-func run(dep Deployment, sc Scenario, p Policy) []*World {
+func run(t *testing.T, dep Deployment, sc Scenario, p Policy) []*World {
+	t.Helper()
 	list := make([]*World, seeds)
-	done := make(chan int)
+	workers := pond.NewPool(seeds)
+	defer workers.StopAndWait()
+	group := workers.NewGroup()
 	for i := range list {
-		go func() { list[i] = Measure(dep, sc, p, uint64(i+1)); done <- i }()
-	}
-	for range list {
-		<-done
+		group.Submit(func() { list[i] = Measure(dep, sc, p, uint64(i+1)) })
 	}
+	require.NoError(t, group.Wait())
 	return list
 }
 
@@ -52,7 +54,7 @@
 				continue
 			}
 			for _, p := range policies {
-				printRow(out, dep, sc, p, run(dep, sc, p))
+				printRow(out, dep, sc, p, run(t, dep, sc, p))
 			}
 		}
 	}
