--- a/internal/trial/table_test.go
+++ b/internal/trial/table_test.go
@@ -23,13 +23,16 @@
 
 const seeds = 5
 
-func run(dep Deployment, sc Scenario, p Policy) []*World {
+func run(t *testing.T, dep Deployment, sc Scenario, p Policy) []*World {
+	t.Helper()
 	list := make([]*World, seeds)
-	group := pond.NewPool(seeds)
+	workers := pond.NewPool(seeds)
+	defer workers.StopAndWait()
+	group := workers.NewGroup()
 	for i := range list {
 		group.Submit(func() { list[i] = Measure(dep, sc, p, uint64(i+1)) })
 	}
-	group.StopAndWait()
+	require.NoError(t, group.Wait())
 	return list
 }
 
@@ -51,7 +54,7 @@
 				continue
 			}
 			for _, p := range policies {
-				printRow(out, dep, sc, p, run(dep, sc, p))
+				printRow(out, dep, sc, p, run(t, dep, sc, p))
 			}
 		}
 	}
