Show targets, ejections and quarantine in status as text

Cause: the status command printed the JSON of each entry host as one cell. Change: the JSON types of an entry host's detail move to pkg/opsapi; the command lists hosts in a table, then services with targets and reasons.

--- a/cmd/tarragongauge/output.go
+++ b/cmd/tarragongauge/output.go
@@ -19,10 +19,11 @@
 	return eris.Wrap(e.Encode(v), "write output")
 }
 
-// table is text output in columns.
+// table is text output in columns, with lines of text below.
 type table struct {
-	head []string
-	rows [][]string
+	head  []string
+	rows  [][]string
+	notes []string
 }
 
 func (t *table) add(cells ...any) {
@@ -44,7 +45,15 @@
 			return eris.Wrap(err, "write output")
 		}
 	}
-	return eris.Wrap(tw.Flush(), "write output")
+	if err := tw.Flush(); err != nil {
+		return eris.Wrap(err, "write output")
+	}
+	for _, note := range t.notes {
+		if _, err := fmt.Fprintln(w, note); err != nil {
+			return eris.Wrap(err, "write output")
+		}
+	}
+	return nil
 }
 
 // show writes the list as JSON or the table as text.
--- a/cmd/tarragongauge/status.go
+++ b/cmd/tarragongauge/status.go
@@ -1,6 +1,10 @@
 package main
 
 import (
+	"encoding/json"
+	"fmt"
+	"time"
+
 	"github.com/spf13/cobra"
 
 	"tarragongauge.example/tarragongauge/pkg/opsapi"
@@ -26,19 +30,77 @@
 	}
 }
 
+// statusTable lists the hosts, then the targets of each service as its owner
+// sees them, then the quarantined requests.
 func statusTable(s opsapi.Status) *table {
-	t := &table{head: []string{"HOST", "ROLE", "ZONE", "STATE", "DETAIL"}}
+	t := &table{head: []string{"HOST", "ROLE", "ZONE", "STATE", "VERSION", "FRESH FOR", "IN FLIGHT"}}
+	var details []opsapi.EntryDetail
 	for _, h := range s.Hosts {
-		state := "serving"
-		switch {
-		case !h.Answered:
-			state = "no answer"
-		case h.Draining:
-			state = "draining"
-		case h.Host == s.Leader:
-			state = "leader"
+		if h.Answered && h.Host == s.Leader {
+			t.add(h.Host, h.Role, h.Zone, "leader", "-", "-", "-")
+			continue
+		}
+		var d opsapi.EntryDetail
+		if json.Unmarshal(h.Detail, &d) != nil || !h.Answered {
+			t.add(h.Host, h.Role, h.Zone, "no answer", "-", "-", "-")
+			continue
+		}
+		details = append(details, d)
+		fresh := (time.Duration(d.FreshForMs) * time.Millisecond).String()
+		t.add(h.Host, h.Role, h.Zone, hostState(d), fmt.Sprint(d.Version), fresh, fmt.Sprint(d.InFlight))
+	}
+	t.notes = append(t.notes, fmt.Sprintf("control: version %d, leader %s in term %d", s.Version, orNone(s.Leader), s.Term))
+	for _, d := range details {
+		for _, service := range d.Services {
+			t.notes = append(t.notes, serviceNotes(service)...)
 		}
-		t.add(h.Host, h.Role, h.Zone, state, string(h.Detail))
 	}
 	return t
 }
+
+func hostState(d opsapi.EntryDetail) string {
+	switch {
+	case d.Draining:
+		return "draining"
+	case d.FreshForMs <= 0:
+		return "not fresh"
+	default:
+		return "serving"
+	}
+}
+
+func orNone(s string) string {
+	if s == "" {
+		return "unknown"
+	}
+	return s
+}
+
+func serviceNotes(s opsapi.ServiceDetail) []string {
+	notes := []string{fmt.Sprintf("service %s: %d of %d slots healthy, floor %g", s.Service, s.HealthySlots, s.AnnouncedSlots, s.Floor)}
+	for _, t := range s.Targets {
+		notes = append(notes, "  "+targetNote(t))
+	}
+	for _, w := range s.Workspaces {
+		notes = append(notes, fmt.Sprintf("  workspace %s: %d slots in use, %d requests waiting", w.Workspace, w.InUse, w.Waiting))
+	}
+	for _, q := range s.Quarantine {
+		left := time.Duration(q.LeftMs) * time.Millisecond
+		notes = append(notes, fmt.Sprintf("  quarantined: request %d of workspace %s for another %s", q.Fingerprint, q.Workspace, left.Round(time.Second)))
+	}
+	return notes
+}
+
+func targetNote(t opsapi.TargetDetail) string {
+	note := fmt.Sprintf("target %s at %s in %s: %s, %d of %d slots in use", t.Target, t.Addr, t.Zone, t.State, t.InUse, t.Limit)
+	if t.Stale {
+		note += ", stopped announcing itself"
+	}
+	if t.Ejected {
+		note += fmt.Sprintf(", ejected for another %s: %s", time.Duration(t.BackInMs)*time.Millisecond, t.Reason)
+	}
+	if t.KeptByFloor {
+		note += ", fails but is kept by the floor: " + t.Reason
+	}
+	return note
+}
--- a/internal/node/backend.go
+++ b/internal/node/backend.go
@@ -143,6 +143,11 @@
 	c.mu.Lock()
 	status := opsapi.Status{Host: string(c.self.Host), Version: uint64(version), Leader: string(c.leader), Term: uint64(c.term)}
 	c.mu.Unlock()
+	if status.Leader == status.Host {
+		status.Hosts = append(status.Hosts, opsapi.HostStatus{
+			Host: status.Host, Role: "control", Zone: string(c.self.Zone), Addr: c.self.Addr, Answered: true,
+		})
+	}
 	for _, m := range members {
 		reply, ok := replies[m.member.Host]
 		status.Hosts = append(status.Hosts, opsapi.HostStatus{
--- a/internal/node/report.go
+++ b/internal/node/report.go
@@ -7,6 +7,7 @@
 	"tarragongauge.example/tarragongauge/internal/pool"
 	"tarragongauge.example/tarragongauge/internal/proto"
 	"tarragongauge.example/tarragongauge/pkg/model"
+	"tarragongauge.example/tarragongauge/pkg/opsapi"
 )
 
 // report answers control's questions about this entry host.
@@ -52,62 +53,13 @@
 	return model.Instant(h.freshUntil.Load()).Sub(h.clock.now())
 }
 
-// entryStatus is what an entry host reports about itself.
-type entryStatus struct {
-	Version    uint64          `json:"version"`
-	FreshForMs int64           `json:"fresh_for_ms"`
-	Draining   bool            `json:"draining"`
-	InFlight   int             `json:"in_flight"`
-	Services   []serviceStatus `json:"owned_services"`
-}
-
-type serviceStatus struct {
-	Service        string             `json:"service"`
-	Epoch          uint64             `json:"epoch"`
-	AnnouncedSlots int                `json:"announced_slots"`
-	HealthySlots   int                `json:"healthy_slots"`
-	Floor          float64            `json:"floor"`
-	Targets        []targetStatus     `json:"targets"`
-	Workspaces     []workspaceStatus  `json:"workspaces"`
-	Quarantine     []quarantineStatus `json:"quarantine"`
-}
-
-type targetStatus struct {
-	Target       string  `json:"target"`
-	Addr         string  `json:"addr"`
-	Zone         string  `json:"zone"`
-	State        string  `json:"state"`
-	Stale        bool    `json:"stale,omitempty"`
-	Slots        int     `json:"slots"`
-	Limit        int     `json:"slots_allowed_now"`
-	InUse        int     `json:"slots_in_use"`
-	Ejected      bool    `json:"ejected,omitempty"`
-	KeptByFloor  bool    `json:"kept_by_floor,omitempty"`
-	Reason       string  `json:"reason,omitempty"`
-	BackInMs     int64   `json:"back_in_ms,omitempty"`
-	ErrorScore   float64 `json:"error_score"`
-	LatencyScore float64 `json:"latency_score"`
-}
-
-type workspaceStatus struct {
-	Workspace string `json:"workspace"`
-	InUse     int    `json:"slots_in_use"`
-	Waiting   int    `json:"waiting"`
-}
-
-type quarantineStatus struct {
-	Workspace   string `json:"workspace"`
-	Fingerprint uint64 `json:"fingerprint"`
-	LeftMs      int64  `json:"left_ms"`
-}
-
-func (h *entryHost) status() entryStatus {
-	s := entryStatus{
+func (h *entryHost) status() opsapi.EntryDetail {
+	s := opsapi.EntryDetail{
 		Version:    uint64(h.cfg.Load().Version),
 		FreshForMs: h.freshFor().Milliseconds(),
 		Draining:   h.draining.Load(),
 		InFlight:   h.server.InFlight(),
-		Services:   []serviceStatus{},
+		Services:   []opsapi.ServiceDetail{},
 	}
 	h.targets.read(func(now model.Instant) {
 		for _, svc := range h.poolOwner.Status(now) {
@@ -117,28 +69,28 @@
 	return s
 }
 
-func serviceStatusOf(s pool.ServiceStatus) serviceStatus {
-	out := serviceStatus{
+func serviceStatusOf(s pool.ServiceStatus) opsapi.ServiceDetail {
+	out := opsapi.ServiceDetail{
 		Service: string(s.Service), Epoch: uint64(s.Epoch),
 		AnnouncedSlots: s.Announced, HealthySlots: s.Healthy, Floor: s.Floor,
-		Targets: []targetStatus{}, Workspaces: []workspaceStatus{}, Quarantine: []quarantineStatus{},
+		Targets: []opsapi.TargetDetail{}, Workspaces: []opsapi.WorkspaceDetail{}, Quarantine: []opsapi.QuarantineDetail{},
 	}
 	for _, t := range s.Targets {
 		out.Targets = append(out.Targets, targetStatusOf(t))
 	}
 	for _, w := range s.Workspaces {
-		out.Workspaces = append(out.Workspaces, workspaceStatus{Workspace: string(w.Workspace), InUse: w.InUse, Waiting: w.Waiting})
+		out.Workspaces = append(out.Workspaces, opsapi.WorkspaceDetail{Workspace: string(w.Workspace), InUse: w.InUse, Waiting: w.Waiting})
 	}
 	for _, q := range s.Quarantine {
-		out.Quarantine = append(out.Quarantine, quarantineStatus{
+		out.Quarantine = append(out.Quarantine, opsapi.QuarantineDetail{
 			Workspace: string(q.Workspace), Fingerprint: uint64(q.Fingerprint), LeftMs: q.Left.Milliseconds(),
 		})
 	}
 	return out
 }
 
-func targetStatusOf(t pool.TargetStatus) targetStatus {
-	return targetStatus{
+func targetStatusOf(t pool.TargetStatus) opsapi.TargetDetail {
+	return opsapi.TargetDetail{
 		Target: string(t.Target), Addr: t.Addr, Zone: string(t.Zone), State: stateName(t.State), Stale: t.Stale,
 		Slots: t.Slots, Limit: t.Limit, InUse: t.InUse, Ejected: t.Ejected, KeptByFloor: t.KeptByFloor,
 		Reason: t.Reason, BackInMs: t.Left.Milliseconds(), ErrorScore: t.ErrorScore, LatencyScore: t.LatencyScore,
