Add certificates of hosts and their rotation

Cause: links and the operators' port authenticate by shared secrets alone and are not encrypted. Several authorities can be accepted side by side. Faulty files leave the running certificate in use and are logged once.

--- /dev/null
+++ b/internal/trust/authority.go
@@ -0,0 +1,161 @@
+package trust
+
+import (
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/rand"
+	"crypto/x509"
+	"crypto/x509/pkix"
+	"encoding/pem"
+	"fmt"
+	"net"
+	"net/netip"
+	"slices"
+	"time"
+
+	"tarragongauge.example/tarragongauge/pkg/model"
+)
+
+// Validity of certificates unless another is chosen.
+const (
+	DefaultAuthorityValidity = 10 * 365 * 24 * time.Hour
+	DefaultHostValidity      = 90 * 24 * time.Hour
+	minValidity              = time.Minute
+	// backdate lets a host whose clock is a little late use a certificate at once.
+	backdate = 5 * time.Minute
+)
+
+// Authority signs the certificates of one fleet. Its key is ECDSA P-256, which
+// common tools such as curl accept for TLS 1.3.
+type Authority struct {
+	cert *x509.Certificate
+	key  *ecdsa.PrivateKey
+}
+
+// Pair is a certificate and its key in PEM form, as they stand in files.
+type Pair struct {
+	Certificate []byte
+	Key         []byte
+}
+
+// Request says what a host's certificate must contain.
+type Request struct {
+	Host  model.HostID
+	Roles []Role
+	// Addresses are listed for tools that check IP addresses, such as curl; the fleet checks host names.
+	Addresses []netip.Addr
+	Validity  time.Duration
+}
+
+// CreateAuthority draws the key of a new authority for a fleet.
+func CreateAuthority(fleet string, validity time.Duration, now time.Time) (Pair, error) {
+	if !validName(fleet) {
+		return Pair{}, ErrRequest{Cause: fmt.Sprintf("fleet name %q is not 1 to %d letters, digits, '.', '-' or '_'; give the [fleet] name of the settings", fleet, model.MaxNameLength)}
+	}
+	if validity < minValidity {
+		return Pair{}, ErrRequest{Cause: fmt.Sprintf("a validity of %s is too short; give at least %s", validity, minValidity)}
+	}
+	key, err := newKey()
+	if err != nil {
+		return Pair{}, err
+	}
+	template := &x509.Certificate{
+		Subject:               pkix.Name{CommonName: "tarragongauge authority of " + fleet},
+		URIs:                  authorityURIs(fleet),
+		NotBefore:             now.Add(-backdate),
+		NotAfter:              now.Add(validity),
+		IsCA:                  true,
+		BasicConstraintsValid: true,
+		MaxPathLenZero:        true,
+		KeyUsage:              x509.KeyUsageCertSign | x509.KeyUsageDigitalSignature,
+	}
+	return sign(template, template, key, key)
+}
+
+// Issue makes a key and a certificate for a host.
+func (a Authority) Issue(r Request, now time.Time) (Pair, error) {
+	if err := a.check(r, now); err != nil {
+		return Pair{}, err
+	}
+	fleet, err := FleetOf(a.cert)
+	if err != nil {
+		return Pair{}, err
+	}
+	key, err := newKey()
+	if err != nil {
+		return Pair{}, err
+	}
+	id := Identity{Fleet: fleet, Host: r.Host, Roles: r.Roles}
+	template := &x509.Certificate{
+		Subject:               pkix.Name{CommonName: string(r.Host)},
+		URIs:                  id.uris(),
+		IPAddresses:           addresses(r.Addresses),
+		NotBefore:             now.Add(-backdate),
+		NotAfter:              now.Add(r.Validity),
+		BasicConstraintsValid: true,
+		KeyUsage:              x509.KeyUsageDigitalSignature,
+		ExtKeyUsage:           []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth, x509.ExtKeyUsageClientAuth},
+	}
+	return sign(template, a.cert, key, a.key)
+}
+
+func (a Authority) check(r Request, now time.Time) error {
+	if err := inTime(a.cert, now); err != nil {
+		return err
+	}
+	if !validName(string(r.Host)) {
+		return ErrRequest{Cause: fmt.Sprintf("host name %q is not 1 to %d letters, digits, '.', '-' or '_'; give the [host] name of the settings", r.Host, model.MaxNameLength)}
+	}
+	if len(r.Roles) == 0 {
+		return ErrRequest{Cause: "no role is named; give one or more of " + joinRoles(Roles())}
+	}
+	for i, role := range r.Roles {
+		if !slices.Contains(Roles(), role) || slices.Contains(r.Roles[:i], role) {
+			return ErrRequest{Cause: fmt.Sprintf("role %q does not exist or is given twice; give one or more of %s", role, joinRoles(Roles()))}
+		}
+	}
+	if r.Validity < minValidity {
+		return ErrRequest{Cause: fmt.Sprintf("a validity of %s is too short; give at least %s", r.Validity, minValidity)}
+	}
+	if now.Add(r.Validity).After(a.cert.NotAfter) {
+		return ErrRequest{Cause: fmt.Sprintf("the authority expires at %s, before the certificate would; give a shorter validity or rotate the authority", stamp(a.cert.NotAfter))}
+	}
+	return nil
+}
+
+func addresses(list []netip.Addr) []net.IP {
+	ips := make([]net.IP, 0, len(list))
+	for _, a := range list {
+		ips = append(ips, a.AsSlice())
+	}
+	return ips
+}
+
+func newKey() (*ecdsa.PrivateKey, error) {
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	if err != nil {
+		return nil, fmt.Errorf("draw key: %w", err)
+	}
+	return key, nil
+}
+
+// sign makes a certificate for key, signed by the parent's key.
+func sign(template, parent *x509.Certificate, key, parentKey *ecdsa.PrivateKey) (Pair, error) {
+	cert, err := x509.CreateCertificate(rand.Reader, template, parent, &key.PublicKey, parentKey)
+	if err != nil {
+		return Pair{}, fmt.Errorf("sign certificate: %w", err)
+	}
+	private, err := x509.MarshalPKCS8PrivateKey(key)
+	if err != nil {
+		return Pair{}, fmt.Errorf("encode key: %w", err)
+	}
+	return Pair{
+		Certificate: pem.EncodeToMemory(&pem.Block{Type: certificateBlock, Bytes: cert}),
+		Key:         pem.EncodeToMemory(&pem.Block{Type: keyBlock, Bytes: private}),
+	}, nil
+}
+
+// Certificate returns the certificate of the authority in PEM form.
+func (a Authority) Certificate() []byte {
+	return pem.EncodeToMemory(&pem.Block{Type: certificateBlock, Bytes: a.cert.Raw})
+}
--- /dev/null
+++ b/internal/trust/trust_test.go
@@ -0,0 +1,370 @@
+package trust
+
+import (
+	"crypto/tls"
+	"crypto/x509"
+	"net/netip"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/go-logr/logr/funcr"
+	"github.com/stretchr/testify/require"
+
+	"tarragongauge.example/tarragongauge/internal/super"
+	"tarragongauge.example/tarragongauge/pkg/model"
+)
+
+func epoch() time.Time { return time.Date(2026, 3, 1, 0, 0, 0, 0, time.UTC) }
+
+func always(at time.Time) Clock { return func() time.Time { return at } }
+
+func authority(t *testing.T, fleet string, validity time.Duration, at time.Time) Authority {
+	t.Helper()
+	p, err := CreateAuthority(fleet, validity, at)
+	require.NoError(t, err)
+	certs, err := ParseAuthorities(p.Certificate)
+	require.NoError(t, err)
+	key, err := parseKey(p.Key)
+	require.NoError(t, err)
+	return Authority{cert: certs.certs[0], key: key}
+}
+
+func issue(t *testing.T, a Authority, host model.HostID, at time.Time, roles ...Role) Pair {
+	t.Helper()
+	p, err := a.Issue(Request{Host: host, Roles: roles, Addresses: []netip.Addr{netip.MustParseAddr("127.0.0.1")}, Validity: time.Hour}, at)
+	require.NoError(t, err)
+	return p
+}
+
+func accept(list ...Authority) Authorities {
+	var a Authorities
+	for _, one := range list {
+		a.certs = append(a.certs, one.cert)
+	}
+	return a
+}
+
+// Guards against a certificate that is accepted for another host, role, fleet
+// or time than its own, and against a refusal that names the wrong remedy.
+func TestVerifyRefusals(t *testing.T) {
+	now := epoch()
+	ours, next, felt := authority(t, "tatws", 24*time.Hour, now), authority(t, "tatws", 24*time.Hour, now), authority(t, "felt", 24*time.Hour, now)
+	brief := authority(t, "tatws", time.Minute, now)
+	foreign := Identity{Fleet: "felt", Host: "c1", Roles: []Role{RoleControl}}
+	template := func(change func(c *x509.Certificate)) Pair {
+		key, err := newKey()
+		require.NoError(t, err)
+		c := &x509.Certificate{URIs: Identity{Fleet: "tatws", Host: "c1", Roles: []Role{RoleControl}}.uris(), NotBefore: now, NotAfter: now.Add(time.Hour), ExtKeyUsage: []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth}}
+		change(c)
+		p, err := sign(c, ours.cert, key, ours.key)
+		require.NoError(t, err)
+		return p
+	}
+	good := issue(t, ours, "c1", now, RoleControl, RoleOperators)
+	short, err := brief.Issue(Request{Host: "c1", Roles: []Role{RoleControl}, Validity: time.Minute}, now)
+	require.NoError(t, err)
+	want := Expect{Fleet: "tatws", Host: "c1", Roles: []Role{RoleControl}}
+	tests := []struct {
+		name   string
+		pair   Pair
+		accept Authorities
+		at     time.Time
+		want   Expect
+		check  func(error) bool
+	}{
+		{"sound", good, accept(ours), now, want, func(err error) bool { return err == nil }},
+		{"sound with two authorities", good, accept(next, ours), now, want, func(err error) bool { return err == nil }},
+		{"sound at its last moment", good, accept(ours), now.Add(time.Hour), want, func(err error) bool { return err == nil }},
+		{"expired", good, accept(ours), now.Add(time.Hour + time.Second), want, IsErrExpired},
+		{"not yet valid", good, accept(ours), now.Add(-backdate - time.Second), want, IsErrNotYetValid},
+		{"authority expired", short, accept(brief), now.Add(time.Hour), want, IsErrExpired},
+		{"unknown authority", good, accept(next), now, want, IsErrAuthority},
+		{"unknown authority, expired too", good, accept(next), now.Add(2 * time.Hour), want, IsErrAuthority},
+		{"other fleet expected", good, accept(ours), now, Expect{Fleet: "felt"}, IsErrFleet},
+		{"other fleet in a mixed file", issue(t, felt, "c1", now, RoleControl), accept(ours, felt), now, want, IsErrFleet},
+		{"authority speaks for another fleet", template(func(c *x509.Certificate) { c.URIs = foreign.uris() }), accept(ours), now, Expect{Fleet: "felt"}, IsErrFleet},
+		{"wrong role", issue(t, ours, "c1", now, RoleEntry), accept(ours), now, want, IsErrRole},
+		{"one role missing", good, accept(ours), now, Expect{Roles: []Role{RoleControl, RoleJournal}}, IsErrRole},
+		{"wrong host", issue(t, ours, "c2", now, RoleControl), accept(ours), now, want, IsErrHost},
+		{"authority as a host", Pair{}, accept(ours), now, want, IsErrFile},
+		{"not for servers", template(func(c *x509.Certificate) { c.ExtKeyUsage = []x509.ExtKeyUsage{x509.ExtKeyUsageClientAuth} }), accept(ours), now, want, IsErrAuthority},
+		{"without an identity", template(func(c *x509.Certificate) { c.URIs = nil }), accept(ours), now, want, IsErrFile},
+		{"two hosts", template(func(c *x509.Certificate) {
+			c.URIs = append(c.URIs, Identity{Fleet: "tatws", Host: "c2", Roles: []Role{RoleEntry}}.uris()...)
+		}), accept(ours), now, want, IsErrFile},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			leaf := ours.cert
+			if tt.pair.Certificate != nil {
+				certs, err := ParseCertificates(tt.pair.Certificate)
+				require.NoError(t, err)
+				leaf = certs[0]
+			}
+			_, err := tt.accept.Verify(leaf, x509.ExtKeyUsageServerAuth, tt.at, tt.want)
+			require.True(t, tt.check(err), "got %v", err)
+		})
+	}
+}
+
+// Guards against certificates that hosts would refuse later.
+func TestIssueRefusals(t *testing.T) {
+	now := epoch()
+	a := authority(t, "tatws", time.Hour, now)
+	sound := Request{Host: "c1", Roles: []Role{RoleControl}, Validity: time.Minute}
+	tests := []struct {
+		name   string
+		change func(r *Request)
+		at     time.Time
+		check  func(error) bool
+	}{
+		{"host name", func(r *Request) { r.Host = "c1/entry" }, now, IsErrRequest},
+		{"no role", func(r *Request) { r.Roles = nil }, now, IsErrRequest},
+		{"unknown role", func(r *Request) { r.Roles = []Role{"root"} }, now, IsErrRequest},
+		{"role twice", func(r *Request) { r.Roles = []Role{RoleEntry, RoleEntry} }, now, IsErrRequest},
+		{"too short", func(r *Request) { r.Validity = time.Second }, now, IsErrRequest},
+		{"longer than the authority", func(r *Request) { r.Validity = 2 * time.Hour }, now, IsErrRequest},
+		{"authority expired", func(*Request) {}, now.Add(2 * time.Hour), IsErrExpired},
+		{"authority not yet valid", func(*Request) {}, now.Add(-time.Hour), IsErrNotYetValid},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			r := sound
+			tt.change(&r)
+			_, err := a.Issue(r, tt.at)
+			require.True(t, tt.check(err), "got %v", err)
+		})
+	}
+	_, err := CreateAuthority("tatws/x", time.Hour, now)
+	require.True(t, IsErrRequest(err))
+	_, err = CreateAuthority("tatws", 0, now)
+	require.True(t, IsErrRequest(err))
+}
+
+// install writes the files of a host.
+func install(t *testing.T, f Files, p Pair, accepted ...Authority) {
+	t.Helper()
+	var bundle []byte
+	for _, a := range accepted {
+		bundle = append(bundle, a.Certificate()...)
+	}
+	require.NoError(t, os.WriteFile(f.Authority, bundle, 0o600))
+	require.NoError(t, p.Write(f.Certificate, f.Key, true))
+}
+
+func filesIn(dir string) Files {
+	return Files{Authority: filepath.Join(dir, "authority.crt"), Certificate: filepath.Join(dir, "host.crt"), Key: filepath.Join(dir, "host.key")}
+}
+
+// Guards against files that load although they are damaged, open to others or do not belong together.
+func TestFileRefusals(t *testing.T) {
+	now := epoch()
+	a := authority(t, "tatws", 24*time.Hour, now)
+	good, other := issue(t, a, "c1", now, RoleControl), issue(t, a, "c1", now, RoleControl)
+	write := func(path string, data ...[]byte) func(t *testing.T) {
+		return func(t *testing.T) {
+			require.NoError(t, os.WriteFile(path, []byte(strings.Join(texts(data), "")), 0o600))
+		}
+	}
+	mode := func(path string, m os.FileMode) func(t *testing.T) {
+		return func(t *testing.T) { require.NoError(t, os.Chmod(path, m)) }
+	}
+	dir := t.TempDir()
+	f := filesIn(dir)
+	tests := []struct {
+		name   string
+		change func(t *testing.T)
+		path   string
+		want   string
+	}{
+		{"key readable by the group", mode(f.Key, 0o640), f.Key, "chmod 600"},
+		{"certificate writable by others", mode(f.Certificate, 0o602), f.Certificate, "chmod 600"},
+		{"authority writable by the group", mode(f.Authority, 0o620), f.Authority, "chmod 600"},
+		{"missing", func(t *testing.T) { require.NoError(t, os.Remove(f.Key)) }, f.Key, "no such file"},
+		{"folder", func(t *testing.T) {
+			require.NoError(t, os.Remove(f.Key))
+			require.NoError(t, os.Mkdir(f.Key, 0o700))
+		}, f.Key, "not a regular file"},
+		{"too long", write(f.Authority, make([]byte, maxFile+1)), f.Authority, "not a regular file"},
+		{"empty", write(f.Certificate), f.Certificate, "empty"},
+		{"cut off", write(f.Certificate, good.Certificate[:200]), f.Certificate, "damaged"},
+		{"damaged block before a sound one", write(f.Authority, good.Certificate[:100], []byte("\n"), a.Certificate()), f.Authority, "damaged"},
+		{"text beside the block", write(f.Certificate, []byte("x\n"), good.Certificate), f.Certificate, "beside"},
+		{"key as a certificate", write(f.Certificate, good.Key), f.Certificate, "block"},
+		{"certificate as a key", write(f.Key, good.Certificate), f.Key, "block"},
+		{"host as an authority", write(f.Authority, good.Certificate), f.Authority, "authority create"},
+		{"authority as a host", write(f.Certificate, a.Certificate()), f.Certificate, "certificate issue"},
+		{"two hosts", write(f.Certificate, good.Certificate, other.Certificate), f.Certificate, "2 certificates"},
+		{"nine authorities", write(f.Authority, []byte(strings.Repeat(string(a.Certificate()), maxAuthorities+1))), f.Authority, "more than"},
+		{"key of another certificate", write(f.Key, other.Key), f.Key, "does not belong"},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			require.NoError(t, os.RemoveAll(f.Key))
+			install(t, f, good, a)
+			require.NoError(t, os.Chmod(f.Authority, 0o600))
+			_, err := Load(f, Expect{}, now)
+			require.NoError(t, err)
+			tt.change(t)
+			_, err = Load(f, Expect{}, now)
+			require.True(t, IsErrFile(err), "got %v", err)
+			require.ErrorContains(t, err, tt.path+": ")
+			require.ErrorContains(t, err, tt.want)
+		})
+	}
+}
+
+func texts(parts [][]byte) []string {
+	var list []string
+	for _, p := range parts {
+		list = append(list, string(p))
+	}
+	return list
+}
+
+// Guards against keys that others can read and against a command that overwrites a key in use.
+func TestWrittenFiles(t *testing.T) {
+	dir := t.TempDir()
+	p, err := CreateAuthority("tatws", time.Hour, epoch())
+	require.NoError(t, err)
+	crt, key := filepath.Join(dir, "a.crt"), filepath.Join(dir, "a.key")
+	require.NoError(t, p.Write(crt, key, false))
+	_, err = ReadAuthority(crt, key)
+	require.NoError(t, err)
+	for _, path := range []string{crt, key} {
+		info, err := os.Stat(path)
+		require.NoError(t, err)
+		require.Equal(t, os.FileMode(0o600), info.Mode())
+	}
+	require.True(t, IsErrFile(p.Write(crt, filepath.Join(dir, "b.key"), false)))
+	require.NoFileExists(t, filepath.Join(dir, "b.key"))
+	require.NoError(t, p.Write(crt, key, true))
+	entries, err := os.ReadDir(dir)
+	require.NoError(t, err)
+	require.Len(t, entries, 2, "no temporary file stays")
+	other, err := CreateAuthority("tatws", time.Hour, epoch())
+	require.NoError(t, err)
+	require.NoError(t, os.WriteFile(key, other.Key, 0o600))
+	_, err = ReadAuthority(crt, key)
+	require.ErrorContains(t, err, "does not belong")
+}
+
+// Guards against a source that misses replaced files, that gives up a sound
+// certificate for faulty files, or that repeats one log line at each look.
+func TestSourceReplacesFilesWhileItRuns(t *testing.T) {
+	dir := t.TempDir()
+	synctest.Test(t, func(t *testing.T) {
+		f := filesIn(dir)
+		old, next := authority(t, "tatws", 48*time.Hour, time.Now().Add(-3*time.Hour)), authority(t, "tatws", 24*time.Hour, time.Now())
+		install(t, f, issue(t, old, "c1", time.Now(), RoleControl), old)
+		var mu sync.Mutex
+		var lines []string
+		log := funcr.New(func(_, args string) {
+			mu.Lock()
+			defer mu.Unlock()
+			lines = append(lines, args)
+		}, funcr.Options{})
+		logged := func() []string {
+			mu.Lock()
+			defer mu.Unlock()
+			return slices.Clone(lines)
+		}
+		tree, stop := super.New("test")
+		defer stop()
+		s, _, err := NewSource(f, Expect{Fleet: "tatws", Host: "c1", Roles: []Role{RoleControl}}, time.Now, tree, WithLogger(log))
+		require.NoError(t, err)
+		first := s.Current().Leaf
+		look := func() { time.Sleep(DefaultInterval + time.Second) }
+		look()
+		require.Empty(t, logged())
+
+		faults := []struct {
+			want string
+			make func()
+		}{
+			{"no such file", func() { require.NoError(t, os.Remove(f.Certificate)) }},
+			{"instead of", func() { install(t, f, issue(t, old, "c2", time.Now(), RoleControl), old) }},
+			{"--role control", func() { install(t, f, issue(t, old, "c1", time.Now(), RoleEntry), old) }},
+			{"unknown authority", func() { install(t, f, issue(t, next, "c1", time.Now(), RoleControl), old) }},
+			{"expired", func() { install(t, f, issue(t, old, "c1", time.Now().Add(-2*time.Hour), RoleControl), old) }},
+		}
+		for i, fault := range faults {
+			fault.make()
+			look()
+			look()
+			require.Equal(t, first, s.Current().Leaf)
+			require.Len(t, logged(), i+1)
+			require.Contains(t, logged()[i], fault.want)
+		}
+
+		install(t, f, issue(t, old, "c1", time.Now(), RoleControl), old, next)
+		look()
+		require.NotEqual(t, first, s.Current().Leaf)
+		require.Len(t, s.Current().Authorities.Certificates(), 2)
+		require.Len(t, logged(), len(faults)+1)
+		require.Contains(t, logged()[len(faults)], "replaced")
+		time.Sleep(50 * time.Minute)
+		require.Len(t, logged(), len(faults)+2)
+		require.Contains(t, logged()[len(faults)+1], "expires soon")
+		time.Sleep(2 * time.Hour)
+		require.Len(t, logged(), len(faults)+3)
+		require.Contains(t, logged()[len(faults)+2], "has expired")
+		stop()
+		require.NoError(t, tree.Wait())
+	})
+}
+
+// Guards against settings that replace the checks: a peer without a
+// certificate, and a connection that no check has seen.
+func TestPeerNeedsACertificate(t *testing.T) {
+	_, err := Peer(nil)
+	require.True(t, IsErrAuthority(err))
+	_, err = Peer(&tls.ConnectionState{})
+	require.True(t, IsErrAuthority(err))
+	a := authority(t, "tatws", time.Hour, epoch())
+	err = NewOperatorsClient(accept(a), always(epoch())).Config("c1").VerifyConnection(tls.ConnectionState{})
+	require.True(t, IsErrAuthority(err))
+}
+
+// Guards against a panic of the reader, and against a file that is accepted
+// although nothing in it was signed by the authority.
+func FuzzParseCertificates(f *testing.F) {
+	now := epoch()
+	p, err := CreateAuthority("tatws", time.Hour, now)
+	require.NoError(f, err)
+	certs, err := ParseAuthorities(p.Certificate)
+	require.NoError(f, err)
+	key, err := parseKey(p.Key)
+	require.NoError(f, err)
+	a := Authority{cert: certs.certs[0], key: key}
+	host, err := a.Issue(Request{Host: "c1", Roles: []Role{RoleControl}, Validity: time.Minute}, now)
+	require.NoError(f, err)
+	other, err := CreateAuthority("felt", time.Hour, now)
+	require.NoError(f, err)
+	accepted, err := ParseAuthorities(other.Certificate)
+	require.NoError(f, err)
+	f.Add(p.Certificate)
+	f.Add(append(host.Certificate, p.Certificate...))
+	f.Add(host.Key)
+	f.Add([]byte("-----BEGIN CERTIFICATE-----\n-----END CERTIFICATE-----"))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		if _, err := parseKey(data); err != nil && !IsErrFile(err) {
+			t.Fatalf("not a fault of a file: %v", err)
+		}
+		all, err := ParseCertificates(data)
+		if err != nil && !IsErrFile(err) {
+			t.Fatalf("not a fault of a file: %v", err)
+		}
+		for _, c := range all {
+			if _, err := accepted.Verify(c, x509.ExtKeyUsageServerAuth, now, Expect{}); err == nil {
+				t.Fatalf("accepted %q", c.Subject)
+			}
+		}
+	})
+}
