Encrypt links with TLS 1.3 and check certificates on both sides

Cause: whoever reads the private network sees every message between hosts. Change: link.WithTLS takes a certificate source. The dialer checks the name of the host it meant, the acceptor demands a certificate of the fleet, and the Hello must tell the name and role of the certificate. The handshake over the fleet secret stays on top. Without certificates everything works as before and a mesh logs once that its links are not encrypted.

--- a/internal/link/handshake.go
+++ b/internal/link/handshake.go
@@ -16,6 +16,7 @@
 	"github.com/fxamacker/cbor/v2"
 
 	"tarragongauge.example/tarragongauge/internal/proto"
+	"tarragongauge.example/tarragongauge/internal/trust"
 	"tarragongauge.example/tarragongauge/pkg/model"
 )
 
@@ -56,6 +57,8 @@
 	dialed   []byte
 	accepted []byte
 	peer     greeting
+	// identity is that of the peer's certificate, or nil without TLS.
+	identity *trust.Identity
 }
 
 func (h *handshake) digest(label string, hello []byte) []byte {
@@ -138,7 +141,7 @@
 	if !ok || hello.Member.Host != h.peer.Host {
 		return proto.Hello{}, ErrPeer{Peer: h.peer.Host, Field: "host name", Got: string(hello.Member.Host), Want: string(h.peer.Host)}
 	}
-	return hello, nil
+	return hello, checkCertificate(h.identity, hello.Member)
 }
 
 func (h *handshake) readFrame(ctx context.Context) ([]byte, error) {
--- a/internal/link/mesh.go
+++ b/internal/link/mesh.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"fmt"
 	"net"
 	"net/http"
@@ -16,6 +17,7 @@
 
 	"tarragongauge.example/tarragongauge/internal/proto"
 	"tarragongauge.example/tarragongauge/internal/super"
+	"tarragongauge.example/tarragongauge/internal/trust"
 	"tarragongauge.example/tarragongauge/internal/wire"
 	"tarragongauge.example/tarragongauge/pkg/model"
 )
@@ -69,6 +71,9 @@
 		loop:       newLoop(o.queue),
 		peers:      map[model.HostID]*peer{},
 	}
+	if o.tls == nil {
+		o.log.Info("links are not encrypted; keep the fleet and operators' ports on a private network, or set [tls]")
+	}
 	m.tree.Go("self", m.deliverOwn)
 	return m, m.tree.Stop, nil
 }
@@ -198,15 +203,9 @@
 func (m *Mesh) dial(ctx context.Context, p *peer, addr string) error {
 	ctx, cancel := context.WithTimeout(ctx, m.opts.timing.Handshake)
 	defer cancel()
-	transport := &http.Transport{DialContext: func(ctx context.Context, network, addr string) (net.Conn, error) {
-		c, err := (&net.Dialer{}).DialContext(ctx, network, addr)
-		if err != nil {
-			return nil, err
-		}
-		return m.opts.faults.wrap(c, p.host), nil
-	}}
+	transport := m.transport(p.host)
 	defer transport.CloseIdleConnections()
-	u := url.URL{Scheme: "ws", Host: addr, Path: Path}
+	u := url.URL{Scheme: m.scheme(), Host: addr, Path: Path}
 	ws, resp, err := websocket.Dial(ctx, u.String(), &websocket.DialOptions{
 		HTTPClient: &http.Client{Transport: transport},
 		HTTPHeader: http.Header{hostHeader: {string(m.self.Host)}},
@@ -218,13 +217,33 @@
 		_ = resp.Body.Close() // the upgraded connection belongs to ws
 	}
 	ws.SetReadLimit(maxGreeting)
-	h := &handshake{mesh: m, ws: ws}
-	hello, err := h.dial(ctx, p.host)
+	hello, id, err := m.greetDialed(ctx, ws, resp.TLS, p.host)
 	if err != nil {
 		_ = ws.CloseNow()
 		return err
 	}
-	return m.use(newLink(m, p, ws, h.id(), m.self.Host, hello.Member.Incarnation), hello)
+	return m.use(newLink(m, p, ws, id, m.self.Host, hello.Member.Incarnation), hello)
+}
+
+// greetDialed runs the handshake of the dialing side. It returns the Hello of the host and the id of the link.
+func (m *Mesh) greetDialed(ctx context.Context, ws *websocket.Conn, state *tls.ConnectionState, host model.HostID) (proto.Hello, string, error) {
+	id, err := m.identity(state)
+	if err != nil {
+		return proto.Hello{}, "", err
+	}
+	h := &handshake{mesh: m, ws: ws, identity: id}
+	hello, err := h.dial(ctx, host)
+	return hello, h.id(), err
+}
+
+func (m *Mesh) dialTCP(host model.HostID) func(ctx context.Context, network, addr string) (net.Conn, error) {
+	return func(ctx context.Context, network, addr string) (net.Conn, error) {
+		c, err := (&net.Dialer{}).DialContext(ctx, network, addr)
+		if err != nil {
+			return nil, err
+		}
+		return m.opts.faults.wrap(c, host), nil
+	}
 }
 
 // use starts a link after its handshake unless a better one is in use.
@@ -266,6 +285,12 @@
 		return
 	}
 	claimed := model.HostID(r.Header.Get(hostHeader))
+	identity, err := m.identity(r.TLS)
+	if err != nil {
+		m.opts.log.Info("link refused", "remote", r.RemoteAddr, "peer", string(claimed), "cause", err.Error())
+		http.Error(w, "links to this host need TLS and a certificate of the fleet", http.StatusForbidden)
+		return
+	}
 	if m.opts.faults != nil {
 		w = faultyWriter{ResponseWriter: w, faults: m.opts.faults, host: claimed}
 	}
@@ -275,7 +300,7 @@
 		return
 	}
 	ws.SetReadLimit(maxGreeting)
-	if err := m.accept(ws); err != nil {
+	if err := m.accept(ws, identity); err != nil {
 		_ = ws.CloseNow()
 		if IsErrSpare(err) {
 			return
@@ -284,10 +309,10 @@
 	}
 }
 
-func (m *Mesh) accept(ws *websocket.Conn) error {
+func (m *Mesh) accept(ws *websocket.Conn, identity *trust.Identity) error {
 	ctx, cancel := context.WithTimeout(context.Background(), m.opts.timing.Handshake)
 	defer cancel()
-	h := &handshake{mesh: m, ws: ws}
+	h := &handshake{mesh: m, ws: ws, identity: identity}
 	hello, err := h.accept(ctx)
 	if err != nil {
 		return err
--- a/internal/link/mesh_test.go
+++ b/internal/link/mesh_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"fmt"
+	"io"
+	"log"
 	"net/http/httptest"
 	"strings"
 	"sync"
@@ -51,6 +53,8 @@
 	require.NoError(t, err)
 	h.Mesh = mesh
 	server.Config.Handler = mesh.Handler()
+	server.Listener = mesh.Listener(server.Listener)
+	server.Config.ErrorLog = log.New(io.Discard, "", 0) // refused handshakes are in the log of the mesh
 	server.Start()
 	t.Cleanup(func() {
 		closeMesh()
--- a/internal/link/options.go
+++ b/internal/link/options.go
@@ -4,6 +4,8 @@
 	"time"
 
 	"github.com/go-logr/logr"
+
+	"tarragongauge.example/tarragongauge/internal/trust"
 )
 
 // Timing holds the time limits of links.
@@ -54,6 +56,7 @@
 	queue   int
 	timing  Timing
 	faults  *Faults
+	tls     *trust.Source
 }
 
 // Option changes how a mesh works.
@@ -79,6 +82,13 @@
 	return func(o *options) { o.timing = t }
 }
 
+// WithTLS encrypts links with TLS 1.3 and demands a certificate of the fleet
+// from every peer, in addition to the secret. The name and role in the Hello of
+// a peer must be those of its certificate. Serve links on Mesh.Listener.
+func WithTLS(s *trust.Source) Option {
+	return func(o *options) { o.tls = s }
+}
+
 // WithFaults injects network faults, for tests.
 func WithFaults(f *Faults) Option {
 	return func(o *options) { o.faults = f }
--- /dev/null
+++ b/internal/link/tls_test.go
@@ -0,0 +1,379 @@
+package link
+
+import (
+	"context"
+	"crypto/tls"
+	"errors"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/go-logr/logr/funcr"
+	"github.com/stretchr/testify/require"
+	"go.uber.org/goleak"
+
+	"tarragongauge.example/tarragongauge/internal/proto"
+	"tarragongauge.example/tarragongauge/internal/super"
+	"tarragongauge.example/tarragongauge/internal/trust"
+	"tarragongauge.example/tarragongauge/pkg/model"
+)
+
+// issuer is an authority of the fleet tatws.
+type issuer struct {
+	trust.Authority
+}
+
+func newIssuer(t *testing.T, fleet string) issuer {
+	t.Helper()
+	dir := t.TempDir()
+	p, err := trust.CreateAuthority(fleet, 24*time.Hour, time.Now())
+	require.NoError(t, err)
+	crt, key := filepath.Join(dir, "authority.crt"), filepath.Join(dir, "authority.key")
+	require.NoError(t, p.Write(crt, key, false))
+	a, err := trust.ReadAuthority(crt, key)
+	require.NoError(t, err)
+	return issuer{a}
+}
+
+// hostFiles are the files of one test host.
+type hostFiles struct {
+	trust.Files
+	source *trust.Source
+}
+
+func newFiles(t *testing.T) *hostFiles {
+	dir := t.TempDir()
+	return &hostFiles{Files: trust.Files{Authority: filepath.Join(dir, "authority.crt"), Certificate: filepath.Join(dir, "host.crt"), Key: filepath.Join(dir, "host.key")}}
+}
+
+func (f *hostFiles) accept(t *testing.T, accepted ...issuer) {
+	t.Helper()
+	var bundle []byte
+	for _, a := range accepted {
+		bundle = append(bundle, a.Certificate()...)
+	}
+	require.NoError(t, os.WriteFile(f.Authority, bundle, 0o600))
+}
+
+func (f *hostFiles) issue(t *testing.T, by issuer, host model.HostID, role trust.Role) {
+	t.Helper()
+	p, err := by.Issue(trust.Request{Host: host, Roles: []trust.Role{role}, Validity: time.Hour}, time.Now())
+	require.NoError(t, err)
+	require.NoError(t, p.Write(f.Certificate, f.Key, true))
+}
+
+func (f *hostFiles) start(t *testing.T, clock trust.Clock, opts ...trust.SourceOption) {
+	t.Helper()
+	tree, stop := super.New("trust")
+	t.Cleanup(stop)
+	var err error
+	f.source, _, err = trust.NewSource(f.Files, trust.Expect{}, clock, tree, opts...)
+	require.NoError(t, err)
+}
+
+func (f *hostFiles) reload(t *testing.T) {
+	t.Helper()
+	require.NoError(t, f.source.Reload())
+}
+
+func sound(t *testing.T, by issuer, host model.HostID) *hostFiles {
+	t.Helper()
+	f := newFiles(t)
+	f.accept(t, by)
+	f.issue(t, by, host, trust.RoleEntry)
+	return f
+}
+
+// lines is a log that tests read.
+type lines struct {
+	mu   sync.Mutex
+	text strings.Builder
+}
+
+func (l *lines) logger() logr.Logger {
+	return funcr.New(func(_, args string) {
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		l.text.WriteString(args + "\n")
+	}, funcr.Options{})
+}
+
+func (l *lines) String() string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.text.String()
+}
+
+// patient leaves the handshake enough time on a busy machine, so that the cause of a refusal is the one tested.
+func patient() Option {
+	timing := quickTiming()
+	timing.Handshake = patience
+	return WithTiming(timing)
+}
+
+// Guards against a host that links with the certificate of another time,
+// fleet, host or role, in either direction, although it knows the secret.
+func TestCertificateRefusals(t *testing.T) {
+	now := time.Now()
+	past, future := now.Add(-2*time.Hour), now.Add(2*time.Hour)
+	ours, stranger := newIssuer(t, "tatws"), newIssuer(t, "tatws")
+	at := func(t time.Time) trust.Clock { return func() time.Time { return t } }
+	tests := []struct {
+		name  string
+		make  func(t *testing.T, f *hostFiles)
+		judge trust.Clock // clock of the host that refuses
+		check func(error) bool
+		text  string
+	}{
+		{"expired", func(t *testing.T, f *hostFiles) { f.issue(t, ours, "b", trust.RoleEntry) }, at(future), trust.IsErrExpired, "expired at"},
+		{"not yet valid", func(t *testing.T, f *hostFiles) { f.issue(t, ours, "b", trust.RoleEntry) }, at(past), trust.IsErrNotYetValid, "valid only from"},
+		{"unknown authority", func(t *testing.T, f *hostFiles) {
+			f.issue(t, stranger, "b", trust.RoleEntry)
+			f.accept(t, stranger, ours)
+		}, time.Now, trust.IsErrAuthority, "unknown authority"},
+		{"wrong host", func(t *testing.T, f *hostFiles) { f.issue(t, ours, "z", trust.RoleEntry) }, time.Now, trust.IsErrHost, `belongs to host \"z\" instead of \"b\"`},
+		{"wrong role", func(t *testing.T, f *hostFiles) { f.issue(t, ours, "b", trust.RoleControl) }, time.Now, trust.IsErrRole, "roles control but not entry"},
+		{"operators' role only", func(t *testing.T, f *hostFiles) { f.issue(t, ours, "b", trust.RoleOperators) }, time.Now, trust.IsErrRole, "roles operators but not entry"},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			faulty, judge := newFiles(t), newFiles(t)
+			faulty.accept(t, ours)
+			tt.make(t, faulty)
+			faulty.start(t, time.Now)
+			// The judge's own certificate must load at the time on its clock.
+			judge.accept(t, ours)
+			p, err := ours.Issue(trust.Request{Host: "a", Roles: []trust.Role{trust.RoleEntry}, Validity: 4 * time.Hour}, now)
+			require.NoError(t, err)
+			require.NoError(t, p.Write(judge.Certificate, judge.Key, true))
+			var logged lines
+			clock := atomic.Pointer[trust.Clock]{}
+			real := trust.Clock(time.Now)
+			clock.Store(&real)
+			judge.start(t, func() time.Time { return (*clock.Load())() }, trust.WithLogger(logged.logger()))
+			clock.Store(&tt.judge)
+
+			a := startHost(t, "a", 1, patient(), WithTLS(judge.source), WithLogger(logged.logger()))
+			b := startHost(t, "b", 1, patient(), WithTLS(faulty.source))
+			err = a.dial(context.Background(), a.ensure("b"), b.member.Addr)
+			require.True(t, tt.check(err), "got %v", err)
+			require.Error(t, b.dial(context.Background(), b.ensure("a"), a.member.Addr))
+			require.Eventually(t, func() bool { return strings.Contains(logged.String(), tt.text) }, patience, time.Millisecond, "%s", &logged)
+			require.False(t, a.Stats()["b"].Linked || b.Stats()["a"].Linked)
+		})
+	}
+}
+
+// Guards against certificates that replace the secret, and against a host that
+// links without TLS to one that has it.
+func TestCertificateAndSecretAreBothNeeded(t *testing.T) {
+	ours := newIssuer(t, "tatws")
+	fa, fb := sound(t, ours, "a"), sound(t, ours, "b")
+	fa.start(t, time.Now)
+	fb.start(t, time.Now)
+	b := startHost(t, "b", 1, patient(), WithTLS(fb.source))
+	tests := []struct {
+		name   string
+		secret string
+		opts   []Option
+		linked bool
+	}{
+		{"both", "0123456789abcdef", []Option{WithTLS(fa.source)}, true},
+		{"certificate alone", "another secret of the fleet", []Option{WithTLS(fa.source)}, false},
+		{"secret alone", "0123456789abcdef", nil, false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			tree, stop := super.New("x")
+			defer stop()
+			opts := append([]Option{WithCluster("tatws"), patient()}, tt.opts...)
+			m, closeMesh, err := New(proto.Member{Host: "a", Role: proto.RoleEntry}, []byte(tt.secret), tree, func(model.HostID, proto.Message) {}, opts...)
+			require.NoError(t, err)
+			defer closeMesh()
+			err = m.dial(context.Background(), m.ensure("b"), b.member.Addr)
+			require.Equal(t, tt.linked, err == nil, "got %v", err)
+			require.Equal(t, tt.linked, m.Stats()["b"].Linked)
+		})
+	}
+	plain := startHost(t, "p", 1, patient())
+	a := startHost(t, "a", 2, patient(), WithTLS(fa.source))
+	require.Error(t, a.dial(context.Background(), a.ensure("p"), plain.member.Addr))
+	w := httptest.NewRecorder()
+	b.Handler().ServeHTTP(w, httptest.NewRequest(http.MethodGet, Path, nil))
+	require.Equal(t, http.StatusForbidden, w.Code, "a listener without TLS must not open the way around certificates")
+}
+
+// Guards against a peer that talks a host into an older version of TLS, and
+// against one that presents no certificate.
+func TestDowngradeIsRefused(t *testing.T) {
+	ours := newIssuer(t, "tatws")
+	fa, fb := sound(t, ours, "a"), sound(t, ours, "b")
+	fa.start(t, time.Now)
+	fb.start(t, time.Now)
+	b := startHost(t, "b", 1, patient(), WithTLS(fb.source))
+	pair, err := tls.LoadX509KeyPair(fa.Certificate, fa.Key)
+	require.NoError(t, err)
+	tests := []struct {
+		name  string
+		least uint16
+		most  uint16
+		certs []tls.Certificate
+		ok    bool
+	}{
+		{"TLS 1.3", tls.VersionTLS13, tls.VersionTLS13, []tls.Certificate{pair}, true},
+		{"no certificate", tls.VersionTLS13, tls.VersionTLS13, nil, false},
+		{"TLS 1.2", tls.VersionTLS12, tls.VersionTLS12, []tls.Certificate{pair}, false},
+		{"TLS 1.0 to 1.2", tls.VersionTLS10, tls.VersionTLS12, []tls.Certificate{pair}, false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true, TLSClientConfig: &tls.Config{MinVersion: tt.least, MaxVersion: tt.most, InsecureSkipVerify: true, Certificates: tt.certs}}}
+			resp, err := client.Get("https://" + b.member.Addr + Path)
+			require.Equal(t, tt.ok, err == nil, "got %v", err)
+			if err == nil {
+				require.Equal(t, http.StatusUpgradeRequired, resp.StatusCode)
+				require.NoError(t, resp.Body.Close())
+			}
+		})
+	}
+
+	old := httptest.NewUnstartedServer(http.NotFoundHandler())
+	pair, err = tls.LoadX509KeyPair(fb.Certificate, fb.Key)
+	require.NoError(t, err)
+	old.Listener = tls.NewListener(old.Listener, &tls.Config{MaxVersion: tls.VersionTLS12, Certificates: []tls.Certificate{pair}})
+	old.Start()
+	defer old.Close()
+	a := startHost(t, "a", 1, patient(), WithTLS(fa.source))
+	err = a.dial(context.Background(), a.ensure("b"), old.Listener.Addr().String())
+	require.ErrorContains(t, err, "protocol version")
+}
+
+// reconnect ends the link between two hosts and waits until both carry messages on a new one.
+func reconnect(t *testing.T, a, b *testHost, nonce uint64) {
+	t.Helper()
+	p := a.peer("b")
+	p.mu.Lock()
+	l := p.link
+	p.mu.Unlock()
+	require.NotNil(t, l)
+	l.close(errors.New("closed by the test"))
+	deliver(t, a, b, nonce)
+	deliver(t, b, a, nonce)
+}
+
+// Guards against a rotation of certificates or of the authority that ends
+// links, that leaves an old certificate in use, or that keeps hosts apart.
+func TestRotationKeepsHostsLinked(t *testing.T) {
+	defer goleak.VerifyNone(t, goleak.IgnoreCurrent())
+	t.Run("hosts", func(t *testing.T) {
+		old, next := newIssuer(t, "tatws"), newIssuer(t, "tatws")
+		fa, fb := sound(t, old, "a"), sound(t, old, "b")
+		fa.start(t, time.Now)
+		fb.start(t, time.Now)
+		a, b := startHost(t, "a", 1, patient(), WithTLS(fa.source)), startHost(t, "b", 1, patient(), WithTLS(fb.source))
+		a.Learn([]proto.Member{b.member})
+		b.Learn([]proto.Member{a.member})
+		deliver(t, a, b, 1)
+		deliver(t, b, a, 1)
+
+		steps := []struct {
+			name string
+			run  func()
+		}{
+			{"a has a new certificate", func() { fa.issue(t, old, "a", trust.RoleEntry) }},
+			{"b has a new certificate", func() { fb.issue(t, old, "b", trust.RoleEntry) }},
+			{"a accepts both authorities", func() { fa.accept(t, old, next) }},
+			{"b accepts both authorities", func() { fb.accept(t, old, next) }},
+			{"a is certified by the new authority", func() { fa.issue(t, next, "a", trust.RoleEntry) }},
+			{"b is certified by the new authority", func() { fb.issue(t, next, "b", trust.RoleEntry) }},
+			{"a accepts the new authority only", func() { fa.accept(t, next) }},
+			{"b accepts the new authority only", func() { fb.accept(t, next) }},
+		}
+		for i, step := range steps {
+			nonce := uint64(10 * (i + 2))
+			before := fa.source.Current().Leaf
+			links := a.linkTo(b).Links
+			step.run()
+			fa.reload(t)
+			fb.reload(t)
+			deliver(t, a, b, nonce)
+			deliver(t, b, a, nonce)
+			require.Equal(t, links, a.linkTo(b).Links, "%s: the link must stay", step.name)
+			reconnect(t, a, b, nonce+1)
+			require.Equal(t, links+1, a.linkTo(b).Links, "%s: one new link must do", step.name)
+			require.Equal(t, strings.HasPrefix(step.name, "a has") || strings.HasPrefix(step.name, "a is"), !before.Equal(fa.source.Current().Leaf))
+		}
+		require.True(t, slices.Equal(next.Certificate(), mustRead(t, fa.Authority)))
+
+		outdated := sound(t, old, "c")
+		outdated.start(t, time.Now)
+		c := startHost(t, "c", 1, patient(), WithTLS(outdated.source))
+		err := a.dial(context.Background(), a.ensure("c"), c.member.Addr)
+		require.True(t, trust.IsErrAuthority(err), "the old authority is not accepted any more: %v", err)
+	})
+}
+
+func mustRead(t *testing.T, path string) []byte {
+	t.Helper()
+	data, err := os.ReadFile(path)
+	require.NoError(t, err)
+	return data
+}
+
+// Guards against an expired certificate that opens new links, against one that
+// ends links in use, and against hosts that stay apart once it was replaced.
+func TestExpiredCertificateOpensNoNewLinks(t *testing.T) {
+	ours := newIssuer(t, "tatws")
+	var ahead atomic.Int64
+	clock := func() time.Time { return time.Now().Add(time.Duration(ahead.Load())) }
+	fa, fb := sound(t, ours, "a"), sound(t, ours, "b")
+	fa.start(t, clock)
+	fb.start(t, clock)
+	a, b := startHost(t, "a", 1, patient(), WithTLS(fa.source)), startHost(t, "b", 1, patient(), WithTLS(fb.source))
+	a.Learn([]proto.Member{b.member})
+	deliver(t, a, b, 1)
+	links := a.linkTo(b).Links
+
+	ahead.Store(int64(2 * time.Hour))
+	deliver(t, a, b, 2)
+	require.Equal(t, links, a.linkTo(b).Links)
+	err := a.dial(context.Background(), a.peer("b"), b.member.Addr)
+	require.True(t, trust.IsErrExpired(err), "got %v", err)
+	require.Equal(t, links, a.linkTo(b).Links)
+
+	for host, f := range map[model.HostID]*hostFiles{"a": fa, "b": fb} {
+		p, err := ours.Issue(trust.Request{Host: host, Roles: []trust.Role{trust.RoleEntry}, Validity: time.Hour}, clock())
+		require.NoError(t, err)
+		require.NoError(t, p.Write(f.Certificate, f.Key, true))
+		f.reload(t)
+	}
+	reconnect(t, a, b, 3)
+}
+
+// Guards against a process that does not tell that its links are not
+// encrypted, that tells it more than once, or that tells it although they are.
+func TestUnencryptedLinksAreLoggedOnce(t *testing.T) {
+	ours := newIssuer(t, "tatws")
+	f := sound(t, ours, "b")
+	f.start(t, time.Now)
+	var plain, encrypted lines
+	a, b := startHost(t, "a", 1, WithLogger(plain.logger())), startHost(t, "c", 1)
+	a.Learn([]proto.Member{b.member})
+	deliver(t, a, b, 1)
+	startHost(t, "b", 1, WithTLS(f.source), WithLogger(encrypted.logger()))
+	require.Equal(t, 1, strings.Count(plain.String(), "not encrypted"))
+	require.NotContains(t, encrypted.String(), "not encrypted")
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer func() { _ = l.Close() }()
+	require.Equal(t, l, a.Listener(l))
+}
