Encrypt the operators' port and limit wrong tokens by source address

Cause: operators' tokens cross the network in the clear, and a host answers as many wrong tokens as it is sent. Change: admin.WithTLS and client.WithTLS demand TLS 1.3; the client checks the authority, the name of the host and the operators' role before it sends anything, and never falls back to no encryption. A source address may present 20 wrong tokens and one more a second; then even a sound token is refused with 429 until the allowance is back. Missing tokens and sound ones cost nothing.

--- a/internal/admin/server.go
+++ b/internal/admin/server.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"net/http"
 	"time"
 
@@ -25,6 +26,9 @@
 	body    int64
 	timeout time.Duration
 	now     func() time.Time
+	// tls is nil unless the port is encrypted.
+	tls    *tls.Config
+	failed *failures
 }
 
 // Option changes what a server serves.
@@ -60,7 +64,7 @@
 
 // New returns a server for the health checks of a process and whatever the options add.
 func New(health Health, opts ...Option) *Server {
-	s := &Server{health: health, log: logr.Discard(), body: defaultBody, timeout: defaultTimeout, now: time.Now}
+	s := &Server{health: health, log: logr.Discard(), body: defaultBody, timeout: defaultTimeout, now: time.Now, failed: newFailures()}
 	for _, opt := range opts {
 		opt(s)
 	}
@@ -78,7 +82,7 @@
 	if s.backend != nil {
 		s.addOperators(mux)
 	}
-	return s.bounded(mux)
+	return s.encrypted(s.bounded(mux))
 }
 
 func (s *Server) addOperators(mux *http.ServeMux) {
--- a/pkg/client/client.go
+++ b/pkg/client/client.go
@@ -40,8 +40,10 @@
 
 // Client asks control hosts in turn. It is safe for concurrent use.
 type Client struct {
-	addrs  []Address
-	http   *resty.Client
+	addrs []Address
+	http  *resty.Client
+	// scheme is http, or https with a Verifier.
+	scheme string
 	rounds int
 	pause  time.Duration
 
@@ -85,7 +87,7 @@
 		SetRedirectPolicy(resty.NoRedirectPolicy()).
 		RemoveProxy(). // a proxy of the environment would see the token
 		SetResponseBodyLimit(maxAnswer)
-	c := &Client{addrs: addrs, http: http, rounds: defaultRounds, pause: defaultPause}
+	c := &Client{addrs: addrs, http: http, scheme: "http", rounds: defaultRounds, pause: defaultPause}
 	for _, opt := range opts {
 		opt(c)
 	}
@@ -204,7 +206,7 @@
 func follow(a Address, resp *resty.Response) (next, error) {
 	f := ErrFault{Host: a.Host}
 	if err := json.Unmarshal(resp.Body(), &f.Fault); err != nil || f.Fault.Kind == "" {
-		f.Fault = opsapi.Fault{Kind: opsapi.FaultInternal, Message: fmt.Sprintf("HTTP status %d; check that the address belongs to a control host", resp.StatusCode())}
+		f.Fault = opsapi.Fault{Kind: opsapi.FaultInternal, Message: fmt.Sprintf("HTTP status %d; check that the address belongs to a control host, and set [tls] authority_file if that host uses TLS", resp.StatusCode())}
 	}
 	again := isFault(f, opsapi.FaultNotLeader, opsapi.FaultUnavailable, opsapi.FaultInternal)
 	return next{again: again, leader: model.HostID(f.Fault.Leader)}, f
@@ -215,7 +217,7 @@
 	if body != nil {
 		req.SetBody(body)
 	}
-	resp, err := req.Execute(method, "http://"+a.Addr+path)
+	resp, err := req.Execute(method, c.scheme+"://"+a.Addr+path)
 	if err != nil {
 		return nil, fmt.Errorf("control host %s: %w", a.Host, err)
 	}
@@ -225,5 +227,5 @@
 // neverSent reports whether an error of send means that the host did not get the request.
 func neverSent(err error) bool {
 	var op *net.OpError
-	return errors.As(err, &op) && op.Op == "dial"
+	return errors.As(err, &op) && op.Op == "dial" || IsErrTLS(err)
 }
--- a/pkg/opsapi/opsapi.go
+++ b/pkg/opsapi/opsapi.go
@@ -44,6 +44,7 @@
 // Kinds of faults.
 const (
 	FaultUnauthorized FaultKind = "unauthorized"
+	FaultRateLimited  FaultKind = "rate_limited"
 	FaultMalformed    FaultKind = "malformed"
 	FaultTooLong      FaultKind = "too_long"
 	FaultNotFound     FaultKind = "not_found"
@@ -57,6 +58,8 @@
 	switch k {
 	case FaultUnauthorized:
 		return http.StatusUnauthorized
+	case FaultRateLimited:
+		return http.StatusTooManyRequests
 	case FaultMalformed:
 		return http.StatusBadRequest
 	case FaultTooLong:
