Read [tls] settings and check the certificate files they name

Cause: a host with a missing, expired or foreign certificate would start and then be refused by every peer. Loading and check refuse files that are missing, open to others, expired, or made for another fleet, host, role or key, and name the line of the setting.

--- a/internal/conf/file.go
+++ b/internal/conf/file.go
@@ -3,6 +3,8 @@
 import (
 	"bytes"
 	"os"
+
+	"tarragongauge.example/tarragongauge/internal/trust"
 )
 
 // Bounds of secrets in files.
@@ -15,7 +17,11 @@
 
 // files reads what settings point to. Without files nothing is looked at, so
 // that settings can be checked on another machine.
-type files struct{ skip bool }
+type files struct {
+	skip bool
+	// clock is time.Now if nil.
+	clock trust.Clock
+}
 
 func (f files) dir(to *string, s string) []problem {
 	*to = s
--- a/internal/conf/load.go
+++ b/internal/conf/load.go
@@ -26,19 +26,19 @@
 // LoadControl loads the settings of a control host.
 func LoadControl(path string, opts ...Option) (Control, error) {
 	v, err := load(path, RoleControl, opts)
-	return Control{Host: v.host, Listen: v.listen, Fleet: v.fleet, Operators: v.operators, Limits: v.limits, Log: v.log, Journal: v.journal, CreateFleet: v.create}, err
+	return Control{Host: v.host, Listen: v.listen, Fleet: v.fleet, Operators: v.operators, Limits: v.limits, Log: v.log, TLS: v.tls, Journal: v.journal, CreateFleet: v.create}, err
 }
 
 // LoadEntry loads the settings of an entry host.
 func LoadEntry(path string, opts ...Option) (Entry, error) {
 	v, err := load(path, RoleEntry, opts)
-	return Entry{Host: v.host, Listen: v.listen, Fleet: v.fleet, Operators: v.operators, Limits: v.limits, Log: v.log}, err
+	return Entry{Host: v.host, Listen: v.listen, Fleet: v.fleet, Operators: v.operators, Limits: v.limits, Log: v.log, TLS: v.tls}, err
 }
 
 // LoadJournal loads the settings of a journal host.
 func LoadJournal(path string, opts ...Option) (Journal, error) {
 	v, err := load(path, RoleJournal, opts)
-	return Journal{Host: v.host, Listen: v.listen, Fleet: v.fleet, Operators: v.operators, Limits: v.limits, Log: v.log}, err
+	return Journal{Host: v.host, Listen: v.listen, Fleet: v.fleet, Operators: v.operators, Limits: v.limits, Log: v.log, TLS: v.tls}, err
 }
 
 // LoadAll loads the settings of a first trial.
@@ -67,6 +67,7 @@
 // LoadClient loads the settings of an operator's tools.
 func LoadClient(path string, opts ...Option) (Client, error) {
 	v, err := load(path, RoleClient, opts)
+	v.client.AuthorityFile = v.tls.Files.Authority
 	return v.client, err
 }
 
@@ -125,7 +126,10 @@
 			r.read(&v, f, parsed, s)
 		}
 	}
-	r.checkTogether(v)
+	if v.tls.Enabled() {
+		v.tls.Expect = expect(role, v)
+	}
+	r.checkTogether(v, f)
 	if len(r.faults) > 0 {
 		slices.SortStableFunc(r.faults, func(a, b Fault) int { return a.Line - b.Line })
 		return v, ErrSettings{Faults: r.faults}
--- a/internal/conf/setting.go
+++ b/internal/conf/setting.go
@@ -48,6 +48,7 @@
 	host      Host
 	listen    Listen
 	fleet     Fleet
+	tls       TLS
 	limits    Limits
 	log       Log
 	operators Operators
@@ -73,6 +74,7 @@
 	all = append(all, hostSettings()...)
 	all = append(all, listenSettings()...)
 	all = append(all, fleetSettings()...)
+	all = append(all, tlsSettings()...)
 	all = append(all, limitSettings()...)
 	all = append(all, logSettings()...)
 	all = append(all, operatorSettings()...)
--- /dev/null
+++ b/internal/conf/tls.go
@@ -0,0 +1,118 @@
+package conf
+
+import (
+	"errors"
+	"slices"
+	"time"
+
+	"tarragongauge.example/tarragongauge/internal/trust"
+)
+
+// TLS holds the certificate files of a process. All three are set or none is.
+type TLS struct {
+	Files trust.Files
+	// Expect is what the certificate of this process must say.
+	Expect trust.Expect
+}
+
+// Enabled reports whether links and the operators' port are encrypted.
+func (t TLS) Enabled() bool { return t.Files != trust.Files{} }
+
+// WithClock sets the time that the validity of certificates is checked against.
+func WithClock(clock trust.Clock) Option {
+	return func(o *options) { o.files.clock = clock }
+}
+
+func (f files) now() time.Time {
+	if f.clock == nil {
+		return time.Now()
+	}
+	return f.clock()
+}
+
+const allowCertificate = "the path of a file made by tarragongauge certificate issue that only its owner can change"
+
+func tlsSettings() []setting {
+	return []setting{
+		{
+			Setting{Section: "tls", Key: "authority_file", Roles: append(fleetRoles(), RoleClient), Allowed: "the path of a file with one authority certificate or, during a rotation, several, that only its owner can change", Help: "authorities whose certificates are accepted; without [tls], nothing is encrypted between hosts and towards operators"},
+			func(v *values, f files, s string) []problem {
+				v.tls.Files.Authority = s
+				return f.authorities(s)
+			},
+		},
+		{
+			Setting{Section: "tls", Key: "certificate_file", Roles: fleetRoles(), Allowed: allowCertificate, Help: "certificate of this host, with the role of the process and the role operators"},
+			func(v *values, _ files, s string) []problem {
+				v.tls.Files.Certificate = s
+				return nil
+			},
+		},
+		{
+			Setting{Section: "tls", Key: "key_file", Roles: fleetRoles(), Allowed: "the path of the key made with the certificate, that only its owner can read", Help: "key of the certificate"},
+			func(v *values, _ files, s string) []problem {
+				v.tls.Files.Key = s
+				return nil
+			},
+		},
+	}
+}
+
+func (f files) authorities(path string) []problem {
+	if f.skip {
+		return nil
+	}
+	a, err := trust.ReadAuthorities(path)
+	if err == nil {
+		err = a.AnyValid(f.now())
+	}
+	if err != nil {
+		return wrong(path, "%s", detailOf(err))
+	}
+	return nil
+}
+
+// detailOf leaves out the path, which the fault shows as what was read.
+func detailOf(err error) string {
+	var file trust.ErrFile
+	if errors.As(err, &file) {
+		return file.Cause
+	}
+	return err.Error()
+}
+
+// expect returns what the certificate of a process must say.
+func expect(role Role, v values) trust.Expect {
+	return trust.Expect{Fleet: v.fleet.Name, Host: v.host.Name, Roles: []trust.Role{trust.Role(role), trust.RoleOperators}}
+}
+
+// checkTLS finds files that are missing, do not belong together or belong to another host.
+func (r *reader) checkTLS(v values, f files) {
+	paths := v.tls.Files
+	if !v.tls.Enabled() {
+		return
+	}
+	keys := []struct{ key, path string }{{"authority_file", paths.Authority}, {"certificate_file", paths.Certificate}, {"key_file", paths.Key}}
+	incomplete := false
+	for _, k := range keys {
+		if k.path == "" {
+			incomplete = true
+			r.fault("tls", k.key, problem{}, "all three files, or no [tls] at all")
+		}
+	}
+	if incomplete || f.skip {
+		return
+	}
+	for _, err := range paths.Faults(v.tls.Expect, f.now()) {
+		key := keys[1]
+		var file trust.ErrFile
+		if errors.As(err, &file) {
+			if i := slices.IndexFunc(keys, func(k struct{ key, path string }) bool { return k.path == file.Path }); i >= 0 {
+				key = keys[i]
+			}
+		}
+		if key.key != "authority_file" { // its own setting has reported it
+			r.fault("tls", key.key, problem{got: key.path, detail: detailOf(err)}, "")
+		}
+	}
+}
--- a/internal/conf/together.go
+++ b/internal/conf/together.go
@@ -7,13 +7,14 @@
 )
 
 // checkTogether finds settings that are fine by themselves but contradict each other.
-func (r *reader) checkTogether(v values) {
+func (r *reader) checkTogether(v values, f files) {
 	r.checkListen(v.listen)
 	if !slices.Contains(fleetRoles(), r.role) {
 		return
 	}
 	r.checkOneAddress(v.fleet)
 	r.checkSelf(v)
+	r.checkTLS(v, f)
 }
 
 // checkListen keeps the trust domains on different ports.
--- a/internal/conf/types.go
+++ b/internal/conf/types.go
@@ -83,6 +83,7 @@
 	Operators Operators
 	Limits    Limits
 	Log       Log
+	TLS       TLS
 	// Journal says whether the process also keeps order reservations.
 	Journal bool
 	// CreateFleet lets a host with an empty data folder vote. It is set only while a fleet is created.
@@ -97,6 +98,7 @@
 	Operators Operators
 	Limits    Limits
 	Log       Log
+	TLS       TLS
 }
 
 // Journal holds the settings of a journal host.
@@ -107,6 +109,7 @@
 	Operators Operators
 	Limits    Limits
 	Log       Log
+	TLS       TLS
 }
 
 // All holds the settings of a first trial with every role in one process.
@@ -140,4 +143,7 @@
 	// Output is text or json.
 	Output  string
 	Timeout time.Duration
+	// AuthorityFile holds the authorities that control hosts are checked
+	// against, or is empty if their operators' ports are not encrypted.
+	AuthorityFile string
 }
--- a/internal/trust/material.go
+++ b/internal/trust/material.go
@@ -81,3 +81,33 @@
 	pair := tls.Certificate{Certificate: [][]byte{leaf.Raw}, PrivateKey: key, Leaf: leaf}
 	return Material{Authorities: authorities, Identity: id, Leaf: leaf, pair: pair}, nil
 }
+
+// Faults returns everything that is wrong with the files of a process. Faults
+// between files are looked for once each file is sound by itself.
+func (f Files) Faults(want Expect, now time.Time) []error {
+	var faults []error
+	add := func(err error) {
+		if err != nil {
+			faults = append(faults, err)
+		}
+	}
+	_, err := ReadAuthorities(f.Authority)
+	add(err)
+	data, err := readFile(f.Certificate, certificateMode)
+	if err == nil {
+		_, err = parseHost(data)
+		err = at(f.Certificate, err)
+	}
+	add(err)
+	data, err = readFile(f.Key, keyMode)
+	if err == nil {
+		_, err = parseKey(data)
+		err = at(f.Key, err)
+	}
+	add(err)
+	if len(faults) == 0 {
+		_, err := Load(f, want, now)
+		add(err)
+	}
+	return faults
+}
--- a/internal/trust/verify.go
+++ b/internal/trust/verify.go
@@ -86,3 +86,15 @@
 	}
 	return fmt.Sprintf("%q", c.Subject.CommonName)
 }
+
+// AnyValid returns nil if one of the authorities is valid at a time, otherwise what is wrong with the last.
+func (a Authorities) AnyValid(now time.Time) error {
+	var last error
+	for _, c := range a.certs {
+		last = inTime(c, now)
+		if last == nil {
+			return nil
+		}
+	}
+	return last
+}
