Add the commands authority and certificate

Cause: operators need no other tool to make, distribute and check certificates. Change: authority create and show, certificate issue and show, with text and JSON output. Exit code 11 says that a certificate is not valid, not accepted or that its file has faults. Operators' tools use TLS when [tls] authority_file is set. TestEveryExitCodeHasAMeaning counts up to the new last code.

--- /dev/null
+++ b/cmd/tarragongauge/certificate_info.go
@@ -0,0 +1,112 @@
+package main
+
+import (
+	"crypto/sha256"
+	"crypto/x509"
+	"encoding/hex"
+	"strings"
+	"time"
+
+	"tarragongauge.example/tarragongauge/internal/trust"
+)
+
+// certificateInfo is the JSON output about one certificate.
+type certificateInfo struct {
+	// Kind is authority or host.
+	Kind      string   `json:"kind"`
+	Fleet     string   `json:"fleet"`
+	Host      string   `json:"host,omitempty"`
+	Roles     []string `json:"roles,omitempty"`
+	Addresses []string `json:"addresses,omitempty"`
+	NotBefore string   `json:"not_before"`
+	NotAfter  string   `json:"not_after"`
+	// State is valid, expired, not_yet_valid or malformed.
+	State string `json:"state"`
+	// Fingerprint is the SHA-256 digest of the certificate.
+	Fingerprint     string `json:"fingerprint"`
+	CertificateFile string `json:"certificate_file,omitempty"`
+	KeyFile         string `json:"key_file,omitempty"`
+}
+
+func describe(c *x509.Certificate, now time.Time) certificateInfo {
+	sum := sha256.Sum256(c.Raw)
+	info := certificateInfo{
+		Kind:        "host",
+		NotBefore:   c.NotBefore.UTC().Format(time.RFC3339),
+		NotAfter:    c.NotAfter.UTC().Format(time.RFC3339),
+		State:       stateOf(c, now),
+		Fingerprint: hex.EncodeToString(sum[:]),
+	}
+	if fleet, err := trust.FleetOf(c); err == nil {
+		info.Kind, info.Fleet = "authority", fleet
+		return info
+	}
+	id, _ := trust.Identify(c) // the state tells that it has no identity
+	info.Fleet, info.Host = id.Fleet, string(id.Host)
+	for _, r := range id.Roles {
+		info.Roles = append(info.Roles, string(r))
+	}
+	for _, ip := range c.IPAddresses {
+		info.Addresses = append(info.Addresses, ip.String())
+	}
+	return info
+}
+
+func stateOf(c *x509.Certificate, now time.Time) string {
+	err := checkNow(c, now)
+	switch {
+	case err == nil:
+		return "valid"
+	case trust.IsErrExpired(err):
+		return "expired"
+	case trust.IsErrNotYetValid(err):
+		return "not_yet_valid"
+	default:
+		return "malformed"
+	}
+}
+
+// checkNow checks that a certificate was made for a fleet and is valid now.
+func checkNow(c *x509.Certificate, now time.Time) error {
+	_, err := trust.Identify(c)
+	if c.IsCA {
+		_, err = trust.FleetOf(c)
+	}
+	if err != nil {
+		return err
+	}
+	return trust.CheckTime(c, now)
+}
+
+// showCertificates shows certificates and returns what is wrong with the first faulty one.
+func (a *app) showCertificates(certs []*x509.Certificate, now time.Time) error {
+	var infos []certificateInfo
+	var faulty error
+	t := &table{head: []string{"KIND", "FLEET", "HOST", "ROLES", "ADDRESSES", "FROM", "EXPIRES", "STATE", "FINGERPRINT"}}
+	for _, c := range certs {
+		info := describe(c, now)
+		infos = append(infos, info)
+		t.add(info.Kind, info.Fleet, info.Host, list(info.Roles), list(info.Addresses), info.NotBefore, info.NotAfter, info.State, info.Fingerprint[:16])
+		if err := checkNow(c, now); err != nil && faulty == nil {
+			faulty = err
+		}
+	}
+	if err := a.showForm(infos, t); err != nil {
+		return err
+	}
+	return faulty
+}
+
+func list(items []string) string { return strings.Join(items, ",") }
+
+// showForm shows the output of a command that reads no settings, in the form given on the command line.
+func (a *app) showForm(v any, t *table) error {
+	output := a.output
+	if output == "" {
+		output = "text"
+	}
+	if err := oneOf("output", output, "text", "json"); err != nil {
+		return err
+	}
+	return a.show(output, v, t)
+}
--- a/cmd/tarragongauge/client.go
+++ b/cmd/tarragongauge/client.go
@@ -3,10 +3,12 @@
 import (
 	"os"
 	"path/filepath"
+	"time"
 
 	"github.com/rotisserie/eris"
 
 	"tarragongauge.example/tarragongauge/internal/conf"
+	"tarragongauge.example/tarragongauge/internal/trust"
 	"tarragongauge.example/tarragongauge/pkg/client"
 )
 
@@ -37,7 +39,15 @@
 	for _, p := range c.Addresses {
 		addrs = append(addrs, client.Address(p))
 	}
-	cl, err := client.New(addrs, string(c.Token.Reveal()), client.WithTimeout(c.Timeout))
+	opts := []client.Option{client.WithTimeout(c.Timeout)}
+	if c.AuthorityFile != "" {
+		authorities, err := trust.ReadAuthorities(c.AuthorityFile)
+		if err != nil {
+			return nil, "", err
+		}
+		opts = append(opts, client.WithTLS(trust.NewOperatorsClient(authorities, time.Now)))
+	}
+	cl, err := client.New(addrs, string(c.Token.Reveal()), opts...)
 	return cl, output, err
 }
 
--- a/cmd/tarragongauge/exit.go
+++ b/cmd/tarragongauge/exit.go
@@ -8,6 +8,7 @@
 	"github.com/spf13/cobra"
 
 	"tarragongauge.example/tarragongauge/internal/conf"
+	"tarragongauge.example/tarragongauge/internal/trust"
 	"tarragongauge.example/tarragongauge/pkg/client"
 	"tarragongauge.example/tarragongauge/pkg/model"
 )
@@ -28,6 +29,7 @@
 	exitNotProved
 	exitAlert
 	exitSettings
+	exitCertificate
 )
 
 // exitMeanings returns the exit codes and their meanings, in order.
@@ -44,6 +46,7 @@
 		"the silence of the workspace is not proved",
 		"the burn rate is an alert",
 		"a settings file has faults",
+		"a certificate is not valid or not accepted, or its file has faults",
 	}
 }
 
@@ -76,6 +79,10 @@
 		return exitInvalid
 	case client.IsErrUnauthorized(err):
 		return exitUnauthorized
+	case trust.IsErrRequest(err):
+		return exitUsage
+	case trust.IsErr(err):
+		return exitCertificate
 	case client.IsErrUnreachable(err):
 		return exitUnreachable
 	case conf.IsErrSettings(err):
--- a/cmd/tarragongauge/root.go
+++ b/cmd/tarragongauge/root.go
@@ -62,6 +62,7 @@
 		a.workspaceCommand(), a.keyCommand(), a.serviceCommand(), a.routeCommand(), a.defaultsCommand(), a.exceptionCommand(),
 		a.fleetCommand(), a.quarantineCommand(),
 		a.historyCommand(), a.silenceCommand(), a.statusCommand(), a.reportCommand(), a.checkCommand(), a.versionCommand(),
+		a.authorityCommand(), a.certificateCommand(),
 		exitTopic(),
 	)
 	return root
--- a/cmd/tarragongauge/script_test.go
+++ b/cmd/tarragongauge/script_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"log"
 	"net/http/httptest"
 	"os"
 	"os/exec"
@@ -12,6 +13,7 @@
 	"strconv"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/go-logr/logr"
 	"github.com/rogpeppe/go-internal/testscript"
@@ -20,6 +22,8 @@
 	"tarragongauge.example/tarragongauge/internal/admin"
 	"tarragongauge.example/tarragongauge/internal/burn"
 	"tarragongauge.example/tarragongauge/internal/conf"
+	"tarragongauge.example/tarragongauge/internal/super"
+	"tarragongauge.example/tarragongauge/internal/trust"
 	"tarragongauge.example/tarragongauge/pkg/model"
 )
 
@@ -74,9 +78,10 @@
 			return writeClientSettings(env, strings.TrimPrefix(server.URL, "http://"))
 		},
 		Cmds: map[string]func(ts *testscript.TestScript, neg bool, args []string){
-			"api":   func(ts *testscript.TestScript, _ bool, args []string) { ts.Value(fakeKey{}).(*fakeFleet).set(args[0]) },
-			"exits": exits,
-			"save":  save,
+			"api":     func(ts *testscript.TestScript, _ bool, args []string) { ts.Value(fakeKey{}).(*fakeFleet).set(args[0]) },
+			"encrypt": encrypt,
+			"exits":   exits,
+			"save":    save,
 		},
 	})
 }
@@ -102,6 +107,25 @@
 	return nil
 }
 
+// encrypt starts a control host over TLS and writes encrypted.ini for it: encrypt CERTIFICATE KEY
+func encrypt(ts *testscript.TestScript, _ bool, args []string) {
+	files := trust.Files{Authority: ts.MkAbs("ca/authority.crt"), Certificate: ts.MkAbs(args[0]), Key: ts.MkAbs(args[1])}
+	tree, stop := super.New("trust")
+	ts.Defer(stop)
+	source, _, err := trust.NewSource(files, trust.Expect{}, time.Now, tree)
+	ts.Check(err)
+	f := ts.Value(fakeKey{}).(*fakeFleet)
+	api := admin.New(f, admin.WithBackend(f, []admin.Token{{Actor: "mair", Hash: admin.HashToken(operatorToken)}}), admin.WithTLS(source.OperatorsServer()))
+	server := httptest.NewUnstartedServer(api.Handler())
+	server.Config.ErrorLog = log.New(io.Discard, "", 0) // refused handshakes are expected
+	addr := server.Listener.Addr().String()
+	server.Listener = api.Listener(server.Listener)
+	server.Start()
+	ts.Defer(server.Close)
+	settings := "[client]\naddresses = c1=" + addr + "\ntoken_file = token\ntimeout = 5s\n[tls]\nauthority_file = ca/authority.crt\n"
+	ts.Check(os.WriteFile(ts.MkAbs("encrypted.ini"), []byte(settings), 0o600))
+}
+
 // exits runs a command and demands an exit code: exits CODE COMMAND ARG...
 func exits(ts *testscript.TestScript, _ bool, args []string) {
 	want, err := strconv.Atoi(args[0])
@@ -148,7 +172,7 @@
 
 // Guards against an exit code without a meaning in the help.
 func TestEveryExitCodeHasAMeaning(t *testing.T) {
-	require.Len(t, exitMeanings(), int(exitSettings)+1)
+	require.Len(t, exitMeanings(), int(exitCertificate)+1)
 }
 
 // Guards against a report form that prints another one.
--- a/internal/trust/authority.go
+++ b/internal/trust/authority.go
@@ -100,7 +100,7 @@
 }
 
 func (a Authority) check(r Request, now time.Time) error {
-	if err := inTime(a.cert, now); err != nil {
+	if err := CheckTime(a.cert, now); err != nil {
 		return err
 	}
 	if !validName(string(r.Host)) {
--- a/internal/trust/file.go
+++ b/internal/trust/file.go
@@ -1,6 +1,7 @@
 package trust
 
 import (
+	"crypto/x509"
 	"errors"
 	"fmt"
 	"io"
@@ -63,13 +64,13 @@
 }
 
 // ReadCertificates reads the certificates of a file, of authorities or of a host.
-func ReadCertificates(path string) (Authorities, error) {
+func ReadCertificates(path string) ([]*x509.Certificate, error) {
 	data, err := readFile(path, certificateMode)
 	if err != nil {
-		return Authorities{}, err
+		return nil, err
 	}
 	certs, err := ParseCertificates(data)
-	return Authorities{certs: certs}, at(path, err)
+	return certs, at(path, err)
 }
 
 // ReadAuthorities reads the authorities that a process accepts.
--- a/internal/trust/verify.go
+++ b/internal/trust/verify.go
@@ -22,7 +22,7 @@
 	if err != nil {
 		return Identity{}, err
 	}
-	if err := inTime(leaf, now); err != nil {
+	if err := CheckTime(leaf, now); err != nil {
 		return Identity{}, err
 	}
 	roots := x509.NewCertPool()
@@ -53,7 +53,7 @@
 		if leaf.CheckSignatureFrom(c) != nil {
 			continue
 		}
-		err := inTime(c, now)
+		err := CheckTime(c, now)
 		if err == nil {
 			return c, nil
 		}
@@ -65,7 +65,8 @@
 	return nil, ErrAuthority{Subject: subject(leaf), Cause: "it was signed by an unknown authority"}
 }
 
-func inTime(c *x509.Certificate, now time.Time) error {
+// CheckTime returns an ErrExpired or ErrNotYetValid unless a certificate is valid at a time.
+func CheckTime(c *x509.Certificate, now time.Time) error {
 	switch {
 	case now.Before(c.NotBefore):
 		return ErrNotYetValid{Subject: subject(c), From: c.NotBefore}
@@ -91,7 +92,7 @@
 func (a Authorities) AnyValid(now time.Time) error {
 	var last error
 	for _, c := range a.certs {
-		last = inTime(c, now)
+		last = CheckTime(c, now)
 		if last == nil {
 			return nil
 		}
