--- a/internal/trust/file.go
+++ b/internal/trust/file.go
@@ -85,25 +85,16 @@
 
 // ReadAuthority reads an authority with its key.
 func ReadAuthority(certificate, key string) (Authority, error) {
-	all, err := ReadAuthorities(certificate)
-	if err != nil {
+	var p Pair
+	var err error
+	if p.Certificate, err = readFile(certificate, certificateMode); err != nil {
 		return Authority{}, err
 	}
-	if len(all.certs) != 1 {
-		return Authority{}, ErrFile{Path: certificate, Cause: "the file has several authorities; name that of the one that issues"}
-	}
-	data, err := readFile(key, keyMode)
-	if err != nil {
+	if p.Key, err = readFile(key, keyMode); err != nil {
 		return Authority{}, err
 	}
-	private, err := parseKey(data)
-	if err != nil {
-		return Authority{}, at(key, err)
-	}
-	if !private.PublicKey.Equal(all.certs[0].PublicKey) {
-		return Authority{}, ErrFile{Path: key, Cause: "the key does not belong to " + certificate + "; name the two files made together"}
-	}
-	return Authority{cert: all.certs[0], key: private}, nil
+	a, err := ParseAuthority(p)
+	return a, at(certificate+" with "+key, err)
 }
 
 // Write writes a pair with modes that only the owner can read. Without replace
--- a/internal/trust/parse.go
+++ b/internal/trust/parse.go
@@ -48,6 +48,22 @@
 	return Authorities{certs: certs}, nil
 }
 
+// ParseAuthority reads an authority with its key.
+func ParseAuthority(p Pair) (Authority, error) {
+	all, err := ParseAuthorities(p.Certificate)
+	if err != nil {
+		return Authority{}, err
+	}
+	key, err := parseKey(p.Key)
+	if err != nil {
+		return Authority{}, err
+	}
+	if len(all.certs) != 1 || !key.PublicKey.Equal(all.certs[0].PublicKey) {
+		return Authority{}, ErrFile{Cause: "the key does not belong to one single authority; name the two files made together"}
+	}
+	return Authority{cert: all.certs[0], key: key}, nil
+}
+
 // parseHost reads the single certificate of a host.
 func parseHost(data []byte) (*x509.Certificate, error) {
 	certs, err := ParseCertificates(data)
