--- a/internal/trust/config.go
+++ b/internal/trust/config.go
@@ -19,9 +19,7 @@
 		c.ClientAuth = tls.RequireAnyClientCert // VerifyConnection checks it, with errors that name the remedy
 		c.VerifyConnection = func(state tls.ConnectionState) error {
 			err := s.verify(state, x509.ExtKeyUsageClientAuth, Expect{Fleet: s.want.Fleet})
-			if err != nil {
-				s.log.Info("certificate refused", "remote", remote.String(), "cause", err.Error())
-			}
+			s.refused(err, "remote", remote.String())
 			return err
 		}
 	})
@@ -61,11 +59,20 @@
 			return &pair, nil
 		},
 		VerifyConnection: func(state tls.ConnectionState) error {
-			return s.verify(state, x509.ExtKeyUsageServerAuth, Expect{Fleet: s.want.Fleet, Host: host})
+			err := s.verify(state, x509.ExtKeyUsageServerAuth, Expect{Fleet: s.want.Fleet, Host: host})
+			s.refused(err, "host", string(host))
+			return err
 		},
 	}
 }
 
+// refused logs a refusal unless too many were logged just now.
+func (s *Source) refused(err error, key, peer string) {
+	if err != nil && s.refusals.AllowN(s.clock(), 1) {
+		s.log.Info("certificate refused", key, peer, "cause", err.Error())
+	}
+}
+
 func (s *Source) verify(state tls.ConnectionState, use x509.ExtKeyUsage, want Expect) error {
 	return s.Current().Authorities.verifyState(state, use, s.clock, want)
 }
--- a/internal/trust/source.go
+++ b/internal/trust/source.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/go-logr/logr"
+	"golang.org/x/time/rate"
 
 	"tarragongauge.example/tarragongauge/internal/super"
 )
@@ -17,6 +18,10 @@
 	DefaultInterval = 10 * time.Second
 	// warnShare of the validity is left when the log begins to warn: 18 of 90 days.
 	warnShare = 5
+	// Bounds of logged refusals in lines per second and at once. A host with a
+	// refused certificate tries again every second, and strangers may try without end.
+	refusalsPerSecond = 1
+	refusalsAtOnce    = 50
 )
 
 // Source holds the certificate and the authorities of a process and replaces
@@ -29,6 +34,7 @@
 	log      logr.Logger
 	interval time.Duration
 	current  atomic.Pointer[Material]
+	refusals *rate.Limiter
 
 	mu sync.Mutex
 	// digest is that of the files in use.
@@ -54,7 +60,7 @@
 // NewSource loads the files of a process and looks at them again at an
 // interval, in a child of the tree. The clean-up function ends that.
 func NewSource(files Files, want Expect, clock Clock, tree *super.Tree, opts ...SourceOption) (*Source, func(), error) {
-	s := &Source{files: files, want: want, clock: clock, log: logr.Discard(), interval: DefaultInterval}
+	s := &Source{files: files, want: want, clock: clock, log: logr.Discard(), interval: DefaultInterval, refusals: rate.NewLimiter(refusalsPerSecond, refusalsAtOnce)}
 	for _, opt := range opts {
 		opt(s)
 	}
