Publish the figures of a certificate source

Cause: operators see the end of validity only in the log. Change: Source.Stats returns the end of validity, accepted authorities, refused certificates and the fault of the files for the metrics page.

--- a/internal/trust/config.go
+++ b/internal/trust/config.go
@@ -19,7 +19,7 @@
 		c.ClientAuth = tls.RequireAnyClientCert // VerifyConnection checks it, with errors that name the remedy
 		c.VerifyConnection = func(state tls.ConnectionState) error {
 			err := s.verify(state, x509.ExtKeyUsageClientAuth, Expect{Fleet: s.want.Fleet})
-			s.refused(err, "remote", remote.String())
+			s.logRefusal(err, "remote", remote.String())
 			return err
 		}
 	})
@@ -60,15 +60,19 @@
 		},
 		VerifyConnection: func(state tls.ConnectionState) error {
 			err := s.verify(state, x509.ExtKeyUsageServerAuth, Expect{Fleet: s.want.Fleet, Host: host})
-			s.refused(err, "host", string(host))
+			s.logRefusal(err, "host", string(host))
 			return err
 		},
 	}
 }
 
-// refused logs a refusal unless too many were logged just now.
-func (s *Source) refused(err error, key, peer string) {
-	if err != nil && s.refusals.AllowN(s.clock(), 1) {
+// logRefusal counts a refusal, and logs it unless too many were logged just now.
+func (s *Source) logRefusal(err error, key, peer string) {
+	if err == nil {
+		return
+	}
+	s.refused.Add(1)
+	if s.refusals.AllowN(s.clock(), 1) {
 		s.log.Info("certificate refused", key, peer, "cause", err.Error())
 	}
 }
--- a/internal/trust/source.go
+++ b/internal/trust/source.go
@@ -34,6 +34,8 @@
 	log      logr.Logger
 	interval time.Duration
 	current  atomic.Pointer[Material]
+	refused  atomic.Uint64
+	// refusals bounds the lines in the log.
 	refusals *rate.Limiter
 
 	mu sync.Mutex
--- a/internal/trust/trust_test.go
+++ b/internal/trust/trust_test.go
@@ -288,12 +288,13 @@
 			require.Equal(t, first, s.Current().Leaf)
 			require.Len(t, logged(), i+1)
 			require.Contains(t, logged()[i], fault.want)
+			require.Contains(t, s.Stats().Fault, fault.want)
 		}
 
 		install(t, f, issue(t, old, "c1", time.Now(), RoleControl), old, next)
 		look()
 		require.NotEqual(t, first, s.Current().Leaf)
-		require.Len(t, s.Current().Authorities.Certificates(), 2)
+		require.Equal(t, Stats{Expires: s.Current().Leaf.NotAfter.Unix(), Authorities: 2}, s.Stats())
 		require.Len(t, logged(), len(faults)+1)
 		require.Contains(t, logged()[len(faults)], "replaced")
 		time.Sleep(50 * time.Minute)
@@ -326,6 +327,7 @@
 	state := tls.ConnectionState{PeerCertificates: []*x509.Certificate{s.Current().Leaf}}
 	require.NoError(t, s.FleetClient("c1").VerifyConnection(state))
 	require.True(t, IsErrHost(s.FleetClient("c2").VerifyConnection(state)), "refused before anything is sent")
+	require.Equal(t, uint64(1), s.Stats().Refused)
 	require.NoError(t, s.Current().Leaf.VerifyHostname("127.0.0.1"), "tools such as curl check the address")
 	require.Error(t, s.Current().Leaf.VerifyHostname("127.0.0.2"))
 }
