--- a/internal/entry/forward.go
+++ b/internal/entry/forward.go
@@ -77,7 +77,7 @@
 
 // retryable reports whether the request may be sent to another target.
 func (c *call) retryable(ctx context.Context, a *attempt) bool {
-	if ctx.Err() != nil || c.body.failed.get() != nil || a.end == model.AttemptCanceled {
+	if ctx.Err() != nil || c.body.failed.get() != nil || a.end == model.AttemptCanceled || a.end == model.AttemptTimeout {
 		return false
 	}
 	if a.sent && !c.body.replayable() {
@@ -93,10 +93,10 @@
 		return refused
 	case last.reply != nil:
 		return c.deliver(last.reply)
-	case last.attempt.res != nil && last.attempt.end == model.AttemptBroken:
-		c.breakOff()
 	case refused != nil && refused.Code == CodeQuarantined:
 		return refused
+	case last.attempt.res != nil && last.attempt.end == model.AttemptBroken:
+		c.breakOff()
 	}
 	return last.err
 }
@@ -106,17 +106,21 @@
 	c.finishOrder(nil)
 	c.status = http.StatusBadGateway
 	c.outcome = model.OutcomeUnknown
+	connOf(c.r.Context()).reset()
 	panic(http.ErrAbortHandler)
 }
 
 // try makes one attempt. It reports done when the caller was answered.
 func (c *call) try(ctx context.Context, target pool.Assigned) (*failure, bool) {
+	// Until the end of the attempt is known, the request counts as run, also if this code panics.
+	before := c.mayHaveRun
+	c.mayHaveRun = true
 	a := c.send(ctx, target)
 	reported := false
 	report := func() {
 		if !reported {
 			reported = true
-			c.mayHaveRun = c.mayHaveRun || a.mayHaveRun()
+			c.mayHaveRun = before || a.mayHaveRun()
 			c.returnTarget(a.record())
 		}
 	}
--- a/internal/lease/view.go
+++ b/internal/lease/view.go
@@ -40,6 +40,7 @@
 	nonce         uint64
 	members       []proto.Member
 	membersDigest uint64
+	membersSum    uint64
 	owners        []proto.Owner
 	ownersDigest  uint64
 }
@@ -53,9 +54,8 @@
 	}
 	l.nonce = m.Nonce
 	changed := false
-	if m.MembersDigest != l.membersDigest && (len(m.Members) > 0 || m.MembersDigest == emptyDigest) {
-		l.members, l.membersDigest = m.Members, m.MembersDigest
-		changed = true
+	if m.MembersDigest != l.membersDigest {
+		changed = l.takeMembers(m)
 	}
 	if m.OwnersDigest != l.ownersDigest && (len(m.Owners) > 0 || m.OwnersDigest == emptyDigest) {
 		l.owners, l.ownersDigest = m.Owners, m.OwnersDigest
@@ -64,6 +64,56 @@
 	return changed
 }
 
+// takeMembers takes a whole list or a change of the list held. The digest
+// tells whether the result is the list of the seat.
+func (l *lists) takeMembers(m proto.FreshReply) bool {
+	members, sum := m.Members, sumMembers(m.Members)
+	if m.MembersBase != 0 {
+		if m.MembersBase != l.membersDigest {
+			return false
+		}
+		members, sum = l.changed(m.Members, m.Gone)
+	}
+	if digest(sum) != m.MembersDigest {
+		return false
+	}
+	l.members, l.membersDigest, l.membersSum = members, m.MembersDigest, sum
+	return true
+}
+
+// changed returns the list after a change, ordered by host, and the sum of its hashes.
+func (l *lists) changed(put []proto.Member, gone []model.HostID) ([]proto.Member, uint64) {
+	next, sum := slices.Clone(l.members), l.membersSum
+	find := func(h model.HostID) (int, bool) {
+		return slices.BinarySearchFunc(next, h, func(m proto.Member, h model.HostID) int { return cmp.Compare(m.Host, h) })
+	}
+	for _, h := range gone {
+		if i, ok := find(h); ok {
+			sum -= hashMember(next[i])
+			next = slices.Delete(next, i, i+1)
+		}
+	}
+	for _, m := range put {
+		i, ok := find(m.Host)
+		if !ok {
+			next = slices.Insert(next, i, m)
+		} else {
+			sum -= hashMember(next[i])
+			next[i] = m
+		}
+		sum += hashMember(m)
+	}
+	return next, sum
+}
+
+func sumMembers(members []proto.Member) uint64 {
+	var sum uint64
+	for _, m := range members {
+		sum += hashMember(m)
+	}
+	return sum
+}
+
 // mergeMembers returns the members that more than half of the lists name,
 // ordered by host. A host that reaches only a minority of the seats cannot gain
 // a shard, and must not keep others from claiming it.
@@ -74,24 +124,42 @@
 	if !slices.ContainsFunc(all, func(l *lists) bool { return l.membersDigest != all[0].membersDigest }) {
 		return all[0].members
 	}
-	var union []proto.Member
-	for _, l := range all {
-		union = append(union, l.members...)
-	}
-	slices.SortStableFunc(union, func(a, b proto.Member) int { return cmp.Compare(a.Host, b.Host) })
-	var merged []proto.Member
-	for i := 0; i < len(union); {
-		m, n := union[i], 1
-		for i+n < len(union) && union[i+n].Host == m.Host {
-			m = newerMember(m, union[i+n])
-			n++
+	merged := make([]proto.Member, 0, len(all[0].members)+1)
+	at := make([]int, len(all))
+	for {
+		m, n := nextMember(all, at)
+		if n == 0 {
+			return merged
 		}
-		i += n
 		if 2*n > len(all) {
 			merged = append(merged, m)
 		}
 	}
-	return merged
+}
+
+// nextMember returns the member with the least host at the positions in the
+// lists, moves past it and says how many lists name it.
+func nextMember(all []*lists, at []int) (proto.Member, int) {
+	var least proto.Member
+	n := 0
+	for k, l := range all {
+		if at[k] == len(l.members) {
+			continue
+		}
+		switch m := l.members[at[k]]; {
+		case n == 0 || m.Host < least.Host:
+			least, n = m, 1
+		case m.Host == least.Host:
+			least = newerMember(least, m)
+			n++
+		}
+	}
+	for k, l := range all {
+		if n > 0 && at[k] < len(l.members) && l.members[at[k]].Host == least.Host {
+			at[k]++
+		}
+	}
+	return least, n
 }
 
 func newerMember(a, b proto.Member) proto.Member {
@@ -109,31 +177,49 @@
 	if !slices.ContainsFunc(all, func(l *lists) bool { return l.ownersDigest != all[0].ownersDigest }) {
 		return all[0].owners
 	}
-	var union []proto.Owner
-	for _, l := range all {
-		union = append(union, l.owners...)
-	}
-	slices.SortFunc(union, func(a, b proto.Owner) int {
-		return cmp.Or(cmp.Compare(a.Shard, b.Shard), cmp.Compare(a.Host, b.Host), cmp.Compare(a.Epoch, b.Epoch))
+	// A majority vote for each shard: the first pass keeps the only owner that may
+	// have one, the second counts its votes.
+	var kept [model.Shards]proto.Owner
+	var lead, votes [model.Shards]int
+	eachOwner(all, func(o proto.Owner) {
+		switch s := o.Shard; {
+		case lead[s] == 0:
+			kept[s], lead[s] = o, 1
+		case kept[s] == o:
+			lead[s]++
+		default:
+			lead[s]--
+		}
 	})
-	var merged []proto.Owner
-	for i := 0; i < len(union); {
-		n := 1
-		for i+n < len(union) && union[i+n] == union[i] {
-			n++
+	eachOwner(all, func(o proto.Owner) {
+		if kept[o.Shard] == o {
+			votes[o.Shard]++
 		}
+	})
+	var merged []proto.Owner
+	for s, n := range votes {
 		if 2*n > len(all) {
-			merged = append(merged, union[i])
+			merged = append(merged, kept[s])
 		}
-		i += n
 	}
 	return merged
 }
 
+func eachOwner(all []*lists, do func(proto.Owner)) {
+	for _, l := range all {
+		for _, o := range l.owners {
+			if o.Shard < model.Shards {
+				do(o)
+			}
+		}
+	}
+}
+
 // majorityInstant returns the latest instant that a majority of the hosts
 // reaches, or false if fewer than a majority have one.
 func majorityInstant(hosts []model.HostID, at func(model.HostID) (model.Instant, bool)) (model.Instant, bool) {
-	var all []model.Instant
+	var buf [8]model.Instant // at most 7 seats, without an allocation
+	all := buf[:0]
 	for _, h := range hosts {
 		if i, ok := at(h); ok {
 			all = append(all, i)
--- a/internal/trial/world.go
+++ b/internal/trial/world.go
@@ -22,6 +22,9 @@
 	// Median and Sigma describe the log-normal service time.
 	Median time.Duration
 	Sigma  float64
+	// Heavy is the share of requests that take HeavyFactor times as long.
+	Heavy       float64
+	HeavyFactor float64
 	// Idempotent requests are retried by the entry host.
 	Idempotent bool
 }
@@ -382,6 +385,9 @@
 			if t.Hosts > t.HostLimit {
 				w.Result.violate("%s: given to %d hosts", t.Target, t.Hosts)
 			}
+			if t.Stale {
+				w.stale(t.Target)
+			}
 		}
 	}
 }
