Encrypt links and operators' ports of the running processes

Cause: the processes accepted [tls] settings but did not use them. Change: one setup value for all processes; certificates are passed to the links and the operators' port and reload while running. The test of simultaneous link opening waits for a second link under way before it compares both sides; it failed now and then on a busy machine.

--- a/internal/link/mesh_test.go
+++ b/internal/link/mesh_test.go
@@ -147,6 +147,7 @@
 			}, patience, time.Millisecond)
 			deliver(t, a, b, 2)
 			deliver(t, b, a, 3)
+			settle(t, a, b)
 			require.Equal(t, a.linkTo(b).Link, b.linkTo(a).Link)
 		})
 	}
--- a/internal/node/process.go
+++ b/internal/node/process.go
@@ -3,18 +3,22 @@
 import (
 	"context"
 	"errors"
+	"log"
 	"net"
 	"net/http"
+	"strings"
 	"time"
 
 	"github.com/alitto/pond/v2"
 	"github.com/go-logr/logr"
 	"github.com/rotisserie/eris"
 
+	"tarragongauge.example/tarragongauge/internal/admin"
 	"tarragongauge.example/tarragongauge/internal/conf"
 	"tarragongauge.example/tarragongauge/internal/link"
 	"tarragongauge.example/tarragongauge/internal/proto"
 	"tarragongauge.example/tarragongauge/internal/super"
+	"tarragongauge.example/tarragongauge/internal/trust"
 	"tarragongauge.example/tarragongauge/pkg/model"
 )
 
@@ -28,6 +32,8 @@
 	log   logr.Logger
 	tree  *super.Tree
 	mesh  *link.Mesh
+	// certs is nil without [tls] settings.
+	certs *trust.Source
 	// watch runs the wait for the tree, which is not a task of the tree itself.
 	watch pond.Pool
 	// stops holds the clean-up functions in order of start.
@@ -75,35 +81,55 @@
 	return model.Incarnation(time.Now().UnixMicro())
 }
 
+// processSetup is what a process is made from.
+type processSetup struct {
+	role  proto.Role
+	host  conf.Host
+	addr  string
+	fleet conf.Fleet
+	tls   conf.TLS
+	queue int
+	log   logr.Logger
+}
+
 // newProcess starts the supervisor tree and the links. The returned clean-up
 // function stops everything in reverse order of start.
-func newProcess(role proto.Role, host conf.Host, fleetAddr string, fleet conf.Fleet, queue int, log logr.Logger, handler link.Handler, extra []link.Option) (*process, func(), error) {
+func newProcess(s processSetup, handler link.Handler, extra []link.Option) (*process, func(), error) {
 	p := &process{
 		self: proto.Member{
-			Host:        host.Name,
-			Role:        role,
-			Zone:        host.Zone,
-			Addr:        fleetAddr,
+			Host:        s.host.Name,
+			Role:        s.role,
+			Zone:        s.host.Zone,
+			Addr:        s.addr,
 			Incarnation: newIncarnation(),
 		},
-		fleet: fleet,
-		log:   log,
+		fleet: s.fleet,
+		log:   s.log,
 		watch: pond.NewPool(1),
 	}
 	p.stops = append(p.stops, p.watch.StopAndWait)
-	tree, stopTree := super.New(string(host.Name), super.WithLogger(log))
+	tree, stopTree := super.New(string(s.host.Name), super.WithLogger(s.log))
 	p.tree = tree
 	p.stops = append(p.stops, stopTree)
-	secret := fleet.Secret.Reveal()
-	opts := append([]link.Option{link.WithCluster(fleet.Name), link.WithLogger(log), link.WithQueue(queue)}, extra...)
-	mesh, stopMesh, err := link.New(p.self, secret, tree, handler, opts...)
+	opts := append([]link.Option{link.WithCluster(s.fleet.Name), link.WithLogger(s.log), link.WithQueue(s.queue)}, extra...)
+	if s.tls.Enabled() {
+		source, stopSource, err := trust.NewSource(s.tls.Files, s.tls.Expect, time.Now, tree, trust.WithLogger(s.log))
+		if err != nil {
+			p.stop()
+			return nil, nil, err
+		}
+		p.stops = append(p.stops, stopSource)
+		p.certs = source
+		opts = append(opts, link.WithTLS(source))
+	}
+	mesh, stopMesh, err := link.New(p.self, s.fleet.Secret.Reveal(), tree, handler, opts...)
 	if err != nil {
 		p.stop()
 		return nil, nil, eris.Wrap(err, "open the links of the fleet")
 	}
 	p.mesh = mesh
 	p.stops = append(p.stops, stopMesh)
-	p.mesh.Learn(fixedMembers(fleet))
+	p.mesh.Learn(fixedMembers(s.fleet))
 	return p, p.stop, nil
 }
 
@@ -145,13 +171,31 @@
 	return l, nil
 }
 
-// serveHTTP serves a handler on an address until the process stops.
-func (p *process) serveHTTP(name, addr string, h http.Handler) error {
+// serveFleet serves the links of other hosts.
+func (p *process) serveFleet(addr string) error {
+	return p.serveHTTP("fleet", addr, p.mesh.Handler(), p.mesh.Listener)
+}
+
+// serveOperators serves the operators' port, with TLS when the settings name certificates.
+func (p *process) serveOperators(addr string, health admin.Health, vars *admin.Vars, opts ...admin.Option) error {
+	opts = append(opts, admin.WithVars(vars), admin.WithLogger(p.log))
+	if p.certs != nil {
+		opts = append(opts, admin.WithTLS(p.certs.OperatorsServer()))
+		vars.Func("certificate", func() any { return p.certs.Stats() })
+	}
+	ops := admin.New(health, opts...)
+	return p.serveHTTP("operators", addr, ops.Handler(), ops.Listener)
+}
+
+// serveHTTP serves a handler on an address until the process stops. The
+// header timeout also bounds TLS handshakes.
+func (p *process) serveHTTP(name, addr string, h http.Handler, wrap func(net.Listener) net.Listener) error {
 	l, err := listen(name, addr)
 	if err != nil {
 		return err
 	}
-	server := &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout}
+	l = wrap(l)
+	server := &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout, ErrorLog: p.httpLog(name)}
 	p.tree.Go(name, func(context.Context) error {
 		return ignoreClosed(server.Serve(l))
 	})
@@ -159,6 +203,20 @@
 	return nil
 }
 
+// httpLog writes what net/http reports of single connections, such as failed
+// handshakes, at the debug level.
+func (p *process) httpLog(name string) *log.Logger {
+	return log.New(connLog{p.log.WithValues("port", name)}, "", 0)
+}
+
+// connLog writes lines of net/http to the structured log.
+type connLog struct{ log logr.Logger }
+
+func (c connLog) Write(line []byte) (int, error) {
+	c.log.V(1).Info("connection", "cause", strings.TrimSpace(string(line)))
+	return len(line), nil
+}
+
 func ignoreClosed(err error) error {
 	if errors.Is(err, http.ErrServerClosed) {
 		return nil
--- a/internal/node/run_control.go
+++ b/internal/node/run_control.go
@@ -55,7 +55,9 @@
 
 func startControl(c conf.Control, log logr.Logger, extra ...link.Option) (*process, func() error, error) {
 	d := &diskHost{}
-	p, stopProcess, err := newProcess(proto.RoleControl, c.Host, c.Listen.Fleet, c.Fleet, c.Limits.LinkQueue, log, d.receive, extra)
+	p, stopProcess, err := newProcess(processSetup{
+		role: proto.RoleControl, host: c.Host, addr: c.Listen.Fleet, fleet: c.Fleet, tls: c.TLS, queue: c.Limits.LinkQueue, log: log,
+	}, d.receive, extra)
 	if err != nil {
 		return nil, nil, err
 	}
@@ -77,9 +79,12 @@
 			return nil, nil, errors.Join(err, stop())
 		}
 	}
-	ops := admin.New(control, admin.WithBackend(control, tokens(c.Operators)), admin.WithVars(p.vars(control)),
-		admin.WithLogger(log), admin.WithBodyLimit(c.Limits.OperatorsBytes))
-	if err := p.serve(c.Listen, ops); err != nil {
+	err = errors.Join(
+		p.serveFleet(c.Listen.Fleet),
+		p.serveOperators(c.Listen.Operators, control, p.vars(control),
+			admin.WithBackend(control, tokens(c.Operators)), admin.WithBodyLimit(c.Limits.OperatorsBytes)),
+	)
+	if err != nil {
 		return nil, nil, errors.Join(err, stop())
 	}
 	p.every("ticks", controlTick, d.tick)
@@ -117,14 +122,6 @@
 	return nil
 }
 
-// serve opens the ports that control and journal hosts share.
-func (p *process) serve(l conf.Listen, ops *admin.Server) error {
-	if err := p.serveHTTP("fleet", l.Fleet, p.mesh.Handler()); err != nil {
-		return err
-	}
-	return p.serveHTTP("operators", l.Operators, ops.Handler())
-}
-
 // RunJournal runs an order journal without control until ctx ends.
 func RunJournal(ctx context.Context, c conf.Journal, log logr.Logger) error {
 	p, stop, err := startJournal(c, log)
@@ -137,7 +134,9 @@
 
 func startJournal(c conf.Journal, log logr.Logger, extra ...link.Option) (*process, func() error, error) {
 	d := &diskHost{}
-	p, stopProcess, err := newProcess(proto.RoleJournal, c.Host, c.Listen.Fleet, c.Fleet, c.Limits.LinkQueue, log, d.receive, extra)
+	p, stopProcess, err := newProcess(processSetup{
+		role: proto.RoleJournal, host: c.Host, addr: c.Listen.Fleet, fleet: c.Fleet, tls: c.TLS, queue: c.Limits.LinkQueue, log: log,
+	}, d.receive, extra)
 	if err != nil {
 		return nil, nil, err
 	}
@@ -147,7 +146,8 @@
 	}
 	vars := admin.NewVars()
 	vars.Func("links", func() any { return p.mesh.Stats() })
-	if err := p.serve(c.Listen, admin.New(alwaysReady{}, admin.WithVars(vars), admin.WithLogger(log))); err != nil {
+	err = errors.Join(p.serveFleet(c.Listen.Fleet), p.serveOperators(c.Listen.Operators, alwaysReady{}, vars))
+	if err != nil {
 		return nil, nil, errors.Join(err, stop())
 	}
 	p.every("ticks", controlTick, d.tick)
--- a/internal/node/run_entry.go
+++ b/internal/node/run_entry.go
@@ -44,8 +44,9 @@
 // startEntry starts an entry host. The clean-up function drains it first.
 func startEntry(c conf.Entry, log logr.Logger, extra ...link.Option) (*entryHost, func() error, error) {
 	var h *entryHost
-	p, stopProcess, err := newProcess(proto.RoleEntry, c.Host, c.Listen.Fleet, c.Fleet, c.Limits.LinkQueue, log,
-		func(from hostID, m proto.Message) { h.receive(from, m) }, extra)
+	p, stopProcess, err := newProcess(processSetup{
+		role: proto.RoleEntry, host: c.Host, addr: c.Listen.Fleet, fleet: c.Fleet, tls: c.TLS, queue: c.Limits.LinkQueue, log: log,
+	}, func(from hostID, m proto.Message) { h.receive(from, m) }, extra)
 	if err != nil {
 		return nil, nil, err
 	}
@@ -91,12 +92,8 @@
 		return nil, err
 	}
 	p.tree.Go("announce", func(context.Context) error { return server.ServeAnnouncements(announce) })
-	if err := p.serveHTTP("fleet", c.Listen.Fleet, p.mesh.Handler()); err != nil {
-		return nil, err
-	}
 	h.publish()
-	ops := admin.New(h, admin.WithVars(h.vars), admin.WithLogger(h.log))
-	if err := p.serveHTTP("operators", c.Listen.Operators, ops.Handler()); err != nil {
+	if err := errors.Join(p.serveFleet(c.Listen.Fleet), p.serveOperators(c.Listen.Operators, h, h.vars)); err != nil {
 		return nil, err
 	}
 	p.every("ticks", entryTick, h.tick)
