--- a/internal/node/fleet_test.go
+++ b/internal/node/fleet_test.go
@@ -41,6 +41,8 @@
 	controls []*testControl
 	entries  []*testEntry
 	client   *client.Client
+	// onStart sees each entry host right after its start; nil is allowed.
+	onStart func(*entryHost)
 }
 
 type testControl struct {
@@ -86,7 +88,12 @@
 // newFleet starts three control hosts, five seats and further entry hosts.
 func newFleet(t testing.TB, entries int) *fleet {
 	t.Helper()
-	f := &fleet{t: t, addrs: newAddrs(), settings: conf.Fleet{Name: "test", Secret: conf.NewSecret([]byte("fleet-secret-0123456789"))}}
+	return newFleetWith(t, entries, nil)
+}
+
+func newFleetWith(t testing.TB, entries int, onStart func(*entryHost)) *fleet {
+	t.Helper()
+	f := &fleet{t: t, onStart: onStart, addrs: newAddrs(), settings: conf.Fleet{Name: "test", Secret: conf.NewSecret([]byte("fleet-secret-0123456789"))}}
 	for i := range 3 {
 		f.settings.Controls = append(f.settings.Controls, conf.Peer{Host: model.HostID(fmt.Sprintf("c%d", i+1)), Addr: f.addrs.next()})
 	}
@@ -153,6 +160,9 @@
 	h, stop, err := startEntry(e.cfg, logr.Discard(), link.WithFaults(e.faults))
 	require.NoError(f.t, err)
 	e.host, e.stop = h, stop
+	if f.onStart != nil {
+		f.onStart(h)
+	}
 }
 
 func (f *fleet) stop() {
