Test competing changes of operators in a whole session

Cause: conflicts and resends were tested on the command line against a fake fleet only. Change: the script submits two changes with one base and demands exit code 4 with the remedy, the first result for a resend, and who, when, what and why in the audit list, also after a control host was killed. Right after the kill, history on another host left out the last accepted change until there was a new leader; the script waits for that change.

--- a/cmd/tarragongauge/session_test.go
+++ b/cmd/tarragongauge/session_test.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"context"
 	"crypto/sha256"
 	"encoding/json"
 	"fmt"
@@ -9,6 +10,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"regexp"
 	"slices"
 	"strconv"
 	"strings"
@@ -60,7 +62,9 @@
 			"capacity":   capacity,
 			"repeat":     repeat,
 			"background": background,
+			"steady":     steady,
 			"answer":     answer,
+			"capture":    capture,
 		},
 	})
 }
@@ -293,6 +297,24 @@
 	s.calls[args[0]] = s.pool.Submit(func() string { return send(req) })
 }
 
+// steadyInterval is the time between two calls of steady.
+const steadyInterval = 10 * time.Millisecond
+
+// steady makes a call without a body at a steady rate in the background for a time: steady NAME DURATION call ARG...
+func steady(ts *testscript.TestScript, _ bool, args []string) {
+	s := sessionOf(ts)
+	d, err := time.ParseDuration(args[1])
+	ts.Check(err)
+	req := newRequest(ts, args[3:])
+	s.calls[args[0]] = s.pool.Submit(func() string {
+		var got strings.Builder
+		for end := time.Now().Add(d); time.Now().Before(end); time.Sleep(steadyInterval) {
+			got.WriteString(send(req.Clone(context.Background())))
+		}
+		return got.String()
+	})
+}
+
 // answer waits for calls in the background and prints what they got: answer NAME...
 func answer(ts *testscript.TestScript, _ bool, names []string) {
 	for _, name := range names {
@@ -388,3 +410,14 @@
 		ts.Fatalf("%d of %d announced slots are in service with floor %g", got.Healthy, got.Announced, got.Floor)
 	}
 }
+
+// capture sets a variable to the first group of a regular expression in the last output: capture VARIABLE REGEXP
+func capture(ts *testscript.TestScript, _ bool, args []string) {
+	re, err := regexp.Compile(args[1])
+	ts.Check(err)
+	found := re.FindStringSubmatch(ts.ReadFile("stdout"))
+	if len(found) < 2 {
+		ts.Fatalf("no group of %q is in the output", args[1])
+	}
+	ts.Setenv(args[0], found[1])
+}
