--- a/cmd/tarragongauge/session_test.go
+++ b/cmd/tarragongauge/session_test.go
@@ -50,6 +50,7 @@
 		},
 		Cmds: map[string]func(ts *testscript.TestScript, neg bool, args []string){
 			"start":      startProcess,
+			"tls":        useTLS,
 			"signal":     signalProcess,
 			"call":       call,
 			"eventually": eventually,
