--- a/internal/order/journal.go
+++ b/internal/order/journal.go
@@ -143,7 +143,7 @@
 	case proto.ReserveFree:
 		return j.free(now, m)
 	case proto.AnswerSave:
-		return j.save(m)
+		return j.save(now, m)
 	case proto.JournalCopyAsk:
 		return j.copyPage(from, m)
 	default:
@@ -187,15 +187,19 @@
 	return j.put(rec)
 }
 
-// save stores the first answer of the holder. AnswerSave carries no body, so a
-// journal that missed the reservation cannot keep the answer: without the body
-// it could not tell a resend from a different order.
-func (j *Journal) save(m proto.AnswerSave) []Effect {
+// save stores the first answer of the holder. A journal that missed the
+// reservation, or held one that was given up, takes it from the answer: only a
+// holder with a majority has one.
+func (j *Journal) save(now model.Instant, m proto.AnswerSave) []Effect {
 	e, ok := j.records[cursor(m.Workspace, m.OrderKey)]
-	if !ok || e.rec.Holder != m.Holder || e.rec.Freed || e.rec.Answer != nil {
+	rec := e.rec
+	if !ok || (rec.Freed && rec.Holder != m.Holder) {
+		rec = proto.JournalRecord{Workspace: m.Workspace, OrderKey: m.OrderKey, Body: m.Body, Holder: m.Holder, UnixMilli: j.wall(now)}
+	}
+	if rec.Holder != m.Holder || rec.Freed || rec.Answer != nil {
 		return nil
 	}
-	rec, answer := e.rec, m.Answer
+	answer := m.Answer
 	rec.Answer = &answer
 	return j.put(rec)
 }
--- a/internal/order/reserver.go
+++ b/internal/order/reserver.go
@@ -236,7 +236,7 @@
 	delete(r.running, ev.Request)
 	switch {
 	case ev.Answer != nil:
-		return r.repeat(now, proto.AnswerSave{Workspace: s.Workspace, OrderKey: s.OrderKey, Holder: s.Request, Answer: *ev.Answer})
+		return r.repeat(now, proto.AnswerSave{Workspace: s.Workspace, OrderKey: s.OrderKey, Holder: s.Request, Body: s.Body, Answer: *ev.Answer})
 	case ev.NotRun:
 		return r.free(now, s)
 	default:
--- a/internal/proto/message.go
+++ b/internal/proto/message.go
@@ -379,7 +379,9 @@
 		Workspace model.WorkspaceID
 		OrderKey  string
 		Holder    model.RequestID
-		Answer    StoredAnswer
+		// Body is that of the reservation, for a journal that missed it.
+		Body   model.BodyHash
+		Answer StoredAnswer
 	}
 	// JournalCopyAsk asks another journal host for its records after the loss of a disk.
 	JournalCopyAsk struct {
--- a/internal/wire/order.go
+++ b/internal/wire/order.go
@@ -39,6 +39,7 @@
 	OrderKey  string            `cbor:"2,keyasint"`
 	Holder    model.RequestID   `cbor:"3,keyasint"`
 	Answer    storedAnswer      `cbor:"4,keyasint"`
+	Body      []byte            `cbor:"5,keyasint"`
 }
 
 type journalCopyAsk struct {
@@ -57,7 +58,7 @@
 		bind(80, toReserveAsk, fromReserveAsk),
 		bind(81, toReserveReply, fromReserveReply),
 		plain(82, func(m proto.ReserveFree) reserveFree { return reserveFree(m) }, func(d reserveFree) proto.ReserveFree { return proto.ReserveFree(d) }),
-		plain(83, toAnswerSave, fromAnswerSave),
+		bind(83, toAnswerSave, fromAnswerSave),
 		plain(84, func(m proto.JournalCopyAsk) journalCopyAsk { return journalCopyAsk(m) }, func(d journalCopyAsk) proto.JournalCopyAsk { return proto.JournalCopyAsk(d) }),
 		bind(85, toJournalCopyReply, fromJournalCopyReply),
 	}
@@ -94,12 +95,13 @@
 	return m, checkEnum("reservation status", d.Status, proto.ReserveUnavailable)
 }
 
-func toAnswerSave(m proto.AnswerSave) answerSave {
-	return answerSave{Workspace: m.Workspace, OrderKey: m.OrderKey, Holder: m.Holder, Answer: storedAnswer(m.Answer)}
+func toAnswerSave(m proto.AnswerSave) (answerSave, error) {
+	return answerSave{Workspace: m.Workspace, OrderKey: m.OrderKey, Holder: m.Holder, Answer: storedAnswer(m.Answer), Body: m.Body[:]}, nil
 }
 
-func fromAnswerSave(d answerSave) proto.AnswerSave {
-	return proto.AnswerSave{Workspace: d.Workspace, OrderKey: d.OrderKey, Holder: d.Holder, Answer: proto.StoredAnswer(d.Answer)}
+func fromAnswerSave(d answerSave) (proto.AnswerSave, error) {
+	body, err := checkDigest[model.BodyHash](d.Body)
+	return proto.AnswerSave{Workspace: d.Workspace, OrderKey: d.OrderKey, Holder: d.Holder, Body: body, Answer: proto.StoredAnswer(d.Answer)}, err
 }
 
 func toJournalCopyReply(m proto.JournalCopyReply) (journalCopyReply, error) {
