--- a/internal/pool/assign.go
+++ b/internal/pool/assign.go
@@ -51,7 +51,7 @@
 
 // admit returns the status of a refusal that does not depend on slots, or 0.
 func (o *Owner) admit(now model.Instant, s *service, host int32, m *proto.SlotAsk) proto.SlotStatus {
-	if s.isQuarantined(now, m.Workspace, m.Fingerprint) {
+	if s.isQuarantined(now, m.Workspace, m.Fingerprint) || s.awaitsVerdict(m.Workspace, m.Fingerprint, o.tune.CrashLimit) {
 		return proto.SlotQuarantined
 	}
 	if len(m.Exclude) == 0 {
--- a/internal/pool/crash.go
+++ b/internal/pool/crash.go
@@ -146,18 +146,37 @@
 // mayCrash reports whether a fingerprint has broken as many attempts as crashes
 // put it in quarantine, counting those not yet confirmed. It is not retried meanwhile.
 func (s *service) mayCrash(ws model.WorkspaceID, fp model.Fingerprint, limit int) bool {
+	return s.crashes(ws, fp)+s.brokenBy(ws, fp) >= limit
+}
+
+// awaitsVerdict reports whether the crash that would put a fingerprint in
+// quarantine is not confirmed yet, after an earlier one that was. A resend is
+// refused meanwhile, since it could crash one target more. Without an earlier
+// confirmed crash it is not: a partition breaks attempts of popular requests too.
+func (s *service) awaitsVerdict(ws model.WorkspaceID, fp model.Fingerprint, limit int) bool {
+	n := s.crashes(ws, fp)
+	return n > 0 && n+s.brokenBy(ws, fp) >= limit
+}
+
+// crashes counts the confirmed crashes of a fingerprint.
+func (s *service) crashes(ws model.WorkspaceID, fp model.Fingerprint) int {
+	for i := range s.suspects {
+		if s.suspects[i].fingerprint == fp && s.suspects[i].workspace == ws {
+			return s.suspects[i].crashes
+		}
+	}
+	return 0
+}
+
+// brokenBy counts the recent broken attempts of a fingerprint.
+func (s *service) brokenBy(ws model.WorkspaceID, fp model.Fingerprint) int {
 	n := 0
 	for i := range s.broken {
 		if s.broken[i].fingerprint == fp && s.broken[i].workspace == ws {
 			n++
 		}
 	}
-	for i := range s.suspects {
-		if s.suspects[i].fingerprint == fp && s.suspects[i].workspace == ws {
-			n += s.suspects[i].crashes
-		}
-	}
-	return n >= limit
+	return n
 }
 
 func (o *Owner) expireBroken(now model.Instant, s *service) {
--- a/internal/pool/done.go
+++ b/internal/pool/done.go
@@ -1,6 +1,7 @@
 package pool
 
 import (
+	"slices"
 	"time"
 
 	"tarragongauge.example/tarragongauge/internal/proto"
@@ -73,7 +74,8 @@
 func (o *Owner) observeBroken(now model.Instant, s *service, t *target, host int32, m *proto.SlotDone, own bool) {
 	weight := s.errorWeight(t, host)
 	t.stats.addError(weight)
-	if !own {
+	if !own && s.hasBroken(t, host, m) {
+		// A repeat of a report that has no slot here to tell it by.
 		return
 	}
 	s.broken = append(s.broken, brokenAttempt{
@@ -85,6 +87,13 @@
 	}
 }
 
+// hasBroken reports whether a like broken attempt of the host on the target is kept.
+func (s *service) hasBroken(t *target, host int32, m *proto.SlotDone) bool {
+	return slices.ContainsFunc(s.broken, func(b brokenAttempt) bool {
+		return b.target == t && b.host == host && b.workspace == m.Workspace && b.fingerprint == m.Fingerprint
+	})
+}
+
 const (
 	reasonCrashed = "crashed: connection refused after a broken attempt"
 	// reportSkew bounds the time by which reports on one target overtake each other.
--- a/internal/pool/owner_test.go
+++ b/internal/pool/owner_test.go
@@ -114,6 +114,46 @@
 	require.Equal(t, proto.SlotAssigned, b.ask("w", 7).Status)
 }
 
+// Guards against a third target crashing while the second crash is not
+// confirmed yet: the caller sends the request again before the crashed target
+// announces its new incarnation.
+func TestResendWaitsForTheVerdictOfASecondCrash(t *testing.T) {
+	b := newBed(t, 4)
+	first := b.ask("w", 7)
+	b.done(first, "w", 7, model.AttemptBroken)
+	var n int
+	_, err := fmt.Sscanf(string(first.Target), "t%d", &n)
+	require.NoError(t, err)
+	b.announce(n, 2, model.TargetReady)
+	b.done(b.ask("w", 7), "w", 7, model.AttemptBroken)
+
+	require.Equal(t, proto.SlotQuarantined, b.ask("w", 7).Status)
+	require.Equal(t, proto.SlotAssigned, b.ask("w", 8).Status, "another request")
+	b.now = b.now.Add(b.o.tune.CrashWindow + time.Second)
+	b.step(Tick{})
+	for i := range 4 {
+		b.announce(i, 3, model.TargetReady)
+	}
+	require.Equal(t, proto.SlotAssigned, b.ask("w", 7).Status, "the second crash was never confirmed")
+}
+
+// Guards against a crash that is forgotten because the entry host had chosen
+// the target while the service had no owner; a repeated report counts once.
+func TestCrashOfALocalChoiceCounts(t *testing.T) {
+	b := newBed(t, 4)
+	for i := range 2 {
+		require.Empty(t, b.status().Quarantine)
+		report := proto.SlotDone{
+			Service: testService, Workspace: "w", Fingerprint: 7,
+			Attempt: model.Attempt{Target: model.TargetID(fmt.Sprintf("t%d", i)), Incarnation: 1, End: model.AttemptBroken},
+		}
+		b.from("e1", report)
+		b.from("e1", report)
+		b.announce(i, 2, model.TargetReady)
+	}
+	require.Equal(t, proto.SlotQuarantined, b.ask("w", 7).Status)
+}
+
 // Guards against a quarantine that never ends.
 func TestQuarantineExpires(t *testing.T) {
 	b := newBed(t, 2)
