--- a/internal/burn/html.go
+++ b/internal/burn/html.go
@@ -11,8 +11,6 @@
 	"gonum.org/v1/plot/plotter"
 	"gonum.org/v1/plot/vg"
 	"gonum.org/v1/plot/vg/vgsvg"
-
-	"tarragongauge.example/tarragongauge/pkg/model"
 )
 
 // plotCount bounds the plots of a page: the worst-served workspaces.
@@ -136,14 +134,3 @@
 	}
 	return out
 }
-
-// ForWorkspace returns the lines of one workspace.
-func (r Report) ForWorkspace(ws model.WorkspaceID) []Line {
-	var out []Line
-	for _, l := range r.Workspaces {
-		if l.ID.Workspace == ws {
-			out = append(out, l)
-		}
-	}
-	return out
-}
