Free a stub target's slot before its answer leaves

Answers that net/http does not write itself reach the caller while the handler still runs, and the slot was freed when it returned. Ruled out: a second request in flight (the test sends one at a time). Change: the slot is freed when the work ends, before the first byte of the answer.

--- a/internal/stub/stub_test.go
+++ b/internal/stub/stub_test.go
@@ -1,6 +1,7 @@
 package stub_test
 
 import (
+	"bufio"
 	"bytes"
 	"context"
 	"encoding/json"
@@ -172,3 +173,32 @@
 		return seen[200] && seen[500]
 	}, 2*time.Second, time.Millisecond)
 }
+
+// hijacked lets a handler take over one end of a pipe.
+type hijacked struct {
+	*httptest.ResponseRecorder
+	conn net.Conn
+}
+
+func (h hijacked) Hijack() (net.Conn, *bufio.ReadWriter, error) {
+	return h.conn, bufio.NewReadWriter(bufio.NewReader(h.conn), bufio.NewWriter(h.conn)), nil
+}
+
+// Guards against a load that still counts a request whose answer the caller
+// already has: the pipe blocks the handler inside the write of its answer.
+func TestLoadIsFreeOnceTheAnswerArrives(t *testing.T) {
+	for _, kind := range []stub.Wrong{stub.WrongGarbage, stub.WrongTruncated, stub.WrongStray} {
+		target, err := stub.NewTarget("t1", stub.WithBehavior(stub.Behavior{WrongShare: 1, Wrong: kind}))
+		require.NoError(t, err)
+		near, far := net.Pipe()
+		workers := pond.NewPool(1)
+		workers.Submit(func() {
+			target.ServeHTTP(hijacked{httptest.NewRecorder(), near}, httptest.NewRequest(http.MethodGet, "/x", nil))
+		})
+		_, err = io.ReadFull(far, make([]byte, 1))
+		require.NoError(t, err, kind)
+		require.Zero(t, target.Load(), kind)
+		require.NoError(t, far.Close())
+		workers.StopAndWait()
+	}
+}
--- a/internal/stub/target.go
+++ b/internal/stub/target.go
@@ -186,12 +186,14 @@
 		http.Error(w, "no capacity", http.StatusServiceUnavailable)
 		return
 	}
-	defer t.end()
+	finished := !p.crash && work(r, p.delay)
+	// The slot is free before the first byte of the answer leaves, so that a
+	// caller never finds its own finished request in the load.
+	t.end()
 	if p.crash {
 		t.exit()
-		panic(http.ErrAbortHandler)
 	}
-	if !work(r, p.delay) || p.drop {
+	if !finished || p.drop {
 		panic(http.ErrAbortHandler)
 	}
 	t.answer(w, r, body, p)
