Keep connections to targets when their bound does not change

Cause: each change of the configuration or of the members called SetTargetConns, which replaced the transport and closed all idle connections to targets even when the bound was the same. Change: a transport is replaced only when its bound differs. Result: TestSetTargetConnsKeepsConnections needed 5 connections for 5 requests before and 1 after.

--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -47,7 +47,7 @@
 		return nil, nil, model.ErrInvalid{Field: "limits", Got: "not positive", Want: "at least 1 for attempts, target connections and header; start from DefaultLimits"}
 	}
 	s.ids = newIDSource(s.host)
-	s.targetSide.set(newTransport(s.limits))
+	s.targetSide.set(s.limits)
 	s.callers = s.newHTTPServer(s)
 	s.callers.ConnContext = withConn
 	s.callers.ConnState = s.connState
@@ -121,11 +121,11 @@
 // SetTargetConns changes the bound on the connections of this host to one
 // target, when the number of live entry hosts or the configuration changes.
 // Requests in flight keep their connections, so that for their duration the
-// connections of both bounds add up.
+// connections of both bounds add up. The same bound again changes nothing.
 func (s *Server) SetTargetConns(n int) {
 	l := s.limits
 	l.TargetConns = max(1, n)
-	s.targetSide.set(newTransport(l))
+	s.targetSide.set(l)
 }
 
 // Active counts all requests that have not ended, on open routes too.
--- a/internal/entry/target_conn.go
+++ b/internal/entry/target_conn.go
@@ -156,18 +156,32 @@
 type transports struct {
 	mu  sync.Mutex
 	all []*http.Transport
+	// conns is the bound of the transport in use.
+	conns int
 }
 
-func (t *transports) set(next *http.Transport) {
+// set replaces the transport in use if its bound on connections differs: a new
+// transport starts without idle connections.
+func (t *transports) set(l Limits) {
+	if !t.changes(l.TargetConns) {
+		return
+	}
 	t.closeIdle()
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.all = append(t.all, next)
+	t.conns = l.TargetConns
+	t.all = append(t.all, newTransport(l))
 	if len(t.all) > maxTransports {
 		t.all = t.all[len(t.all)-maxTransports:]
 	}
 }
 
+func (t *transports) changes(conns int) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.conns != conns
+}
+
 func (t *transports) get() *http.Transport {
 	t.mu.Lock()
 	defer t.mu.Unlock()
--- a/internal/entry/withdraw_test.go
+++ b/internal/entry/withdraw_test.go
@@ -303,6 +303,22 @@
 	require.Equal(t, 200, got.StatusCode)
 }
 
+// Guards against closing all idle connections to targets at each change of the
+// configuration or of the members, which calls SetTargetConns with the same bound.
+func TestSetTargetConnsKeepsConnections(t *testing.T) {
+	h := newHost(t)
+	opened := map[string]bool{}
+	h.serve(t, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		opened[r.RemoteAddr] = true
+		w.Header().Set("X-Request-Id", r.Header.Get("X-Request-Id"))
+	}))
+	for range 5 {
+		h.SetTargetConns(5)
+		require.Equal(t, 200, h.get(t, "POST", "/order/x", "b").StatusCode)
+	}
+	require.Len(t, opened, 1)
+}
+
 // Guards against records that lack a refusal for the rate.
 func TestRecords(t *testing.T) {
 	h := newHost(t)
