Sample repeated log lines

Cause: only refused links were limited; any other event that repeats, such as a flapping target or a full disk, could fill the log. Change: package logs makes the log on zap's sampler: 10 lines of one message and level in 10 s, then a count of those suppressed. The commands share it. Result: in TestRepeatedLinesAreSampled 1,000 equal lines give 10 and one count of 990; another level and another message are not affected.

--- a/cmd/tarragongauge/all.go
+++ b/cmd/tarragongauge/all.go
@@ -7,6 +7,7 @@
 	"github.com/spf13/cobra"
 
 	"tarragongauge.example/tarragongauge/internal/conf"
+	"tarragongauge.example/tarragongauge/internal/logs"
 )
 
 func (a *app) allCommand() *cobra.Command {
@@ -25,7 +26,9 @@
 			if err != nil {
 				return err
 			}
-			return a.procs.all(cmd.Context(), c, newLogger(c.Log, a.errOut))
+			log, stopLog := logs.New(c.Log, a.errOut)
+			defer stopLog()
+			return a.procs.all(cmd.Context(), c, log)
 		},
 	}
 	cmd.Flags().StringVar(&dir, "data-dir", dir, "folder for the state, created if missing, unless --settings is given")
--- a/cmd/tarragongauge/control.go
+++ b/cmd/tarragongauge/control.go
@@ -4,6 +4,7 @@
 	"github.com/spf13/cobra"
 
 	"tarragongauge.example/tarragongauge/internal/conf"
+	"tarragongauge.example/tarragongauge/internal/logs"
 )
 
 func (a *app) controlCommand() *cobra.Command {
@@ -24,7 +25,9 @@
 			if err != nil {
 				return err
 			}
-			return a.procs.control(cmd.Context(), c, newLogger(c.Log, a.errOut))
+			log, stopLog := logs.New(c.Log, a.errOut)
+			defer stopLog()
+			return a.procs.control(cmd.Context(), c, log)
 		},
 	}
 }
--- /dev/null
+++ b/internal/logs/logs_test.go
@@ -0,0 +1,73 @@
+package logs_test
+
+import (
+	"bytes"
+	"errors"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"tarragongauge.example/tarragongauge/internal/conf"
+	"tarragongauge.example/tarragongauge/internal/logs"
+)
+
+// clock stands still until it is moved.
+type clock struct{ now time.Time }
+
+func (c *clock) Now() time.Time { return c.now }
+
+func (c *clock) NewTicker(d time.Duration) *time.Ticker { return time.NewTicker(d) }
+
+// Guards against a log that a storm of one event fills, against counts that
+// are never reported, and against other messages that are suppressed with it.
+func TestRepeatedLinesAreSampled(t *testing.T) {
+	var out bytes.Buffer
+	c := &clock{now: time.Unix(1_700_000_000, 0)}
+	log, stop := logs.New(conf.Log{Level: "info", Format: "json"}, &out, logs.WithClock(c))
+	for range 1000 {
+		log.WithValues("port", "fleet").Info("link refused", "peer", "x")
+	}
+	log.Error(errors.New("no space"), "link refused")
+	log.Info("leader changed")
+	require.Equal(t, 10+2, strings.Count(out.String(), "\n"))
+	require.NotContains(t, out.String(), "suppressed")
+
+	c.now = c.now.Add(11 * time.Second)
+	log.Info("leader changed")
+	require.Contains(t, out.String(), `"suppressed_message":"link refused","count":990`)
+	for range 11 {
+		log.Info("link refused")
+	}
+	require.Equal(t, 10+2+2+10, strings.Count(out.String(), "\n"))
+	stop()
+	require.Contains(t, out.String(), `"suppressed_message":"link refused","count":1,`)
+}
+
+// Guards against a level or a form that is not that of the settings.
+func TestLevelAndForm(t *testing.T) {
+	cases := []struct {
+		c     conf.Log
+		want  []string
+		never []string
+	}{
+		{conf.Log{Level: "debug", Format: "json"}, []string{`"level":"debug"`, `"message":"detail"`, `"message":"event"`}, nil},
+		{conf.Log{Level: "info", Format: "text"}, []string{"info\tevent"}, []string{"detail"}},
+		{conf.Log{Level: "error", Format: "json"}, []string{`"error":"broken"`}, []string{"event", "detail"}},
+	}
+	for _, tc := range cases {
+		var out bytes.Buffer
+		log, stop := logs.New(tc.c, &out)
+		log.V(1).Info("detail")
+		log.Info("event")
+		log.Error(errors.New("broken"), "fault")
+		stop()
+		for _, want := range tc.want {
+			require.Contains(t, out.String(), want)
+		}
+		for _, never := range tc.never {
+			require.NotContains(t, out.String(), never)
+		}
+	}
+}
