Turn TLS on host by host, and bound handshakes in number

Cause: hosts with and without [tls] did not link, so turning TLS on needed a stop of the fleet; connections that never finish a handshake were bounded in time only. Change: [tls] mode off, accept or require. With accept a process takes links and operators with and without TLS and opens links with TLS first; a refused certificate is no reason to go without. Whether a link is encrypted and the figures of handshakes are metrics.

--- a/cmd/tarragongauge/session_tls_test.go
+++ b/cmd/tarragongauge/session_tls_test.go
@@ -7,14 +7,18 @@
 	"github.com/rogpeppe/go-internal/testscript"
 )
 
-// useTLS adds a [tls] section to the settings of hosts and of the client: tls HOST...
-// The files are those of authority create --dir authority and certificate issue --dir issued.
-func useTLS(ts *testscript.TestScript, _ bool, hosts []string) {
+// useTLS adds a [tls] section with a mode to the settings of hosts, and one
+// without to those of the client: tls MODE NAME... The files are those of
+// authority create --dir authority and certificate issue --dir issued.
+func useTLS(ts *testscript.TestScript, _ bool, args []string) {
 	const authority = "[tls]\nauthority_file = authority/authority.crt\n"
-	for _, h := range hosts {
-		appendTo(ts, h+".ini", fmt.Sprintf("%scertificate_file = issued/%s.crt\nkey_file = issued/%s.key\n", authority, h, h))
+	for _, name := range args[1:] {
+		text := authority
+		if name != "client" {
+			text += fmt.Sprintf("mode = %s\ncertificate_file = issued/%s.crt\nkey_file = issued/%s.key\n", args[0], name, name)
+		}
+		appendTo(ts, name+".ini", text)
 	}
-	appendTo(ts, "client.ini", authority)
 }
 
 func appendTo(ts *testscript.TestScript, name, text string) {
--- a/internal/admin/server.go
+++ b/internal/admin/server.go
@@ -27,8 +27,10 @@
 	timeout time.Duration
 	now     func() time.Time
 	// tls is nil unless the port is encrypted.
-	tls    *tls.Config
-	failed *failures
+	tls *tls.Config
+	// optional is set while requests without TLS are served too.
+	optional bool
+	failed   *failures
 }
 
 // Option changes what a server serves.
--- a/internal/conf/tls.go
+++ b/internal/conf/tls.go
@@ -8,15 +8,32 @@
 	"tarragongauge.example/tarragongauge/internal/trust"
 )
 
+// TLSMode says whether connections must be encrypted.
+type TLSMode string
+
+// Modes of TLS. A fleet that turns TLS on goes through TLSAccept on all hosts.
+const (
+	// TLSOff makes and takes connections without TLS only.
+	TLSOff TLSMode = "off"
+	// TLSAccept takes connections with and without TLS, and makes them with TLS if the other side can.
+	TLSAccept TLSMode = "accept"
+	// TLSRequire makes and takes connections with TLS only.
+	TLSRequire TLSMode = "require"
+)
+
 // TLS holds the certificate files of a process. All three are set or none is.
 type TLS struct {
 	Files trust.Files
+	Mode  TLSMode
 	// Expect is what the certificate of this process must say.
 	Expect trust.Expect
 }
 
-// Enabled reports whether links and the operators' port are encrypted.
-func (t TLS) Enabled() bool { return t.Files != trust.Files{} }
+// Enabled reports whether links and the operators' port can be encrypted.
+func (t TLS) Enabled() bool { return t.Files != trust.Files{} && t.Mode != TLSOff }
+
+// Optional reports whether connections without TLS are taken too.
+func (t TLS) Optional() bool { return t.Mode == TLSAccept }
 
 // WithClock sets the time that the validity of certificates is checked against.
 func WithClock(clock trust.Clock) Option {
@@ -34,6 +51,12 @@
 
 func tlsSettings() []setting {
 	return []setting{
+		{
+			Setting{Section: "tls", Key: "mode", Roles: fleetRoles(), Default: string(TLSRequire), Allowed: "off, accept or require", Help: "require makes and takes connections with TLS only; accept also takes and, to hosts that do not speak it, makes them without, while a fleet turns TLS on"},
+			func(v *values, _ files, s string) []problem {
+				return parseChoice((*string)(&v.tls.Mode), s, string(TLSOff), string(TLSAccept), string(TLSRequire))
+			},
+		},
 		{
 			Setting{Section: "tls", Key: "authority_file", Roles: append(fleetRoles(), RoleClient), Allowed: "the path of a file with one authority certificate or, during a rotation, several, that only its owner can change", Help: "authorities whose certificates are accepted; without [tls], nothing is encrypted between hosts and towards operators"},
 			func(v *values, f files, s string) []problem {
--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -23,6 +23,8 @@
 	dialer model.HostID
 	// incarnation is the run of the peer that the link leads to.
 	incarnation model.Incarnation
+	// encrypted is set on links over TLS.
+	encrypted bool
 
 	ctx    context.Context
 	cancel context.CancelFunc
--- a/internal/link/mesh.go
+++ b/internal/link/mesh.go
@@ -71,8 +71,11 @@
 		loop:       newLoop(o.queue),
 		peers:      map[model.HostID]*peer{},
 	}
-	if o.tls == nil {
+	switch {
+	case o.tls == nil:
 		o.log.Info("links are not encrypted; keep the fleet and operators' ports on a private network, or set [tls]")
+	case o.optional:
+		o.log.Info("links need no encryption, which gives no protection against an active attacker; set [tls] mode = require once all hosts accept TLS")
 	}
 	m.tree.Go("self", m.deliverOwn)
 	return m, m.tree.Stop, nil
@@ -200,12 +203,23 @@
 	}
 }
 
+// dial opens a link with the first scheme that the other side speaks.
 func (m *Mesh) dial(ctx context.Context, p *peer, addr string) error {
 	ctx, cancel := context.WithTimeout(ctx, m.opts.timing.Handshake)
 	defer cancel()
+	var err error
+	for _, scheme := range m.schemes() {
+		if err = m.dialScheme(ctx, p, scheme, addr); !speaksNoTLS(err) {
+			break
+		}
+	}
+	return err
+}
+
+func (m *Mesh) dialScheme(ctx context.Context, p *peer, scheme, addr string) error {
 	transport := m.transport(p.host)
 	defer transport.CloseIdleConnections()
-	u := url.URL{Scheme: m.scheme(), Host: addr, Path: Path}
+	u := url.URL{Scheme: scheme, Host: addr, Path: Path}
 	ws, resp, err := websocket.Dial(ctx, u.String(), &websocket.DialOptions{
 		HTTPClient: &http.Client{Transport: transport},
 		HTTPHeader: http.Header{hostHeader: {string(m.self.Host)}},
@@ -222,7 +236,9 @@
 		_ = ws.CloseNow()
 		return err
 	}
-	return m.use(newLink(m, p, ws, id, m.self.Host, hello.Member.Incarnation), hello)
+	l := newLink(m, p, ws, id, m.self.Host, hello.Member.Incarnation)
+	l.encrypted = resp.TLS != nil
+	return m.use(l, hello)
 }
 
 // greetDialed runs the handshake of the dialing side. It returns the Hello of the host and the id of the link.
@@ -319,6 +335,7 @@
 	}
 	p := m.ensure(h.peer.Host)
 	l := newLink(m, p, ws, h.id(), h.peer.Host, hello.Member.Incarnation)
+	l.encrypted = identity != nil
 	if !p.accepts(l) {
 		l.cancel()
 		return ErrSpare{Peer: p.host}
--- a/internal/link/options.go
+++ b/internal/link/options.go
@@ -57,6 +57,8 @@
 	timing  Timing
 	faults  *Faults
 	tls     *trust.Source
+	// optional is set while links without TLS are taken too.
+	optional bool
 }
 
 // Option changes how a mesh works.
@@ -89,6 +91,12 @@
 	return func(o *options) { o.tls = s }
 }
 
+// WithOptionalTLS also takes links without TLS, and opens them so to hosts that
+// do not speak it. It has no effect without WithTLS.
+func WithOptionalTLS() Option {
+	return func(o *options) { o.optional = true }
+}
+
 // WithFaults injects network faults, for tests.
 func WithFaults(f *Faults) Option {
 	return func(o *options) { o.faults = f }
--- a/internal/link/peer.go
+++ b/internal/link/peer.go
@@ -43,6 +43,8 @@
 	Linked bool `json:"linked"`
 	// Link identifies the link in use; both hosts show the same value.
 	Link string `json:"link,omitempty"`
+	// Encrypted is set if the link in use is over TLS.
+	Encrypted bool `json:"encrypted"`
 	// Links counts the links opened so far.
 	Links            uint64 `json:"links"`
 	SentMessages     uint64 `json:"sent_messages"`
@@ -73,7 +75,7 @@
 		RoundTrip:        p.count.roundTrip.Load(),
 	}
 	if p.link != nil {
-		s.Linked, s.Link = true, p.link.id
+		s.Linked, s.Link, s.Encrypted = true, p.link.id, p.link.encrypted
 	}
 	return s
 }
--- a/internal/link/tls.go
+++ b/internal/link/tls.go
@@ -2,30 +2,52 @@
 
 import (
 	"crypto/tls"
+	"errors"
 	"net"
 	"net/http"
 
+	"tarragongauge.example/tarragongauge/internal/gate"
 	"tarragongauge.example/tarragongauge/internal/proto"
 	"tarragongauge.example/tarragongauge/internal/trust"
 	"tarragongauge.example/tarragongauge/pkg/model"
 )
 
-// Listener returns the listener to serve Handler on: l itself, or l with TLS
-// if the mesh was given certificates. The server needs a ReadHeaderTimeout,
-// which also bounds the TLS handshake.
+// Listener returns the listener to serve Handler on: l itself, or l behind a
+// gate for TLS if the mesh was given certificates.
 func (m *Mesh) Listener(l net.Listener) net.Listener {
 	if m.opts.tls == nil {
 		return l
 	}
-	return tls.NewListener(l, m.opts.tls.FleetServer())
+	opts := []gate.Option{gate.WithLogger(m.opts.log)}
+	if m.opts.optional {
+		opts = append(opts, gate.WithOptionalTLS())
+	}
+	return gate.New(l, m.opts.tls.FleetServer(), opts...)
 }
 
-// scheme returns the URL scheme of links.
-func (m *Mesh) scheme() string {
-	if m.opts.tls == nil {
-		return "ws"
+// Schemes of the URLs of links.
+const (
+	schemePlain = "ws"
+	schemeTLS   = "wss"
+)
+
+// schemes returns the URL schemes to open a link with, in order.
+func (m *Mesh) schemes() []string {
+	switch {
+	case m.opts.tls == nil:
+		return []string{schemePlain}
+	case m.opts.optional:
+		return []string{schemeTLS, schemePlain}
+	default:
+		return []string{schemeTLS}
 	}
-	return "wss"
+}
+
+// speaksNoTLS reports whether a connection failed because the other side
+// answered in plain HTTP. A refused certificate is no reason to go without TLS.
+func speaksNoTLS(err error) bool {
+	var header tls.RecordHeaderError
+	return errors.Is(err, http.ErrSchemeMismatch) || errors.As(err, &header)
 }
 
 // transport returns the transport that opens one link to a host.
@@ -39,7 +61,7 @@
 
 // identity returns what the certificate of a peer says, or nil without TLS.
 func (m *Mesh) identity(state *tls.ConnectionState) (*trust.Identity, error) {
-	if m.opts.tls == nil {
+	if m.opts.tls == nil || (state == nil && m.opts.optional) {
 		return nil, nil
 	}
 	id, err := trust.Peer(state)
--- a/internal/link/tls_test.go
+++ b/internal/link/tls_test.go
@@ -214,6 +214,61 @@
 	require.Equal(t, http.StatusForbidden, w.Code, "a listener without TLS must not open the way around certificates")
 }
 
+// Guards against a fleet that cannot turn TLS on host by host, and against
+// optional TLS that stays off between hosts that both have it.
+func TestTLSIsTurnedOnHostByHost(t *testing.T) {
+	ours := newAuthority(t)
+	fa, fb := sound(t, ours, "a"), sound(t, ours, "b")
+	fa.start(t, time.Now)
+	fb.start(t, time.Now)
+	modes := func(f *hostFiles) map[string][]Option {
+		return map[string][]Option{
+			"off":     {patient()},
+			"accept":  {patient(), WithTLS(f.source), WithOptionalTLS()},
+			"require": {patient(), WithTLS(f.source)},
+		}
+	}
+	tests := []struct {
+		a, b              string
+		linked, encrypted bool
+	}{
+		{"off", "accept", true, false},
+		{"accept", "off", true, false},
+		{"accept", "accept", true, true},
+		{"accept", "require", true, true},
+		{"require", "accept", true, true},
+		{"off", "require", false, false},
+		{"require", "off", false, false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.a+" to "+tt.b, func(t *testing.T) {
+			a := startHost(t, "a", 1, modes(fa)[tt.a]...)
+			b := startHost(t, "b", 1, modes(fb)[tt.b]...)
+			err := a.dial(context.Background(), a.ensure("b"), b.member.Addr)
+			require.Equal(t, tt.linked, err == nil, "got %v", err)
+			require.Equal(t, tt.linked, a.Stats()["b"].Linked)
+			require.Equal(t, tt.encrypted, a.Stats()["b"].Encrypted)
+			if tt.linked {
+				require.Eventually(t, func() bool { return b.Stats()["a"].Linked }, patience, time.Millisecond)
+				require.Equal(t, tt.encrypted, b.Stats()["a"].Encrypted)
+			}
+		})
+	}
+}
+
+// Guards against optional TLS that falls back to a link without it when a certificate is refused.
+func TestRefusedCertificateIsNoReasonToGoWithoutTLS(t *testing.T) {
+	ours, stranger := newAuthority(t), newAuthority(t)
+	fa, fb := sound(t, ours, "a"), sound(t, stranger, "b")
+	fa.start(t, time.Now)
+	fb.start(t, time.Now)
+	a := startHost(t, "a", 1, patient(), WithTLS(fa.source), WithOptionalTLS())
+	b := startHost(t, "b", 1, patient(), WithTLS(fb.source), WithOptionalTLS())
+	require.Error(t, a.dial(context.Background(), a.ensure("b"), b.member.Addr))
+	require.Error(t, b.dial(context.Background(), b.ensure("a"), a.member.Addr))
+	require.False(t, a.Stats()["b"].Linked || b.Stats()["a"].Linked)
+}
+
 // Guards against a peer that talks a host into an older version of TLS, and
 // against one that presents no certificate.
 func TestDowngradeIsRefused(t *testing.T) {
--- a/internal/node/process.go
+++ b/internal/node/process.go
@@ -15,6 +15,7 @@
 
 	"tarragongauge.example/tarragongauge/internal/admin"
 	"tarragongauge.example/tarragongauge/internal/conf"
+	"tarragongauge.example/tarragongauge/internal/gate"
 	"tarragongauge.example/tarragongauge/internal/link"
 	"tarragongauge.example/tarragongauge/internal/proto"
 	"tarragongauge.example/tarragongauge/internal/super"
@@ -34,6 +35,10 @@
 	mesh  *link.Mesh
 	// certs is nil without [tls] settings.
 	certs *trust.Source
+	// optionalTLS is set while connections without TLS are taken too.
+	optionalTLS bool
+	// gates holds the listeners with TLS by port.
+	gates map[string]*gate.Listener
 	// watch runs the wait for the tree, which is not a task of the tree itself.
 	watch pond.Pool
 	// stops holds the clean-up functions in order of start.
@@ -106,6 +111,7 @@
 		fleet: s.fleet,
 		log:   s.log,
 		watch: pond.NewPool(1),
+		gates: map[string]*gate.Listener{},
 	}
 	p.stops = append(p.stops, p.watch.StopAndWait)
 	tree, stopTree := super.New(string(s.host.Name), super.WithLogger(s.log))
@@ -121,6 +127,9 @@
 		p.stops = append(p.stops, stopSource)
 		p.certs = source
 		opts = append(opts, link.WithTLS(source))
+		if p.optionalTLS = s.tls.Optional(); p.optionalTLS {
+			opts = append(opts, link.WithOptionalTLS())
+		}
 	}
 	mesh, stopMesh, err := link.New(p.self, s.fleet.Secret.Reveal(), tree, handler, opts...)
 	if err != nil {
@@ -181,20 +190,35 @@
 	opts = append(opts, admin.WithVars(vars), admin.WithLogger(p.log))
 	if p.certs != nil {
 		opts = append(opts, admin.WithTLS(p.certs.OperatorsServer()))
+		if p.optionalTLS {
+			opts = append(opts, admin.WithOptionalTLS())
+		}
 		vars.Func("certificate", func() any { return p.certs.Stats() })
+		vars.Func("handshakes", func() any { return p.handshakes() })
 	}
 	ops := admin.New(health, opts...)
 	return p.serveHTTP("operators", addr, ops.Handler(), ops.Listener)
 }
 
-// serveHTTP serves a handler on an address until the process stops. The
-// header timeout also bounds TLS handshakes.
+// handshakes returns the figures of the listeners with TLS by port.
+func (p *process) handshakes() map[string]gate.Stats {
+	all := make(map[string]gate.Stats, len(p.gates))
+	for name, g := range p.gates {
+		all[name] = g.Stats()
+	}
+	return all
+}
+
+// serveHTTP serves a handler on an address until the process stops.
 func (p *process) serveHTTP(name, addr string, h http.Handler, wrap func(net.Listener) net.Listener) error {
 	l, err := listen(name, addr)
 	if err != nil {
 		return err
 	}
 	l = wrap(l)
+	if g, ok := l.(*gate.Listener); ok {
+		p.gates[name] = g
+	}
 	server := &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout, ErrorLog: p.httpLog(name)}
 	p.tree.Go(name, func(context.Context) error {
 		return ignoreClosed(server.Serve(l))
