Bound the memory and the reports of service-level counters

Cause: a series took 46 to 50 KB, most of it a histogram of fixed size and a map of minutes, and was never dropped. At 3,000 workspaces on a host that is 138 MB, and the reply to control of 10 MB exceeded the frame limit, so the host was missing from the report. Latencies covered the time since the start of the host although the columns beside them cover an hour. Change: minutes older than 70 are folded by ten, latencies are sparse buckets of ten minutes and cover about the last hour, unused series are dropped, a host keeps 4,096 series and reports the 256 worst-served workspaces, the others of each service together.

--- a/internal/burn/burn_test.go
+++ b/internal/burn/burn_test.go
@@ -2,10 +2,12 @@
 
 import (
 	"bytes"
+	"fmt"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
 
 	"tarragongauge.example/tarragongauge/internal/entry"
 	"tarragongauge.example/tarragongauge/pkg/model"
@@ -112,10 +114,95 @@
 	}
 }
 
+// Guards against counts that are lost or counted twice when old minutes are
+// folded, sent and merged, with the plain sum as the reference.
+func TestWindowsAgreeWithPlainSums(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		base := time.UnixMilli(1_800_000_000_000)
+		at := base
+		hosts := []*Recorder{host(&at), host(&at)}
+		var minutes []Minute
+		for range rapid.IntRange(1, 60).Draw(t, "requests") {
+			at = at.Add(time.Duration(rapid.IntRange(0, 40).Draw(t, "pause")) * time.Minute)
+			record(hosts[rapid.IntRange(0, 1).Draw(t, "host")], 1, entry.Record{Status: 200, Outcome: model.OutcomeRan, Latency: time.Millisecond})
+			minutes = append(minutes, MinuteOf(at))
+		}
+		now := MinuteOf(at)
+		set := Set{}
+		for _, h := range hosts {
+			data, err := h.Encode()
+			require.NoError(t, err)
+			one, err := Decode(data)
+			require.NoError(t, err)
+			set.Merge(one)
+		}
+		count := func(length Minute) (n uint64) {
+			for _, m := range minutes {
+				if m > now-length {
+					n++
+				}
+			}
+			return n
+		}
+		s := set[SeriesID{Service: "stockbook", Workspace: "shop-7"}]
+		for _, length := range []Minute{5, 30, 60} {
+			require.Equal(t, count(length), s.Window(now, time.Duration(length)*CellLength).Total, length)
+		}
+		whole := s.Window(now, CellCount*CellLength).Total
+		require.LessOrEqual(t, whole, count(CellCount))
+		require.GreaterOrEqual(t, whole, count(CellCount-coarseMinutes))
+	})
+}
+
+// Guards against latencies that are off by more than the width of a bucket, and
+// against a quantile that still shows what was slow hours ago.
+func TestLatencyQuantiles(t *testing.T) {
+	for _, d := range []time.Duration{0, 31 * time.Microsecond, 64 * time.Microsecond, 12345 * time.Microsecond, 3 * time.Second, 10 * time.Minute} {
+		require.InDelta(t, float64(d), float64(middleOf(bucketOf(d))), float64(d)/50, d)
+	}
+	require.LessOrEqual(t, bucketOf(time.Hour), uint16(lastBucket))
+	at := time.UnixMilli(1_800_000_000_000)
+	h := host(&at)
+	record(h, 100, entry.Record{Status: 200, Outcome: model.OutcomeRan, Latency: time.Second})
+	at = at.Add(2 * time.Hour)
+	record(h, 99, entry.Record{Status: 200, Outcome: model.OutcomeRan, Latency: time.Millisecond})
+	record(h, 1, entry.Record{Status: 200, Outcome: model.OutcomeRan, Latency: 2 * time.Second})
+	line := New(MinuteOf(at), model.NewConfig(nil, nil), merged(t, h), 1, nil).Workspaces[0]
+	require.InDelta(t, float64(time.Millisecond), float64(line.P50), float64(time.Millisecond)/50)
+	require.InDelta(t, float64(time.Millisecond), float64(line.P99), float64(time.Millisecond)/50)
+	require.InDelta(t, float64(2*time.Second), float64(merged(t, h)[SeriesID{"stockbook", "shop-7"}].Latency(MinuteOf(at), 1)), float64(2*time.Second)/50)
+}
+
+// Guards against counters that grow with every workspace ever seen, and
+// against a reply to control that leaves out a workspace that is served badly.
+func TestManyWorkspaces(t *testing.T) {
+	at := time.UnixMilli(1_800_000_000_000)
+	h := host(&at)
+	for i := range 2 * maxSeries {
+		id := model.WorkspaceID(fmt.Sprintf("w%d", i))
+		h.Record(entry.Record{Service: "stockbook", Workspace: id, Status: 200, Outcome: model.OutcomeRan})
+	}
+	h.Record(entry.Record{Service: "stockbook", Workspace: "w7", Status: 502, Outcome: model.OutcomeUnknown})
+	require.LessOrEqual(t, len(h.set), maxSeries+1)
+	r := New(MinuteOf(at), model.NewConfig(nil, nil), merged(t, h), 1, nil)
+	require.Equal(t, maxReported, len(r.Workspaces), "the worst-served one, the largest, and the others together")
+	require.Equal(t, model.WorkspaceID("w7"), r.Workspaces[0].ID.Workspace)
+	require.EqualValues(t, 2*maxSeries+1, r.Services[0].Total)
+	at = at.Add(7 * time.Hour)
+	record(h, 1, entry.Record{Status: 200, Outcome: model.OutcomeRan})
+	require.Equal(t, 1, len(h.set))
+}
+
 func FuzzDecode(f *testing.F) {
 	data, err := Encode(Set{{Service: "s"}: newSeries()})
 	require.NoError(f, err)
 	f.Add(data)
+	at := time.UnixMilli(1_800_000_000_000)
+	h := host(&at)
+	record(h, 3, entry.Record{Status: 200, Outcome: model.OutcomeRan, Latency: time.Second})
+	data, err = h.Encode()
+	require.NoError(f, err)
+	f.Add(data)
 	f.Fuzz(func(_ *testing.T, data []byte) {
 		_, _ = Decode(data)
 	})
--- a/internal/burn/html.go
+++ b/internal/burn/html.go
@@ -130,7 +130,7 @@
 	const minutes = 60
 	out := make(plotter.XYs, 0, minutes)
 	for m := at - minutes + 1; m <= at; m++ {
-		out = append(out, plotter.XY{X: float64(m - at), Y: value(s.Cells[m])})
+		out = append(out, plotter.XY{X: float64(m - at), Y: value(s.at(m))})
 	}
 	return out
 }
--- a/internal/burn/report.go
+++ b/internal/burn/report.go
@@ -133,13 +133,13 @@
 		Total:            hour.Total,
 		SuccessShare:     1 - share(hour.Failed, hour.Total),
 		FastShare:        1 - share(hour.Slow, hour.Total-hour.Failed),
-		P50:              quantile(s, 50),
-		P99:              quantile(s, 99),
+		P50:              s.Latency(at, 0.5),
+		P99:              s.Latency(at, 0.99),
 		Limited:          hour.Limited,
 		RefusedNoOwner:   hour.NoOwner,
 		ObjectiveApplied: objective,
 	}
-	if id.Workspace != "" {
+	if id.Workspace != "" && id.Workspace != OtherWorkspaces {
 		line.LimitedInRate = limitedInRate(s, at, cfg.LimitsFor(id.Workspace))
 	}
 	for _, p := range Pairs() {
@@ -149,10 +149,6 @@
 	return line
 }
 
-func quantile(s *Series, q float64) time.Duration {
-	return time.Duration(s.Latency.ValueAtQuantile(q)) * time.Microsecond
-}
-
 func share(part, whole uint64) float64 {
 	if whole == 0 {
 		return 0
@@ -174,7 +170,8 @@
 // whole demand was within the rate. Those refusals were wrong.
 func limitedInRate(s *Series, at Minute, limits model.Limits) uint64 {
 	var n uint64
-	for m, c := range s.Cells {
+	for _, t := range s.cells {
+		m, c := t.minute(), t.cell()
 		demand := float64(c.Total + c.Limited)
 		if m > at-60 && m <= at && demand <= limits.Rate*CellLength.Seconds() {
 			n += c.Limited
--- a/internal/burn/series.go
+++ b/internal/burn/series.go
@@ -1,75 +1,169 @@
 package burn
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 	"strings"
 	"time"
 
-	"github.com/HdrHistogram/hdrhistogram-go"
+	"tarragongauge.example/tarragongauge/pkg/model"
 )
 
-// Bounds of the latency histograms.
 const (
-	// lowestLatency is in microseconds.
-	lowestLatency = 10
-	// highestLatency is in microseconds: 10 minutes, the longest deadline.
-	highestLatency = 600_000_000
-	latencyDigits  = 2
+	// fineMinutes is how long a series keeps single minutes: the longest window
+	// that is computed exactly, and one coarse cell more.
+	fineMinutes = 70
+	// coarseMinutes is the length of the cells that older minutes are folded into.
+	coarseMinutes = 10
+	// latencyMinutes is how long latencies are kept: an hour and the window that is being filled.
+	latencyMinutes = 60 + coarseMinutes
 )
 
-// Series holds the cells and the latencies of one service and workspace.
-type Series struct {
-	// Cells holds at most CellCount minutes.
-	Cells map[Minute]Cell
-	// Latency holds latencies of answered requests in microseconds since the host started.
-	Latency *hdrhistogram.Histogram
+// OtherWorkspaces stands for the workspaces of a service that a host does not
+// count or report by themselves. No workspace can have this name.
+const OtherWorkspaces model.WorkspaceID = "*"
+
+// timedCell is a Cell as it is kept: 24 bytes in place of 48.
+type timedCell struct {
+	start                                 int32
+	total, failed, slow, limited, noOwner uint32
 }
 
-func newSeries() *Series {
-	return &Series{
-		Cells:   map[Minute]Cell{},
-		Latency: hdrhistogram.New(lowestLatency, highestLatency, latencyDigits),
+func newTimedCell(m Minute, c Cell) timedCell {
+	return timedCell{
+		start: int32(m), total: uint32(c.Total), failed: uint32(c.Failed),
+		slow: uint32(c.Slow), limited: uint32(c.Limited), noOwner: uint32(c.NoOwner),
 	}
 }
 
+func (t timedCell) minute() Minute { return Minute(t.start) }
+
+func (t timedCell) cell() Cell {
+	return Cell{
+		Total: uint64(t.total), Failed: uint64(t.failed), Slow: uint64(t.slow),
+		Limited: uint64(t.limited), NoOwner: uint64(t.noOwner),
+	}
+}
+
+// latencyWindow holds the latencies of the minutes from start to start + coarseMinutes.
+type latencyWindow struct {
+	start   Minute
+	buckets latencies
+}
+
+// Series holds the counts and the latencies of one service and workspace.
+type Series struct {
+	// cells are in ascending order of their start, at most one for each. Cells
+	// older than fineMinutes cover coarseMinutes each, the others one minute.
+	cells []timedCell
+	// windows are in ascending order of their start.
+	windows []latencyWindow
+}
+
+func newSeries() *Series { return &Series{} }
+
+// add counts in a minute. A later minute than any before folds and drops old cells.
 func (s *Series) add(m Minute, c Cell) {
-	if _, ok := s.Cells[m]; !ok {
-		s.expire(m)
+	n := len(s.cells)
+	if n == 0 || m > s.cells[n-1].minute() {
+		s.age(m)
+		s.cells = append(s.cells, newTimedCell(m, c))
+		return
+	}
+	i, found := slices.BinarySearchFunc(s.cells, m, func(t timedCell, m Minute) int { return cmp.Compare(t.minute(), m) })
+	if !found {
+		s.cells = slices.Insert(s.cells, i, newTimedCell(m, c))
+		return
+	}
+	s.cells[i] = newTimedCell(m, s.cells[i].cell().Plus(c))
+}
+
+// age folds the cells before the last fineMinutes and drops those that are too old for every window.
+func (s *Series) age(now Minute) {
+	kept := s.cells[:0]
+	for _, t := range s.cells {
+		m := t.minute()
+		if m <= now-CellCount {
+			continue
+		}
+		if m <= now-fineMinutes {
+			m -= m % coarseMinutes
+		}
+		if n := len(kept); n > 0 && kept[n-1].minute() == m {
+			kept[n-1] = newTimedCell(m, kept[n-1].cell().Plus(t.cell()))
+			continue
+		}
+		kept = append(kept, newTimedCell(m, t.cell()))
 	}
-	s.Cells[m] = s.Cells[m].Plus(c)
+	s.cells = kept
+	s.windows = slices.DeleteFunc(s.windows, func(w latencyWindow) bool { return w.start <= now-latencyMinutes })
 }
 
-// expire removes cells that are too old for every window.
-func (s *Series) expire(newest Minute) {
-	maps.DeleteFunc(s.Cells, func(m Minute, _ Cell) bool { return m <= newest-CellCount })
+// observe counts the latency of an answered request.
+func (s *Series) observe(m Minute, d time.Duration) {
+	s.window(m-m%coarseMinutes).add(bucketOf(d), 1)
 }
 
-func (s *Series) observe(d time.Duration) {
-	us := min(max(d.Microseconds(), lowestLatency), highestLatency)
-	// The value was clamped to the histogram's range, so recording cannot fail.
-	_ = s.Latency.RecordValue(us)
+func (s *Series) window(start Minute) *latencies {
+	i, found := slices.BinarySearchFunc(s.windows, start, func(w latencyWindow, m Minute) int { return cmp.Compare(w.start, m) })
+	if !found {
+		s.windows = slices.Insert(s.windows, i, latencyWindow{start: start})
+	}
+	return &s.windows[i].buckets
 }
 
 func (s *Series) merge(o *Series) {
-	for m, c := range o.Cells {
-		s.add(m, c)
+	s.mergeCells(o)
+	for _, w := range o.windows {
+		s.window(w.start).merge(w.buckets)
 	}
-	s.Latency.Merge(o.Latency)
 }
 
-// Window sums the cells of the last length up to and including now.
+func (s *Series) mergeCells(o *Series) {
+	for _, t := range o.cells {
+		s.add(t.minute(), t.cell())
+	}
+}
+
+// Window sums the cells of the last length up to and including now. Windows
+// longer than an hour may miss up to coarseMinutes at their beginning.
 func (s *Series) Window(now Minute, length time.Duration) Cell {
 	first := now - Minute(length/CellLength) + 1
 	var sum Cell
-	for m, c := range s.Cells {
-		if m >= first && m <= now {
-			sum = sum.Plus(c)
+	for _, t := range s.cells {
+		if m := t.minute(); m >= first && m <= now {
+			sum = sum.Plus(t.cell())
 		}
 	}
 	return sum
 }
 
+// at returns the cell of one of the last minutes.
+func (s *Series) at(m Minute) Cell {
+	for _, t := range s.cells {
+		if t.minute() == m {
+			return t.cell()
+		}
+	}
+	return Cell{}
+}
+
+// Latency returns a quantile of the latencies of about the last hour, or 0 without any.
+func (s *Series) Latency(now Minute, share float64) time.Duration {
+	return s.lastHour(now).quantile(share)
+}
+
+func (s *Series) lastHour(now Minute) latencies {
+	var all latencies
+	for _, w := range s.windows {
+		if w.start > now-latencyMinutes && w.start <= now {
+			all.merge(w.buckets)
+		}
+	}
+	return all
+}
+
 // Set holds the series of one host, or of all hosts once merged.
 type Set map[SeriesID]*Series
 
@@ -92,9 +186,6 @@
 // IDs returns the identifiers in order of service, then workspace.
 func (s Set) IDs() []SeriesID {
 	return slices.SortedFunc(maps.Keys(s), func(a, b SeriesID) int {
-		if n := strings.Compare(string(a.Service), string(b.Service)); n != 0 {
-			return n
-		}
-		return strings.Compare(string(a.Workspace), string(b.Workspace))
+		return cmp.Or(strings.Compare(string(a.Service), string(b.Service)), strings.Compare(string(a.Workspace), string(b.Workspace)))
 	})
 }
