Add a process that is a seat and takes no traffic

Change: `tarragongauge seat` runs the seat and the freshness client alone. It is a member without candidacy for shards, is listed in the status, and is not asked for evidence or counters.

--- a/cmd/tarragongauge/check.go
+++ b/cmd/tarragongauge/check.go
@@ -28,7 +28,7 @@
 			return a.check(conf.Role(role), args, withoutFiles)
 		},
 	}
-	cmd.Flags().StringVar(&role, "role", "", "control, entry, journal, all, target or client")
+	cmd.Flags().StringVar(&role, "role", "", "control, entry, journal, seat, all, target or client")
 	cmd.Flags().BoolVar(&withoutFiles, "without-files", false, "do not look at the files and folders that settings name")
 	cmd.Flags().BoolVar(&reference, "reference", false, "print the table of all settings")
 	return cmd
--- a/cmd/tarragongauge/included.go
+++ b/cmd/tarragongauge/included.go
@@ -23,6 +23,7 @@
 		control: node.RunControl,
 		entry:   node.RunEntry,
 		journal: node.RunJournal,
+		seat:    node.RunSeat,
 		target:  runTarget,
 		burn:    writeBurn,
 		load:    runLoad,
--- a/cmd/tarragongauge/process.go
+++ b/cmd/tarragongauge/process.go
@@ -17,6 +17,7 @@
 	control func(ctx context.Context, c conf.Control, log logr.Logger) error
 	entry   func(ctx context.Context, c conf.Entry, log logr.Logger) error
 	journal func(ctx context.Context, c conf.Journal, log logr.Logger) error
+	seat    func(ctx context.Context, c conf.Seat, log logr.Logger) error
 	all     func(ctx context.Context, c conf.All, log logr.Logger) error
 	target  func(ctx context.Context, c conf.Target, log logr.Logger) error
 	load    func(ctx context.Context, o loadOptions, out io.Writer) error
--- a/cmd/tarragongauge/root.go
+++ b/cmd/tarragongauge/root.go
@@ -58,7 +58,7 @@
 		return usage("%w; see %s --help", err, cmd.CommandPath())
 	})
 	root.AddCommand(
-		a.controlCommand(), a.entryCommand(), a.journalCommand(), a.allCommand(), a.targetCommand(), a.loadCommand(),
+		a.controlCommand(), a.entryCommand(), a.journalCommand(), a.seatCommand(), a.allCommand(), a.targetCommand(), a.loadCommand(),
 		a.workspaceCommand(), a.keyCommand(), a.serviceCommand(), a.routeCommand(), a.defaultsCommand(), a.exceptionCommand(),
 		a.fleetCommand(), a.quarantineCommand(),
 		a.historyCommand(), a.silenceCommand(), a.statusCommand(), a.reportCommand(), a.checkCommand(), a.versionCommand(),
--- a/cmd/tarragongauge/script_test.go
+++ b/cmd/tarragongauge/script_test.go
@@ -167,7 +167,7 @@
 	}
 	units, err := filepath.Glob("../../contrib/systemd/*.service")
 	require.NoError(t, err)
-	require.Len(t, units, 3)
+	require.Len(t, units, 4)
 	for _, path := range units {
 		data, err := os.ReadFile(path)
 		require.NoError(t, err)
--- a/cmd/tarragongauge/session_test.go
+++ b/cmd/tarragongauge/session_test.go
@@ -109,6 +109,8 @@
 	portEntryFleet
 	portEntryOperators
 	portTarget
+	portSeatFleet
+	portSeatOperators
 )
 
 func (s *session) peers(kind int, prefix string, n int) string {
@@ -120,7 +122,7 @@
 }
 
 // writeSettings writes settings for control hosts c1 to c3, entry hosts e1 to
-// e4 of which three are seats, and targets t1 to t3.
+// e4 of which three are seats, seat hosts s1 to s3 and targets t1 to t3.
 func (s *session) writeSettings(dir string) error {
 	controls, seats := s.peers(portControlFleet, "c", 3), s.peers(portEntryFleet, "e", 3)
 	fleet := fmt.Sprintf("[fleet]\nname = session\nsecret_file = fleet.secret\ncontrols = %s\nseats = %s\njournals = %s\n", controls, seats, controls)
@@ -142,6 +144,10 @@
 		files[fmt.Sprintf("e%d.ini", i)] = fmt.Sprintf("[host]\nname = e%d\nzone = z%d\n[listen]\ncallers = %s\nannounce = %s\nfleet = %s\noperators = %s\n%s",
 			i, i%3+1, s.port(portCallers, i), s.port(portAnnounce, i), s.port(portEntryFleet, i), s.port(portEntryOperators, i), fleet)
 	}
+	for i := 1; i <= 3; i++ {
+		files[fmt.Sprintf("s%d.ini", i)] = fmt.Sprintf("[host]\nname = s%d\nzone = z%d\n[listen]\nfleet = %s\noperators = %s\n%s",
+			i, i, s.port(portSeatFleet, i), s.port(portSeatOperators, i), fleet)
+	}
 	for i := 1; i <= 3; i++ {
 		files[fmt.Sprintf("t%d.ini", i)] = fmt.Sprintf("[target]\nservice = stockbook\nname = t%d\nzone = z%d\naddr = %s\nannounce = %s, %s\nsecret_file = announce.secret\nlatency = 1ms\n",
 			i, i, s.port(portTarget, i), s.port(portAnnounce, 1), s.port(portAnnounce, 2))
@@ -159,7 +165,7 @@
 // startProcess starts processes named after their settings: start NAME...
 func startProcess(ts *testscript.TestScript, _ bool, names []string) {
 	s := sessionOf(ts)
-	roles := map[byte]string{'c': "control", 'e': "entry", 't': "target"}
+	roles := map[byte]string{'c': "control", 'e': "entry", 's': "seat", 't': "target"}
 	for _, name := range names {
 		path, err := exec.LookPath("tarragongauge")
 		ts.Check(err)
--- a/internal/conf/load.go
+++ b/internal/conf/load.go
@@ -41,6 +41,12 @@
 	return Journal{Host: v.host, Listen: v.listen, Fleet: v.fleet, Operators: v.operators, Limits: v.limits, Log: v.log, TLS: v.tls, CreateFleet: v.create}, err
 }
 
+// LoadSeat loads the settings of a host that is a seat and takes no traffic.
+func LoadSeat(path string, opts ...Option) (Seat, error) {
+	v, err := load(path, RoleSeat, opts)
+	return Seat{Host: v.host, Listen: v.listen, Fleet: v.fleet, Operators: v.operators, Limits: v.limits, Log: v.log, TLS: v.tls}, err
+}
+
 // LoadAll loads the settings of a first trial.
 func LoadAll(path string, opts ...Option) (All, error) {
 	v, err := load(path, RoleAll, opts)
--- a/internal/conf/setting.go
+++ b/internal/conf/setting.go
@@ -13,6 +13,7 @@
 	RoleControl Role = "control"
 	RoleEntry   Role = "entry"
 	RoleJournal Role = "journal"
+	RoleSeat    Role = "seat"
 	RoleAll     Role = "all"
 	RoleTarget  Role = "target"
 	RoleClient  Role = "client"
@@ -20,7 +21,7 @@
 
 // Roles returns all roles.
 func Roles() []Role {
-	return []Role{RoleControl, RoleEntry, RoleJournal, RoleAll, RoleTarget, RoleClient}
+	return []Role{RoleControl, RoleEntry, RoleJournal, RoleSeat, RoleAll, RoleTarget, RoleClient}
 }
 
 // Setting describes one setting for the reference.
@@ -65,7 +66,7 @@
 	allowSecret = "the path of a file with a secret of 16 to 4096 bytes that only its owner and group can read"
 )
 
-func fleetRoles() []Role { return []Role{RoleControl, RoleEntry, RoleJournal} }
+func fleetRoles() []Role { return []Role{RoleControl, RoleEntry, RoleJournal, RoleSeat} }
 
 func processRoles() []Role { return append(fleetRoles(), RoleAll) }
 
@@ -142,7 +143,7 @@
 			},
 		},
 		{
-			Setting{Section: "fleet", Key: "seats", Roles: fleetRoles(), Required: fleetRoles(), Allowed: list("1, 3, 5 or 7"), Help: "entry hosts that confirm versions and grant leases, with their fleet addresses"},
+			Setting{Section: "fleet", Key: "seats", Roles: fleetRoles(), Required: fleetRoles(), Allowed: list("1, 3, 5 or 7"), Help: "entry hosts or seat hosts that confirm versions and grant leases, with their fleet addresses"},
 			func(v *values, _ files, s string) []problem {
 				return parsePeers(&v.fleet.Seats, s, []int{1, 3, 5, 7})
 			},
--- a/internal/conf/types.go
+++ b/internal/conf/types.go
@@ -114,6 +114,17 @@
 	CreateFleet bool
 }
 
+// Seat holds the settings of a host that is a seat and takes no traffic.
+type Seat struct {
+	Host      Host
+	Listen    Listen
+	Fleet     Fleet
+	Operators Operators
+	Limits    Limits
+	Log       Log
+	TLS       TLS
+}
+
 // All holds the settings of a first trial with every role in one process.
 type All struct {
 	Host      Host
--- a/internal/link/tls.go
+++ b/internal/link/tls.go
@@ -95,6 +95,8 @@
 		return trust.RoleEntry
 	case proto.RoleJournal:
 		return trust.RoleJournal
+	case proto.RoleSeat:
+		return trust.RoleSeat
 	default:
 		return ""
 	}
--- a/internal/node/backend.go
+++ b/internal/node/backend.go
@@ -114,7 +114,7 @@
 
 // Burn returns the merged service-level counters of all entry hosts.
 func (c *controlHost) Burn(ctx context.Context) ([]byte, error) {
-	members := c.seen()
+	members := c.seenEntries()
 	replies := gather(ctx, c, c.burns, members, func(nonce uint64) proto.Message { return proto.BurnAsk{Nonce: nonce} })
 	fleet := burn.Fleet{At: burn.MinuteOf(time.Now()), Config: c.applied(), Set: burn.Set{}}
 	for _, m := range members {
@@ -135,7 +135,7 @@
 	return fleet.Encode()
 }
 
-// Status asks every entry host for its state.
+// Status asks every entry host and seat for its state.
 func (c *controlHost) Status(ctx context.Context) (opsapi.Status, error) {
 	members := c.seen()
 	replies := gather(ctx, c, c.statuses, members, func(nonce uint64) proto.Message { return proto.StatusAsk{Nonce: nonce} })
@@ -151,16 +151,23 @@
 	for _, m := range members {
 		reply, ok := replies[m.member.Host]
 		status.Hosts = append(status.Hosts, opsapi.HostStatus{
-			Host: string(m.member.Host), Role: "entry", Zone: string(m.member.Zone), Addr: m.member.Addr,
+			Host: string(m.member.Host), Role: roleName(m.member.Role), Zone: string(m.member.Zone), Addr: m.member.Addr,
 			Draining: m.member.Draining, Answered: ok, Detail: reply.Data,
 		})
 	}
 	return status, nil
 }
 
+func roleName(r proto.Role) string {
+	if r == proto.RoleSeat {
+		return "seat"
+	}
+	return "entry"
+}
+
 // ClearQuarantine tells every entry host, of which the owner of the service acts on it.
 func (c *controlHost) ClearQuarantine(_ context.Context, service model.ServiceName, ws model.WorkspaceID) error {
-	for _, m := range c.seen() {
+	for _, m := range c.seenEntries() {
 		c.send(m.member.Host, proto.QuarantineClear{Service: service, Workspace: ws})
 	}
 	return nil
--- a/internal/node/control.go
+++ b/internal/node/control.go
@@ -27,7 +27,7 @@
 // reports can name it as missing.
 const memberKeep = 24 * time.Hour
 
-// seenMember is an entry host as control last heard from it.
+// seenMember is an entry host or a seat as control last heard from it.
 type seenMember struct {
 	member proto.Member
 	have   model.Version
@@ -252,7 +252,13 @@
 	c.learn([]proto.Member{ask.Member})
 }
 
-// seen lists the entry hosts heard from within memberKeep, by name.
+// seenEntries lists the entry hosts heard from within memberKeep, by name. The
+// others take no traffic, so that evidence and counters need nothing from them.
+func (c *controlHost) seenEntries() []seenMember {
+	return slices.DeleteFunc(c.seen(), func(m seenMember) bool { return m.member.Role != proto.RoleEntry })
+}
+
+// seen lists the hosts heard from within memberKeep, by name.
 func (c *controlHost) seen() []seenMember {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/node/process.go
+++ b/internal/node/process.go
@@ -249,8 +249,8 @@
 }
 
 // every calls fn at an interval until the process stops.
-func (p *process) every(name string, interval time.Duration, fn func()) {
-	p.tree.Go(name, func(ctx context.Context) error {
+func (p *process) every(interval time.Duration, fn func()) {
+	p.tree.Go("ticks", func(ctx context.Context) error {
 		ticker := time.NewTicker(interval)
 		defer ticker.Stop()
 		for {
--- a/internal/node/run_control.go
+++ b/internal/node/run_control.go
@@ -87,7 +87,7 @@
 	if err != nil {
 		return nil, nil, errors.Join(err, stop())
 	}
-	p.every("ticks", controlTick, d.tick)
+	p.every(controlTick, d.tick)
 	return p, stop, nil
 }
 
@@ -150,7 +150,7 @@
 	if err != nil {
 		return nil, nil, errors.Join(err, stop())
 	}
-	p.every("ticks", controlTick, d.tick)
+	p.every(controlTick, d.tick)
 	return p, stop, nil
 }
 
--- a/internal/node/run_entry.go
+++ b/internal/node/run_entry.go
@@ -96,7 +96,7 @@
 	if err := errors.Join(p.serveFleet(c.Listen.Fleet), p.serveOperators(c.Listen.Operators, h, h.vars)); err != nil {
 		return nil, err
 	}
-	p.every("ticks", entryTick, h.tick)
+	p.every(entryTick, h.tick)
 	return drain, nil
 }
 
--- /dev/null
+++ b/internal/node/run_seat.go
@@ -0,0 +1,154 @@
+package node
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-logr/logr"
+
+	"tarragongauge.example/tarragongauge/internal/admin"
+	"tarragongauge.example/tarragongauge/internal/conf"
+	"tarragongauge.example/tarragongauge/internal/lease"
+	"tarragongauge.example/tarragongauge/internal/link"
+	"tarragongauge.example/tarragongauge/internal/proto"
+	"tarragongauge.example/tarragongauge/pkg/model"
+	"tarragongauge.example/tarragongauge/pkg/opsapi"
+)
+
+// seatHost drives a seat without the other parts of an entry host. Its
+// freshness client announces it to the fleet and tells the seat which lists of
+// seats are in force.
+type seatHost struct {
+	log   logr.Logger
+	mesh  link.Sender
+	fresh *runner[lease.Event, lease.Effect]
+	seat  *runner[lease.Event, lease.Effect]
+	clock clock
+	learn func([]proto.Member)
+
+	version atomic.Uint64
+	// freshUntil is a model.Instant.
+	freshUntil atomic.Int64
+	draining   atomic.Bool
+}
+
+// RunSeat runs a seat host until ctx ends.
+func RunSeat(ctx context.Context, c conf.Seat, log logr.Logger) error {
+	p, stop, err := startSeat(c, log)
+	if err != nil {
+		return err
+	}
+	log.Info("seat host started", "host", c.Host.Name, "zone", c.Host.Zone)
+	return p.runUntil(ctx, stop)
+}
+
+func startSeat(c conf.Seat, log logr.Logger, extra ...link.Option) (*process, func() error, error) {
+	var h *seatHost
+	p, stopProcess, err := newProcess(processSetup{
+		role: proto.RoleSeat, host: c.Host, addr: c.Listen.Fleet, fleet: c.Fleet, tls: c.TLS, queue: c.Limits.LinkQueue, log: log,
+	}, func(from hostID, m proto.Message) { h.receive(from, m) }, extra)
+	if err != nil {
+		return nil, nil, err
+	}
+	h = newSeatHost(p, c.Fleet, log)
+	vars := admin.NewVars()
+	vars.Func("links", func() any { return p.mesh.Stats() })
+	vars.Func("seat", func() any { return h.status() })
+	if err := errors.Join(p.serveFleet(c.Listen.Fleet), p.serveOperators(c.Listen.Operators, h, vars)); err != nil {
+		stopProcess()
+		return nil, nil, err
+	}
+	p.every(entryTick, h.tick)
+	return p, func() error { h.draining.Store(true); stopProcess(); return nil }, nil
+}
+
+func newSeatHost(p *process, fleet conf.Fleet, log logr.Logger) *seatHost {
+	h := &seatHost{log: log, mesh: p.mesh, clock: newClock(), learn: p.mesh.Learn}
+	opts := []lease.Option{
+		lease.WithTiming(lease.DefaultTiming()),
+		lease.WithIncarnation(p.self.Incarnation),
+		lease.WithBootstrap(hostsOf(fleet.Seats), hostsOf(fleet.Controls)),
+		lease.WithWallMillis(func() int64 { return time.Now().UnixMilli() }),
+	}
+	h.fresh = newRunner(h.clock, lease.NewFresh(p.self, opts...).Step, h.applyFresh)
+	h.seat = newRunner(h.clock, lease.NewSeat(p.self.Host, opts...).Step, h.applySeat)
+	return h
+}
+
+func (h *seatHost) tick() {
+	h.fresh.post(lease.Tick{})
+	h.seat.post(lease.Tick{})
+}
+
+func (h *seatHost) receive(from model.HostID, m proto.Message) {
+	switch m := m.(type) {
+	case proto.FreshReply:
+		h.fresh.post(lease.Received{From: from, Msg: m})
+		h.seat.post(lease.Received{From: from, Msg: m})
+	case proto.FreshAsk, proto.SeatStage, proto.SeatLearn, proto.SeatLearnReply, proto.LeaseAsk:
+		h.seat.post(lease.Received{From: from, Msg: m})
+	case proto.StatusAsk:
+		h.report(from, m)
+	default:
+		h.log.V(1).Info("ignored a message that seats do not take", "from", from)
+	}
+}
+
+func (h *seatHost) applyFresh(f lease.Effect) {
+	switch f := f.(type) {
+	case lease.Send:
+		h.mesh.Send(f.To, f.Msg)
+	case lease.ConfigChanged:
+		h.version.Store(uint64(f.Config.Version))
+		h.seat.post(f)
+		h.log.Info("configuration in force", "version", f.Config.Version)
+	case lease.FreshUntil:
+		h.freshUntil.Store(int64(f.Until))
+		h.seat.post(f)
+	case lease.MembersChanged:
+		h.learn(f.Members)
+		h.seat.post(f)
+	case lease.QuorumsChanged:
+		h.seat.post(f)
+	default:
+	}
+}
+
+func (h *seatHost) applySeat(f lease.Effect) {
+	if f, ok := f.(lease.Send); ok {
+		h.mesh.Send(f.To, f.Msg)
+	}
+}
+
+func (h *seatHost) status() opsapi.EntryDetail {
+	return opsapi.EntryDetail{
+		Version:    h.version.Load(),
+		FreshForMs: model.Instant(h.freshUntil.Load()).Sub(h.clock.now()).Milliseconds(),
+		Draining:   h.draining.Load(),
+		Services:   []opsapi.ServiceDetail{},
+	}
+}
+
+func (h *seatHost) report(from model.HostID, m proto.StatusAsk) {
+	data, err := json.Marshal(h.status())
+	if err != nil {
+		h.log.Error(err, "cannot report the status of this host")
+		return
+	}
+	h.mesh.Send(from, proto.StatusReply{Nonce: m.Nonce, Data: data})
+}
+
+// Ready returns what this host waits for before it can confirm versions.
+func (h *seatHost) Ready() error {
+	switch {
+	case h.draining.Load():
+		return errors.New("this host is stopping")
+	case h.version.Load() == 0:
+		return errors.New("this host waits for a configuration; check that a majority of seats or the leader of control is reachable")
+	default:
+		return nil
+	}
+}
--- a/internal/node/silence.go
+++ b/internal/node/silence.go
@@ -26,7 +26,7 @@
 		out.Missing = append(out.Missing, fmt.Sprintf("workspace %q is not withdrawn; withdraw it first", id))
 		return out, nil
 	}
-	members := c.seen()
+	members := c.seenEntries()
 	replies := gather(ctx, c, c.evidence, members, func(nonce uint64) proto.Message {
 		return proto.EvidenceAsk{Nonce: nonce, Workspace: id}
 	})
--- a/internal/proto/message.go
+++ b/internal/proto/message.go
@@ -27,6 +27,8 @@
 	RoleControl Role = iota + 1
 	RoleEntry
 	RoleJournal
+	// RoleSeat confirms versions and grants leases without taking traffic.
+	RoleSeat
 )
 
 // Hello is the first message on a link in each direction.
--- a/internal/trust/api.go
+++ b/internal/trust/api.go
@@ -18,11 +18,12 @@
 	RoleControl   Role = "control"
 	RoleEntry     Role = "entry"
 	RoleJournal   Role = "journal"
+	RoleSeat      Role = "seat"
 	RoleOperators Role = "operators"
 )
 
 // Roles returns all roles.
-func Roles() []Role { return []Role{RoleControl, RoleEntry, RoleJournal, RoleOperators} }
+func Roles() []Role { return []Role{RoleControl, RoleEntry, RoleJournal, RoleSeat, RoleOperators} }
 
 // Identity is what a certificate binds to its key.
 type Identity struct {
--- a/internal/wire/fresh.go
+++ b/internal/wire/fresh.go
@@ -93,7 +93,7 @@
 	if d.Role == 0 {
 		return proto.Member(d), nil
 	}
-	return proto.Member(d), checkEnum("role", d.Role, proto.RoleJournal)
+	return proto.Member(d), checkEnum("role", d.Role, proto.RoleSeat)
 }
 
 func toHello(m proto.Hello) (hello, error) {
