Report ejections, detection times and unconfirmed ejections

Cause: the burn report lacked what both users measure about targets: how fast a failing one is detected and how many healthy ones are ejected. Change: each host counts the verdicts it gave as the owner of a service; the report shows for each service the ejections of 6 hours by cause, median and worst detection time, and unconfirmed ejections. Result: TestEjectionsOfSeveralOwners, in the three forms of the report.

--- a/internal/burn/burn_test.go
+++ b/internal/burn/burn_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"fmt"
+	"io"
 	"testing"
 	"time"
 
@@ -193,6 +194,34 @@
 	require.Equal(t, 1, len(h.set))
 }
 
+// Guards against verdicts that are lost when a service moves to another owner,
+// and against a detection time or an unconfirmed ejection that is not reported.
+func TestEjectionsOfSeveralOwners(t *testing.T) {
+	at := time.UnixMilli(1_800_000_000_000)
+	a, b := host(&at), host(&at)
+	a.RecordEjection("stockbook", model.CauseSlow, 9*time.Second)
+	at = at.Add(6 * time.Hour)
+	a.RecordEjection("stockbook", model.CauseSlow, 700*time.Millisecond)
+	a.RecordUnconfirmed("stockbook")
+	b.RecordEjection("stockbook", model.CauseCrash, 0)
+	b.RecordEjection("stockbook", model.CauseErrors, 2*time.Second)
+	r := New(MinuteOf(at), model.NewConfig(nil, nil), merged(t, a, b), 2, nil)
+	require.Empty(t, r.Workspaces)
+	require.Equal(t, Ejections{
+		Total: 3, ByCause: map[model.EjectionCause]int{model.CauseSlow: 1, model.CauseCrash: 1, model.CauseErrors: 1},
+		Unconfirmed: 1, Median: 700 * time.Millisecond, Worst: 2 * time.Second,
+	}, r.Services[0].Ejections)
+	for form, write := range map[string]func(io.Writer, Report) error{
+		"errors 1, slow 1, crash 1":  WriteText,
+		`"detection_worst_ms": 2000`: WriteJSON,
+		"<td>700ms</td><td>2s</td>":  WriteHTML,
+	} {
+		var buf bytes.Buffer
+		require.NoError(t, write(&buf, r))
+		require.Contains(t, buf.String(), form)
+	}
+}
+
 func FuzzDecode(f *testing.F) {
 	data, err := Encode(Set{{Service: "s"}: newSeries()})
 	require.NoError(f, err)
@@ -200,6 +229,7 @@
 	at := time.UnixMilli(1_800_000_000_000)
 	h := host(&at)
 	record(h, 3, entry.Record{Status: 200, Outcome: model.OutcomeRan, Latency: time.Second})
+	h.RecordEjection("stockbook", model.CauseSlow, time.Second)
 	data, err = h.Encode()
 	require.NoError(f, err)
 	f.Add(data)
--- a/internal/burn/codec.go
+++ b/internal/burn/codec.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"time"
 
 	"github.com/fxamacker/cbor/v2"
 	"github.com/rotisserie/eris"
@@ -19,9 +20,14 @@
 	Cells []uint64
 	// Windows has for each window its start, the number of buckets, and for each bucket its number and count.
 	Windows []uint64
+	// Verdicts has verdictNumbers for each verdict: minute, cause and detection time in milliseconds.
+	Verdicts []uint64
 }
 
-const cellNumbers = 6
+const (
+	cellNumbers    = 6
+	verdictNumbers = 3
+)
 
 var errCounters = errors.New("service-level counters are malformed; run the same version of tarragongauge everywhere")
 
@@ -32,6 +38,9 @@
 		w := wireSeries{Service: string(id.Service), Workspace: string(id.Workspace)}
 		w.Cells = appendCells(w.Cells, s[id].cells)
 		w.Windows = appendWindows(w.Windows, s[id].windows)
+		for _, v := range s[id].verdicts {
+			w.Verdicts = append(w.Verdicts, uint64(v.at), uint64(v.cause), uint64(max(0, v.after.Milliseconds())))
+		}
 		out = append(out, w)
 	}
 	data, err := cbor.Marshal(out)
@@ -67,7 +76,7 @@
 	set := Set{}
 	for _, w := range in {
 		s := set.series(SeriesID{Service: model.ServiceName(w.Service), Workspace: model.WorkspaceID(w.Workspace)})
-		if !s.takeCells(w.Cells) || !s.takeWindows(w.Windows) {
+		if !s.takeCells(w.Cells) || !s.takeWindows(w.Windows) || !s.takeVerdicts(w.Verdicts) {
 			return nil, eris.Wrapf(errCounters, "decode the counters of service %q", w.Service)
 		}
 	}
@@ -123,6 +132,22 @@
 	return true
 }
 
+func (s *Series) takeVerdicts(numbers []uint64) bool {
+	if len(numbers)%verdictNumbers != 0 || len(numbers) > maxVerdicts*verdictNumbers {
+		return false
+	}
+	for ; len(numbers) > 0; numbers = numbers[verdictNumbers:] {
+		if numbers[0] >= maxMinute || numbers[1] > uint64(model.CauseCrash) || numbers[2] >= maxCount {
+			return false
+		}
+		s.judge(verdict{
+			at: Minute(numbers[0]), cause: model.EjectionCause(numbers[1]),
+			after: time.Duration(numbers[2]) * time.Millisecond,
+		})
+	}
+	return true
+}
+
 func (l *latencies) take(numbers []uint64) bool {
 	for i := 0; i < len(numbers); i += 2 {
 		if numbers[i] > lastBucket || numbers[i+1] >= maxCount {
--- a/internal/burn/html.go
+++ b/internal/burn/html.go
@@ -38,6 +38,10 @@
 <table><tr><th>service</th><th>workspace</th><th>requests 1 h</th><th>success</th><th>within latency</th><th>p50</th><th>p99</th><th>availability burn</th><th>latency burn</th><th>limited</th><th>limited within rate</th><th>no owner</th></tr>
 {{range .Lines}}<tr{{if .Alert}} class="alert"{{end}}><td>{{.ID.Service}}</td><td>{{.ID.Workspace}}</td><td>{{.Total}}</td><td>{{percent .SuccessShare}}</td><td>{{percent .FastShare}}</td><td>{{.P50}}</td><td>{{.P99}}</td><td>{{rates .Availability}}</td><td>{{rates .Latency}}</td><td>{{.Limited}}</td><td>{{.LimitedInRate}}</td><td>{{.RefusedNoOwner}}</td></tr>
 {{end}}</table>{{end}}
+<h2>Ejections of targets, last 6 h</h2>
+<table><tr><th>service</th><th>by cause</th><th>ejections</th><th>detection median</th><th>detection worst</th><th>unconfirmed</th></tr>
+{{range .Report.Services}}<tr><td>{{.ID.Service}}</td><td>{{causes .Ejections}}</td><td>{{.Ejections.Total}}</td><td>{{.Ejections.Median}}</td><td>{{.Ejections.Worst}}</td><td>{{.Ejections.Unconfirmed}}</td></tr>
+{{end}}</table>
 <h2>Failed, slow and limited requests by minute, worst-served workspaces</h2>
 {{range .Plots}}<h3>{{.Title}}</h3>{{.SVG}}{{end}}
 </body></html>
@@ -58,6 +62,7 @@
 	tmpl, err := template.New("burn").Funcs(template.FuncMap{
 		"percent": func(v float64) string { return formatPercent(v) },
 		"rates":   formatRates,
+		"causes":  formatCauses,
 	}).Parse(page)
 	if err != nil {
 		return eris.Wrap(err, "parse the page template")
--- a/internal/burn/json.go
+++ b/internal/burn/json.go
@@ -30,6 +30,16 @@
 	LimitedWithinRate uint64      `json:"limited_within_rate_1h"`
 	NoOwner           uint64      `json:"refused_no_owner_1h"`
 	Alert             bool        `json:"alert"`
+	// Ejections is present on lines of services.
+	Ejections *jsonEjections `json:"ejections_6h,omitempty"`
+}
+
+type jsonEjections struct {
+	Total       int            `json:"total"`
+	ByCause     map[string]int `json:"by_cause"`
+	MedianMs    int64          `json:"detection_median_ms"`
+	WorstMs     int64          `json:"detection_worst_ms"`
+	Unconfirmed int            `json:"unconfirmed"`
 }
 
 type jsonRates struct {
@@ -49,6 +59,9 @@
 		Services:   jsonLines(r.Services),
 		Workspaces: jsonLines(r.Workspaces),
 	}
+	for i, l := range r.Services {
+		out.Services[i].Ejections = jsonEjectionsOf(l.Ejections)
+	}
 	for _, h := range r.Missing {
 		out.Missing = append(out.Missing, string(h))
 	}
@@ -79,6 +92,17 @@
 	return out
 }
 
+func jsonEjectionsOf(e Ejections) *jsonEjections {
+	out := &jsonEjections{
+		Total: e.Total, ByCause: map[string]int{}, Unconfirmed: e.Unconfirmed,
+		MedianMs: e.Median.Milliseconds(), WorstMs: e.Worst.Milliseconds(),
+	}
+	for cause, n := range e.ByCause {
+		out.ByCause[cause.String()] = n
+	}
+	return out
+}
+
 func jsonRatesOf(rates []Rates) []jsonRates {
 	out := make([]jsonRates, 0, len(rates))
 	for _, r := range rates {
--- a/internal/burn/recorder.go
+++ b/internal/burn/recorder.go
@@ -69,7 +69,7 @@
 	r.swept = now
 	for id, s := range r.set {
 		s.age(now)
-		if len(s.cells) == 0 {
+		if s.empty() {
 			delete(r.set, id)
 		}
 	}
@@ -115,6 +115,7 @@
 		}
 		to := out.series(id)
 		to.mergeCells(from)
+		to.mergeVerdicts(from)
 		to.window(now - now%coarseMinutes).merge(from.lastHour(now))
 	}
 	return out
--- a/internal/burn/report.go
+++ b/internal/burn/report.go
@@ -49,6 +49,8 @@
 	LimitedInRate    uint64
 	RefusedNoOwner   uint64
 	ObjectiveApplied model.Objective
+	// Ejections is set on lines of services.
+	Ejections Ejections
 }
 
 // Alert reports whether any pair alerts.
@@ -90,11 +92,15 @@
 	services := Set{}
 	for _, id := range set.IDs() {
 		services.series(SeriesID{Service: id.Service}).merge(set[id])
+		if len(set[id].cells) == 0 {
+			continue
+		}
 		report.Workspaces = append(report.Workspaces, newLine(at, cfg, id, set[id]))
 	}
 	for _, id := range services.IDs() {
 		line := newLine(at, cfg, id, services[id])
 		line.LimitedInRate = sumInRate(report.Workspaces, id.Service)
+		line.Ejections = services[id].ejections(at)
 		report.Services = append(report.Services, line)
 	}
 	sortWorstFirst(report.Services)
--- a/internal/burn/series.go
+++ b/internal/burn/series.go
@@ -59,8 +59,13 @@
 	cells []timedCell
 	// windows are in ascending order of their start.
 	windows []latencyWindow
+	// verdicts are in ascending order of time, on series without a workspace.
+	verdicts []verdict
 }
 
+// empty reports whether no window reaches anything that was counted.
+func (s *Series) empty() bool { return len(s.cells) == 0 && len(s.verdicts) == 0 }
+
 func newSeries() *Series { return &Series{} }
 
 // add counts in a minute. A later minute than any before folds and drops old cells.
@@ -98,6 +103,7 @@
 	}
 	s.cells = kept
 	s.windows = slices.DeleteFunc(s.windows, func(w latencyWindow) bool { return w.start <= now-latencyMinutes })
+	s.verdicts = slices.DeleteFunc(s.verdicts, func(v verdict) bool { return v.at <= now-CellCount })
 }
 
 // observe counts the latency of an answered request.
@@ -115,6 +121,7 @@
 
 func (s *Series) merge(o *Series) {
 	s.mergeCells(o)
+	s.mergeVerdicts(o)
 	for _, w := range o.windows {
 		s.window(w.start).merge(w.buckets)
 	}
--- a/internal/burn/text.go
+++ b/internal/burn/text.go
@@ -4,10 +4,13 @@
 	"bytes"
 	"fmt"
 	"io"
+	"strings"
 	"text/tabwriter"
 	"time"
 
 	"github.com/rotisserie/eris"
+
+	"tarragongauge.example/tarragongauge/pkg/model"
 )
 
 // WriteText writes the report as aligned text.
@@ -24,6 +27,7 @@
 	}
 	writeLines(&buf, "\nservices, worst first", r.Services)
 	writeLines(&buf, "\nworkspaces, worst first", r.Workspaces)
+	writeEjections(&buf, r.Services)
 	return align(w, buf.Bytes())
 }
 
@@ -45,6 +49,25 @@
 	}
 }
 
+func writeEjections(w *bytes.Buffer, services []Line) {
+	fmt.Fprintln(w, "\nejections of targets, last 6 h")
+	fmt.Fprintln(w, "service\tejections\tby cause\tdetection median\tdetection worst\tunconfirmed")
+	for _, l := range services {
+		e := l.Ejections
+		fmt.Fprintf(w, "%s\t%d\t%s\t%s\t%s\t%d\n", l.ID.Service, e.Total, formatCauses(e), e.Median, e.Worst, e.Unconfirmed)
+	}
+}
+
+func formatCauses(e Ejections) string {
+	var out []string
+	for _, c := range model.EjectionCauses() {
+		if n := e.ByCause[c]; n > 0 {
+			out = append(out, fmt.Sprintf("%s %d", c, n))
+		}
+	}
+	return orDash(strings.Join(out, ", "))
+}
+
 func orDash(s string) string {
 	if s == "" {
 		return "-"
--- a/pkg/model/target.go
+++ b/pkg/model/target.go
@@ -28,6 +28,38 @@
 	Load float64
 }
 
+// EjectionCause is the kind of evidence that a target was ejected for.
+type EjectionCause int
+
+// Causes of an ejection.
+const (
+	CauseErrors EjectionCause = iota + 1
+	CauseSlow
+	CauseUnresponsive
+	CauseCrash
+)
+
+// EjectionCauses returns all causes.
+func EjectionCauses() []EjectionCause {
+	return []EjectionCause{CauseErrors, CauseSlow, CauseUnresponsive, CauseCrash}
+}
+
+// String names a cause in reports and logs.
+func (c EjectionCause) String() string {
+	switch c {
+	case CauseErrors:
+		return "errors"
+	case CauseSlow:
+		return "slow"
+	case CauseUnresponsive:
+		return "unresponsive"
+	case CauseCrash:
+		return "crash"
+	default:
+		return "unknown"
+	}
+}
+
 // AttemptEnd says how one attempt on a target ended.
 type AttemptEnd int
 
