Count the time in which a host was suspended

Cause: found by reading. The cores' clock was Go's monotonic clock, which stands still while a host is suspended. A host that resumes would admit requests by a confirmation, and act by leases, that ended while it slept, also for a key that was withdrawn meanwhile. Change: the clock of the runtimes is CLOCK_BOOTTIME on Linux, and the monotonic clock elsewhere.

--- /dev/null
+++ b/internal/node/clock_linux.go
@@ -0,0 +1,24 @@
+package node
+
+import (
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+// hostUptime returns a clock that goes on while the host is suspended.
+func hostUptime() func() time.Duration {
+	if _, err := bootTime(); err != nil {
+		return monotonic()
+	}
+	return func() time.Duration {
+		d, _ := bootTime() // it was readable before, and has no other cause of failure
+		return d
+	}
+}
+
+func bootTime() (time.Duration, error) {
+	var ts unix.Timespec
+	err := unix.ClockGettime(unix.CLOCK_BOOTTIME, &ts)
+	return time.Duration(ts.Nano()), err
+}
