--- a/cmd/tarragongauge/fake_test.go
+++ b/cmd/tarragongauge/fake_test.go
@@ -93,7 +93,7 @@
 func (f *fakeFleet) Silence(_ context.Context, ws model.WorkspaceID) (opsapi.Evidence, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	w, ok := f.cfg.Workspaces[ws]
+	w, ok := f.cfg.Workspaces.Get(ws)
 	if !ok {
 		return opsapi.Evidence{}, model.ErrNotFound{Kind: "workspace", Name: string(ws)}
 	}
@@ -115,7 +115,7 @@
 func (f *fakeFleet) ClearQuarantine(_ context.Context, service model.ServiceName, ws model.WorkspaceID) error {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if _, ok := f.cfg.Services[service]; !ok {
+	if _, ok := f.cfg.Services.Get(service); !ok {
 		return model.ErrNotFound{Kind: "service", Name: string(service)}
 	}
 	f.cleared = append(f.cleared, string(service)+"/"+string(ws))
--- a/internal/admit/bound_test.go
+++ b/internal/admit/bound_test.go
@@ -187,10 +187,9 @@
 func TestResolve(t *testing.T) {
 	cfg := model.NewConfig(nil, nil)
 	hash := keyHash("secret")
-	cfg.Workspaces["w"] = model.Workspace{ID: "w"}
-	cfg.Workspaces["gone"] = model.Workspace{ID: "gone", Withdrawn: true}
-	cfg.Keys[hash] = model.Key{ID: "k", Workspace: "w", Hash: hash}
-	cfg.Keys[keyHash("old")] = model.Key{ID: "o", Workspace: "gone", Hash: keyHash("old")}
+	cfg.Workspaces = cfg.Workspaces.With(model.Workspace{ID: "w"}).With(model.Workspace{ID: "gone", Withdrawn: true})
+	cfg.Keys = cfg.Keys.With(model.Key{ID: "k", Workspace: "w", Hash: hash}).
+		With(model.Key{ID: "o", Workspace: "gone", Hash: keyHash("old")})
 	tests := []struct {
 		name      string
 		presented []string
--- a/internal/admit/fleet_test.go
+++ b/internal/admit/fleet_test.go
@@ -87,8 +87,8 @@
 		tracks: map[model.WorkspaceID]*track{}, cut: map[*fleetHost]bool{},
 	}
 	for ws, l := range limits {
-		f.cfg.Workspaces[ws] = model.Workspace{ID: ws}
-		f.cfg.Exceptions[string(ws)] = model.Exception{ID: string(ws), Reason: "test", Override: model.LimitsOverride{Workspace: ws, Limits: l}}
+		f.cfg.Workspaces = f.cfg.Workspaces.With(model.Workspace{ID: ws})
+		f.cfg.Exceptions = f.cfg.Exceptions.With(model.Exception{ID: string(ws), Reason: "test", Override: model.LimitsOverride{Workspace: ws, Limits: l}})
 		f.tracks[ws] = &track{
 			most: l, meters: []*meter{{rate: l.Rate, burst: l.Burst}, {rate: l.Rate, burst: l.Burst}},
 			ideal: meter{rate: l.Rate, burst: l.Burst}, withinOf: map[model.RequestID]bool{},
@@ -299,9 +299,9 @@
 // setLimits changes the limits of a workspace at the owner. Windows that touch
 // the change are judged by the greater values.
 func (f *fleet) setLimits(ws model.WorkspaceID, l model.Limits) {
-	e := f.cfg.Exceptions[string(ws)]
+	e, _ := f.cfg.Exceptions.Get(string(ws))
 	e.Override = model.LimitsOverride{Workspace: ws, Limits: l}
-	f.cfg.Exceptions[string(ws)] = e
+	f.cfg.Exceptions = f.cfg.Exceptions.With(e)
 	t := f.tracks[ws]
 	t.most = model.Limits{Rate: max(t.most.Rate, l.Rate), Burst: max(t.most.Burst, l.Burst)}
 	t.meters[0].rate, t.meters[0].burst = t.most.Rate, t.most.Burst
--- a/internal/admit/handover_test.go
+++ b/internal/admit/handover_test.go
@@ -15,7 +15,7 @@
 func TestHandoverDoesNotRefuseWaitingRequests(t *testing.T) {
 	const ws = model.WorkspaceID("w")
 	cfg := model.NewConfig(nil, nil)
-	cfg.Workspaces[ws] = model.Workspace{ID: ws}
+	cfg.Workspaces = cfg.Workspaces.With(model.Workspace{ID: ws})
 	w := NewWallet("e")
 	w.Step(0, Configured{Config: cfg})
 	owned := func(host model.HostID) OwnersChanged {
--- a/internal/admit/key.go
+++ b/internal/admit/key.go
@@ -55,12 +55,8 @@
 			return "", ErrKey{Fault: KeysDiffer}
 		}
 	}
-	key, ok := cfg.Keys[hash]
-	if !ok || subtle.ConstantTimeCompare(key.Hash[:], hash[:]) != 1 {
-		return "", ErrKey{Fault: KeyUnknown}
-	}
-	ws, ok := cfg.Workspaces[key.Workspace]
-	if !ok || ws.Withdrawn {
+	key, ok := cfg.KeyFor(hash)
+	if !ok {
 		return "", ErrKey{Fault: KeyUnknown}
 	}
 	return key.Workspace, nil
--- a/internal/admit/owner.go
+++ b/internal/admit/owner.go
@@ -24,10 +24,7 @@
 type Owner struct {
 	settings
 	configured bool
-	defaults   model.Limits
-	// exceptions are the limits that differ from the defaults.
-	exceptions map[model.WorkspaceID]model.Limits
-	workspaces map[model.WorkspaceID]model.Workspace
+	cfg        model.Config
 	shards     [model.WorkspaceShards]ownedShard
 	sweepAt    model.Instant
 	out        [1]Effect
@@ -97,28 +94,14 @@
 
 func (o *Owner) configure(now model.Instant, cfg model.Config) {
 	o.configured = true
-	o.defaults = cfg.Defaults.Limits
-	o.workspaces = cfg.Workspaces
-	o.exceptions = map[model.WorkspaceID]model.Limits{}
-	for _, e := range cfg.Exceptions {
-		if l, ok := e.Override.(model.LimitsOverride); ok {
-			o.exceptions[l.Workspace] = l.Limits
-		}
-	}
+	o.cfg = cfg
 	for i := range o.shards {
 		for _, b := range o.shards[i].order {
-			b.setLimits(now, o.limits(b.workspace), o.settings)
+			b.setLimits(now, o.cfg.LimitsFor(b.workspace), o.settings)
 		}
 	}
 }
 
-func (o *Owner) limits(ws model.WorkspaceID) model.Limits {
-	if l, ok := o.exceptions[ws]; ok {
-		return l
-	}
-	return o.defaults
-}
-
 func (o *Owner) draw(now model.Instant, from model.HostID, m proto.DrawAsk) proto.DrawReply {
 	reply := proto.DrawReply{Nonce: m.Nonce, Workspace: m.Workspace}
 	sh := &o.shards[model.WorkspaceShard(m.Workspace)]
@@ -127,7 +110,7 @@
 		return reply
 	}
 	reply.Epoch = sh.epoch
-	if o.workspaces[m.Workspace].Withdrawn {
+	if ws, _ := o.cfg.Workspaces.Get(m.Workspace); ws.Withdrawn {
 		return reply
 	}
 	b := o.bucket(now, sh, m.Workspace)
@@ -151,7 +134,7 @@
 func (o *Owner) bucket(now model.Instant, sh *ownedShard, ws model.WorkspaceID) *bucket {
 	b, ok := sh.buckets[ws]
 	if !ok {
-		b = &bucket{workspace: ws, limits: o.limits(ws), at: sh.fillFrom, recent: map[model.HostID]*recent{}}
+		b = &bucket{workspace: ws, limits: o.cfg.LimitsFor(ws), at: sh.fillFrom, recent: map[model.HostID]*recent{}}
 		sh.buckets[ws] = b
 		sh.order = append(sh.order, b)
 	}
--- a/internal/codec/codec_test.go
+++ b/internal/codec/codec_test.go
@@ -114,13 +114,16 @@
 func (g gen) config() model.Config {
 	c := model.NewConfig(g.hosts(), g.hosts()).WithVersion(model.Version(g.num()))
 	c.Defaults = g.defaults()
+	var exceptions []model.Exception
+	var routes []model.Route
 	for range g.count() {
 		ws := model.Workspace{ID: model.WorkspaceID(g.text()), Withdrawn: g.flag(), WithdrawnAt: model.Version(g.num())}
-		c.Workspaces[ws.ID] = ws
+		c.Workspaces = c.Workspaces.With(ws)
 		k, s, e := g.key(), g.service(), g.exception()
-		c.Keys[k.Hash], c.Services[s.Name], c.Exceptions[e.ID] = k, s, e
-		c.Routes = append(c.Routes, g.route())
+		c.Keys, c.Services = c.Keys.With(k), c.Services.With(s.Name, s)
+		exceptions, routes = append(exceptions, e), append(routes, g.route())
 	}
+	c.Exceptions, c.Routes = model.ExceptionsOf(exceptions), model.RoutesOf(routes)
 	return c
 }
 
--- a/internal/codec/config.go
+++ b/internal/codec/config.go
@@ -1,9 +1,6 @@
 package codec
 
 import (
-	"cmp"
-	"maps"
-	"slices"
 	"time"
 
 	"tarragongauge.example/tarragongauge/pkg/model"
@@ -88,13 +85,13 @@
 	Objective objectiveDTO      `cbor:"2,keyasint"`
 }
 
-// configDTO lists map values by ascending key, so that equal configurations
-// have equal bytes.
+// configDTO lists workspaces, services and exceptions by name and keys by
+// digest, so that equal configurations have equal bytes.
 type configDTO struct {
 	Version    model.Version  `cbor:"1,keyasint"`
 	Defaults   defaultsDTO    `cbor:"2,keyasint"`
-	Workspaces []workspaceDTO `cbor:"3,keyasint"`
-	Keys       []keyDTO       `cbor:"4,keyasint"`
+	Workspaces workspacesDTO  `cbor:"3,keyasint"`
+	Keys       keysDTO        `cbor:"4,keyasint"`
 	Services   []serviceDTO   `cbor:"5,keyasint"`
 	Routes     []routeDTO     `cbor:"6,keyasint"`
 	Exceptions []exceptionDTO `cbor:"7,keyasint"`
@@ -111,7 +108,8 @@
 	return encode("configuration", dto)
 }
 
-// DecodeConfig decodes a configuration. Its maps are never nil.
+// DecodeConfig decodes a configuration. Workspaces and keys go straight into
+// their tables, without a list of them in between.
 func DecodeConfig(data []byte) (model.Config, error) {
 	var dto configDTO
 	if err := decode("configuration", data, &dto); err != nil {
@@ -126,25 +124,20 @@
 		return configDTO{}, err
 	}
 	dto := configDTO{
-		Version:  cfg.Version,
-		Defaults: defaults,
-		Seats:    cfg.Seats,
-		Controls: cfg.Controls,
+		Version:    cfg.Version,
+		Defaults:   defaults,
+		Workspaces: workspacesDTO{cfg.Workspaces},
+		Keys:       keysDTO{cfg.Keys},
+		Seats:      cfg.Seats,
+		Controls:   cfg.Controls,
 	}
-	for _, ws := range sortedValues(cfg.Workspaces) {
-		dto.Workspaces = append(dto.Workspaces, workspaceDTO(ws))
-	}
-	keys := slices.SortedFunc(maps.Values(cfg.Keys), func(a, b model.Key) int { return slices.Compare(a.Hash[:], b.Hash[:]) })
-	for _, k := range keys {
-		dto.Keys = append(dto.Keys, keyToDTO(k))
-	}
-	for _, s := range sortedValues(cfg.Services) {
+	for s := range cfg.Services.All() {
 		dto.Services = append(dto.Services, serviceToDTO(s))
 	}
-	for _, r := range cfg.Routes {
+	for r := range cfg.Routes.All() {
 		dto.Routes = append(dto.Routes, routeDTO(r))
 	}
-	for _, e := range sortedValues(cfg.Exceptions) {
+	for e := range cfg.Exceptions.All() {
 		ex, err := exceptionToDTO(e)
 		if err != nil {
 			return configDTO{}, err
@@ -154,65 +147,39 @@
 	return dto, nil
 }
 
-func sortedValues[K cmp.Ordered, V any](m map[K]V) []V {
-	values := make([]V, 0, len(m))
-	for _, k := range slices.Sorted(maps.Keys(m)) {
-		values = append(values, m[k])
-	}
-	return values
-}
-
 func configFromDTO(dto configDTO) (model.Config, error) {
+	services, err := mapSlice(dto.Services, serviceFromDTO)
+	if err != nil {
+		return model.Config{}, err
+	}
+	exceptions, err := mapSlice(dto.Exceptions, exceptionFromDTO)
+	if err != nil {
+		return model.Config{}, err
+	}
+	routes := make([]model.Route, 0, len(dto.Routes))
+	for _, r := range dto.Routes {
+		routes = append(routes, model.Route(r))
+	}
 	cfg := model.Config{
 		Version:    dto.Version,
 		Defaults:   defaultsFromDTO(dto.Defaults),
-		Workspaces: make(map[model.WorkspaceID]model.Workspace, len(dto.Workspaces)),
-		Keys:       make(map[model.KeyHash]model.Key, len(dto.Keys)),
-		Services:   make(map[model.ServiceName]model.Service, len(dto.Services)),
-		Exceptions: make(map[string]model.Exception, len(dto.Exceptions)),
+		Workspaces: dto.Workspaces.Workspaces,
+		Keys:       dto.Keys.Keys,
+		Services:   model.IndexOf(services, func(s model.Service) model.ServiceName { return s.Name }),
+		Routes:     model.RoutesOf(routes),
+		Exceptions: model.ExceptionsOf(exceptions),
 		Seats:      dto.Seats,
 		Controls:   dto.Controls,
 	}
-	for _, ws := range dto.Workspaces {
-		cfg.Workspaces[ws.ID] = model.Workspace(ws)
-	}
-	for _, k := range dto.Keys {
-		key, err := keyFromDTO(k)
-		if err != nil {
-			return model.Config{}, err
-		}
-		cfg.Keys[key.Hash] = key
-	}
-	for _, s := range dto.Services {
-		service, err := serviceFromDTO(s)
-		if err != nil {
-			return model.Config{}, err
-		}
-		cfg.Services[service.Name] = service
-	}
-	for _, r := range dto.Routes {
-		cfg.Routes = append(cfg.Routes, model.Route(r))
-	}
-	for _, e := range dto.Exceptions {
-		exception, err := exceptionFromDTO(e)
-		if err != nil {
-			return model.Config{}, err
-		}
-		cfg.Exceptions[exception.ID] = exception
-	}
 	return cfg, checkDuplicates(cfg, dto)
 }
 
 // checkDuplicates refuses lists in which one entry would hide another.
 func checkDuplicates(cfg model.Config, dto configDTO) error {
 	switch {
-	case len(cfg.Workspaces) != len(dto.Workspaces):
-		return malformed("configuration", "a workspace is listed twice")
-	case len(cfg.Keys) != len(dto.Keys):
-		return malformed("configuration", "a key is listed twice")
-	case len(cfg.Services) != len(dto.Services):
+	case cfg.Services.Len() != len(dto.Services):
 		return malformed("configuration", "a service is listed twice")
-	case len(cfg.Exceptions) != len(dto.Exceptions):
+	case cfg.Exceptions.Len() != len(dto.Exceptions):
 		return malformed("configuration", "an exception is listed twice")
 	default:
 		return nil
--- a/internal/codec/size_test.go
+++ b/internal/codec/size_test.go
@@ -1,7 +1,7 @@
 package codec
 
 import (
-	"encoding/binary"
+	"crypto/sha256"
 	"fmt"
 	"runtime"
 	"testing"
@@ -11,40 +11,118 @@
 	"tarragongauge.example/tarragongauge/pkg/model"
 )
 
-// sized returns a configuration with one key for each workspace.
+// sized returns a configuration with one key for each workspace, made by changes.
 func sized(workspaces int) model.Config {
 	cfg := model.NewConfig(nil, nil)
 	for i := range workspaces {
 		id := model.WorkspaceID(fmt.Sprintf("workspace-%06d", i))
-		key := model.Key{ID: "main", Workspace: id}
-		binary.BigEndian.PutUint64(key.Hash[:], uint64(i))
-		cfg.Workspaces[id] = model.Workspace{ID: id}
-		cfg.Keys[key.Hash] = key
+		cfg.Workspaces = cfg.Workspaces.With(model.Workspace{ID: id})
+		cfg.Keys = cfg.Keys.With(model.Key{ID: "main", Workspace: id, Hash: sha256.Sum256([]byte(id))})
 	}
 	return cfg.WithVersion(1)
 }
 
-// BenchmarkConfigSize gives the slopes of docs/CAPACITY.md: heap, encoded size
-// and the time to apply one change against the number of workspaces.
+// heapOf returns the heap bytes that a new value holds.
+func heapOf[V any](build func() V) (V, float64) {
+	var before, after runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&before)
+	v := build()
+	runtime.GC()
+	runtime.ReadMemStats(&after)
+	return v, float64(after.HeapAlloc) - float64(before.HeapAlloc)
+}
+
+// maxWorkspaceBytes is the heap that a workspace with its key may use.
+const maxWorkspaceBytes = 80
+
+// Guards against a configuration that outgrows the 32 MB of a node, as it is
+// decoded and as it grows by changes.
+func TestHeapOfConfiguration(t *testing.T) {
+	const workspaces = 50_000
+	grown, heap := heapOf(func() model.Config { return sized(workspaces) })
+	require.LessOrEqual(t, heap/workspaces, float64(maxWorkspaceBytes), "grown")
+	data, err := EncodeConfig(grown)
+	require.NoError(t, err)
+	decoded, heap := heapOf(func() model.Config {
+		cfg, err := DecodeConfig(data)
+		require.NoError(t, err)
+		return cfg
+	})
+	require.LessOrEqual(t, heap/workspaces, float64(maxWorkspaceBytes), "decoded")
+	require.Equal(t, workspaces, decoded.Keys.Len())
+	runtime.KeepAlive(grown)
+}
+
+// BenchmarkConfigSize gives the slopes of docs/CAPACITY.md against the number
+// of workspaces: heap, encoded size, and the time of a decode, a change and a lookup.
 func BenchmarkConfigSize(b *testing.B) {
-	for _, n := range []int{8, 1000, 32000, 320000} {
-		b.Run(fmt.Sprintf("workspaces=%d", n), func(b *testing.B) {
-			var before, after runtime.MemStats
-			runtime.GC()
-			runtime.ReadMemStats(&before)
-			cfg := sized(n)
-			runtime.GC()
-			runtime.ReadMemStats(&after)
-			data, err := EncodeConfig(cfg)
+	for _, n := range []int{1000, 32000, 320000} {
+		b.Run(fmt.Sprintf("workspaces=%d", n), func(b *testing.B) { benchmarkSize(b, n) })
+	}
+}
+
+func benchmarkSize(b *testing.B, n int) {
+	cfg, grown := heapOf(func() model.Config { return sized(n) })
+	data, err := EncodeConfig(cfg)
+	require.NoError(b, err)
+	b.Run("decode", func(b *testing.B) {
+		b.ReportAllocs()
+		for b.Loop() {
+			_, err := DecodeConfig(data)
 			require.NoError(b, err)
-			change := model.Proposal{Base: 1, Change: model.CreateWorkspace{Workspace: "one-more"}}
-			for b.Loop() {
-				_, err := cfg.Apply(2, change)
-				require.NoError(b, err)
-			}
-			b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/1e6, "heap-MB")
-			b.ReportMetric(float64(len(data))/1e6, "encoded-MB")
-			runtime.KeepAlive(cfg)
+		}
+		decoded, heap := heapOf(func() model.Config {
+			cfg, err := DecodeConfig(data)
+			require.NoError(b, err)
+			return cfg
 		})
+		b.ReportMetric(grown/float64(n), "grown-B/workspace")
+		b.ReportMetric(heap/float64(n), "heap-B/workspace")
+		b.ReportMetric(float64(len(data))/float64(n), "encoded-B/workspace")
+		runtime.KeepAlive(decoded)
+	})
+	for _, c := range []struct {
+		name   string
+		change model.Change
+	}{
+		{"create", model.CreateWorkspace{Workspace: "one-more"}},
+		{"issue", model.IssueKey{Key: model.Key{ID: "second", Workspace: "workspace-000007", Hash: model.KeyHash{7}}}},
+		{"withdraw", model.WithdrawWorkspace{Workspace: "workspace-000007"}},
+	} {
+		b.Run(c.name, func(b *testing.B) { benchmarkChange(b, cfg, c.change) })
+	}
+	hash := model.KeyHash(sha256.Sum256([]byte("workspace-000777")))
+	b.Run("lookup", func(b *testing.B) {
+		b.ReportAllocs()
+		for b.Loop() {
+			_, ok := cfg.KeyFor(hash)
+			if !ok {
+				b.Fatal("the key is not found")
+			}
+		}
+	})
+	next, err := cfg.Apply(2, model.Proposal{Base: 1, Change: model.WithdrawWorkspace{Workspace: "workspace-000007"}})
+	require.NoError(b, err)
+	b.Run("difference", func(b *testing.B) {
+		b.ReportAllocs()
+		for b.Loop() {
+			ended := 0
+			for range cfg.Keys.EndedIn(next.Keys) {
+				ended++
+			}
+			for range next.Workspaces.ChangedSince(cfg.Workspaces) {
+				ended++
+			}
+			require.Equal(b, 2, ended)
+		}
+	})
+}
+
+func benchmarkChange(b *testing.B, cfg model.Config, change model.Change) {
+	b.ReportAllocs()
+	for b.Loop() {
+		_, err := cfg.Apply(cfg.Version+1, model.Proposal{Base: cfg.Version, Change: change})
+		require.NoError(b, err)
 	}
 }
--- a/internal/entry/announce.go
+++ b/internal/entry/announce.go
@@ -67,7 +67,7 @@
 
 // secretFits compares in constant time, also for a service that does not exist.
 func (s *Server) secretFits(name model.ServiceName, secrets []string) bool {
-	service, ok := s.decider.Config().Services[name]
+	service, ok := s.decider.Config().Services.Get(name)
 	if len(secrets) != 1 {
 		return false
 	}
--- a/internal/entry/call.go
+++ b/internal/entry/call.go
@@ -182,8 +182,9 @@
 	if !ok {
 		return refuse(http.StatusUnauthorized, CodeUnknownKey, "the key is unknown or was withdrawn; ask the operators for a valid key")
 	}
-	c.workspace, c.key = key.Workspace, key.Hash
-	c.flight = &flight{workspace: key.Workspace, key: key.Hash, cancel: cancel}
+	// The registry keeps the name for longer than the configuration that it is a part of.
+	c.workspace, c.key = model.WorkspaceID(strings.Clone(string(key.Workspace))), key.Hash
+	c.flight = &flight{workspace: c.workspace, key: key.Hash, cancel: cancel}
 	c.s.registry.begin(c.flight, connOf(c.r.Context()))
 	if err := c.allowed(); err != nil {
 		c.endFlight()
@@ -204,7 +205,7 @@
 		return nil
 	}
 	cfg := c.s.decider.Config()
-	if _, ok := cfg.Keys[c.key]; !ok || cfg.Workspaces[c.workspace].Withdrawn {
+	if key, ok := cfg.KeyFor(c.key); !ok || key.Workspace != c.workspace {
 		return withdrawn()
 	}
 	if !c.s.decider.Fresh() {
--- a/internal/entry/fake_test.go
+++ b/internal/entry/fake_test.go
@@ -61,16 +61,16 @@
 	cfg.Defaults.Deadline = 2 * time.Second
 	for ws, key := range map[model.WorkspaceID]string{"shop-a": keyA, "shop-b": keyB} {
 		hash := model.KeyHash(sha256.Sum256([]byte(key)))
-		cfg.Workspaces[ws] = model.Workspace{ID: ws}
-		cfg.Keys[hash] = model.Key{ID: "k", Workspace: ws, Hash: hash}
+		cfg.Workspaces = cfg.Workspaces.With(model.Workspace{ID: ws})
+		cfg.Keys = cfg.Keys.With(model.Key{ID: "k", Workspace: ws, Hash: hash})
 	}
-	cfg.Services["stock"] = model.Service{Name: "stock", AnnounceHash: sha256.Sum256([]byte(secret))}
-	cfg.Routes = []model.Route{
+	cfg.Services = cfg.Services.With("stock", model.Service{Name: "stock", AnnounceHash: sha256.Sum256([]byte(secret))})
+	cfg.Routes = model.RoutesOf([]model.Route{
 		{Name: "lookup", PathPrefix: "/lookup", Service: "stock", Idempotent: true},
 		{Name: "strict", PathPrefix: "/strict", Service: "stock", RequireOrderKey: true},
 		{Name: "order", PathPrefix: "/order", Service: "stock"},
 		{Name: "open", PathPrefix: "/open", Service: "stock", Open: true, Idempotent: true},
-	}
+	})
 	return &fake{cfg: cfg, admit: entry.Admission{OK: true}, reserve: entry.Reservation{OK: true}}
 }
 
--- a/internal/entry/forward_test.go
+++ b/internal/entry/forward_test.go
@@ -439,20 +439,22 @@
 		want   string
 		retry  string
 	}{
-		"no route":        {nil, "/none", "404 no_route", ""},
-		"dot segment":     {nil, "/open/../order/x", "400 bad_path", ""},
-		"encoded dots":    {nil, "/open/%2e%2e/order/x", "400 bad_path", ""},
-		"empty segment":   {nil, "/open//x", "400 bad_path", ""},
-		"not fresh":       {func(f *fake) { f.stale = true }, "/lookup/x", "503 not_fresh", "1"},
-		"over rate":       {func(f *fake) { f.admit = entry.Admission{RetryAfter: 1500 * time.Millisecond} }, "/lookup/x", "429 rate_limited", "2"},
-		"no owner":        {func(f *fake) { f.admit = entry.Admission{NoOwner: true} }, "/lookup/x", "503 no_owner", "1"},
-		"no order key":    {nil, "/strict/x", "400 order_key_required", ""},
-		"no target":       {noSlot(proto.SlotNoTarget), "/lookup/x", "503 no_target", "1"},
-		"queue full":      {noSlot(proto.SlotQueueFull), "/lookup/x", "503 queue_full", "1"},
-		"too late":        {noSlot(proto.SlotTooLate), "/lookup/x", "503 deadline_unreachable", "1"},
-		"quarantined":     {noSlot(proto.SlotQuarantined), "/lookup/x", "422 quarantined", ""},
-		"slot no owner":   {noSlot(proto.SlotNotOwner), "/lookup/x", "503 no_owner", "1"},
-		"withdrawn":       {func(f *fake) { f.cfg.Workspaces["shop-a"] = model.Workspace{ID: "shop-a", Withdrawn: true} }, "/lookup/x", "401 unknown_key", ""},
+		"no route":      {nil, "/none", "404 no_route", ""},
+		"dot segment":   {nil, "/open/../order/x", "400 bad_path", ""},
+		"encoded dots":  {nil, "/open/%2e%2e/order/x", "400 bad_path", ""},
+		"empty segment": {nil, "/open//x", "400 bad_path", ""},
+		"not fresh":     {func(f *fake) { f.stale = true }, "/lookup/x", "503 not_fresh", "1"},
+		"over rate":     {func(f *fake) { f.admit = entry.Admission{RetryAfter: 1500 * time.Millisecond} }, "/lookup/x", "429 rate_limited", "2"},
+		"no owner":      {func(f *fake) { f.admit = entry.Admission{NoOwner: true} }, "/lookup/x", "503 no_owner", "1"},
+		"no order key":  {nil, "/strict/x", "400 order_key_required", ""},
+		"no target":     {noSlot(proto.SlotNoTarget), "/lookup/x", "503 no_target", "1"},
+		"queue full":    {noSlot(proto.SlotQueueFull), "/lookup/x", "503 queue_full", "1"},
+		"too late":      {noSlot(proto.SlotTooLate), "/lookup/x", "503 deadline_unreachable", "1"},
+		"quarantined":   {noSlot(proto.SlotQuarantined), "/lookup/x", "422 quarantined", ""},
+		"slot no owner": {noSlot(proto.SlotNotOwner), "/lookup/x", "503 no_owner", "1"},
+		"withdrawn": {func(f *fake) {
+			f.cfg.Workspaces = f.cfg.Workspaces.With(model.Workspace{ID: "shop-a", Withdrawn: true})
+		}, "/lookup/x", "401 unknown_key", ""},
 		"open, not fresh": {func(f *fake) { f.stale = true }, "/open/x", "200 ", ""},
 	}
 	for name, c := range cases {
--- a/internal/entry/key.go
+++ b/internal/entry/key.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"crypto/sha256"
-	"crypto/subtle"
 	"net/http"
 	"net/url"
 	"slices"
@@ -37,19 +36,9 @@
 	return slices.Compact(keys)
 }
 
-// findKey looks a key up by its digest. The position in the map depends on the
-// digest alone, which a caller cannot steer, and the digests are compared in
-// constant time.
+// findKey looks a key up by its digest. The key of a withdrawn workspace is not found.
 func findKey(cfg model.Config, secret string) (model.Key, bool) {
-	hash := model.KeyHash(sha256.Sum256([]byte(secret)))
-	key, ok := cfg.Keys[hash]
-	if subtle.ConstantTimeCompare(key.Hash[:], hash[:]) != 1 || !ok {
-		return model.Key{}, false
-	}
-	if ws, ok := cfg.Workspaces[key.Workspace]; !ok || ws.Withdrawn {
-		return model.Key{}, false
-	}
-	return key, true
+	return cfg.KeyFor(sha256.Sum256([]byte(secret)))
 }
 
 // cleaner removes keys from what a target sees.
@@ -61,7 +50,7 @@
 		return cleaner{keys: keys}
 	}
 	return cleaner{keys: slices.DeleteFunc(slices.Clone(keys), func(k string) bool {
-		_, known := cfg.Keys[sha256.Sum256([]byte(k))]
+		_, known := cfg.Keys.Get(sha256.Sum256([]byte(k)))
 		return !known && len(k) < minGuessedKey
 	})}
 }
--- a/internal/entry/withdraw_test.go
+++ b/internal/entry/withdraw_test.go
@@ -131,7 +131,7 @@
 	time.Sleep(30 * time.Millisecond)
 	h.fake.change(func() {
 		cfg := h.fake.cfg
-		cfg.Keys = map[model.KeyHash]model.Key{}
+		cfg.Keys = model.Keys{}
 		h.fake.cfg = cfg
 	})
 	h.EndWorkspace("shop-a")
--- a/internal/node/effects.go
+++ b/internal/node/effects.go
@@ -60,16 +60,14 @@
 
 // endWithdrawn ends what runs for keys and workspaces that are gone.
 func (h *entryHost) endWithdrawn(old, cfg model.Config) {
-	for hash, key := range old.Keys {
-		if _, ok := cfg.Keys[hash]; !ok {
-			n := h.server.EndKey(hash)
-			h.log.Info("key withdrawn", "workspace", key.Workspace, "key", key.ID, "ended_requests", n)
-		}
+	for key := range old.Keys.EndedIn(cfg.Keys) {
+		n := h.server.EndKey(key.Hash)
+		h.log.Info("key withdrawn", "workspace", key.Workspace, "key", key.ID, "ended_requests", n)
 	}
-	for id, ws := range cfg.Workspaces {
-		if ws.Withdrawn && !old.Workspaces[id].Withdrawn {
-			n := h.server.EndWorkspace(id)
-			h.log.Info("workspace withdrawn", "workspace", id, "ended_requests", n)
+	for ws := range cfg.Workspaces.ChangedSince(old.Workspaces) {
+		if before, _ := old.Workspaces.Get(ws.ID); ws.Withdrawn && !before.Withdrawn {
+			n := h.server.EndWorkspace(ws.ID)
+			h.log.Info("workspace withdrawn", "workspace", ws.ID, "ended_requests", n)
 		}
 	}
 }
--- a/internal/node/fault_test.go
+++ b/internal/node/fault_test.go
@@ -105,7 +105,8 @@
 	v := f.change(model.CreateWorkspace{Workspace: "shop-8"})
 	require.Greater(t, v, before.Version)
 	f.inForce(v)
-	require.Contains(t, f.entries[0].host.Config().Workspaces, testShop)
+	_, kept := f.entries[0].host.Config().Workspaces.Get(testShop)
+	require.True(t, kept)
 }
 
 // Guards against an order that runs twice when its caller sends it again
--- a/internal/node/silence.go
+++ b/internal/node/silence.go
@@ -17,7 +17,7 @@
 	if err := c.leads(); err != nil {
 		return opsapi.Evidence{}, err
 	}
-	ws, ok := c.applied().Workspaces[id]
+	ws, ok := c.applied().Workspaces.Get(id)
 	if !ok {
 		return opsapi.Evidence{}, model.ErrNotFound{Kind: "workspace", Name: string(id)}
 	}
--- a/internal/trial/world.go
+++ b/internal/trial/world.go
@@ -256,7 +256,7 @@
 	cfg := model.NewConfig(nil, nil).WithVersion(1)
 	cfg.Defaults.Connections = w.dep.Connections
 	for _, s := range w.services {
-		cfg.Services[s.spec.Name] = model.Service{Name: s.spec.Name}
+		cfg.Services = cfg.Services.With(s.spec.Name, model.Service{Name: s.spec.Name})
 	}
 	return cfg
 }
--- a/pkg/model/apply.go
+++ b/pkg/model/apply.go
@@ -2,9 +2,7 @@
 
 import (
 	"fmt"
-	"maps"
 	"slices"
-	"strings"
 	"time"
 )
 
@@ -25,13 +23,9 @@
 // NewConfig returns version 0: no workspaces, keys, services or routes.
 func NewConfig(controls, seats []HostID) Config {
 	return Config{
-		Defaults:   DefaultDefaults(),
-		Workspaces: map[WorkspaceID]Workspace{},
-		Keys:       map[KeyHash]Key{},
-		Services:   map[ServiceName]Service{},
-		Exceptions: map[string]Exception{},
-		Controls:   slices.Clone(controls),
-		Seats:      slices.Clone(seats),
+		Defaults: DefaultDefaults(),
+		Controls: slices.Clone(controls),
+		Seats:    slices.Clone(seats),
 	}
 }
 
@@ -91,16 +85,15 @@
 	if err := checkName("workspace", string(ch.Workspace)); err != nil {
 		return c, err
 	}
-	if _, ok := c.Workspaces[ch.Workspace]; ok {
+	if _, ok := c.Workspaces.Get(ch.Workspace); ok {
 		return c, ErrExists{Kind: "workspace", Name: string(ch.Workspace)}
 	}
-	c.Workspaces = maps.Clone(c.Workspaces)
-	c.Workspaces[ch.Workspace] = Workspace{ID: ch.Workspace}
+	c.Workspaces = c.Workspaces.With(Workspace{ID: ch.Workspace})
 	return c, nil
 }
 
 func (c Config) activeWorkspace(id WorkspaceID) error {
-	ws, ok := c.Workspaces[id]
+	ws, ok := c.Workspaces.Get(id)
 	if !ok {
 		return ErrNotFound{Kind: "workspace", Name: string(id)}
 	}
@@ -114,10 +107,12 @@
 	if err := c.activeWorkspace(ch.Workspace); err != nil {
 		return c, err
 	}
-	c.Workspaces = maps.Clone(c.Workspaces)
-	c.Workspaces[ch.Workspace] = Workspace{ID: ch.Workspace, Withdrawn: true, WithdrawnAt: v}
-	c.Keys = maps.Clone(c.Keys)
-	maps.DeleteFunc(c.Keys, func(_ KeyHash, k Key) bool { return k.Workspace == ch.Workspace })
+	keys := c.Keys
+	for k := range c.Keys.Of(ch.Workspace) {
+		keys = keys.Without(k.Hash)
+	}
+	c.Keys = keys
+	c.Workspaces = c.Workspaces.With(Workspace{ID: ch.Workspace, Withdrawn: true, WithdrawnAt: v})
 	return c, nil
 }
 
@@ -128,25 +123,22 @@
 	if err := c.activeWorkspace(ch.Key.Workspace); err != nil {
 		return c, err
 	}
-	for _, k := range c.Keys {
-		if k.Hash == ch.Key.Hash || (k.Workspace == ch.Key.Workspace && k.ID == ch.Key.ID) {
-			return c, ErrExists{Kind: "key", Name: string(ch.Key.ID)}
-		}
+	_, hashUsed := c.Keys.Get(ch.Key.Hash)
+	_, nameUsed := c.Keys.Find(ch.Key.Workspace, ch.Key.ID)
+	if hashUsed || nameUsed {
+		return c, ErrExists{Kind: "key", Name: string(ch.Key.ID)}
 	}
-	c.Keys = maps.Clone(c.Keys)
-	c.Keys[ch.Key.Hash] = ch.Key
+	c.Keys = c.Keys.With(ch.Key)
 	return c, nil
 }
 
 func (c Config) withdrawKey(ch WithdrawKey) (Config, error) {
-	for hash, k := range c.Keys {
-		if k.Workspace == ch.Workspace && k.ID == ch.Key {
-			c.Keys = maps.Clone(c.Keys)
-			delete(c.Keys, hash)
-			return c, nil
-		}
+	k, ok := c.Keys.Find(ch.Workspace, ch.Key)
+	if !ok {
+		return c, ErrNotFound{Kind: "key", Name: string(ch.Key)}
 	}
-	return c, ErrNotFound{Kind: "key", Name: string(ch.Key)}
+	c.Keys = c.Keys.Without(k.Hash)
+	return c, nil
 }
 
 func (c Config) setDefaults(ch SetDefaults) (Config, error) {
@@ -164,13 +156,10 @@
 	if err := c.checkOverride(ch.Exception.Override); err != nil {
 		return c, err
 	}
-	for id, e := range c.Exceptions {
-		if id != ch.Exception.ID && sameScope(e.Override, ch.Exception.Override) {
-			return c, ErrExists{Kind: "exception", Name: id}
-		}
+	if e, ok := c.Exceptions.of(scopeOf(ch.Exception.Override)); ok && e.ID != ch.Exception.ID {
+		return c, ErrExists{Kind: "exception", Name: e.ID}
 	}
-	c.Exceptions = maps.Clone(c.Exceptions)
-	c.Exceptions[ch.Exception.ID] = ch.Exception
+	c.Exceptions = c.Exceptions.With(ch.Exception)
 	return c, nil
 }
 
@@ -180,10 +169,7 @@
 	case LimitsOverride:
 		return c.activeWorkspace(o.Workspace)
 	case DeadlineOverride:
-		if !c.hasRoute(o.Route) {
-			return ErrNotFound{Kind: "route", Name: string(o.Route)}
-		}
-		return nil
+		return c.checkRoute(o.Route)
 	case FloorOverride:
 		return c.checkService(o.Service)
 	case ObjectiveOverride:
@@ -194,38 +180,24 @@
 }
 
 func (c Config) checkService(name ServiceName) error {
-	if _, ok := c.Services[name]; !ok {
+	if _, ok := c.Services.Get(name); !ok {
 		return ErrNotFound{Kind: "service", Name: string(name)}
 	}
 	return nil
 }
 
-// sameScope reports whether two overrides replace the same setting.
-func sameScope(a, b Override) bool {
-	switch a := a.(type) {
-	case LimitsOverride:
-		o, ok := b.(LimitsOverride)
-		return ok && o.Workspace == a.Workspace
-	case DeadlineOverride:
-		o, ok := b.(DeadlineOverride)
-		return ok && o.Route == a.Route
-	case FloorOverride:
-		o, ok := b.(FloorOverride)
-		return ok && o.Service == a.Service
-	case ObjectiveOverride:
-		o, ok := b.(ObjectiveOverride)
-		return ok && o.Service == a.Service
-	default:
-		return false
+func (c Config) checkRoute(name RouteName) error {
+	if _, ok := c.Routes.Get(name); !ok {
+		return ErrNotFound{Kind: "route", Name: string(name)}
 	}
+	return nil
 }
 
 func (c Config) removeException(ch RemoveException) (Config, error) {
-	if _, ok := c.Exceptions[ch.ID]; !ok {
+	if _, ok := c.Exceptions.Get(ch.ID); !ok {
 		return c, ErrNotFound{Kind: "exception", Name: ch.ID}
 	}
-	c.Exceptions = maps.Clone(c.Exceptions)
-	delete(c.Exceptions, ch.ID)
+	c.Exceptions = c.Exceptions.Without(ch.ID)
 	return c, nil
 }
 
@@ -233,8 +205,7 @@
 	if err := checkName("service", string(ch.Service.Name)); err != nil {
 		return c, err
 	}
-	c.Services = maps.Clone(c.Services)
-	c.Services[ch.Service.Name] = ch.Service
+	c.Services = c.Services.With(ch.Service.Name, ch.Service)
 	return c, nil
 }
 
@@ -245,31 +216,18 @@
 	if err := c.checkService(ch.Route.Service); err != nil {
 		return c, err
 	}
-	routes := slices.Clone(c.Routes)
-	routes = slices.DeleteFunc(routes, func(r Route) bool { return r.Name == ch.Route.Name })
-	routes = append(routes, ch.Route)
-	slices.SortFunc(routes, compareRoutes)
-	c.Routes = routes
+	c.Routes = c.Routes.With(ch.Route)
 	return c, nil
 }
 
-func compareRoutes(a, b Route) int {
-	if n := len(b.PathPrefix) - len(a.PathPrefix); n != 0 {
-		return n
-	}
-	return strings.Compare(string(a.Name), string(b.Name))
-}
-
 func (c Config) removeRoute(ch RemoveRoute) (Config, error) {
-	if !c.hasRoute(ch.Route) {
-		return c, ErrNotFound{Kind: "route", Name: string(ch.Route)}
-	}
-	c.Routes = slices.DeleteFunc(slices.Clone(c.Routes), func(r Route) bool { return r.Name == ch.Route })
-	c.Exceptions = maps.Clone(c.Exceptions)
-	maps.DeleteFunc(c.Exceptions, func(_ string, e Exception) bool {
-		o, ok := e.Override.(DeadlineOverride)
-		return ok && o.Route == ch.Route
-	})
+	if err := c.checkRoute(ch.Route); err != nil {
+		return c, err
+	}
+	c.Routes = c.Routes.Without(ch.Route)
+	if e, ok := c.Exceptions.of(scopeOf(DeadlineOverride{Route: ch.Route})); ok {
+		c.Exceptions = c.Exceptions.Without(e.ID)
+	}
 	return c, nil
 }
 
--- a/pkg/model/apply_test.go
+++ b/pkg/model/apply_test.go
@@ -21,9 +21,11 @@
 	before := c
 	c = apply(t, c, WithdrawWorkspace{Workspace: "shop-7"})
 
-	require.Empty(t, c.Keys)
-	require.Len(t, before.Keys, 1, "the older configuration must not change")
-	require.Equal(t, c.Version, c.Workspaces["shop-7"].WithdrawnAt)
+	require.Zero(t, c.Keys.Len())
+	require.Equal(t, 1, before.Keys.Len(), "the older configuration must not change")
+	ws, ok := c.Workspaces.Get("shop-7")
+	require.True(t, ok)
+	require.Equal(t, c.Version, ws.WithdrawnAt)
 	_, err := c.Apply(c.Version+1, Proposal{Base: c.Version, Change: IssueKey{Key: Key{ID: "b", Workspace: "shop-7", Hash: KeyHash{2}}}})
 	require.True(t, IsErrWithdrawn(err))
 	_, err = c.Apply(c.Version+1, Proposal{Base: c.Version, Change: CreateWorkspace{Workspace: "shop-7"}})
--- a/pkg/model/config.go
+++ b/pkg/model/config.go
@@ -122,13 +122,12 @@
 type Config struct {
 	Version    Version
 	Defaults   Defaults
-	Workspaces map[WorkspaceID]Workspace
+	Workspaces Workspaces
 	// Keys holds only keys that may be used: withdrawal removes them.
-	Keys     map[KeyHash]Key
-	Services map[ServiceName]Service
-	// Routes is ordered by descending prefix length, then by name.
-	Routes     []Route
-	Exceptions map[string]Exception
+	Keys       Keys
+	Services   Index[ServiceName, Service]
+	Routes     Routes
+	Exceptions Exceptions
 	// Seats are the hosts that confirm versions and grant leases.
 	Seats []HostID
 	// Controls are the voting control hosts.
--- /dev/null
+++ b/pkg/model/table_test.go
@@ -0,0 +1,203 @@
+package model
+
+import (
+	"bytes"
+	"crypto/sha256"
+	"fmt"
+	"maps"
+	"slices"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+)
+
+// version is a table of workspaces and one of keys with the maps that they stand for.
+type version struct {
+	workspaces Workspaces
+	keys       Keys
+	wantSpaces map[WorkspaceID]Workspace
+	wantKeys   map[KeyHash]Key
+}
+
+func (v version) check(t *rapid.T) {
+	spaces := slices.SortedFunc(maps.Values(v.wantSpaces), func(a, b Workspace) int { return strings.Compare(string(a.ID), string(b.ID)) })
+	keys := slices.SortedFunc(maps.Values(v.wantKeys), func(a, b Key) int { return bytes.Compare(a.Hash[:], b.Hash[:]) })
+	require.Equal(t, spaces, slices.Collect(v.workspaces.All()))
+	require.Equal(t, keys, slices.Collect(v.keys.All()))
+	require.Equal(t, len(spaces), v.workspaces.Len())
+	require.Equal(t, len(keys), v.keys.Len())
+	for _, tab := range []table{v.workspaces.table, v.keys.byHash, v.keys.refs} {
+		for _, group := range tab.groups {
+			require.NotEmpty(t, group)
+			require.LessOrEqual(t, len(group), maxGroup)
+			require.NotContains(t, group, "")
+		}
+	}
+}
+
+func drawWorkspace(t *rapid.T) WorkspaceID {
+	name := rapid.StringMatching(`[a-c]{1,2}`).Draw(t, "name")
+	// Long names fill a chunk with a few records, so that chunks are split and merged.
+	return WorkspaceID(name + strings.Repeat("x", rapid.SampledFrom([]int{0, 9, 300, 2500}).Draw(t, "length")))
+}
+
+func drawHash(t *rapid.T) KeyHash {
+	// Few first and last bytes, so that digests share what is searched by and differ behind it.
+	return KeyHash{0: byte(rapid.IntRange(0, 3).Draw(t, "first")), 31: byte(rapid.IntRange(0, 20).Draw(t, "last"))}
+}
+
+func (v version) change(t *rapid.T) version {
+	v.wantSpaces, v.wantKeys = maps.Clone(v.wantSpaces), maps.Clone(v.wantKeys)
+	id, hash := drawWorkspace(t), drawHash(t)
+	switch rapid.IntRange(0, 3).Draw(t, "change") {
+	case 0:
+		ws := Workspace{ID: id, Withdrawn: rapid.Bool().Draw(t, "withdrawn"), WithdrawnAt: Version(rapid.Uint64().Draw(t, "at"))}
+		v.workspaces, v.wantSpaces[id] = v.workspaces.With(ws), ws
+	case 1, 2:
+		k := Key{ID: KeyID(rapid.StringN(0, 3, -1).Draw(t, "id")), Workspace: id, Hash: hash}
+		v.keys, v.wantKeys[hash] = v.keys.With(k), k
+	default:
+		v.keys = v.keys.Without(hash)
+		delete(v.wantKeys, hash)
+	}
+	return v
+}
+
+// Guards against tables that lose, alter or reorder entries, against changes
+// that show in an earlier version, and against a difference of two versions
+// that misses a withdrawal.
+func TestTablesBehaveLikeMaps(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		versions := []version{{wantSpaces: map[WorkspaceID]Workspace{}, wantKeys: map[KeyHash]Key{}}}
+		for range rapid.IntRange(1, 120).Draw(t, "changes") {
+			versions = append(versions, versions[len(versions)-1].change(t))
+		}
+		for i, v := range versions {
+			if i%10 == 0 || i == len(versions)-1 {
+				v.check(t)
+			}
+		}
+		last := versions[len(versions)-1]
+		old := versions[rapid.IntRange(0, len(versions)-1).Draw(t, "old")]
+		last.checkLookups(t)
+		last.checkDifference(t, old)
+		old.checkDifference(t, last)
+
+		spaces, err := WorkspacesOf(last.workspaces.All())
+		require.NoError(t, err)
+		keys, err := KeysOf(last.keys.All())
+		require.NoError(t, err)
+		version{spaces, keys, last.wantSpaces, last.wantKeys}.checkDifference(t, old)
+		require.Equal(t, slices.Collect(last.keys.All()), slices.Collect(keys.All()))
+		require.ElementsMatch(t, refsOf(last.keys), refsOf(keys))
+	})
+}
+
+func refsOf(k Keys) (refs []string) {
+	k.refs.each(refLayout, func(ref string) bool {
+		refs = append(refs, ref)
+		return true
+	})
+	return refs
+}
+
+func (v version) checkLookups(t *rapid.T) {
+	for id, want := range v.wantSpaces {
+		got, ok := v.workspaces.Get(id)
+		require.True(t, ok)
+		require.Equal(t, want, got)
+	}
+	of := map[WorkspaceID][]Key{}
+	for k := range v.keys.All() {
+		got, ok := v.keys.Get(k.Hash)
+		require.True(t, ok)
+		require.Equal(t, k, got)
+		of[k.Workspace] = append(of[k.Workspace], k)
+		found, ok := v.keys.Find(k.Workspace, k.ID)
+		require.True(t, ok)
+		require.Equal(t, k.ID, found.ID)
+	}
+	for ws, want := range of {
+		require.Equal(t, want, slices.Collect(v.keys.Of(ws)))
+	}
+	_, ok := v.workspaces.Get("missing")
+	require.False(t, ok)
+	_, ok = v.keys.Get(KeyHash{0: 1, 30: 1})
+	require.False(t, ok)
+}
+
+func (v version) checkDifference(t *rapid.T, old version) {
+	var spaces []Workspace
+	for ws := range v.workspaces.All() {
+		if before, ok := old.wantSpaces[ws.ID]; !ok || before != ws {
+			spaces = append(spaces, ws)
+		}
+	}
+	require.Equal(t, spaces, slices.Collect(v.workspaces.ChangedSince(old.workspaces)))
+	var ended []Key
+	for k := range old.keys.All() {
+		if after, ok := v.wantKeys[k.Hash]; !ok || after.Workspace != k.Workspace {
+			ended = append(ended, k)
+		}
+	}
+	require.Equal(t, ended, slices.Collect(old.keys.EndedIn(v.keys)))
+}
+
+// Guards against lists that would make tables in which entries are not found.
+func TestTablesRefuseUnorderedLists(t *testing.T) {
+	for _, list := range [][]Workspace{{{ID: "b"}, {ID: "a"}}, {{ID: "a"}, {ID: "a"}}, {{ID: ""}, {ID: ""}}} {
+		_, err := WorkspacesOf(slices.Values(list))
+		require.True(t, IsErrInvalid(err))
+	}
+	for _, list := range [][]Key{{{Hash: KeyHash{2}}, {Hash: KeyHash{1}}}, {{}, {}}} {
+		_, err := KeysOf(slices.Values(list))
+		require.True(t, IsErrInvalid(err))
+	}
+}
+
+// Guards against faults that show only in tables of several groups.
+func TestTablesOfManyGroups(t *testing.T) {
+	const entries = 5003 // a prime, so that steps of any length reach every entry
+	pad := strings.Repeat("x", 400)
+	name := func(i int) WorkspaceID { return WorkspaceID(fmt.Sprintf("%05d%s", i, pad)) }
+	hash := func(i int) KeyHash { return sha256.Sum256([]byte(name(i))) }
+	for step, order := range map[int]string{1: "ascending", entries - 1: "descending", 1999: "mixed"} {
+		var spaces Workspaces
+		var keys Keys
+		for i := range entries {
+			n := i * step % entries
+			spaces = spaces.With(Workspace{ID: name(n)})
+			keys = keys.With(Key{Workspace: name(n), Hash: hash(n)})
+		}
+		require.Greater(t, len(spaces.table.groups), 5, order)
+		n := 0
+		for ws := range spaces.All() {
+			require.Equal(t, name(n), ws.ID, order)
+			n++
+		}
+		require.Equal(t, entries, n, order)
+		fewer, withdrawn := keys, spaces
+		for i := 0; i < entries; i += 7 {
+			found := slices.Collect(fewer.Of(name(i)))
+			require.Equal(t, []Key{{Workspace: name(i), Hash: hash(i)}}, found, order)
+			fewer = fewer.Without(hash(i))
+			withdrawn = withdrawn.With(Workspace{ID: name(i), Withdrawn: true})
+		}
+		ended := slices.Collect(keys.EndedIn(fewer))
+		require.Len(t, ended, entries/7+1, order)
+		changed := slices.Collect(withdrawn.ChangedSince(spaces))
+		require.Len(t, changed, entries/7+1, order)
+		for i := range entries {
+			_, ok := fewer.Get(hash(i))
+			require.Equal(t, i%7 != 0, ok, order)
+			ws, _ := withdrawn.Get(name(i))
+			require.Equal(t, i%7 == 0, ws.Withdrawn, order)
+		}
+		for k := range fewer.All() {
+			fewer = fewer.Without(k.Hash)
+		}
+		require.Equal(t, Keys{}, fewer, order)
+	}
+}
--- a/pkg/opsapi/convert.go
+++ b/pkg/opsapi/convert.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"maps"
 	"slices"
 
 	"tarragongauge.example/tarragongauge/pkg/model"
@@ -21,20 +20,20 @@
 		Seats:      names(c.Seats),
 		Controls:   names(c.Controls),
 	}
-	for _, id := range slices.Sorted(maps.Keys(c.Workspaces)) {
-		out.Workspaces = append(out.Workspaces, fromWorkspace(c.Workspaces[id]))
+	for ws := range c.Workspaces.All() {
+		out.Workspaces = append(out.Workspaces, fromWorkspace(ws))
 	}
-	for _, k := range slices.SortedFunc(maps.Values(c.Keys), compareKeys) {
+	for _, k := range slices.SortedFunc(c.Keys.All(), compareKeys) {
 		out.Keys = append(out.Keys, fromKey(k))
 	}
-	for _, name := range slices.Sorted(maps.Keys(c.Services)) {
-		out.Services = append(out.Services, fromService(c.Services[name]))
+	for service := range c.Services.All() {
+		out.Services = append(out.Services, fromService(service))
 	}
-	for _, r := range c.Routes {
+	for r := range c.Routes.All() {
 		out.Routes = append(out.Routes, fromRoute(r))
 	}
-	for _, id := range slices.Sorted(maps.Keys(c.Exceptions)) {
-		out.Exceptions = append(out.Exceptions, fromException(c.Exceptions[id]))
+	for e := range c.Exceptions.All() {
+		out.Exceptions = append(out.Exceptions, fromException(e))
 	}
 	return out
 }
@@ -59,28 +58,37 @@
 	return out
 }
 
-// Model returns the configuration.
+// Model returns the configuration. The lists may be in any order.
 func (c Config) Model() (model.Config, error) {
 	out := model.NewConfig(hosts(c.Controls), hosts(c.Seats)).WithVersion(model.Version(c.Version))
 	out.Defaults = c.Defaults.Model()
-	for _, w := range c.Workspaces {
-		out.Workspaces[model.WorkspaceID(w.ID)] = w.model()
-	}
-	for _, k := range c.Keys {
-		out.Keys[model.KeyHash(k.Hash)] = k.model()
-	}
-	for _, s := range c.Services {
-		out.Services[model.ServiceName(s.Name)] = s.model()
-	}
-	for _, r := range c.Routes {
-		out.Routes = append(out.Routes, r.model())
-	}
+	out.Services = model.IndexOf(convert(c.Services, Service.model), func(s model.Service) model.ServiceName { return s.Name })
+	out.Routes = model.RoutesOf(convert(c.Routes, Route.model))
+	var exceptions []model.Exception
 	for _, e := range c.Exceptions {
 		m, err := e.Model()
 		if err != nil {
 			return model.Config{}, err
 		}
-		out.Exceptions[e.ID] = m
+		exceptions = append(exceptions, m)
+	}
+	out.Exceptions = model.ExceptionsOf(exceptions)
+	workspaces := convert(c.Workspaces, Workspace.model)
+	slices.SortFunc(workspaces, func(a, b model.Workspace) int { return cmp.Compare(a.ID, b.ID) })
+	keys := convert(c.Keys, Key.model)
+	slices.SortFunc(keys, func(a, b model.Key) int { return slices.Compare(a.Hash[:], b.Hash[:]) })
+	var err error
+	if out.Workspaces, err = model.WorkspacesOf(slices.Values(workspaces)); err != nil {
+		return model.Config{}, err
 	}
-	return out, nil
+	out.Keys, err = model.KeysOf(slices.Values(keys))
+	return out, err
+}
+
+func convert[A, B any](in []A, f func(A) B) []B {
+	out := make([]B, 0, len(in))
+	for _, a := range in {
+		out = append(out, f(a))
+	}
+	return out
 }
--- a/pkg/opsapi/opsapi_test.go
+++ b/pkg/opsapi/opsapi_test.go
@@ -54,7 +54,6 @@
 		require.NoError(t, json.Unmarshal(data, &out))
 		again, err := out.Model()
 		require.NoError(t, err)
-		again.Routes = append(cfg.Routes[:0:0], again.Routes...)
 		require.Equal(t, cfg, again)
 	}
 }
