--- a/internal/codec/size_test.go
+++ b/internal/codec/size_test.go
@@ -126,3 +126,37 @@
 		require.NoError(b, err)
 	}
 }
+
+// BenchmarkRoutes gives the time of a match and of changes, and the heap,
+// against the number of routes.
+func BenchmarkRoutes(b *testing.B) {
+	for _, n := range []int{100, 1500, 15000} {
+		b.Run(fmt.Sprintf("routes=%d", n), func(b *testing.B) { benchmarkRoutes(b, n) })
+	}
+}
+
+func benchmarkRoutes(b *testing.B, n int) {
+	list := make([]model.Route, 0, n)
+	for i := range n {
+		list = append(list, model.Route{Name: model.RouteName(fmt.Sprintf("route-%05d", i)), PathPrefix: fmt.Sprintf("/service-%03d/part-%05d", i%970, i), Service: "s"})
+	}
+	cfg := model.NewConfig(nil, nil)
+	cfg.Services = cfg.Services.With("s", model.Service{Name: "s"})
+	routes, heap := heapOf(func() model.Routes { return model.RoutesOf(list) })
+	runtime.KeepAlive(list)
+	cfg.Routes = routes
+	path := fmt.Sprintf("/service-%03d/part-%05d/item/7", (n/2)%970, n/2)
+	b.Run("match", func(b *testing.B) {
+		b.ReportAllocs()
+		for b.Loop() {
+			if _, ok := cfg.Match("GET", path); !ok {
+				b.Fatal("no route matches")
+			}
+		}
+		b.ReportMetric(heap/float64(n), "heap-B/route")
+	})
+	b.Run("put-route", func(b *testing.B) {
+		benchmarkChange(b, cfg, model.PutRoute{Route: model.Route{Name: "more", PathPrefix: "/more", Service: "s"}})
+	})
+	b.Run("create-workspace", func(b *testing.B) { benchmarkChange(b, cfg, model.CreateWorkspace{Workspace: "more"}) })
+}
