--- a/internal/entry/call.go
+++ b/internal/entry/call.go
@@ -172,15 +172,9 @@
 	if c.route.Open {
 		return nil
 	}
-	switch {
-	case len(keys) == 0:
-		return refuse(http.StatusUnauthorized, CodeNoKey, "the request has no key; send it as \"Authorization: Bearer KEY\" or \"X-Api-Key: KEY\"")
-	case len(keys) > 1:
-		return refuse(http.StatusUnauthorized, CodeKeyMismatch, "the request has different keys; send one key, once")
-	}
-	key, ok := findKey(c.cfg, keys[0])
-	if !ok {
-		return refuse(http.StatusUnauthorized, CodeUnknownKey, "the key is unknown or was withdrawn; ask the operators for a valid key")
+	key, err := resolveKey(c.cfg, keys)
+	if err != nil {
+		return err
 	}
 	// The registry keeps the name for longer than the configuration that it is a part of.
 	c.workspace, c.key = model.WorkspaceID(strings.Clone(string(key.Workspace))), key.Hash
--- a/internal/entry/key.go
+++ b/internal/entry/key.go
@@ -36,9 +36,21 @@
 	return slices.Compact(keys)
 }
 
-// findKey looks a key up by its digest. The key of a withdrawn workspace is not found.
-func findKey(cfg model.Config, secret string) (model.Key, bool) {
-	return cfg.KeyFor(sha256.Sum256([]byte(secret)))
+// resolveKey returns the key of a request from the distinct keys that it
+// presents. Only digests are compared, and errors never contain a key.
+func resolveKey(cfg model.Config, presented []string) (model.Key, *ErrRefused) {
+	switch len(presented) {
+	case 0:
+		return model.Key{}, refuse(http.StatusUnauthorized, CodeNoKey, "the request has no key; send it as \"Authorization: Bearer KEY\" or \"X-Api-Key: KEY\"")
+	case 1:
+	default:
+		return model.Key{}, refuse(http.StatusUnauthorized, CodeKeyMismatch, "the request has different keys; send one key, once")
+	}
+	key, ok := cfg.KeyFor(sha256.Sum256([]byte(presented[0])))
+	if !ok {
+		return model.Key{}, refuse(http.StatusUnauthorized, CodeUnknownKey, "the key is unknown or was withdrawn; ask the operators for a valid key")
+	}
+	return key, nil
 }
 
 // cleaner removes keys from what a target sees.
