--- a/pkg/model/apply.go
+++ b/pkg/model/apply.go
@@ -175,7 +175,7 @@
 	case ObjectiveOverride:
 		return c.checkService(o.Service)
 	default:
-		return ErrInvalid{Field: "override", Got: "missing", Want: "one of limits, deadline, floor, objective"}
+		return noOverride()
 	}
 }
 
--- a/pkg/model/check.go
+++ b/pkg/model/check.go
@@ -1,7 +1,9 @@
 package model
 
 import (
+	"cmp"
 	"fmt"
+	"strconv"
 	"strings"
 	"time"
 )
@@ -18,19 +20,26 @@
 	minBurstSeconds = 0.05
 )
 
+// valid returns an ErrInvalid unless ok.
+func valid(ok bool, field string, got any, want string) error {
+	if ok {
+		return nil
+	}
+	return ErrInvalid{Field: field, Got: fmt.Sprint(got), Want: want}
+}
+
+// checkBetween includes both bounds. A value that is not a number is outside.
+func checkBetween[T cmp.Ordered](field string, v, least, most T, want string) error {
+	return valid(v >= least && v <= most, field, v, want)
+}
+
 // checkName allows letters, digits, dot, dash and underscore, starting with a letter or digit.
 func checkName(field, name string) error {
-	want := fmt.Sprintf("1 to %d letters, digits, '.', '-' or '_', starting with a letter or digit", MaxNameLength)
-	if name == "" || len(name) > MaxNameLength {
-		return ErrInvalid{Field: field, Got: fmt.Sprintf("%q", name), Want: want}
-	}
+	ok := name != "" && len(name) <= MaxNameLength
 	for i, c := range name {
-		if isNameRune(c, i == 0) {
-			continue
-		}
-		return ErrInvalid{Field: field, Got: fmt.Sprintf("%q", name), Want: want}
+		ok = ok && isNameRune(c, i == 0)
 	}
-	return nil
+	return valid(ok, field, strconv.Quote(name), fmt.Sprintf("1 to %d letters, digits, '.', '-' or '_', starting with a letter or digit", MaxNameLength))
 }
 
 func isNameRune(c rune, first bool) bool {
@@ -46,51 +55,37 @@
 
 // Check returns an ErrInvalid if the limits are out of range.
 func (l Limits) Check() error {
-	if !(l.Rate > 0 && l.Rate <= 1e6) {
-		return ErrInvalid{Field: "rate", Got: fmt.Sprint(l.Rate), Want: "more than 0 and at most 1,000,000 requests per second"}
-	}
 	least := max(MinBurst, 1+l.Rate*minBurstSeconds)
-	if !(l.Burst >= least && l.Burst <= 1e7) {
-		return ErrInvalid{Field: "burst", Got: fmt.Sprint(l.Burst), Want: fmt.Sprintf("between %g and 10,000,000 requests at this rate", least)}
-	}
-	return nil
+	return cmp.Or(
+		valid(l.Rate > 0 && l.Rate <= 1e6, "rate", l.Rate, "more than 0 and at most 1,000,000 requests per second"),
+		checkBetween("burst", l.Burst, least, 1e7, fmt.Sprintf("between %g and 10,000,000 requests at this rate", least)),
+	)
 }
 
 // Check returns an ErrInvalid if the objective is out of range.
 func (o Objective) Check() error {
-	if !(o.Availability > 0 && o.Availability < 1) {
-		return ErrInvalid{Field: "availability", Got: fmt.Sprint(o.Availability), Want: "a share between 0 and 1, such as 0.999"}
-	}
-	if !(o.LatencyShare > 0 && o.LatencyShare < 1) {
-		return ErrInvalid{Field: "latency_share", Got: fmt.Sprint(o.LatencyShare), Want: "a share between 0 and 1, such as 0.99"}
-	}
-	return checkDeadline("latency", o.Latency)
+	return cmp.Or(
+		valid(o.Availability > 0 && o.Availability < 1, "availability", o.Availability, "a share between 0 and 1, such as 0.999"),
+		valid(o.LatencyShare > 0 && o.LatencyShare < 1, "latency_share", o.LatencyShare, "a share between 0 and 1, such as 0.99"),
+		checkDeadline("latency", o.Latency),
+	)
 }
 
 func checkDeadline(field string, d time.Duration) error {
-	if d < MinDeadline || d > MaxDeadline {
-		return ErrInvalid{Field: field, Got: d.String(), Want: fmt.Sprintf("between %s and %s", MinDeadline, MaxDeadline)}
-	}
-	return nil
+	return checkBetween(field, d, MinDeadline, MaxDeadline, fmt.Sprintf("between %s and %s", MinDeadline, MaxDeadline))
 }
 
 func checkShare(field string, v float64) error {
-	if !(v >= 0 && v <= 1) {
-		return ErrInvalid{Field: field, Got: fmt.Sprint(v), Want: "a share between 0 and 1"}
-	}
-	return nil
+	return checkBetween(field, v, 0, 1, "a share between 0 and 1")
 }
 
 func checkCount(field string, n, most int) error {
-	if n < 1 || n > most {
-		return ErrInvalid{Field: field, Got: fmt.Sprint(n), Want: fmt.Sprintf("between 1 and %d", most)}
-	}
-	return nil
+	return checkBetween(field, n, 1, most, fmt.Sprintf("between 1 and %d", most))
 }
 
 // Check returns an ErrInvalid if a default is out of range.
 func (d Defaults) Check() error {
-	checks := []error{
+	return cmp.Or(
 		d.Limits.Check(),
 		checkDeadline("deadline", d.Deadline),
 		checkShare("retry_share", d.RetryShare),
@@ -99,47 +94,35 @@
 		checkCount("connections", d.Connections, 100000),
 		checkCount("queue_limit", d.QueueLimit, 100000),
 		d.Objective.Check(),
-	}
-	return firstError(checks)
-}
-
-func firstError(errs []error) error {
-	for _, err := range errs {
-		if err != nil {
-			return err
-		}
-	}
-	return nil
+	)
 }
 
 // Check returns an ErrInvalid if the route is malformed by itself.
 func (r Route) Check() error {
-	if err := checkName("route", string(r.Name)); err != nil {
-		return err
-	}
-	if !strings.HasPrefix(r.PathPrefix, "/") || strings.ContainsAny(r.PathPrefix, "?# \t\r\n") {
-		return ErrInvalid{Field: "path_prefix", Got: fmt.Sprintf("%q", r.PathPrefix), Want: "a path that starts with '/', without query or spaces"}
-	}
+	path := strings.HasPrefix(r.PathPrefix, "/") && !strings.ContainsAny(r.PathPrefix, "?# \t\r\n")
+	err := cmp.Or(
+		checkName("route", string(r.Name)),
+		valid(path, "path_prefix", strconv.Quote(r.PathPrefix), "a path that starts with '/', without query or spaces"),
+	)
 	for _, m := range r.Methods {
-		if m == "" || strings.ToUpper(m) != m {
-			return ErrInvalid{Field: "methods", Got: fmt.Sprintf("%q", m), Want: "HTTP methods in capitals, such as GET"}
-		}
-	}
-	if r.Idempotent && r.RequireOrderKey {
-		return ErrInvalid{Field: "require_order_key", Got: "true", Want: "false on an idempotent route, which needs no order key"}
+		err = cmp.Or(err, valid(m != "" && strings.ToUpper(m) == m, "methods", strconv.Quote(m), "HTTP methods in capitals, such as GET"))
 	}
-	return nil
+	return cmp.Or(err, valid(!r.Idempotent || !r.RequireOrderKey, "require_order_key", true, "false on an idempotent route, which needs no order key"))
 }
 
 // Check returns an ErrInvalid if the exception is malformed by itself.
 func (e Exception) Check() error {
-	if err := checkName("exception", e.ID); err != nil {
-		return err
-	}
-	if strings.TrimSpace(e.Reason) == "" || len(e.Reason) > MaxReason {
-		return ErrInvalid{Field: "reason", Got: fmt.Sprintf("%d bytes long", len(e.Reason)), Want: fmt.Sprintf("a written reason of 1 to %d bytes", MaxReason)}
-	}
-	switch o := e.Override.(type) {
+	reason := strings.TrimSpace(e.Reason) != "" && len(e.Reason) <= MaxReason
+	return cmp.Or(
+		checkName("exception", e.ID),
+		valid(reason, "reason", fmt.Sprintf("%d bytes long", len(e.Reason)), fmt.Sprintf("a written reason of 1 to %d bytes", MaxReason)),
+		checkValue(e.Override),
+	)
+}
+
+// checkValue returns an ErrInvalid if the value that an override sets is out of range.
+func checkValue(o Override) error {
+	switch o := o.(type) {
 	case LimitsOverride:
 		return o.Limits.Check()
 	case DeadlineOverride:
@@ -149,6 +132,10 @@
 	case ObjectiveOverride:
 		return o.Objective.Check()
 	default:
-		return ErrInvalid{Field: "override", Got: "missing", Want: "one of limits, deadline, floor, objective"}
+		return noOverride()
 	}
 }
+
+func noOverride() error {
+	return ErrInvalid{Field: "override", Got: "missing", Want: "one of limits, deadline, floor, objective"}
+}
--- a/pkg/model/error.go
+++ b/pkg/model/error.go
@@ -16,10 +16,7 @@
 }
 
 // IsErrNotFound reports whether err is or wraps an ErrNotFound.
-func IsErrNotFound(err error) bool {
-	var e ErrNotFound
-	return errors.As(err, &e)
-}
+func IsErrNotFound(err error) bool { return isA[ErrNotFound](err) }
 
 // ErrExists tells that a change adds something that exists.
 type ErrExists struct {
@@ -32,10 +29,7 @@
 }
 
 // IsErrExists reports whether err is or wraps an ErrExists.
-func IsErrExists(err error) bool {
-	var e ErrExists
-	return errors.As(err, &e)
-}
+func IsErrExists(err error) bool { return isA[ErrExists](err) }
 
 // ErrWithdrawn tells that a change needs a workspace that was withdrawn.
 type ErrWithdrawn struct{ Workspace WorkspaceID }
@@ -45,10 +39,7 @@
 }
 
 // IsErrWithdrawn reports whether err is or wraps an ErrWithdrawn.
-func IsErrWithdrawn(err error) bool {
-	var e ErrWithdrawn
-	return errors.As(err, &e)
-}
+func IsErrWithdrawn(err error) bool { return isA[ErrWithdrawn](err) }
 
 // ErrInvalid tells that a value is outside its range.
 type ErrInvalid struct {
@@ -64,10 +55,7 @@
 }
 
 // IsErrInvalid reports whether err is or wraps an ErrInvalid.
-func IsErrInvalid(err error) bool {
-	var e ErrInvalid
-	return errors.As(err, &e)
-}
+func IsErrInvalid(err error) bool { return isA[ErrInvalid](err) }
 
 // ErrConflict tells that a change was based on a version that is not the newest.
 type ErrConflict struct {
@@ -80,7 +68,10 @@
 }
 
 // IsErrConflict reports whether err is or wraps an ErrConflict.
-func IsErrConflict(err error) bool {
-	var e ErrConflict
-	return errors.As(err, &e)
+func IsErrConflict(err error) bool { return isA[ErrConflict](err) }
+
+// isA reports whether err is or wraps an error of the type E.
+func isA[E error](err error) bool {
+	_, ok := errors.AsType[E](err)
+	return ok
 }
