--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -121,11 +121,11 @@
 // SetTargetConns changes the bound on the connections of this host to one
 // target, when the number of live entry hosts or the configuration changes.
 // Requests in flight keep their connections, so that for their duration the
-// connections of both bounds add up.
+// connections of both bounds add up. An unchanged bound keeps idle connections.
 func (s *Server) SetTargetConns(n int) {
 	l := s.limits
 	l.TargetConns = max(1, n)
-	s.targetSide.set(newTransport(l))
+	s.targetSide.bound(l)
 }
 
 // Active counts all requests that have not ended, on open routes too.
--- a/internal/entry/target_conn.go
+++ b/internal/entry/target_conn.go
@@ -159,9 +159,25 @@
 }
 
 func (t *transports) set(next *http.Transport) {
-	t.closeIdle()
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	t.add(next)
+}
+
+// bound sets a transport with the limits unless the newest has the same bound.
+func (t *transports) bound(l Limits) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if n := len(t.all); n == 0 || t.all[n-1].MaxConnsPerHost != l.TargetConns {
+		t.add(newTransport(l))
+	}
+}
+
+// add is called with the lock held.
+func (t *transports) add(next *http.Transport) {
+	for _, transport := range t.all {
+		transport.CloseIdleConnections()
+	}
 	t.all = append(t.all, next)
 	if len(t.all) > maxTransports {
 		t.all = t.all[len(t.all)-maxTransports:]
