--- a/internal/codec/codec_test.go
+++ b/internal/codec/codec_test.go
@@ -234,6 +234,23 @@
 	require.True(t, IsErrMalformed(err))
 }
 
+// Guards against tables in which entries are not found, and against a list that is read as an empty one.
+func TestDecodeRefusesMalformedTables(t *testing.T) {
+	hash := make([]byte, 32)
+	for name, dto := range map[string]map[int]any{
+		"out of order": {3: []workspaceDTO{{ID: "b"}, {ID: "a"}}},
+		"twice":        {4: []keyDTO{{Hash: hash}, {Hash: hash}}},
+		"short digest": {4: []keyDTO{{Hash: hash[1:]}}},
+		"empty text":   {3: ""},
+		"wrong field":  {3: []map[int]any{{9: 1}}},
+	} {
+		data, err := encode("test", dto)
+		require.NoError(t, err)
+		_, err = DecodeConfig(data)
+		require.True(t, IsErrMalformed(err), name)
+	}
+}
+
 // maxAmplification bounds the bytes allocated for each byte decoded. An empty
 // element of one byte becomes an empty struct; the largest has about 300 bytes.
 const (
