--- a/internal/codec/codec_test.go
+++ b/internal/codec/codec_test.go
@@ -114,13 +114,16 @@
 func (g gen) config() model.Config {
 	c := model.NewConfig(g.hosts(), g.hosts()).WithVersion(model.Version(g.num()))
 	c.Defaults = g.defaults()
+	var exceptions []model.Exception
+	var routes []model.Route
 	for range g.count() {
 		ws := model.Workspace{ID: model.WorkspaceID(g.text()), Withdrawn: g.flag(), WithdrawnAt: model.Version(g.num())}
-		c.Workspaces[ws.ID] = ws
+		c.Workspaces = c.Workspaces.With(ws)
 		k, s, e := g.key(), g.service(), g.exception()
-		c.Keys[k.Hash], c.Services[s.Name], c.Exceptions[e.ID] = k, s, e
-		c.Routes = append(c.Routes, g.route())
+		c.Keys, c.Services = c.Keys.With(k), c.Services.With(s.Name, s)
+		exceptions, routes = append(exceptions, e), append(routes, g.route())
 	}
+	c.Exceptions, c.Routes = model.ExceptionsOf(exceptions), model.RoutesOf(routes)
 	return c
 }
 
@@ -231,6 +234,23 @@
 	require.True(t, IsErrMalformed(err))
 }
 
+// Guards against tables in which entries are not found, and against a list that is read as an empty one.
+func TestDecodeRefusesMalformedTables(t *testing.T) {
+	hash := make([]byte, 32)
+	for name, dto := range map[string]map[int]any{
+		"out of order": {3: []workspaceDTO{{ID: "b"}, {ID: "a"}}},
+		"twice":        {4: []keyDTO{{Hash: hash}, {Hash: hash}}},
+		"short digest": {4: []keyDTO{{Hash: hash[1:]}}},
+		"empty text":   {3: ""},
+		"wrong field":  {3: []map[int]any{{9: 1}}},
+	} {
+		data, err := encode("test", dto)
+		require.NoError(t, err)
+		_, err = DecodeConfig(data)
+		require.True(t, IsErrMalformed(err), name)
+	}
+}
+
 // maxAmplification bounds the bytes allocated for each byte decoded. An empty
 // element of one byte becomes an empty struct; the largest has about 300 bytes.
 const (
--- a/internal/entry/call.go
+++ b/internal/entry/call.go
@@ -172,18 +172,13 @@
 	if c.route.Open {
 		return nil
 	}
-	switch {
-	case len(keys) == 0:
-		return refuse(http.StatusUnauthorized, CodeNoKey, "the request has no key; send it as \"Authorization: Bearer KEY\" or \"X-Api-Key: KEY\"")
-	case len(keys) > 1:
-		return refuse(http.StatusUnauthorized, CodeKeyMismatch, "the request has different keys; send one key, once")
-	}
-	key, ok := findKey(c.cfg, keys[0])
-	if !ok {
-		return refuse(http.StatusUnauthorized, CodeUnknownKey, "the key is unknown or was withdrawn; ask the operators for a valid key")
+	key, err := resolveKey(c.cfg, keys)
+	if err != nil {
+		return err
 	}
-	c.workspace, c.key = key.Workspace, key.Hash
-	c.flight = &flight{workspace: key.Workspace, key: key.Hash, cancel: cancel}
+	// The registry keeps the name for longer than the configuration that it is a part of.
+	c.workspace, c.key = model.WorkspaceID(strings.Clone(string(key.Workspace))), key.Hash
+	c.flight = &flight{workspace: c.workspace, key: key.Hash, cancel: cancel}
 	c.s.registry.begin(c.flight, connOf(c.r.Context()))
 	if err := c.allowed(); err != nil {
 		c.endFlight()
@@ -204,7 +199,7 @@
 		return nil
 	}
 	cfg := c.s.decider.Config()
-	if _, ok := cfg.Keys[c.key]; !ok || cfg.Workspaces[c.workspace].Withdrawn {
+	if key, ok := cfg.KeyFor(c.key); !ok || key.Workspace != c.workspace {
 		return withdrawn()
 	}
 	if !c.s.decider.Fresh() {
--- a/internal/entry/key.go
+++ b/internal/entry/key.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"crypto/sha256"
-	"crypto/subtle"
 	"net/http"
 	"net/url"
 	"slices"
@@ -37,19 +36,21 @@
 	return slices.Compact(keys)
 }
 
-// findKey looks a key up by its digest. The position in the map depends on the
-// digest alone, which a caller cannot steer, and the digests are compared in
-// constant time.
-func findKey(cfg model.Config, secret string) (model.Key, bool) {
-	hash := model.KeyHash(sha256.Sum256([]byte(secret)))
-	key, ok := cfg.Keys[hash]
-	if subtle.ConstantTimeCompare(key.Hash[:], hash[:]) != 1 || !ok {
-		return model.Key{}, false
+// resolveKey returns the key of a request from the distinct keys that it
+// presents. Only digests are compared, and errors never contain a key.
+func resolveKey(cfg model.Config, presented []string) (model.Key, *ErrRefused) {
+	switch len(presented) {
+	case 0:
+		return model.Key{}, refuse(http.StatusUnauthorized, CodeNoKey, "the request has no key; send it as \"Authorization: Bearer KEY\" or \"X-Api-Key: KEY\"")
+	case 1:
+	default:
+		return model.Key{}, refuse(http.StatusUnauthorized, CodeKeyMismatch, "the request has different keys; send one key, once")
 	}
-	if ws, ok := cfg.Workspaces[key.Workspace]; !ok || ws.Withdrawn {
-		return model.Key{}, false
+	key, ok := cfg.KeyFor(sha256.Sum256([]byte(presented[0])))
+	if !ok {
+		return model.Key{}, refuse(http.StatusUnauthorized, CodeUnknownKey, "the key is unknown or was withdrawn; ask the operators for a valid key")
 	}
-	return key, true
+	return key, nil
 }
 
 // cleaner removes keys from what a target sees.
@@ -61,7 +62,7 @@
 		return cleaner{keys: keys}
 	}
 	return cleaner{keys: slices.DeleteFunc(slices.Clone(keys), func(k string) bool {
-		_, known := cfg.Keys[sha256.Sum256([]byte(k))]
+		_, known := cfg.Keys.Get(sha256.Sum256([]byte(k)))
 		return !known && len(k) < minGuessedKey
 	})}
 }
