Keep a reserve of each bucket at the next candidate for its shard

The owner of a workspace shard now sends StandbyNote to the next candidate (lease.PlaceNext) every 250 ms while buckets are in use, with up to half of each bucket. It grants nothing below the greatest number that a standby may hold, and lowers it when the rest becomes scarce, once StandbyAck arrived or the note expired. Validity counts from an instant of the standby's own clock that the note echoes, so a delayed note does not live longer. Seats report the epoch before each grant; the new owner starts with the reserve if the note is of that epoch, valid and of the limits in force.

ADMIT_SCHEDULES=400 passes.

--- a/internal/admit/api.go
+++ b/internal/admit/api.go
@@ -17,7 +17,7 @@
 type (
 	// Tick lets a core act on elapsed time; the runtime sends one every 20 ms.
 	Tick struct{}
-	// Received delivers a DrawAsk to the owner or a DrawReply to the wallet.
+	// Received delivers a DrawAsk, StandbyNote or StandbyAck to the owner or a DrawReply to the wallet.
 	Received struct {
 		From model.HostID
 		Msg  proto.Message
@@ -26,11 +26,17 @@
 	Configured struct{ Config model.Config }
 	// OwnersChanged replaces the table of owners, for the wallet.
 	OwnersChanged struct{ Owners []proto.Owner }
+	// StandbysChanged replaces the next candidate for each workspace shard, for the owner core.
+	StandbysChanged struct {
+		Standbys [model.WorkspaceShards]model.HostID
+	}
 	// Gained tells the owner core that this host owns a workspace shard up to Until.
 	Gained struct {
 		Shard model.ShardID
 		Epoch model.Epoch
 		Until model.Instant
+		// Previous is the epoch directly before Epoch, or 0 if the seats do not know it.
+		Previous model.Epoch
 	}
 	// Renewed moves the end of an owned shard's lease.
 	Renewed struct {
@@ -75,15 +81,16 @@
 	Step(now model.Instant, ev Event) []Effect
 }
 
-func (Tick) isEvent()          {}
-func (Received) isEvent()      {}
-func (Configured) isEvent()    {}
-func (OwnersChanged) isEvent() {}
-func (Gained) isEvent()        {}
-func (Renewed) isEvent()       {}
-func (Lost) isEvent()          {}
-func (Arrived) isEvent()       {}
-func (Abandoned) isEvent()     {}
+func (Tick) isEvent()            {}
+func (Received) isEvent()        {}
+func (Configured) isEvent()      {}
+func (OwnersChanged) isEvent()   {}
+func (StandbysChanged) isEvent() {}
+func (Gained) isEvent()          {}
+func (Renewed) isEvent()         {}
+func (Lost) isEvent()            {}
+func (Arrived) isEvent()         {}
+func (Abandoned) isEvent()       {}
 
 func (Send) isEffect()     {}
 func (Admitted) isEffect() {}
--- a/internal/admit/bound_test.go
+++ b/internal/admit/bound_test.go
@@ -55,7 +55,7 @@
 
 func (f *fleet) fault(pick func() *fleetHost) {
 	h := pick()
-	switch f.r.IntN(8) {
+	switch f.r.IntN(10) {
 	case 0:
 		h.frozen = f.now + time.Duration(f.r.Int64N(25e8))
 	case 1:
@@ -70,14 +70,26 @@
 		f.loss = f.r.Float64() * 0.3
 	case 6:
 		f.setLimits("a", f.randomLimits())
+	case 7:
+		f.stand(h)
+	case 8:
+		f.forgetful = !f.forgetful
 	default:
 		clear(f.cut)
 	}
 	if f.now >= f.owner.until {
-		f.own(pick())
+		f.own(f.next(pick))
 	}
 }
 
+// next returns the standby or, at times, another host.
+func (f *fleet) next(pick func() *fleetHost) *fleetHost {
+	if f.r.IntN(3) > 0 && f.now >= f.standby.frozen {
+		return f.standby
+	}
+	return pick()
+}
+
 // restart loses the memory of a host. Its shards stay unowned until the lease ends.
 func (f *fleet) restart(h *fleetHost) {
 	f.start(h)
--- a/internal/admit/bucket.go
+++ b/internal/admit/bucket.go
@@ -32,6 +32,9 @@
 	used model.Instant
 	// recent keeps the latest draws of each host, so that a repeated ask gets the first answer.
 	recent map[model.HostID]*recent
+	// escrow is what notes hold at standbys. The bucket does not fall below the greatest of them.
+	escrow []escrow
+	note   noteState
 }
 
 func (b *bucket) capacity() float64 {
@@ -47,8 +50,9 @@
 	b.at = now
 }
 
-func (b *bucket) take(n int) int {
-	granted := min(n, int(b.tokens))
+// take grants up to n tokens and leaves keep tokens in the bucket.
+func (b *bucket) take(n, keep int) int {
+	granted := max(0, min(n, int(b.tokens-float64(keep))))
 	b.tokens -= float64(granted)
 	return granted
 }
--- a/internal/admit/fleet_test.go
+++ b/internal/admit/fleet_test.go
@@ -53,6 +53,11 @@
 	faults bool
 	loss   float64
 	cut    map[*fleetHost]bool
+	// apart holds pairs of hosts without a link in that direction.
+	apart   map[[2]*fleetHost]bool
+	standby *fleetHost
+	// forgetful is set while the seats do not know the previous epoch.
+	forgetful bool
 	// tell is the greatest time until a wallet learns of an owner.
 	tell moment
 	sent int
@@ -85,6 +90,7 @@
 	f := &fleet{
 		t: t, r: rand.New(rand.NewPCG(seed, 2)), cfg: model.NewConfig(nil, nil), tell: 400 * time.Millisecond,
 		tracks: map[model.WorkspaceID]*track{}, cut: map[*fleetHost]bool{},
+		apart: map[[2]*fleetHost]bool{},
 	}
 	for ws, l := range limits {
 		f.cfg.Workspaces[ws] = model.Workspace{ID: ws}
@@ -100,6 +106,7 @@
 		f.start(h)
 		f.every(time.Duration(f.r.Int64N(20e6)), 20*time.Millisecond, func() { f.tick(h) })
 	}
+	f.stand(f.hosts[len(f.hosts)/2])
 	f.every(0, 400*time.Millisecond, f.renew)
 	return f
 }
@@ -107,8 +114,9 @@
 func (f *fleet) start(h *fleetHost) {
 	h.run++
 	h.wallet = NewWallet(h.id, WithIncarnation(h.run))
-	h.owner = NewOwner(h.id)
+	h.owner = NewOwner(h.id, WithIncarnation(h.run))
 	f.stepOwner(h, Configured{Config: f.cfg})
+	f.tellStandby(h)
 }
 
 func (f *fleet) at(t moment, do func()) {
@@ -148,12 +156,16 @@
 // own moves all shards to a host. The wallets learn of it within 400 ms.
 func (f *fleet) own(h *fleetHost) {
 	f.owner = h
+	previous := f.epoch
+	if f.forgetful {
+		previous = 0
+	}
 	f.epoch++
 	h.until = f.now + 1500*time.Millisecond
 	owners := make([]proto.Owner, model.WorkspaceShards)
 	for s := range owners {
 		id := model.ShardID(s)
-		f.stepOwner(h, Gained{Shard: id, Epoch: f.epoch, Until: h.local(h.until)})
+		f.stepOwner(h, Gained{Shard: id, Epoch: f.epoch, Until: h.local(h.until), Previous: previous})
 		owners[s] = proto.Owner{Shard: id, Host: h.id, Epoch: f.epoch}
 	}
 	for _, o := range f.hosts {
@@ -161,6 +173,28 @@
 	}
 }
 
+// stand makes a host the next candidate for all shards.
+func (f *fleet) stand(h *fleetHost) {
+	f.standby = h
+	for _, o := range f.hosts {
+		f.tellStandby(o)
+	}
+}
+
+func (f *fleet) tellStandby(h *fleetHost) {
+	if f.standby == nil {
+		return
+	}
+	var ev StandbysChanged
+	for i := range ev.Standbys {
+		ev.Standbys[i] = f.standby.id
+		if h == f.standby {
+			ev.Standbys[i] = f.hosts[0].id
+		}
+	}
+	f.stepOwner(h, ev)
+}
+
 func (f *fleet) renew() {
 	h := f.owner
 	if h == nil || f.now < h.frozen || f.now >= h.until || f.cut[h] {
@@ -243,7 +277,7 @@
 
 func (f *fleet) send(from, to *fleetHost, m proto.Message) {
 	f.sent++
-	if from != to && (f.cut[from] || f.cut[to] || f.r.Float64() < f.loss) {
+	if from != to && (f.cut[from] || f.cut[to] || f.apart[[2]*fleetHost{from, to}] || f.r.Float64() < f.loss) {
 		return
 	}
 	copies := 1
@@ -265,11 +299,11 @@
 		return
 	}
 	ev := Received{From: from.id, Msg: m}
-	if _, ok := m.(proto.DrawAsk); ok {
-		f.stepOwner(to, ev)
+	if _, ok := m.(proto.DrawReply); ok {
+		f.stepWallet(to, ev)
 		return
 	}
-	f.stepWallet(to, ev)
+	f.stepOwner(to, ev)
 }
 
 // arrive offers one request to a host.
--- a/internal/admit/owner.go
+++ b/internal/admit/owner.go
@@ -30,7 +30,12 @@
 	workspaces map[model.WorkspaceID]model.Workspace
 	shards     [model.WorkspaceShards]ownedShard
 	sweepAt    model.Instant
-	out        [1]Effect
+	standbys   [model.WorkspaceShards]model.HostID
+	// reserves are held for the owners of shards whose next candidate this host is.
+	reserves [model.WorkspaceShards]reserve
+	// nonce numbers the notes of this run.
+	nonce uint64
+	out   []Effect
 }
 
 type ownedShard struct {
@@ -42,6 +47,7 @@
 	fillFrom model.Instant
 	buckets  map[model.WorkspaceID]*bucket
 	order    []*bucket
+	standby  standby
 }
 
 // NewOwner returns an owner of nothing. It serves once it is configured.
@@ -51,9 +57,11 @@
 
 // Step takes one event.
 func (o *Owner) Step(now model.Instant, ev Event) []Effect {
+	o.out = o.out[:0]
 	switch ev := ev.(type) {
 	case Tick:
 		o.sweep(now)
+		o.noteAll(now)
 	case Configured:
 		o.configure(now, ev.Config)
 	case Gained:
@@ -65,12 +73,29 @@
 			o.shards[ev.Shard] = ownedShard{}
 		}
 	case Received:
-		if m, ok := ev.Msg.(proto.DrawAsk); ok {
-			o.out[0] = Send{To: ev.From, Msg: o.draw(now, ev.From, m)}
-			return o.out[:]
+		o.receive(now, ev)
+	case StandbysChanged:
+		o.standbys = ev.Standbys
+		for i := range o.shards {
+			o.shards[i].follow(o.standbys[i], o.nonce)
 		}
 	}
-	return nil
+	return o.out
+}
+
+func (o *Owner) receive(now model.Instant, ev Received) {
+	switch m := ev.Msg.(type) {
+	case proto.DrawAsk:
+		o.draw(now, ev.From, m)
+	case proto.StandbyNote:
+		o.hold(now, ev.From, m)
+	case proto.StandbyAck:
+		o.acknowledged(now, ev.From, m)
+	}
+}
+
+func (o *Owner) reply(to model.HostID, m proto.Message) {
+	o.out = append(o.out, Send{To: to, Msg: m})
 }
 
 func (o *Owner) gain(now model.Instant, ev Gained) {
@@ -83,7 +108,9 @@
 		until:    ev.Until,
 		fillFrom: now.Add(o.atLeast(maxValid)),
 		buckets:  map[model.WorkspaceID]*bucket{},
+		standby:  standby{host: o.standbys[ev.Shard]},
 	}
+	o.useReserve(now, ev)
 }
 
 func (o *Owner) renew(ev Renewed) {
@@ -108,6 +135,9 @@
 	for i := range o.shards {
 		for _, b := range o.shards[i].order {
 			b.setLimits(now, o.limits(b.workspace), o.settings)
+			if b.note.nonce > 0 && b.note.limits != b.limits {
+				b.note.due, o.shards[i].standby.noteAt = true, now
+			}
 		}
 	}
 }
@@ -119,31 +149,35 @@
 	return o.defaults
 }
 
-func (o *Owner) draw(now model.Instant, from model.HostID, m proto.DrawAsk) proto.DrawReply {
+func (o *Owner) draw(now model.Instant, from model.HostID, m proto.DrawAsk) {
 	reply := proto.DrawReply{Nonce: m.Nonce, Workspace: m.Workspace}
 	sh := &o.shards[model.WorkspaceShard(m.Workspace)]
 	if !o.configured || !sh.owned || sh.until.Sub(now) < minLease {
 		reply.NotOwner = true
-		return reply
+		o.reply(from, reply)
+		return
 	}
 	reply.Epoch = sh.epoch
 	if o.workspaces[m.Workspace].Withdrawn {
-		return reply
+		o.reply(from, reply)
+		return
 	}
 	b := o.bucket(now, sh, m.Workspace)
+	keep := sh.kept(now, b)
 	r := b.of(now, from)
 	d, repeated := r.find(m.Nonce)
 	if !repeated {
 		b.refill(now, o.drift)
 		valid := min(validFor(b.limits), o.atMost(sh.until.Sub(now)))
-		d = drawn{nonce: m.Nonce, granted: b.take(max(0, m.Tokens)), validFor: valid}
+		d = drawn{nonce: m.Nonce, granted: b.take(m.Tokens, keep), validFor: valid}
 		r.add(d)
 	}
 	reply.Granted, reply.ValidFor = d.granted, d.validFor
 	if d.granted < m.Tokens {
 		reply.RetryAfter = b.wait(now, o.drift)
 	}
-	return reply
+	o.reply(from, reply)
+	o.lower(now, sh, b, keep, m.Tokens-d.granted)
 }
 
 // bucket returns the bucket of a workspace. A new one holds what would have
@@ -180,11 +214,14 @@
 		return
 	}
 	o.sweepAt = now.Add(sweepEvery)
+	for i := range o.reserves {
+		o.reserves[i].sweep(now)
+	}
 	for i := range o.shards {
 		sh := &o.shards[i]
 		sh.order = slices.DeleteFunc(sh.order, func(b *bucket) bool {
 			b.forget(now)
-			if now.Sub(b.used) < idleAfter {
+			if now.Sub(b.used) < idleAfter || sh.kept(now, b) > 0 {
 				return false
 			}
 			b.refill(now, o.drift)
--- /dev/null
+++ b/internal/admit/reserve_test.go
@@ -0,0 +1,205 @@
+package admit
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"tarragongauge.example/tarragongauge/internal/proto"
+	"tarragongauge.example/tarragongauge/pkg/model"
+)
+
+// Guards against reserves that are used twice: by an owner that granted them
+// after all, or by an owner that is not the next one. The loads come in bursts
+// around each change of owner, so that every token of a bucket is used at once.
+func TestBoundWithReserves(t *testing.T) {
+	for seed := range countFromEnv("ADMIT_SCHEDULES", 40) {
+		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) {
+			t.Parallel()
+			reserveSchedule(t, seed)
+		})
+	}
+}
+
+func (f *fleet) deepLimits() model.Limits {
+	rate := 20 + 100*f.r.Float64()
+	return model.Limits{Rate: rate, Burst: rate * (0.5 + 2*f.r.Float64())}
+}
+
+func reserveSchedule(t *testing.T, seed uint64) {
+	f := newFleet(t, seed, 5, map[model.WorkspaceID]model.Limits{"a": {Rate: 50, Burst: 100}, "b": {Rate: 40, Burst: 20}})
+	f.faults, f.tell = true, 50*time.Millisecond
+	any := func() *fleetHost { return f.hosts[f.r.IntN(len(f.hosts))] }
+	f.own(f.hosts[0])
+	for _, ws := range []model.WorkspaceID{"a", "b"} {
+		f.poisson(ws, f.tracks[ws].most.Rate*f.r.Float64(), any)
+	}
+	for range 30 {
+		f.runUntil(f.now + time.Duration(f.r.Int64N(3e9)))
+		f.reserveFault(any)
+		if f.r.IntN(3) == 0 {
+			f.runUntil(f.now + time.Duration(f.r.Int64N(5e9)))
+			f.change(any)
+		}
+	}
+	require.Positive(t, f.tracks["a"].admitted)
+}
+
+// flood offers more requests at once than a bucket holds.
+func (f *fleet) flood(any func() *fleetHost) {
+	for _, ws := range []model.WorkspaceID{"a", "b"} {
+		for range int(1.5 * f.tracks[ws].most.Burst) {
+			if h := any(); f.now >= h.frozen {
+				f.arrive(h, ws)
+			}
+		}
+	}
+}
+
+// change lets the owner grant what it can, then moves the shards up to three times in a row.
+func (f *fleet) change(any func() *fleetHost) {
+	for range 1 + f.r.IntN(3) {
+		if f.r.IntN(2) == 0 {
+			f.flood(any)
+			f.runUntil(f.now + time.Duration(f.r.Int64N(100e6)))
+		}
+		to := f.next(any)
+		if f.now < f.owner.until && f.now >= f.owner.frozen {
+			f.release(to)
+		} else {
+			f.runUntil(max(f.now, f.owner.until))
+			f.own(to)
+		}
+		f.runUntil(f.now + time.Duration(f.r.Int64N(15e8)))
+		f.flood(any)
+		f.runUntil(f.now + time.Duration(f.r.Int64N(200e6)))
+	}
+}
+
+func (f *fleet) reserveFault(any func() *fleetHost) {
+	h := any()
+	switch f.r.IntN(12) {
+	case 0:
+		h.frozen = f.now + time.Duration(f.r.Int64N(25e8))
+	case 1:
+		f.restart(h)
+	case 2:
+		f.restart(f.standby)
+	case 3:
+		f.cut[h] = true
+	case 4, 5:
+		f.apart[[2]*fleetHost{f.owner, f.standby}] = f.r.IntN(3) > 0
+		f.apart[[2]*fleetHost{f.standby, f.owner}] = f.r.IntN(3) > 0
+	case 6:
+		f.loss = f.r.Float64() * 0.3
+	case 7, 8:
+		f.setLimits("a", f.deepLimits())
+	case 9:
+		f.stand(h)
+	case 10:
+		f.forgetful = !f.forgetful
+	default:
+		clear(f.cut)
+		clear(f.apart)
+	}
+	if f.now >= f.owner.until {
+		f.own(f.next(any))
+	}
+}
+
+// standbyPair is an owner and its standby, both with instants of their own.
+type standbyPair struct {
+	t              *testing.T
+	owner, standby *Owner
+	shard          model.ShardID
+}
+
+const (
+	ownerStart   = 100 * time.Second
+	standbyStart = 7 * time.Second
+)
+
+func newStandbyPair(t *testing.T) *standbyPair {
+	o, shard := admitOwner(model.Limits{Rate: 50, Burst: 100})
+	p := &standbyPair{t: t, owner: o, standby: NewOwner("s", WithIncarnation(9)), shard: shard}
+	cfg := model.NewConfig(nil, nil)
+	cfg.Defaults.Limits = model.Limits{Rate: 50, Burst: 100}
+	p.standby.Step(0, Configured{Config: cfg})
+	var standbys StandbysChanged
+	standbys.Standbys[shard] = "s"
+	o.Step(0, standbys)
+	return p
+}
+
+// tick lets the owner act at a time since the start of the test and exchanges all notes.
+func (p *standbyPair) tick(at time.Duration) (tokens int) {
+	for _, e := range p.owner.Step(model.Instant(ownerStart+at), Tick{}) {
+		m := e.(Send).Msg.(proto.StandbyNote)
+		for _, r := range m.Reserves {
+			tokens = r.Tokens
+		}
+		ack := p.standby.Step(model.Instant(standbyStart+at), Received{From: "o", Msg: m})[0].(Send).Msg
+		p.owner.Step(model.Instant(ownerStart+at), Received{From: "s", Msg: ack})
+	}
+	return tokens
+}
+
+// Guards against a standby that starts with tokens that its predecessor's note
+// does not give it, and against one that starts empty although the note is good.
+func TestReserveOfTheEpochBefore(t *testing.T) {
+	tests := []struct {
+		name   string
+		ev     Gained
+		after  time.Duration
+		limits model.Limits
+		want   int
+	}{
+		{"the next owner", Gained{Epoch: 2, Previous: 1}, 0, model.Limits{Rate: 50, Burst: 100}, 44},
+		{"an epoch in between", Gained{Epoch: 3, Previous: 2}, 0, model.Limits{Rate: 50, Burst: 100}, 0},
+		{"seats that forgot", Gained{Epoch: 2}, 0, model.Limits{Rate: 50, Burst: 100}, 0},
+		{"expired", Gained{Epoch: 2, Previous: 1}, noteValid, model.Limits{Rate: 50, Burst: 100}, 0},
+		{"other limits", Gained{Epoch: 2, Previous: 1}, 0, model.Limits{Rate: 50, Burst: 99}, 0},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			p := newStandbyPair(t)
+			drawFrom(p.owner, ownerStart, 1, 1)
+			p.tick(0)
+			require.Equal(t, 44, p.tick(20*time.Millisecond))
+			cfg := model.NewConfig(nil, nil)
+			cfg.Defaults.Limits = tt.limits
+			now := standbyStart + 20*time.Millisecond + tt.after
+			p.standby.Step(model.Instant(now), Configured{Config: cfg})
+			tt.ev.Shard, tt.ev.Until = p.shard, 1<<60
+			p.standby.Step(model.Instant(now), tt.ev)
+			require.Equal(t, tt.want, drawFrom(p.standby, now, 1, 1000).Granted)
+		})
+	}
+}
+
+// Guards against granting what a standby may hold before it acknowledged a
+// smaller reserve, and against a standby that blocks the reserve for ever.
+func TestReserveIsLoweredOnlyByAnAcknowledgement(t *testing.T) {
+	p := newStandbyPair(t)
+	drawFrom(p.owner, ownerStart, 1, 1)
+	p.tick(0)
+	p.tick(20 * time.Millisecond)
+	now := ownerStart + 30*time.Millisecond
+	out := p.owner.Step(model.Instant(now), Received{From: "e", Msg: proto.DrawAsk{Nonce: 2, Workspace: "w", Tokens: 1000}})
+	require.Equal(t, 45, out[0].(Send).Msg.(proto.DrawReply).Granted, "the reserve of 44 stays")
+	lower := out[1].(Send).Msg.(proto.StandbyNote)
+	require.Zero(t, lower.Reserves[0].Tokens)
+	require.Less(t, drawFrom(p.owner, now, 3, 1000).Granted, 2)
+	ack := p.standby.Step(model.Instant(standbyStart+31*time.Millisecond), Received{From: "o", Msg: lower})[0].(Send).Msg
+	p.owner.Step(model.Instant(now), Received{From: "s", Msg: ack})
+	require.Equal(t, 44, drawFrom(p.owner, now, 4, 1000).Granted)
+
+	p = newStandbyPair(t)
+	drawFrom(p.owner, ownerStart, 1, 1)
+	p.tick(0)
+	p.tick(20 * time.Millisecond)
+	require.Equal(t, 45, drawFrom(p.owner, ownerStart+4*time.Second, 2, 1000).Granted, "still valid")
+	require.Equal(t, 54, drawFrom(p.owner, ownerStart+4200*time.Millisecond, 3, 1000).Granted, "expired, and 0.2 s of filling")
+}
--- a/internal/lease/claimer.go
+++ b/internal/lease/claimer.go
@@ -43,6 +43,8 @@
 	until model.Instant
 	// grants holds when the newest granted ask was sent, by seat, for this epoch.
 	grants map[model.HostID]model.Instant
+	// previous holds the epoch that each seat granted before this one, as its latest grant told.
+	previous map[model.HostID]model.Epoch
 	// since is when this epoch was first claimed.
 	since model.Instant
 	// pausedUntil is set after giving up a claim without a majority.
@@ -117,7 +119,7 @@
 		until: now.Add(c.timing.atLeast(c.timing.Lease)),
 	})
 	sh.seen = max(sh.seen, sh.epoch)
-	sh.owned, sh.epoch, sh.grants = false, 0, nil
+	sh.owned, sh.epoch, sh.grants, sh.previous = false, 0, nil, nil
 }
 
 // place claims the shards whose first candidate this host is and gives up the others.
@@ -192,8 +194,7 @@
 		}
 		if sh.epoch == 0 {
 			sh.epoch = max(sh.seen+1, model.Epoch(max(c.wallMillis(), 1)))
-			sh.since = now
-			sh.grants = map[model.HostID]model.Instant{}
+			sh.begin(now)
 		}
 		claims = append(claims, proto.Claim{Shard: id, Epoch: sh.epoch})
 	}
@@ -236,7 +237,10 @@
 			continue
 		}
 		sh := &c.shards[g.Shard]
-		sh.grants[from] = max(sh.grants[from], sent)
+		if sent >= sh.grants[from] {
+			sh.grants[from] = sent
+			sh.previous[from] = epochOf(m.Previous, g.Shard)
+		}
 		out = append(out, c.countShard(now, g.Shard)...)
 	}
 	for _, d := range m.Denied {
@@ -257,8 +261,14 @@
 		return
 	}
 	sh.epoch = sh.seen + 1
-	sh.grants = map[model.HostID]model.Instant{}
+	sh.begin(now)
+}
+
+// begin starts a claim with a new epoch, without grants.
+func (sh *claim) begin(now model.Instant) {
 	sh.since = now
+	sh.grants = map[model.HostID]model.Instant{}
+	sh.previous = map[model.HostID]model.Epoch{}
 }
 
 func (c *Claimer) count(now model.Instant) []Effect {
@@ -283,7 +293,39 @@
 		return []Effect{Renewed{Shard: id, Epoch: sh.epoch, Until: until}}
 	}
 	sh.owned = true
-	return []Effect{Gained{Shard: id, Epoch: sh.epoch, Until: until}}
+	return []Effect{Gained{Shard: id, Epoch: sh.epoch, Until: until, Previous: c.previousEpoch(now, sh)}}
+}
+
+// previousEpoch returns the greatest epoch that the seats granted before this
+// claim. Every earlier owner had a majority of each list, so it is among the
+// answers of any majority whose seats have not forgotten. Without such a
+// majority it returns 0.
+func (c *Claimer) previousEpoch(now model.Instant, sh *claim) model.Epoch {
+	var greatest model.Epoch
+	for _, list := range c.lists {
+		known := 0
+		for _, seat := range list {
+			sent, granted := sh.grants[seat]
+			if !granted || sh.previous[seat] == 0 || now >= sent.Add(c.timing.atMost(c.timing.Lease)) {
+				continue
+			}
+			known++
+			greatest = max(greatest, sh.previous[seat])
+		}
+		if known < model.Majority(len(list)) {
+			return 0
+		}
+	}
+	return greatest
+}
+
+func epochOf(claims []proto.Claim, id model.ShardID) model.Epoch {
+	for _, c := range claims {
+		if c.Shard == id {
+			return c.Epoch
+		}
+	}
+	return 0
 }
 
 func (c *Claimer) leaseEnd(sh *claim) (model.Instant, bool) {
--- a/internal/lease/grant.go
+++ b/internal/lease/grant.go
@@ -19,6 +19,8 @@
 	// live is set from the grant until its release or expiry.
 	live bool
 	hash uint64
+	// previous is the epoch granted before this one, or 0 if the seat does not know it.
+	previous model.Epoch
 	// released is set when the holder gave up this epoch for good.
 	released bool
 }
@@ -38,7 +40,11 @@
 		return proto.Denial{}, true
 	}
 	g.sum -= cur.hash
-	*cur = grant{host: from, epoch: c.Epoch, until: until, live: true}
+	previous := cur.epoch
+	if renewal {
+		previous = cur.previous
+	}
+	*cur = grant{host: from, epoch: c.Epoch, until: until, live: true, previous: previous}
 	cur.hash = hashOwner(proto.Owner{Shard: c.Shard, Host: from, Epoch: c.Epoch})
 	g.sum += cur.hash
 	g.cached = nil
--- a/internal/lease/lease_test.go
+++ b/internal/lease/lease_test.go
@@ -42,7 +42,8 @@
 	w.requireWhole()
 }
 
-// Guards against shards that stay with a host that is heard but does not hear,
+// Guards against new owners that cannot use the reserve of the lost one,
+// against shards that stay with a host that is heard but does not hear,
 // and against a drained host that keeps shards until its lease ends.
 func TestShardsMove(t *testing.T) {
 	tests := []struct {
@@ -63,6 +64,13 @@
 			w := newWorld(t, 3)
 			w.runUntil(9 * time.Second)
 			gone := w.hosts[7]
+			owned := 0
+			for s := range model.ShardID(model.Shards) {
+				if gone.claimer.Owns(gone.local(w.now), s) {
+					owned++
+				}
+			}
+			w.direct = 0
 			tt.lose(w, gone)
 			w.runUntil(w.now + tt.within)
 			for s := range model.ShardID(model.Shards) {
@@ -74,6 +82,8 @@
 				}
 				require.Equal(t, 1, owners, "owners of shard %d besides the lost host", s)
 			}
+			require.Positive(t, owned)
+			require.Equal(t, owned, w.direct, "new owners know the epoch of the lost host")
 		})
 	}
 }
@@ -235,3 +245,18 @@
 	}
 	return n
 }
+
+// Guards against a standby that is not the host that takes over, which would
+// leave the reserves of a lost owner unused.
+func TestPlaceNextIsTheCandidateAfterALoss(t *testing.T) {
+	members := entryMembers(9)
+	lost := members[4].Host
+	before, next := Place(members), PlaceNext(members, lost)
+	after := Place(append(append([]proto.Member{}, members[:4]...), members[5:]...))
+	for s := range before {
+		require.NotEqual(t, lost, next[s])
+		if before[s] == lost {
+			require.Equal(t, after[s], next[s])
+		}
+	}
+}
--- a/internal/lease/place.go
+++ b/internal/lease/place.go
@@ -1,6 +1,8 @@
 package lease
 
 import (
+	"slices"
+
 	"tarragongauge.example/tarragongauge/internal/proto"
 	"tarragongauge.example/tarragongauge/pkg/model"
 )
@@ -25,3 +27,10 @@
 	}
 	return first
 }
+
+// PlaceNext returns the candidate for each shard if self were gone: the host
+// that takes over the shards that self owns.
+func PlaceNext(members []proto.Member, self model.HostID) [model.Shards]model.HostID {
+	others := slices.DeleteFunc(slices.Clone(members), func(m proto.Member) bool { return m.Host == self })
+	return Place(others)
+}
--- a/internal/lease/seat.go
+++ b/internal/lease/seat.go
@@ -173,6 +173,9 @@
 			continue
 		}
 		reply.Granted = append(reply.Granted, c)
+		if previous := s.grants.shards[c.Shard].previous; previous != 0 {
+			reply.Previous = append(reply.Previous, proto.Claim{Shard: c.Shard, Epoch: previous})
+		}
 	}
 	return []Effect{Send{To: from, Msg: reply}}
 }
--- a/internal/lease/world_test.go
+++ b/internal/lease/world_test.go
@@ -42,6 +42,8 @@
 	healed  bool
 	boot    []model.HostID
 	epochs  [model.Shards]model.Epoch
+	// direct counts the shards gained directly after the epoch of the last owner.
+	direct int
 }
 
 // worldHost is one entry host with a clock of its own.
@@ -179,12 +181,19 @@
 	}
 }
 
-// checkOwner guards against two owners of a shard, and against epochs that do not grow.
+// checkOwner guards against two owners of a shard, against epochs that do not
+// grow, and against a previous epoch that skips an owner.
 func (w *world) checkOwner(h *worldHost, g Gained) {
 	w.checkAlone(h, g.Shard)
 	if g.Epoch <= w.epochs[g.Shard] {
 		w.t.Fatalf("%v: shard %d gained with epoch %d after %d", w.now, g.Shard, g.Epoch, w.epochs[g.Shard])
 	}
+	if g.Previous != 0 && g.Previous < w.epochs[g.Shard] {
+		w.t.Fatalf("%v: shard %d gained after epoch %d, but the last owner had %d", w.now, g.Shard, g.Previous, w.epochs[g.Shard])
+	}
+	if g.Previous != 0 && g.Previous == w.epochs[g.Shard] {
+		w.direct++
+	}
 	w.epochs[g.Shard] = g.Epoch
 }
 
--- a/internal/node/effects.go
+++ b/internal/node/effects.go
@@ -80,9 +80,16 @@
 	for _, gone := range h.hosts.replace(members) {
 		h.targets.post(pool.HostGone{Host: gone})
 	}
+	h.buckets.post(admit.StandbysChanged{Standbys: workspaceStandbys(members, h.self.Host)})
 	h.shareConnections()
 }
 
+// workspaceStandbys returns the next candidate for each workspace shard after this host.
+func workspaceStandbys(members []proto.Member, self model.HostID) [model.WorkspaceShards]model.HostID {
+	next := lease.PlaceNext(members, self)
+	return [model.WorkspaceShards]model.HostID(next[:model.WorkspaceShards])
+}
+
 // shareConnections divides the connections that a target may have among the live entry hosts.
 func (h *entryHost) shareConnections() {
 	share := h.cfg.Load().Defaults.Connections / max(1, len(h.hosts.hosts))
@@ -105,7 +112,7 @@
 		if isWorkspaceShard(f.Shard) {
 			h.buckets.post(admit.Gained(f))
 		} else {
-			h.targets.post(pool.Gained(f))
+			h.targets.post(pool.Gained{Shard: f.Shard, Epoch: f.Epoch, Until: f.Until})
 		}
 	case lease.Renewed:
 		if isWorkspaceShard(f.Shard) {
--- a/internal/node/entry.go
+++ b/internal/node/entry.go
@@ -148,7 +148,7 @@
 		h.seat.post(lease.Received{From: from, Msg: m})
 	case proto.LeaseReply:
 		h.claimer.post(lease.Received{From: from, Msg: m})
-	case proto.DrawAsk:
+	case proto.DrawAsk, proto.StandbyNote, proto.StandbyAck:
 		h.buckets.post(admit.Received{From: from, Msg: m})
 	case proto.DrawReply:
 		h.wallet.post(admit.Received{From: from, Msg: m})
--- a/internal/proto/message.go
+++ b/internal/proto/message.go
@@ -227,6 +227,8 @@
 		Nonce   uint64
 		Granted []Claim
 		Denied  []Denial
+		// Previous holds, for each granted shard, the epoch that the answerer granted before, if it knows one.
+		Previous []Claim
 	}
 )
 
--- a/internal/wire/binding.go
+++ b/internal/wire/binding.go
@@ -53,6 +53,7 @@
 	all = append(all, logBindings()...)
 	all = append(all, freshBindings()...)
 	all = append(all, leaseBindings()...)
+	all = append(all, standbyBindings()...)
 	all = append(all, poolBindings()...)
 	all = append(all, orderBindings()...)
 	return append(all, reportBindings()...)
--- a/internal/wire/lease.go
+++ b/internal/wire/lease.go
@@ -34,6 +34,8 @@
 	Nonce   uint64   `cbor:"1,keyasint"`
 	Granted []claim  `cbor:"2,keyasint"`
 	Denied  []denial `cbor:"3,keyasint"`
+	// Previous is left out while it is empty.
+	Previous []claim `cbor:"4,keyasint,omitempty"`
 }
 
 type drawAsk struct {
@@ -73,9 +75,19 @@
 }
 
 func toLeaseReply(m proto.LeaseReply) leaseReply {
-	return leaseReply{Nonce: m.Nonce, Granted: convert(m.Granted, toClaim), Denied: convert(m.Denied, func(d proto.Denial) denial { return denial(d) })}
+	return leaseReply{
+		Nonce:    m.Nonce,
+		Granted:  convert(m.Granted, toClaim),
+		Denied:   convert(m.Denied, func(d proto.Denial) denial { return denial(d) }),
+		Previous: convert(m.Previous, toClaim),
+	}
 }
 
 func fromLeaseReply(d leaseReply) proto.LeaseReply {
-	return proto.LeaseReply{Nonce: d.Nonce, Granted: convert(d.Granted, fromClaim), Denied: convert(d.Denied, func(d denial) proto.Denial { return proto.Denial(d) })}
+	return proto.LeaseReply{
+		Nonce:    d.Nonce,
+		Granted:  convert(d.Granted, fromClaim),
+		Denied:   convert(d.Denied, func(d denial) proto.Denial { return proto.Denial(d) }),
+		Previous: convert(d.Previous, fromClaim),
+	}
 }
