--- a/internal/admit/reserve_test.go
+++ b/internal/admit/reserve_test.go
@@ -15,7 +15,7 @@
 // after all, or by an owner that is not the next one. The loads come in bursts
 // around each change of owner, so that every token of a bucket is used at once.
 func TestBoundWithReserves(t *testing.T) {
-	for seed := range countFromEnv("ADMIT_SCHEDULES", 40) {
+	for seed := range countFromEnv("ADMIT_SCHEDULES", 64) {
 		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) {
 			t.Parallel()
 			reserveSchedule(t, seed)
@@ -36,13 +36,16 @@
 	for _, ws := range []model.WorkspaceID{"a", "b"} {
 		f.poisson(ws, f.tracks[ws].most.Rate*f.r.Float64(), any)
 	}
-	for range 30 {
+	for range 15 {
+		if f.r.IntN(2) == 0 {
+			f.heal()
+		}
 		f.runUntil(f.now + time.Duration(f.r.Int64N(3e9)))
-		f.reserveFault(any)
-		if f.r.IntN(3) == 0 {
-			f.runUntil(f.now + time.Duration(f.r.Int64N(5e9)))
-			f.change(any)
+		for range f.r.IntN(3) {
+			f.reserveFault(any)
+			f.runUntil(f.now + time.Duration(f.r.Int64N(3e9)))
 		}
+		f.change(any)
 	}
 	require.Positive(t, f.tracks["a"].admitted)
 }
@@ -58,8 +61,30 @@
 	}
 }
 
-// change lets the owner grant what it can, then moves the shards up to three times in a row.
+// heal ends all faults, so that buckets fill and the standby holds reserves.
+func (f *fleet) heal() {
+	clear(f.cut)
+	clear(f.apart)
+	f.loss, f.forgetful = 0, false
+	if f.now >= f.owner.until {
+		f.own(f.standby)
+	}
+}
+
+// change lets the owner grant what it can, then moves the shards up to three
+// times in a row. At times the standby does not answer for longer than its
+// notes live, or does not hear that the limits changed.
 func (f *fleet) change(any func() *fleetHost) {
+	switch f.r.IntN(6) {
+	case 0, 1:
+		f.apart[[2]*fleetHost{f.standby, f.owner}] = true
+		f.runUntil(f.now + 4*time.Second + time.Duration(f.r.Int64N(4e9)))
+	case 2:
+		f.apart[[2]*fleetHost{f.owner, f.standby}] = true
+		l := f.deepLimits()
+		f.setLimits("a", model.Limits{Rate: l.Rate, Burst: max(l.Rate/10, l.Burst/8)})
+		f.runUntil(f.now + maxValid + time.Duration(f.r.Int64N(1e9)))
+	}
 	for range 1 + f.r.IntN(3) {
 		if f.r.IntN(2) == 0 {
 			f.flood(any)
@@ -72,7 +97,7 @@
 			f.runUntil(max(f.now, f.owner.until))
 			f.own(to)
 		}
-		f.runUntil(f.now + time.Duration(f.r.Int64N(15e8)))
+		f.runUntil(f.now + time.Duration(f.r.Int64N(15e8)*f.r.Int64N(2)) + time.Duration(f.r.Int64N(100e6)))
 		f.flood(any)
 		f.runUntil(f.now + time.Duration(f.r.Int64N(200e6)))
 	}
@@ -101,8 +126,7 @@
 	case 10:
 		f.forgetful = !f.forgetful
 	default:
-		clear(f.cut)
-		clear(f.apart)
+		f.heal()
 	}
 	if f.now >= f.owner.until {
 		f.own(f.next(any))
