--- a/internal/node/effects.go
+++ b/internal/node/effects.go
@@ -78,9 +78,16 @@
 	for _, gone := range h.hosts.replace(members) {
 		h.targets.post(pool.HostGone{Host: gone})
 	}
+	h.buckets.post(admit.StandbysChanged{Standbys: workspaceStandbys(members, h.self.Host)})
 	h.shareConnections()
 }
 
+// workspaceStandbys returns the next candidate for each workspace shard after this host.
+func workspaceStandbys(members []proto.Member, self model.HostID) [model.WorkspaceShards]model.HostID {
+	next := lease.PlaceNext(members, self)
+	return [model.WorkspaceShards]model.HostID(next[:model.WorkspaceShards])
+}
+
 // shareConnections divides the connections that a target may have among the live entry hosts.
 func (h *entryHost) shareConnections() {
 	share := h.cfg.Load().Defaults.Connections / max(1, len(h.hosts.hosts))
@@ -103,7 +110,7 @@
 		if isWorkspaceShard(f.Shard) {
 			h.buckets.post(admit.Gained(f))
 		} else {
-			h.targets.post(pool.Gained(f))
+			h.targets.post(pool.Gained{Shard: f.Shard, Epoch: f.Epoch, Until: f.Until})
 		}
 	case lease.Renewed:
 		if isWorkspaceShard(f.Shard) {
@@ -129,9 +136,13 @@
 	case admit.Send:
 		h.send(f.To, f.Msg)
 	case admit.Admitted:
-		h.admissions.answer(f.Request, entry.Admission{OK: true})
+		h.admissions.answer(f.Request, admission{decided: true, result: entry.Admission{OK: true}})
 	case admit.Limited:
-		h.admissions.answer(f.Request, entry.Admission{RetryAfter: f.RetryAfter, NoOwner: f.NoOwner})
+		h.admissions.answer(f.Request, admission{decided: true, result: entry.Admission{RetryAfter: f.RetryAfter, NoOwner: f.NoOwner}})
+	case admit.Drawing:
+		h.admissions.tell(f.Request, admission{drawing: true})
+	case admit.Delayed:
+		h.admissions.tell(f.Request, admission{})
 	}
 }
 
--- a/internal/node/entry.go
+++ b/internal/node/entry.go
@@ -51,7 +51,7 @@
 
 	poolOwner *pool.Owner
 
-	admissions   *waiters[requestKey, entry.Admission]
+	admissions   *waiters[requestKey, admission]
 	assignments  *waiters[requestKey, entry.Assignment]
 	reservations *waiters[requestKey, entry.Reservation]
 }
@@ -72,7 +72,7 @@
 		log:          s.log,
 		self:         s.self,
 		timing:       s.timing,
-		admissions:   newWaiters[requestKey, entry.Admission](),
+		admissions:   newWaiters[requestKey, admission](),
 		assignments:  newWaiters[requestKey, entry.Assignment](),
 		reservations: newWaiters[requestKey, entry.Reservation](),
 	}
@@ -148,7 +148,7 @@
 		h.seat.post(lease.Received{From: from, Msg: m})
 	case proto.LeaseReply:
 		h.claimer.post(lease.Received{From: from, Msg: m})
-	case proto.DrawAsk:
+	case proto.DrawAsk, proto.StandbyNote, proto.StandbyAck:
 		h.buckets.post(admit.Received{From: from, Msg: m})
 	case proto.DrawReply:
 		h.wallet.post(admit.Received{From: from, Msg: m})
