--- a/internal/ctrl/api.go
+++ b/internal/ctrl/api.go
@@ -17,7 +17,7 @@
 	// Tick lets the core act on elapsed time; the runtime sends one every 20 to 50 ms.
 	Tick struct{}
 	// Received delivers a message of the log protocol, a SeatStageReply,
-	// a ProposeAsk or a ProposeReply.
+	// a ProposeAsk, a ProposeReply, a PartAsk or a Part.
 	Received struct {
 		From model.HostID
 		Msg  proto.Message
--- a/internal/ctrl/apply.go
+++ b/internal/ctrl/apply.go
@@ -36,5 +36,5 @@
 	term, _ := n.log.term(n.applied)
 	n.snapshot = Snapshot{Index: n.applied, Term: term, Data: data}
 	n.disk.snapshot = true
-	n.log.compact(n.applied, logTail)
+	n.log.compact(n.keepLogFrom(), logTail)
 }
--- a/internal/ctrl/follow.go
+++ b/internal/ctrl/follow.go
@@ -84,16 +84,28 @@
 		n.replyAppend(from, true, max(m.LastIndex, n.commit), m.Round)
 		return
 	}
-	if err := n.install(Snapshot{Index: m.LastIndex, Term: m.LastTerm, Data: m.Data}); err != nil {
+	if m.Offer != nil {
+		n.receiveParts(from, m)
+		return
+	}
+	if err := n.replaceLog(Snapshot{Index: m.LastIndex, Term: m.LastTerm, Data: m.Data}); err != nil {
 		n.replyAppend(from, false, n.commit, m.Round)
 		return
 	}
+	n.replyAppend(from, true, m.LastIndex, m.Round)
+}
+
+// replaceLog installs a snapshot in place of a log that does not hold its last entry.
+func (n *Node) replaceLog(s Snapshot) error {
+	if err := n.install(s); err != nil {
+		return err
+	}
 	n.disk.marks = nil
 	n.disk.syncedIndex = 0
 	n.disk.entries, n.disk.truncateFrom = nil, 0
 	n.disk.snapshot = true
 	n.emit(Applied{Config: n.state.cfg})
-	n.replyAppend(from, true, m.LastIndex, m.Round)
+	return nil
 }
 
 // commitTo applies the entries up to an index that is known to be committed.
--- a/internal/ctrl/lead.go
+++ b/internal/ctrl/lead.go
@@ -93,6 +93,7 @@
 func (n *Node) becomeLeader() {
 	n.role = RoleLeader
 	n.votes = nil
+	n.stopReceiving()
 	n.lead = &leadership{first: n.log.last() + 1}
 	n.setLeader(n.self)
 	n.appendEntry(proto.LogEntry{Index: n.lead.first, Term: n.term})
@@ -197,13 +198,7 @@
 func (n *Node) sendSnapshot(p *peer, heartbeat bool) {
 	if p.snapshotSent == 0 || n.now.Sub(p.snapshotSent) >= snapshotResend {
 		p.snapshotSent = n.now
-		n.send(p.id, proto.InstallSnapshot{
-			Term:      n.term,
-			LastIndex: n.snapshot.Index,
-			LastTerm:  n.snapshot.Term,
-			Data:      n.snapshot.Data,
-			Round:     n.lead.round,
-		})
+		n.send(p.id, n.installMessage())
 		return
 	}
 	if heartbeat {
--- a/internal/ctrl/node.go
+++ b/internal/ctrl/node.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"tarragongauge.example/tarragongauge/internal/codec"
+	"tarragongauge.example/tarragongauge/internal/part"
 	"tarragongauge.example/tarragongauge/internal/proto"
 	"tarragongauge.example/tarragongauge/pkg/model"
 )
@@ -71,6 +72,12 @@
 	// hosts are the ones whose majority counts.
 	tip      state
 	snapshot Snapshot
+	// offered is the snapshot that followers are sent; see snapshot.go.
+	offered  Snapshot
+	sender   part.Sender
+	receiver part.Receiver
+	// incoming holds the offers of snapshots, without their data.
+	incoming []proto.InstallSnapshot
 
 	disk  disk
 	lead  *leadership
@@ -103,6 +110,7 @@
 		learner:  rec.Learner,
 		log:      newEntryLog(0, 0),
 		history:  newHistory(nil),
+		sender:   part.NewSender(o.partSize),
 	}
 	if rec.Empty && o.seed == 0 {
 		return nil, fmt.Errorf("create control host %q: %w", self, model.ErrInvalid{Field: "seed", Got: "0", Want: "a random number that is new at each start, so that the other hosts notice a lost disk"})
@@ -210,11 +218,16 @@
 		n.onProposeReply(m)
 	case proto.SeatStageReply:
 		n.onSeatStageReply(from, m)
+	case proto.PartAsk:
+		n.send(from, n.sender.Answer(n.now, m))
+	case proto.Part:
+		n.onPart(from, m)
 	}
 }
 
 func (n *Node) tick() {
 	n.expireWaits()
+	n.partTick()
 	if n.role == RoleLeader {
 		n.leadTick()
 		return
--- a/internal/ctrl/option.go
+++ b/internal/ctrl/option.go
@@ -54,6 +54,7 @@
 	controls      []model.HostID
 	seats         []model.HostID
 	snapshotEvery uint64
+	partSize      int
 }
 
 // WithTiming replaces DefaultTiming.
@@ -81,6 +82,12 @@
 	return func(o *options) { o.snapshotEvery = entries }
 }
 
+// WithPartSize replaces part.Size by a smaller one, so that tests transfer
+// small snapshots in parts.
+func WithPartSize(bytes int) Option {
+	return func(o *options) { o.partSize = bytes }
+}
+
 func (o options) check() error {
 	t := o.timing
 	switch {
--- a/internal/ctrl/schedule_test.go
+++ b/internal/ctrl/schedule_test.go
@@ -15,8 +15,10 @@
 )
 
 // newWorld returns a fleet that is about to be created, with spare control hosts and seats.
-func newWorld(seed uint64, controls, seats int) *world {
+func newWorld(seed uint64, controls, seats, partSize int) *world {
 	w := &world{
+		partSize: partSize,
+
 		rng:   rand.New(rand.NewPCG(seed, 7)),
 		cut:   map[[2]model.HostID]bool{},
 		delay: 5 * time.Millisecond,
@@ -338,7 +340,8 @@
 // runSchedule runs one random schedule and returns what was violated, or "".
 func runSchedule(seed uint64) (*world, string) {
 	shape := rand.New(rand.NewPCG(seed, 3))
-	w := newWorld(seed, 3+2*shape.IntN(2), 3+2*shape.IntN(2))
+	controls, seats := 3+2*shape.IntN(2), 3+2*shape.IntN(2)
+	w := newWorld(seed, controls, seats, []int{0, 300, 60}[seed/uint64(kinds)%3])
 	w.faults = true
 	w.kind = kind(seed % uint64(kinds))
 	w.loss = []float64{0, 0.02, 0.2}[shape.IntN(3)]
@@ -438,7 +441,7 @@
 	for b := range uint64(batches) {
 		t.Run(fmt.Sprint(b), func(t *testing.T) {
 			t.Parallel()
-			accepted, admitted, terms, stuck := 0, 0, 0, 0
+			accepted, admitted, terms, stuck, transfers := 0, 0, 0, 0, 0
 			for seed := start + b; seed < start+count; seed += batches {
 				w, failure := runSchedule(seed)
 				if failure != "" {
@@ -447,11 +450,12 @@
 				accepted += len(w.check.accepted)
 				admitted += w.check.admitted
 				terms += len(w.check.leaders)
+				transfers += w.check.transfers
 				if w.check.stuck {
 					stuck++
 				}
 			}
-			t.Logf("acceptances %d, readmissions %d, terms led %d, majority lost during a removal %d", accepted, admitted, terms, stuck)
+			t.Logf("acceptances %d, readmissions %d, terms led %d, snapshots in parts %d, majority lost during a removal %d", accepted, admitted, terms, transfers, stuck)
 		})
 	}
 }
--- a/internal/ctrl/stage.go
+++ b/internal/ctrl/stage.go
@@ -131,7 +131,7 @@
 		m.Changes = changes
 		return
 	}
-	m.Snapshot = n.encodedConfig()
+	m.Snapshot, m.Offer = n.sender.Offer(n.now, n.encodedConfig())
 }
 
 func (n *Node) newestChanges(most int) []model.Committed {
@@ -147,7 +147,7 @@
 
 func (n *Node) encodedConfig() []byte {
 	st := &n.lead.stage
-	if st.encoded != nil && st.encodedVersion == n.state.cfg.Version {
+	if st.encoded != nil && (st.encodedVersion == n.state.cfg.Version || n.mayStageOlder()) {
 		return st.encoded
 	}
 	data, err := codec.EncodeConfig(n.state.cfg)
@@ -158,6 +158,17 @@
 	return data
 }
 
+// mayStageOlder reports whether an older configuration is being sent in parts
+// and the changes since can follow it.
+func (n *Node) mayStageOlder() bool {
+	st := &n.lead.stage
+	if !n.sender.Sending(n.now, st.encoded) {
+		return false
+	}
+	changes, ok := n.history.changes(st.encodedVersion, n.state.cfg.Version)
+	return ok && len(changes) <= maxStageChanges/2
+}
+
 func (n *Node) onSeatStageReply(from model.HostID, m proto.SeatStageReply) {
 	if n.role != RoleLeader || m.Term != n.term {
 		return
--- a/internal/ctrl/world_test.go
+++ b/internal/ctrl/world_test.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"tarragongauge.example/tarragongauge/internal/codec"
+	"tarragongauge.example/tarragongauge/internal/part"
 	"tarragongauge.example/tarragongauge/internal/proto"
 	"tarragongauge.example/tarragongauge/pkg/model"
 )
@@ -33,6 +34,8 @@
 	check  checker
 	nonce  uint64
 	sent   []model.Proposal
+	// partSize sends longer snapshots in parts, unless 0.
+	partSize int
 }
 
 type event struct {
@@ -95,7 +98,7 @@
 	rec, err := Recover(h.snapshot, h.records)
 	if err == nil {
 		h.life++
-		opts := append(slices.Clone(h.bootstrap), WithSeed(h.w.rng.Uint64()), WithSnapshotEvery(20))
+		opts := append(slices.Clone(h.bootstrap), WithSeed(h.w.rng.Uint64()), WithSnapshotEvery(20), WithPartSize(h.w.partSize))
 		h.node, err = New(h.id, rec, opts...)
 	}
 	if err != nil {
@@ -164,13 +167,27 @@
 	if !h.up() || h.w.check.failure != "" {
 		return
 	}
+	_, receiving := h.node.receiver.Running()
+	base := h.node.log.first
 	effects := h.node.Step(h.w.now, ev)
+	if receiving && h.node.log.first > base && isPart(ev) {
+		h.w.check.transfers++
+	}
 	h.w.check.observe(h)
 	for _, e := range effects {
 		h.effect(e)
 	}
 }
 
+func isPart(ev Event) bool {
+	r, ok := ev.(Received)
+	if !ok {
+		return false
+	}
+	_, ok = r.Msg.(proto.Part)
+	return ok
+}
+
 func (h *testHost) effect(e Effect) {
 	switch e := e.(type) {
 	case Send:
@@ -206,12 +223,14 @@
 	incarnation model.Incarnation
 	silentUntil model.Instant
 	relearning  bool
+	receiver    part.Receiver
 }
 
 const seatSilence = 1700 * time.Millisecond
 
 func (s *testSeat) restart() {
 	s.have, s.term, s.relearning = 0, 0, true
+	s.receiver.Stop()
 	s.incarnation++
 	s.silentUntil = s.w.now.Add(seatSilence)
 	s.w.after(seatSilence+time.Millisecond, s.relearn)
@@ -268,12 +287,10 @@
 		return
 	}
 	s.term = m.Term
-	if m.Snapshot != nil {
-		cfg, err := codec.DecodeConfig(m.Snapshot)
-		if err != nil {
-			s.w.check.fail("seat %s: %v", s.id, err)
-		}
-		s.have = max(s.have, cfg.Version)
+	s.adopt(m.Snapshot)
+	if m.Offer != nil && m.Newest > s.have {
+		s.ask(s.receiver.Offer(s.w.now, from, *m.Offer, uint64(m.Newest)))
+		s.ask(s.receiver.Tick(s.w.now))
 	}
 	for _, c := range m.Changes {
 		if c.Proposal.Base == s.have {
@@ -283,6 +300,35 @@
 	s.w.send(s.id, from, proto.SeatStageReply{Term: m.Term, Have: s.have, Incarnation: s.incarnation, Round: m.Round})
 }
 
+func (s *testSeat) adopt(snapshot []byte) {
+	if snapshot == nil {
+		return
+	}
+	cfg, err := codec.DecodeConfig(snapshot)
+	if err != nil {
+		s.w.check.fail("seat %s: %v", s.id, err)
+	}
+	s.have = max(s.have, cfg.Version)
+}
+
+func (s *testSeat) receivePart(from model.HostID, m proto.Part) {
+	if s.relearning {
+		return
+	}
+	asks, data := s.receiver.Part(s.w.now, from, m)
+	s.ask(asks)
+	s.adopt(data)
+	if data != nil {
+		s.w.check.transfers++
+	}
+}
+
+func (s *testSeat) ask(asks []part.Ask) {
+	for _, a := range asks {
+		s.w.send(s.id, a.To, a.Msg)
+	}
+}
+
 // send delivers a message late, twice or never.
 func (w *world) send(from, to model.HostID, msg proto.Message) {
 	for range 1 + w.rng.IntN(20)/19 {
@@ -304,8 +350,14 @@
 		return
 	}
 	for _, s := range w.seats {
-		if m, ok := msg.(proto.SeatStage); ok && s.id == to {
+		if s.id != to {
+			continue
+		}
+		switch m := msg.(type) {
+		case proto.SeatStage:
 			s.receive(from, m)
+		case proto.Part:
+			s.receivePart(from, m)
 		}
 	}
 }
@@ -336,6 +388,8 @@
 	// seats holds the seats of each version.
 	seats map[model.Version][]model.HostID
 	stuck bool
+	// transfers counts the snapshots that hosts and seats received in parts.
+	transfers int
 }
 
 func newChecker(w *world) checker {
--- a/internal/lease/fresh.go
+++ b/internal/lease/fresh.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"tarragongauge.example/tarragongauge/internal/part"
 	"tarragongauge.example/tarragongauge/internal/proto"
 	"tarragongauge.example/tarragongauge/pkg/model"
 )
@@ -45,7 +46,8 @@
 	complete   bool
 	hurryUntil model.Instant
 	// merged identifies the lists that were merged last.
-	merged uint64
+	merged   uint64
+	receiver part.Receiver
 }
 
 // peer is what one seat said last.
@@ -79,15 +81,18 @@
 		f.nextAsk = now
 		return f.tick(now)
 	case Received:
-		if m, ok := ev.Msg.(proto.FreshReply); ok {
+		switch m := ev.Msg.(type) {
+		case proto.FreshReply:
 			return f.reply(now, ev.From, m)
+		case proto.Part:
+			return f.part(now, ev.From, m)
 		}
 	}
 	return nil
 }
 
 func (f *Fresh) tick(now model.Instant) []Effect {
-	out := f.settle(now)
+	out := append(f.settle(now), f.partTick(now)...)
 	if now < f.nextAsk {
 		return out
 	}
@@ -181,7 +186,7 @@
 	if !ok || m.Age < 0 {
 		return nil
 	}
-	out := f.advance(m)
+	out := append(f.advance(m), f.offered(now, from, m)...)
 	if !f.hist.known {
 		return out
 	}
@@ -205,6 +210,11 @@
 	if !f.hist.advance(m.Changes, m.Snapshot) {
 		return nil
 	}
+	return f.changed()
+}
+
+// changed publishes the configuration that the last call of advance took.
+func (f *Fresh) changed() []Effect {
 	f.trackSeats()
 	return []Effect{ConfigChanged{Config: f.hist.cfg}, f.quorumsChanged()}
 }
--- a/internal/lease/history.go
+++ b/internal/lease/history.go
@@ -22,8 +22,10 @@
 	// listSteps counts the changes of the list that the last call of advance applied one by one.
 	listSteps int
 	// jumped is set when the last call of advance took a snapshot.
-	jumped  bool
-	encoded []byte
+	jumped bool
+	// encoded is the configuration of encodedAt as CBOR, or nil.
+	encoded   []byte
+	encodedAt model.Version
 }
 
 func (h *history) version() model.Version { return h.cfg.Version }
@@ -40,11 +42,7 @@
 	if h.known {
 		h.apply(changes)
 	}
-	if known == h.known && before == h.cfg.Version {
-		return false
-	}
-	h.encoded = nil
-	return true
+	return known != h.known || before != h.cfg.Version
 }
 
 func (h *history) adopt(snapshot []byte) {
@@ -88,23 +86,26 @@
 	return nil, false
 }
 
-// update returns what brings a host with version v to the newest one.
-func (h *history) update(v model.Version) ([]model.Committed, []byte) {
+// update returns the changes that bring a host with version v to the newest
+// one, or false if it needs a snapshot.
+func (h *history) update(v model.Version) ([]model.Committed, bool) {
 	if v == 0 {
-		return nil, h.snapshot()
+		return nil, false
 	}
 	if v >= h.cfg.Version {
-		return nil, nil
-	}
-	if changes, ok := h.since(v); ok {
-		return changes, nil
+		return nil, true
 	}
-	return nil, h.snapshot()
+	return h.since(v)
 }
 
+// snapshot encodes the newest configuration unless that was done before.
 func (h *history) snapshot() []byte {
-	if h.encoded == nil && h.known {
+	if !h.known {
+		return nil
+	}
+	if h.encoded == nil || h.encodedAt != h.cfg.Version {
 		h.encoded, _ = codec.EncodeConfig(h.cfg)
+		h.encodedAt = h.cfg.Version
 	}
 	return h.encoded
 }
--- a/internal/lease/option.go
+++ b/internal/lease/option.go
@@ -13,6 +13,7 @@
 	seats       []model.HostID
 	controls    []model.HostID
 	wallMillis  func() int64
+	partSize    int
 }
 
 func newSettings(opts []Option) settings {
@@ -40,3 +41,7 @@
 
 // WithWallMillis gives the wall clock in Unix milliseconds, the least value of new epochs.
 func WithWallMillis(f func() int64) Option { return func(s *settings) { s.wallMillis = f } }
+
+// WithPartSize replaces part.Size by a smaller one, so that tests transfer
+// small configurations in parts.
+func WithPartSize(bytes int) Option { return func(s *settings) { s.partSize = bytes } }
--- a/internal/lease/relearn.go
+++ b/internal/lease/relearn.go
@@ -43,14 +43,15 @@
 // many other seats as make a majority of all seats name none newer than the
 // one held: among them is one that holds the newest accepted version, even if
 // this seat was counted when that version was accepted.
-func (s *Seat) learn(now model.Instant, from model.HostID, m proto.SeatLearnReply) {
+func (s *Seat) learn(now model.Instant, from model.HostID, m proto.SeatLearnReply) []Effect {
 	sent, ok := s.rounds.sentAt(m.Nonce)
 	if !ok || sent < s.wakeAt {
-		return
+		return nil
 	}
-	s.hist.advance(nil, m.Snapshot)
+	s.hist.advance(m.Changes, m.Snapshot)
+	out := s.offered(now, from, m.Newest, m.Offer)
 	if s.active || !s.hist.known || now < s.wakeAt {
-		return
+		return out
 	}
 	s.learned[from] = max(s.learned[from], m.Newest)
 	n := 0
@@ -62,23 +63,26 @@
 	if n >= model.Majority(len(s.allSeats())) {
 		s.activate()
 	}
+	return out
 }
 
 // learnFromControl takes the answer of the leader of control. What the answer
 // was known to hold at must be after Silence, when this seat no longer counts
 // in any acceptance.
-func (s *Seat) learnFromControl(now model.Instant, from model.HostID, m proto.FreshReply) {
+func (s *Seat) learnFromControl(now model.Instant, from model.HostID, m proto.FreshReply) []Effect {
 	sent, ok := s.rounds.sentAt(m.Nonce)
 	if !ok || !m.FromControl || m.Age < 0 || !slices.Contains(s.controlHosts(), from) {
-		return
+		return nil
 	}
 	s.hist.advance(m.Changes, m.Snapshot)
+	out := s.offered(now, from, m.Newest, m.Offer)
 	if s.active || now < s.wakeAt || sent.Add(-s.timing.longest(m.Age)) < s.wakeAt {
-		return
+		return out
 	}
 	if s.hist.known && slices.Contains(s.hist.cfg.Controls, from) && m.Newest <= s.hist.version() {
 		s.activate()
 	}
+	return out
 }
 
 func (s *Seat) activate() {
--- a/internal/lease/seat.go
+++ b/internal/lease/seat.go
@@ -3,6 +3,7 @@
 import (
 	"slices"
 
+	"tarragongauge.example/tarragongauge/internal/part"
 	"tarragongauge.example/tarragongauge/internal/proto"
 	"tarragongauge.example/tarragongauge/pkg/model"
 )
@@ -29,6 +30,8 @@
 	// settledAt is a version whose list of seats has settled, or 0.
 	settledAt model.Version
 	settled   bool
+	sender    part.Sender
+	receiver  part.Receiver
 }
 
 // NewSeat returns a seat without memory.
@@ -41,6 +44,7 @@
 		learned:  map[model.HostID]model.Version{},
 		members:  newRoster(),
 		grants:   newGrants(),
+		sender:   part.NewSender(s.partSize),
 	}
 }
 
@@ -64,10 +68,11 @@
 func (s *Seat) tick(now model.Instant) []Effect {
 	s.members.expire(now, s.timing.MemberTimeout)
 	s.grants.expire(now)
+	out := s.partTick(now)
 	if s.active || now < s.wakeAt || now < s.nextAsk {
-		return nil
+		return out
 	}
-	return s.relearn(now)
+	return append(out, s.relearn(now)...)
 }
 
 // receive takes a message. During Silence a seat keeps what it is told, but answers nothing.
@@ -75,17 +80,23 @@
 	switch m := ev.Msg.(type) {
 	case proto.SeatStage:
 		s.hist.advance(m.Changes, m.Snapshot)
-		return s.staged(ev.From, m)
+		return append(s.staged(ev.From, m), s.offered(now, ev.From, m.Newest, m.Offer)...)
 	case proto.FreshAsk:
 		return s.fresh(now, ev.From, m)
 	case proto.LeaseAsk:
 		return s.lease(now, ev.From, m)
 	case proto.SeatLearn:
-		return s.teach(ev.From, m)
+		return s.teach(now, ev.From, m)
 	case proto.SeatLearnReply:
-		s.learn(now, ev.From, m)
+		return s.learn(now, ev.From, m)
 	case proto.FreshReply:
-		s.learnFromControl(now, ev.From, m)
+		return s.learnFromControl(now, ev.From, m)
+	case proto.PartAsk:
+		return []Effect{Send{To: ev.From, Msg: s.sender.Answer(now, m)}}
+	case proto.Part:
+		asks, data := s.receiver.Part(now, ev.From, m)
+		s.hist.advance(nil, data)
+		return sendAsks(asks)
 	}
 	return nil
 }
@@ -116,7 +127,10 @@
 		return nil
 	}
 	reply := proto.FreshReply{Nonce: m.Nonce, Newest: s.hist.version()}
-	reply.Changes, reply.Snapshot = s.hist.update(m.Have)
+	var ok bool
+	if reply.Changes, ok = s.hist.update(m.Have); !ok {
+		reply.Snapshot, reply.Offer = s.snapshot(now)
+	}
 	if !s.confirms() {
 		if m.Have >= s.hist.version() {
 			return nil
@@ -177,13 +191,14 @@
 	return []Effect{Send{To: from, Msg: reply}}
 }
 
-func (s *Seat) teach(from model.HostID, m proto.SeatLearn) []Effect {
+func (s *Seat) teach(now model.Instant, from model.HostID, m proto.SeatLearn) []Effect {
 	if !s.active {
 		return nil
 	}
 	reply := proto.SeatLearnReply{Nonce: m.Nonce, Newest: s.hist.version()}
-	if m.Have == 0 || m.Have < s.hist.version() {
-		reply.Snapshot = s.hist.snapshot()
+	var ok bool
+	if reply.Changes, ok = s.hist.update(m.Have); !ok {
+		reply.Snapshot, reply.Offer = s.snapshot(now)
 	}
 	return []Effect{Send{To: from, Msg: reply}}
 }
--- a/internal/lease/world_test.go
+++ b/internal/lease/world_test.go
@@ -10,6 +10,7 @@
 	"github.com/stretchr/testify/require"
 
 	"tarragongauge.example/tarragongauge/internal/codec"
+	"tarragongauge.example/tarragongauge/internal/part"
 	"tarragongauge.example/tarragongauge/internal/proto"
 	"tarragongauge.example/tarragongauge/pkg/model"
 )
@@ -42,6 +43,9 @@
 	healed  bool
 	boot    []model.HostID
 	epochs  [model.Shards]model.Epoch
+	// partSize sends longer snapshots in parts, unless 0; transfers counts those received.
+	partSize  int
+	transfers int
 }
 
 // worldHost is one entry host with a clock of its own.
@@ -72,6 +76,8 @@
 	round    uint64
 	sent     map[uint64]model.Instant
 	acks     map[model.HostID]ack
+	sender   part.Sender
+	encoded  map[model.Version][]byte
 }
 
 type acceptance struct {
@@ -89,7 +95,7 @@
 func (h *worldHost) trueOf(i model.Instant) moment { return moment(float64(i-1e12) / h.rate) }
 
 func newWorld(t *testing.T, seed uint64) *world {
-	w := &world{t: t, r: rand.New(rand.NewPCG(seed, 1)), blocked: map[[2]model.HostID]bool{}}
+	w := &world{partSize: []int{0, 40}[seed%2], t: t, r: rand.New(rand.NewPCG(seed, 1)), blocked: map[[2]model.HostID]bool{}}
 	for i := range worldHosts {
 		h := &worldHost{id: model.HostID(fmt.Sprintf("e%d", i)), rate: 0.98 + 0.04*w.r.Float64()}
 		w.hosts = append(w.hosts, h)
@@ -99,6 +105,7 @@
 	}
 	w.lead = &leader{
 		up: true, rate: 0.98 + 0.04*w.r.Float64(), sent: map[uint64]model.Instant{}, acks: map[model.HostID]ack{},
+		sender: part.NewSender(w.partSize), encoded: map[model.Version][]byte{},
 		cfg: model.NewConfig([]model.HostID{controlHost}, w.boot),
 	}
 	w.lead.accepted = []acceptance{{cfg: w.lead.cfg}}
@@ -115,6 +122,7 @@
 	opts := []Option{
 		WithBootstrap(w.boot, []model.HostID{controlHost}), WithIncarnation(h.run),
 		WithWallMillis(func() int64 { return w.now.Milliseconds() }),
+		WithPartSize(w.partSize),
 	}
 	h.fresh = NewFresh(proto.Member{Host: h.id, Role: proto.RoleEntry, Incarnation: h.run}, opts...)
 	h.claimer, h.seat, h.drained = NewClaimer(h.id, opts...), NewSeat(h.id, opts...), false
@@ -242,6 +250,13 @@
 		}
 		w.step(h, h.fresh, ev)
 		w.step(h, h.seat, ev)
+	case proto.Part:
+		_, before := h.fresh.receiver.Running()
+		w.step(h, h.fresh, ev)
+		w.step(h, h.seat, ev)
+		if _, after := h.fresh.receiver.Running(); before && !after {
+			w.transfers++
+		}
 	default:
 		w.step(h, h.seat, ev)
 	}
@@ -273,11 +288,18 @@
 	return true
 }
 
+// snapshot returns what a message carries for a configuration.
+func (w *world) snapshot(data []byte) ([]byte, *proto.SnapshotOffer) {
+	return w.lead.sender.Offer(w.leaderNow(), data)
+}
+
 func (l *leader) update(have model.Version, to model.Config) ([]model.Committed, []byte) {
 	from := slices.IndexFunc(l.changes, func(c model.Committed) bool { return c.Proposal.Base == have })
 	if have == 0 || from < 0 {
-		data, _ := codec.EncodeConfig(to)
-		return nil, data
+		if l.encoded[to.Version] == nil {
+			l.encoded[to.Version], _ = codec.EncodeConfig(to)
+		}
+		return nil, l.encoded[to.Version]
 	}
 	upTo := slices.IndexFunc(l.changes, func(c model.Committed) bool { return c.Version > to.Version })
 	if upTo < 0 {
@@ -295,7 +317,9 @@
 		l.round++
 		l.sent[l.round] = w.leaderNow()
 		m := proto.SeatStage{Round: l.round, Newest: l.cfg.Version}
-		m.Changes, m.Snapshot = l.update(l.acks[seat].have, l.cfg)
+		var data []byte
+		m.Changes, data = l.update(l.acks[seat].have, l.cfg)
+		m.Snapshot, m.Offer = w.snapshot(data)
 		w.send(controlHost, seat, m)
 	}
 }
@@ -323,9 +347,13 @@
 		}
 		reply := proto.FreshReply{Nonce: m.Nonce, Newest: known.Version, FromControl: true, Age: time.Duration(float64(age) * l.rate)}
 		if m.Have == 0 || m.Have < known.Version {
-			reply.Changes, reply.Snapshot = l.update(m.Have, known)
+			var data []byte
+			reply.Changes, data = l.update(m.Have, known)
+			reply.Snapshot, reply.Offer = w.snapshot(data)
 		}
 		w.send(controlHost, from, reply)
+	case proto.PartAsk:
+		w.send(controlHost, from, l.sender.Answer(w.leaderNow(), m))
 	}
 }
 
@@ -448,6 +476,7 @@
 	}
 	w.runUntil(w.now + 16*time.Second)
 	w.requireWhole()
+	require.Equal(t, w.partSize > 0, w.transfers > 0, "%d snapshots received in parts", w.transfers)
 }
 
 // requireWhole guards against faults that the fleet does not recover from.
--- a/internal/node/control.go
+++ b/internal/node/control.go
@@ -12,7 +12,6 @@
 	"github.com/go-logr/logr"
 	"github.com/rotisserie/eris"
 
-	"tarragongauge.example/tarragongauge/internal/codec"
 	"tarragongauge.example/tarragongauge/internal/ctrl"
 	"tarragongauge.example/tarragongauge/internal/lease"
 	"tarragongauge.example/tarragongauge/internal/proto"
@@ -58,11 +57,9 @@
 	// members is guarded by mu.
 	members map[model.HostID]seenMember
 	// leader and term are guarded by mu.
-	leader model.HostID
-	term   model.Term
-	// snapshot caches the encoded configuration of snapshotAt, guarded by mu.
-	snapshot   []byte
-	snapshotAt model.Version
+	leader  model.HostID
+	term    model.Term
+	configs configOffers
 }
 
 // controlSetup is what a control host is made from.
@@ -180,6 +177,8 @@
 	switch m := m.(type) {
 	case proto.FreshAsk:
 		c.confirm(from, m)
+	case proto.PartAsk:
+		c.answerPart(from, m)
 	case proto.EvidenceReply:
 		c.evidence.answer(m.Nonce, m)
 	case proto.BurnReply:
@@ -192,14 +191,18 @@
 	}
 }
 
-func (c *controlHost) tick() { c.core.post(ctrl.Tick{}) }
+func (c *controlHost) tick() {
+	c.core.post(ctrl.Tick{})
+	c.configs.expire(c.clock.now())
+}
 
 // confirm answers an entry host if this host leads with a live quorum.
 func (c *controlHost) confirm(from model.HostID, ask proto.FreshAsk) {
 	c.see(ask)
 	var reply proto.FreshReply
-	var answer, snapshot bool
+	var answer, snapshot, older bool
 	var cfg model.Config
+	offeredAt := c.configs.version()
 	c.core.read(func(now model.Instant) {
 		sure := c.node.Confirm(now)
 		if !sure.OK {
@@ -213,31 +216,32 @@
 			reply.Changes, held = c.node.Changes(ask.Have)
 			snapshot = !held || ask.Have == 0
 			cfg = c.node.Config()
+			_, older = c.node.Changes(offeredAt)
 		}
 	})
 	if !answer {
 		return
 	}
 	if snapshot {
-		reply.Changes, reply.Snapshot = nil, c.encoded(cfg)
+		var err error
+		reply.Changes = nil
+		reply.Snapshot, reply.Offer, err = c.configs.offer(c.clock.now(), cfg, offeredAt, older)
+		if err != nil {
+			c.log.Error(err, "cannot encode the configuration", "version", cfg.Version)
+			return
+		}
 	}
 	c.send(from, reply)
 }
 
-// encoded returns the configuration as CBOR and keeps it for the next host that needs it.
-func (c *controlHost) encoded(cfg model.Config) []byte {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.snapshot != nil && c.snapshotAt == cfg.Version {
-		return c.snapshot
-	}
-	data, err := codec.EncodeConfig(cfg)
-	if err != nil {
-		c.log.Error(err, "cannot encode the configuration", "version", cfg.Version)
-		return nil
+// answerPart sends a part of a configuration that confirm offered. The core
+// answers for the snapshots that it offered itself.
+func (c *controlHost) answerPart(from model.HostID, ask proto.PartAsk) {
+	if reply, ok := c.configs.answer(c.clock.now(), ask); ok {
+		c.send(from, reply)
+		return
 	}
-	c.snapshot, c.snapshotAt = data, cfg.Version
-	return data
+	c.core.post(ctrl.Received{From: from, Msg: ask})
 }
 
 // see notes the asker. A seat that relearns asks without a role; the freshness
--- a/internal/node/entry.go
+++ b/internal/node/entry.go
@@ -144,7 +144,11 @@
 	case proto.FreshReply:
 		h.fresh.post(lease.Received{From: from, Msg: m})
 		h.seat.post(lease.Received{From: from, Msg: m})
-	case proto.FreshAsk, proto.SeatStage, proto.SeatLearn, proto.SeatLearnReply, proto.LeaseAsk:
+	case proto.Part:
+		// Both may be receiving a snapshot; each ignores the parts it did not request.
+		h.fresh.post(lease.Received{From: from, Msg: m})
+		h.seat.post(lease.Received{From: from, Msg: m})
+	case proto.FreshAsk, proto.SeatStage, proto.SeatLearn, proto.SeatLearnReply, proto.LeaseAsk, proto.PartAsk:
 		h.seat.post(lease.Received{From: from, Msg: m})
 	case proto.LeaseReply:
 		h.claimer.post(lease.Received{From: from, Msg: m})
--- a/internal/node/fleet_test.go
+++ b/internal/node/fleet_test.go
@@ -17,6 +17,7 @@
 	"github.com/go-logr/logr"
 	"github.com/stretchr/testify/require"
 
+	"tarragongauge.example/tarragongauge/internal/codec"
 	"tarragongauge.example/tarragongauge/internal/conf"
 	"tarragongauge.example/tarragongauge/internal/link"
 	"tarragongauge.example/tarragongauge/internal/stub"
@@ -43,6 +44,8 @@
 	client   *client.Client
 	// onStart sees each entry host right after its start; nil is allowed.
 	onStart func(*entryHost)
+	// state is what the disks of the first two control hosts hold at the start, or nil.
+	state func(controls, seats []model.HostID) codec.ControlState
 }
 
 type testControl struct {
@@ -93,7 +96,13 @@
 
 func newFleetWith(t testing.TB, entries int, onStart func(*entryHost)) *fleet {
 	t.Helper()
-	f := &fleet{t: t, onStart: onStart, addrs: newAddrs(), settings: conf.Fleet{Name: "test", Secret: conf.NewSecret([]byte("fleet-secret-0123456789"))}}
+	return startFleet(&fleet{t: t, onStart: onStart}, entries)
+}
+
+func startFleet(f *fleet, entries int) *fleet {
+	t := f.t
+	t.Helper()
+	f.addrs, f.settings = newAddrs(), conf.Fleet{Name: "test", Secret: conf.NewSecret([]byte("fleet-secret-0123456789"))}
 	for i := range 3 {
 		f.settings.Controls = append(f.settings.Controls, conf.Peer{Host: model.HostID(fmt.Sprintf("c%d", i+1)), Addr: f.addrs.next()})
 	}
@@ -131,6 +140,9 @@
 		Journal:     true,
 		CreateFleet: true,
 	}}
+	if f.state != nil && len(f.controls) < 2 {
+		f.writeState(c.cfg.Host.DataDir)
+	}
 	f.startControl(c)
 	f.controls = append(f.controls, c)
 	return c
--- a/internal/proto/message.go
+++ b/internal/proto/message.go
@@ -101,6 +101,8 @@
 		LastTerm  model.Term
 		Data      []byte
 		Round     uint64
+		// Offer is set in place of Data when the state is too long for one message.
+		Offer *SnapshotOffer
 	}
 	// ProposeAsk forwards an operator's change from a control host to the leader.
 	ProposeAsk struct {
@@ -150,6 +152,9 @@
 		Changes []model.Committed
 		// Snapshot is an encoded configuration, sent when Changes cannot be.
 		Snapshot []byte
+		// Offer is set in place of Snapshot when that is too long for one message. The
+		// configuration offered may be older than Newest.
+		Offer *SnapshotOffer
 		// Members and Owners are nil when the digests agree.
 		Members       []Member
 		MembersDigest uint64
@@ -170,6 +175,9 @@
 		Changes []model.Committed
 		// Snapshot is set when the seat is too far behind for Changes.
 		Snapshot []byte
+		// Offer is set in place of Snapshot when that is too long for one message. The
+		// configuration offered may be older than Newest.
+		Offer *SnapshotOffer
 		// Round numbers the staging messages of a leader; the reply echoes it.
 		Round uint64
 	}
@@ -191,6 +199,11 @@
 		Nonce    uint64
 		Newest   model.Version
 		Snapshot []byte
+		// Offer is set in place of Snapshot when that is too long for one message. The
+		// configuration offered may be older than Newest.
+		Offer *SnapshotOffer
+		// Changes lead from the asker's version to Newest when the answerer still has them.
+		Changes []model.Committed
 	}
 )
 
--- a/internal/rules/rules_test.go
+++ b/internal/rules/rules_test.go
@@ -17,7 +17,7 @@
 
 // decisionPackages are pure: time and randomness come from outside.
 var decisionPackages = []string{ //nolint:gochecknoglobals // constant table of the tests
-	"internal/ctrl", "internal/lease", "internal/admit", "internal/pool", "internal/order", "pkg/model",
+	"internal/ctrl", "internal/lease", "internal/admit", "internal/pool", "internal/order", "internal/part", "pkg/model",
 }
 
 var impureImports = []string{ //nolint:gochecknoglobals // constant table of the tests
--- a/internal/wire/binding.go
+++ b/internal/wire/binding.go
@@ -52,6 +52,7 @@
 	var all []binding
 	all = append(all, logBindings()...)
 	all = append(all, freshBindings()...)
+	all = append(all, partBindings()...)
 	all = append(all, leaseBindings()...)
 	all = append(all, poolBindings()...)
 	all = append(all, orderBindings()...)
--- a/internal/wire/fresh.go
+++ b/internal/wire/fresh.go
@@ -45,6 +45,7 @@
 	SeatsSettled  bool           `cbor:"11,keyasint,omitempty"`
 	MembersBase   uint64         `cbor:"12,keyasint,omitempty"`
 	Gone          []model.HostID `cbor:"13,keyasint,omitempty"`
+	Offer         *snapshotOffer `cbor:"14,keyasint,omitempty"`
 }
 
 type seatStage struct {
@@ -53,6 +54,8 @@
 	Changes  [][]byte      `cbor:"3,keyasint"`
 	Snapshot []byte        `cbor:"4,keyasint"`
 	Round    uint64        `cbor:"5,keyasint"`
+
+	Offer *snapshotOffer `cbor:"6,keyasint,omitempty"`
 }
 
 type seatStageReply struct {
@@ -71,6 +74,9 @@
 	Nonce    uint64        `cbor:"1,keyasint"`
 	Newest   model.Version `cbor:"2,keyasint"`
 	Snapshot []byte        `cbor:"3,keyasint"`
+
+	Offer   *snapshotOffer `cbor:"4,keyasint,omitempty"`
+	Changes [][]byte       `cbor:"5,keyasint,omitempty"`
 }
 
 func freshBindings() []binding {
@@ -81,7 +87,7 @@
 		bind(23, toSeatStage, fromSeatStage),
 		plain(24, func(m proto.SeatStageReply) seatStageReply { return seatStageReply(m) }, func(d seatStageReply) proto.SeatStageReply { return proto.SeatStageReply(d) }),
 		plain(25, func(m proto.SeatLearn) seatLearn { return seatLearn(m) }, func(d seatLearn) proto.SeatLearn { return proto.SeatLearn(d) }),
-		plain(26, func(m proto.SeatLearnReply) seatLearnReply { return seatLearnReply(m) }, func(d seatLearnReply) proto.SeatLearnReply { return proto.SeatLearnReply(d) }),
+		bind(26, toSeatLearnReply, fromSeatLearnReply),
 	}
 }
 
@@ -130,6 +136,7 @@
 		SeatsSettled:  m.SeatsSettled,
 		MembersBase:   m.MembersBase,
 		Gone:          m.Gone,
+		Offer:         toOffer(m.Offer),
 	}, err
 }
 
@@ -138,6 +145,10 @@
 	if err != nil {
 		return proto.FreshReply{}, err
 	}
+	offer, err := fromOffer(d.Offer)
+	if err != nil {
+		return proto.FreshReply{}, err
+	}
 	members, err := mapSlice(d.Members, fromMember)
 	return proto.FreshReply{
 		Nonce:         d.Nonce,
@@ -153,15 +164,34 @@
 		SeatsSettled:  d.SeatsSettled,
 		MembersBase:   d.MembersBase,
 		Gone:          d.Gone,
+		Offer:         offer,
 	}, err
 }
 
 func toSeatStage(m proto.SeatStage) (seatStage, error) {
 	changes, err := mapSlice(m.Changes, codec.EncodeCommitted)
-	return seatStage{Term: m.Term, Newest: m.Newest, Changes: changes, Snapshot: m.Snapshot, Round: m.Round}, err
+	return seatStage{Term: m.Term, Newest: m.Newest, Changes: changes, Snapshot: m.Snapshot, Round: m.Round, Offer: toOffer(m.Offer)}, err
 }
 
 func fromSeatStage(d seatStage) (proto.SeatStage, error) {
 	changes, err := mapSlice(d.Changes, codec.DecodeCommitted)
-	return proto.SeatStage{Term: d.Term, Newest: d.Newest, Changes: changes, Snapshot: d.Snapshot, Round: d.Round}, err
+	if err != nil {
+		return proto.SeatStage{}, err
+	}
+	offer, err := fromOffer(d.Offer)
+	return proto.SeatStage{Term: d.Term, Newest: d.Newest, Changes: changes, Snapshot: d.Snapshot, Round: d.Round, Offer: offer}, err
+}
+
+func toSeatLearnReply(m proto.SeatLearnReply) (seatLearnReply, error) {
+	changes, err := mapSlice(m.Changes, codec.EncodeCommitted)
+	return seatLearnReply{Nonce: m.Nonce, Newest: m.Newest, Snapshot: m.Snapshot, Offer: toOffer(m.Offer), Changes: changes}, err
+}
+
+func fromSeatLearnReply(d seatLearnReply) (proto.SeatLearnReply, error) {
+	changes, err := mapSlice(d.Changes, codec.DecodeCommitted)
+	if err != nil {
+		return proto.SeatLearnReply{}, err
+	}
+	offer, err := fromOffer(d.Offer)
+	return proto.SeatLearnReply{Nonce: d.Nonce, Newest: d.Newest, Snapshot: d.Snapshot, Offer: offer, Changes: changes}, err
 }
--- a/internal/wire/log.go
+++ b/internal/wire/log.go
@@ -47,6 +47,8 @@
 	LastTerm  model.Term `cbor:"3,keyasint"`
 	Data      []byte     `cbor:"4,keyasint"`
 	Round     uint64     `cbor:"5,keyasint"`
+
+	Offer *snapshotOffer `cbor:"6,keyasint,omitempty"`
 }
 
 type proposeAsk struct {
@@ -65,7 +67,7 @@
 		plain(2, func(m proto.VoteReply) voteReply { return voteReply(m) }, func(d voteReply) proto.VoteReply { return proto.VoteReply(d) }),
 		bind(3, toAppend, fromAppend),
 		plain(4, func(m proto.AppendReply) appendReply { return appendReply(m) }, func(d appendReply) proto.AppendReply { return proto.AppendReply(d) }),
-		plain(5, func(m proto.InstallSnapshot) installSnapshot { return installSnapshot(m) }, func(d installSnapshot) proto.InstallSnapshot { return proto.InstallSnapshot(d) }),
+		bind(5, toInstallSnapshot, fromInstallSnapshot),
 		bind(6, toProposeAsk, fromProposeAsk),
 		bind(7, toProposeReply, fromProposeReply),
 	}
@@ -81,6 +83,15 @@
 	return proto.Append{Term: d.Term, PrevIndex: d.PrevIndex, PrevTerm: d.PrevTerm, Entries: entries, Commit: d.Commit, Round: d.Round, Admit: d.Admit}, err
 }
 
+func toInstallSnapshot(m proto.InstallSnapshot) (installSnapshot, error) {
+	return installSnapshot{Term: m.Term, LastIndex: m.LastIndex, LastTerm: m.LastTerm, Data: m.Data, Round: m.Round, Offer: toOffer(m.Offer)}, nil
+}
+
+func fromInstallSnapshot(d installSnapshot) (proto.InstallSnapshot, error) {
+	offer, err := fromOffer(d.Offer)
+	return proto.InstallSnapshot{Term: d.Term, LastIndex: d.LastIndex, LastTerm: d.LastTerm, Data: d.Data, Round: d.Round, Offer: offer}, err
+}
+
 func toProposeAsk(m proto.ProposeAsk) (proposeAsk, error) {
 	data, err := codec.EncodeProposal(m.Proposal)
 	return proposeAsk{Nonce: m.Nonce, Proposal: data}, err
