Encode and decode large configurations outside the cores

Cause: a seat encoded 320,000 workspaces in its step for 1.1 s, and all seats did so at once when an entry host started. A sender offers the configuration encoded last while at most 32 changes follow it.

--- a/internal/ctrl/api.go
+++ b/internal/ctrl/api.go
@@ -6,6 +6,7 @@
 import (
 	"time"
 
+	"tarragongauge.example/tarragongauge/internal/codec"
 	"tarragongauge.example/tarragongauge/internal/proto"
 	"tarragongauge.example/tarragongauge/pkg/model"
 )
@@ -31,6 +32,11 @@
 		Nonce    uint64
 		Proposal model.Proposal
 	}
+	// Encoded ends an Encode with the same number. Data is nil if the state could not be encoded.
+	Encoded struct {
+		Number uint64
+		Data   []byte
+	}
 )
 
 // Effect is an output of a Core. It is a sealed interface.
@@ -58,6 +64,14 @@
 		// Learner is as in Recovered.
 		Learner uint64
 	}
+	// Encode asks the runtime to encode a large state and to return it as
+	// Encoded. Inside a step, 320,000 workspaces delay heartbeats beyond the
+	// election timeout. With ConfigOnly the configuration alone is encoded.
+	Encode struct {
+		Number     uint64
+		State      codec.ControlState
+		ConfigOnly bool
+	}
 	// Applied publishes a new configuration on this host.
 	Applied struct{ Config model.Config }
 	// Reply answers the Proposed event with the same nonce.
@@ -129,9 +143,11 @@
 func (Persisted) isEvent()  {}
 func (DiskFailed) isEvent() {}
 func (Proposed) isEvent()   {}
+func (Encoded) isEvent()    {}
 
 func (Send) isEffect()          {}
 func (Persist) isEffect()       {}
+func (Encode) isEffect()        {}
 func (Applied) isEffect()       {}
 func (Reply) isEffect()         {}
 func (LeaderChanged) isEffect() {}
--- a/internal/ctrl/apply.go
+++ b/internal/ctrl/apply.go
@@ -21,20 +21,3 @@
 		Result:    result,
 	})
 }
-
-// takeSnapshot encodes the applied state and drops the log before it.
-func (n *Node) takeSnapshot() {
-	data, err := codec.EncodeControl(codec.ControlState{
-		Config:   n.state.cfg,
-		OldSeats: n.state.oldSeats,
-		History:  n.history.outcomes,
-	})
-	if err != nil {
-		// The log is kept and the next applied entry tries again.
-		return
-	}
-	term, _ := n.log.term(n.applied)
-	n.snapshot = Snapshot{Index: n.applied, Term: term, Data: data}
-	n.disk.snapshot = true
-	n.log.compact(n.keepLogFrom(), logTail)
-}
--- a/internal/ctrl/node.go
+++ b/internal/ctrl/node.go
@@ -78,6 +78,7 @@
 	receiver part.Receiver
 	// incoming holds the offers of snapshots, without their data.
 	incoming []proto.InstallSnapshot
+	encodes  encodes
 
 	disk  disk
 	lead  *leadership
@@ -197,6 +198,8 @@
 		n.failDisk()
 	case Proposed:
 		n.propose(origin{nonce: ev.Nonce}, ev.Proposal)
+	case Encoded:
+		n.encoded(ev)
 	}
 }
 
--- a/internal/ctrl/snapshot.go
+++ b/internal/ctrl/snapshot.go
@@ -27,15 +27,16 @@
 }
 
 // keepLogFrom returns the index up to which the log may be dropped, less its
-// tail. Entries after a snapshot that is being sent stay, so that its receiver
+// tail: that of the snapshot. Entries after a snapshot that is being sent stay, so that its receiver
 // needs no second one, but not more than lead to two snapshots: a receiver
 // that never finishes must not hold the log forever.
 func (n *Node) keepLogFrom() uint64 {
+	index := n.snapshot.Index
 	sending := n.offered.Data != nil && n.sender.Sending(n.now, n.offered.Data)
 	if !sending || n.applied-n.offered.Index > 2*n.opt.snapshotEvery {
-		return n.applied
+		return index
 	}
-	return min(n.applied, n.offered.Index+logTail)
+	return min(index, n.offered.Index+logTail)
 }
 
 // receiveParts takes the offer of a snapshot that is too long for one message.
--- a/internal/ctrl/stage.go
+++ b/internal/ctrl/stage.go
@@ -150,6 +150,12 @@
 	if st.encoded != nil && (st.encodedVersion == n.state.cfg.Version || n.mayStageOlder()) {
 		return st.encoded
 	}
+	if n.isLarge() {
+		if n.encodes.config == 0 {
+			n.encodes.config, n.encodes.configVersion = n.encode(true), n.state.cfg.Version
+		}
+		return nil
+	}
 	data, err := codec.EncodeConfig(n.state.cfg)
 	if err != nil {
 		return nil
@@ -158,11 +164,11 @@
 	return data
 }
 
-// mayStageOlder reports whether an older configuration is being sent in parts
-// and the changes since can follow it.
+// mayStageOlder reports whether the changes since an older, large
+// configuration can follow it.
 func (n *Node) mayStageOlder() bool {
 	st := &n.lead.stage
-	if !n.sender.Sending(n.now, st.encoded) {
+	if !n.isLarge() {
 		return false
 	}
 	changes, ok := n.history.changes(st.encodedVersion, n.state.cfg.Version)
--- a/internal/ctrl/world_test.go
+++ b/internal/ctrl/world_test.go
@@ -196,6 +196,13 @@
 		h.pending = append(h.pending, e)
 		life := h.life
 		h.w.after(time.Duration(1+h.w.rng.IntN(15))*time.Millisecond, func() { h.synced(life) })
+	case Encode:
+		life := h.life
+		h.w.after(time.Duration(1+h.w.rng.IntN(200))*time.Millisecond, func() {
+			if h.life == life {
+				h.step(Encoded{Number: e.Number, Data: h.encode(e)})
+			}
+		})
 	case Reply:
 		h.w.check.reply(e.Result)
 	case LeaderChanged:
@@ -206,6 +213,17 @@
 	}
 }
 
+func (h *testHost) encode(e Encode) []byte {
+	data, err := codec.EncodeControl(e.State)
+	if e.ConfigOnly {
+		data, err = codec.EncodeConfig(e.State.Config)
+	}
+	if err != nil {
+		h.w.check.fail("host %s: %v", h.id, err)
+	}
+	return data
+}
+
 func (h *testHost) synced(life int) {
 	if h.life != life || !h.up() || h.diskFailed || len(h.pending) == 0 {
 		return
--- a/internal/lease/api.go
+++ b/internal/lease/api.go
@@ -24,6 +24,18 @@
 	// Handover asks an owner to give up all shards before shutdown, and the
 	// freshness client to announce this host as draining.
 	Handover struct{}
+	// ConfigEncoded ends an EncodeConfig.
+	ConfigEncoded struct {
+		Version model.Version
+		// Data is nil if the configuration could not be encoded.
+		Data []byte
+	}
+	// SnapshotDecoded ends a DecodeSnapshot.
+	SnapshotDecoded struct {
+		Config model.Config
+		// OK is not set if the snapshot could not be decoded.
+		OK bool
+	}
 )
 
 // The effects ConfigChanged, FreshUntil, MembersChanged and QuorumsChanged of
@@ -39,6 +51,13 @@
 		To  model.HostID
 		Msg proto.Message
 	}
+	// EncodeConfig asks the runtime to encode a large configuration and to
+	// return it as ConfigEncoded. Inside a step, 320,000 workspaces delay every
+	// lease and confirmation of a seat by up to a second.
+	EncodeConfig struct{ Config model.Config }
+	// DecodeSnapshot asks the runtime to decode a large configuration and to
+	// return it as SnapshotDecoded.
+	DecodeSnapshot struct{ Data []byte }
 	// ConfigChanged publishes a newer configuration.
 	ConfigChanged struct{ Config model.Config }
 	// FreshUntil moves the instant up to which keyed requests may be admitted.
@@ -119,12 +138,17 @@
 func (Received) isEvent() {}
 func (Handover) isEvent() {}
 
+func (ConfigEncoded) isEvent()   {}
+func (SnapshotDecoded) isEvent() {}
+
 func (ConfigChanged) isEvent()  {}
 func (FreshUntil) isEvent()     {}
 func (MembersChanged) isEvent() {}
 func (QuorumsChanged) isEvent() {}
 
 func (Send) isEffect()           {}
+func (EncodeConfig) isEffect()   {}
+func (DecodeSnapshot) isEffect() {}
 func (ConfigChanged) isEffect()  {}
 func (FreshUntil) isEffect()     {}
 func (MembersChanged) isEffect() {}
--- a/internal/lease/fresh.go
+++ b/internal/lease/fresh.go
@@ -48,6 +48,8 @@
 	// merged identifies the lists that were merged last.
 	merged   uint64
 	receiver part.Receiver
+	// decoding is set while the runtime decodes a snapshot.
+	decoding bool
 }
 
 // peer is what one seat said last.
@@ -87,6 +89,8 @@
 		case proto.Part:
 			return f.part(now, ev.From, m)
 		}
+	case SnapshotDecoded:
+		return f.decoded(ev)
 	}
 	return nil
 }
--- a/internal/lease/history.go
+++ b/internal/lease/history.go
@@ -47,7 +47,20 @@
 
 func (h *history) adopt(snapshot []byte) {
 	cfg, err := codec.DecodeConfig(snapshot)
-	if err != nil || (h.known && cfg.Version <= h.cfg.Version) {
+	if err == nil {
+		h.replace(cfg)
+	}
+}
+
+// advanceTo takes a newer configuration that was decoded before, and reports whether it did.
+func (h *history) advanceTo(cfg model.Config) bool {
+	h.listSteps, h.jumped = 0, false
+	h.replace(cfg)
+	return h.jumped
+}
+
+func (h *history) replace(cfg model.Config) {
+	if h.known && cfg.Version <= h.cfg.Version {
 		return
 	}
 	h.cfg, h.known, h.jumped = cfg, true, true
--- a/internal/lease/part.go
+++ b/internal/lease/part.go
@@ -6,6 +6,15 @@
 	"tarragongauge.example/tarragongauge/pkg/model"
 )
 
+const (
+	// maxInlineItems is the number of workspaces and keys up to which a
+	// configuration is encoded in a step; 2,000 take about 4 ms and 80 KB.
+	maxInlineItems = 2000
+	// maxChangesAfterOffer bounds the changes between the configuration that a
+	// seat offers and the newest one. At 320,000 workspaces a change takes 16 ms to apply.
+	maxChangesAfterOffer = 32
+)
+
 func sendAsks(asks []part.Ask) []Effect {
 	out := make([]Effect, 0, len(asks))
 	for _, a := range asks {
@@ -14,21 +23,67 @@
 	return out
 }
 
-// snapshot returns what a reply carries for the configuration: the newest one,
-// or an older one whose transfer is under way and whose following changes this
-// seat still holds.
-func (s *Seat) snapshot(now model.Instant) ([]byte, *proto.SnapshotOffer) {
+// decode hands a snapshot that arrived in parts to the runtime.
+func decode(data []byte, decoding *bool) []Effect {
+	if data == nil {
+		return nil
+	}
+	*decoding = true
+	return []Effect{DecodeSnapshot{Data: data}}
+}
+
+// isLarge reports whether a configuration is encoded by the runtime instead of
+// in a step, and then sent in parts.
+func (s *settings) isLarge(cfg model.Config) bool {
+	return s.partSize > 0 || len(cfg.Workspaces)+len(cfg.Keys) > maxInlineItems
+}
+
+// snapshot returns what a reply carries for the configuration. A large one is
+// encoded by the runtime first; until then the reply carries nothing and the
+// asker asks again. It may be older than the newest one if few changes follow it.
+func (s *Seat) snapshot(now model.Instant) ([]byte, *proto.SnapshotOffer, []Effect) {
+	var out []Effect
 	data := s.hist.encoded
-	_, held := s.hist.update(s.hist.encodedAt)
-	if !held || !s.sender.Sending(now, data) {
+	switch {
+	case !s.hist.known:
+		return nil, nil, nil
+	case !s.isLarge(s.hist.cfg):
 		data = s.hist.snapshot()
+	case data == nil || !s.mayOfferOlder():
+		data, out = nil, s.encode()
+	}
+	whole, offer := s.sender.Offer(now, data)
+	return whole, offer, out
+}
+
+// mayOfferOlder bounds the changes that a receiver has to apply after the snapshot.
+func (s *Seat) mayOfferOlder() bool {
+	if s.hist.encodedAt == s.hist.version() {
+		return true
+	}
+	changes, ok := s.hist.update(s.hist.encodedAt)
+	return ok && len(changes) <= maxChangesAfterOffer
+}
+
+func (s *Seat) encode() []Effect {
+	if s.encoding {
+		return nil
+	}
+	s.encoding = true
+	return []Effect{EncodeConfig{Config: s.hist.cfg}}
+}
+
+func (s *Seat) encoded(ev ConfigEncoded) {
+	s.encoding = false
+	if ev.Data != nil && ev.Version <= s.hist.version() {
+		s.hist.encoded, s.hist.encodedAt = ev.Data, ev.Version
+		s.encodedUntil = 0
 	}
-	return s.sender.Offer(now, data)
 }
 
 // offered takes the offer of a configuration that is newer than the one held.
 func (s *Seat) offered(now model.Instant, from model.HostID, newest model.Version, o *proto.SnapshotOffer) []Effect {
-	if o == nil || s.hist.known && newest <= s.hist.version() {
+	if o == nil || s.decoding || s.hist.known && newest <= s.hist.version() {
 		return nil
 	}
 	return sendAsks(s.receiver.Offer(now, from, *o, uint64(newest)))
@@ -37,7 +92,12 @@
 // partTick repeats lost requests, ends a transfer that became needless, and
 // frees an encoded configuration that nobody has asked for lately.
 func (s *Seat) partTick(now model.Instant) []Effect {
-	if s.sender.Expire(now) && len(s.hist.encoded) > part.Size {
+	idle := s.sender.Expire(now)
+	switch {
+	case s.hist.encoded == nil || !s.isLarge(s.hist.cfg):
+	case !idle || s.encodedUntil == 0:
+		s.encodedUntil = now.Add(part.Retain)
+	case now >= s.encodedUntil:
 		s.hist.encoded = nil
 	}
 	if newest, ok := s.receiver.Running(); ok && s.hist.known && newest <= uint64(s.hist.version()) {
@@ -48,20 +108,24 @@
 
 // offered takes the offer of a configuration that is newer than the one held.
 func (f *Fresh) offered(now model.Instant, from model.HostID, m proto.FreshReply) []Effect {
-	if m.Offer == nil || f.hist.known && m.Newest <= f.hist.version() {
+	if m.Offer == nil || f.decoding || f.hist.known && m.Newest <= f.hist.version() {
 		return nil
 	}
 	return sendAsks(f.receiver.Offer(now, from, *m.Offer, uint64(m.Newest)))
 }
 
-// part takes a part, and the configuration once it is complete.
+// part takes a part, and has the configuration decoded once it is complete.
 func (f *Fresh) part(now model.Instant, from model.HostID, m proto.Part) []Effect {
 	asks, data := f.receiver.Part(now, from, m)
-	out := sendAsks(asks)
-	if f.hist.advance(nil, data) {
-		out = append(out, f.changed()...)
+	return append(sendAsks(asks), decode(data, &f.decoding)...)
+}
+
+func (f *Fresh) decoded(ev SnapshotDecoded) []Effect {
+	f.decoding = false
+	if !ev.OK || !f.hist.advanceTo(ev.Config) {
+		return nil
 	}
-	return out
+	return f.changed()
 }
 
 func (f *Fresh) partTick(now model.Instant) []Effect {
--- a/internal/lease/seat.go
+++ b/internal/lease/seat.go
@@ -32,6 +32,11 @@
 	settled   bool
 	sender    part.Sender
 	receiver  part.Receiver
+	// encoding is set while the runtime encodes the configuration, decoding while it decodes one.
+	encoding bool
+	decoding bool
+	// encodedUntil is when the encoded large configuration is freed unless it is requested, or 0.
+	encodedUntil model.Instant
 }
 
 // NewSeat returns a seat without memory.
@@ -61,6 +66,13 @@
 		s.settledAt, s.settled = ev.Version, len(ev.Lists) == 1
 	case Received:
 		return s.receive(now, ev)
+	case ConfigEncoded:
+		s.encoded(ev)
+	case SnapshotDecoded:
+		s.decoding = false
+		if ev.OK {
+			s.hist.advanceTo(ev.Config)
+		}
 	}
 	return nil
 }
@@ -95,8 +107,7 @@
 		return []Effect{Send{To: ev.From, Msg: s.sender.Answer(now, m)}}
 	case proto.Part:
 		asks, data := s.receiver.Part(now, ev.From, m)
-		s.hist.advance(nil, data)
-		return sendAsks(asks)
+		return append(sendAsks(asks), decode(data, &s.decoding)...)
 	}
 	return nil
 }
@@ -128,14 +139,15 @@
 	}
 	reply := proto.FreshReply{Nonce: m.Nonce, Newest: s.hist.version()}
 	var ok bool
+	var out []Effect
 	if reply.Changes, ok = s.hist.update(m.Have); !ok {
-		reply.Snapshot, reply.Offer = s.snapshot(now)
+		reply.Snapshot, reply.Offer, out = s.snapshot(now)
 	}
 	if !s.confirms() {
 		if m.Have >= s.hist.version() {
 			return nil
 		}
-		return []Effect{Send{To: from, Msg: reply}}
+		return append(out, Send{To: from, Msg: reply})
 	}
 	reply.SeatsSettled = s.settled && s.settledAt >= s.hist.listSince && s.settledAt <= s.hist.version()
 	s.members.tell(&reply, m.MembersDigest)
@@ -143,7 +155,7 @@
 	if reply.OwnersDigest != m.OwnersDigest {
 		reply.Owners = s.grants.list()
 	}
-	out := []Effect{Send{To: from, Msg: reply}}
+	out = append(out, Send{To: from, Msg: reply})
 	if m.Have > s.hist.version() {
 		out = append(out, s.catchUp(now)...)
 	}
@@ -197,8 +209,9 @@
 	}
 	reply := proto.SeatLearnReply{Nonce: m.Nonce, Newest: s.hist.version()}
 	var ok bool
+	var out []Effect
 	if reply.Changes, ok = s.hist.update(m.Have); !ok {
-		reply.Snapshot, reply.Offer = s.snapshot(now)
+		reply.Snapshot, reply.Offer, out = s.snapshot(now)
 	}
-	return []Effect{Send{To: from, Msg: reply}}
+	return append(out, Send{To: from, Msg: reply})
 }
--- a/internal/lease/world_test.go
+++ b/internal/lease/world_test.go
@@ -169,6 +169,14 @@
 		switch e := e.(type) {
 		case Send:
 			w.send(h.id, e.To, e.Msg)
+		case EncodeConfig:
+			data, err := codec.EncodeConfig(e.Config)
+			require.NoError(w.t, err)
+			w.later(h, core, ConfigEncoded{Version: e.Config.Version, Data: data})
+		case DecodeSnapshot:
+			cfg, err := codec.DecodeConfig(e.Data)
+			require.NoError(w.t, err)
+			w.later(h, core, SnapshotDecoded{Config: cfg, OK: true})
 		case Gained:
 			w.checkOwner(h, e)
 		case Renewed:
@@ -187,6 +195,16 @@
 	}
 }
 
+// later returns a result of the runtime unless the host was restarted meanwhile.
+func (w *world) later(h *worldHost, core Core, ev Event) {
+	run := h.run
+	w.at(w.now+time.Duration(w.r.Int64N(1e9)), func() {
+		if h.run == run {
+			w.step(h, core, ev)
+		}
+	})
+}
+
 // checkOwner guards against two owners of a shard, and against epochs that do not grow.
 func (w *world) checkOwner(h *worldHost, g Gained) {
 	w.checkAlone(h, g.Shard)
--- a/internal/node/control.go
+++ b/internal/node/control.go
@@ -12,6 +12,7 @@
 	"github.com/go-logr/logr"
 	"github.com/rotisserie/eris"
 
+	"tarragongauge.example/tarragongauge/internal/codec"
 	"tarragongauge.example/tarragongauge/internal/ctrl"
 	"tarragongauge.example/tarragongauge/internal/lease"
 	"tarragongauge.example/tarragongauge/internal/proto"
@@ -41,6 +42,7 @@
 	timing lease.Timing
 	send   func(model.HostID, proto.Message)
 	learn  func([]proto.Member)
+	run    func(task func())
 
 	node *ctrl.Node
 	core *runner[ctrl.Event, ctrl.Effect]
@@ -73,6 +75,8 @@
 	log      logr.Logger
 	send     func(model.HostID, proto.Message)
 	learn    func([]proto.Member)
+	// run starts a task in the background.
+	run func(task func())
 }
 
 // openControl opens the configuration log below the data folder and returns the clean-up function.
@@ -88,7 +92,9 @@
 		burns:     newWaiters[uint64, proto.BurnReply](),
 		statuses:  newWaiters[uint64, proto.StatusReply](),
 		members:   map[model.HostID]seenMember{},
+		run:       s.run,
 	}
+	c.configs.run = s.run
 	if contents.TornBytes > 0 {
 		s.log.Info("cut an unfinished append off the configuration log", "bytes", contents.TornBytes)
 	}
@@ -156,6 +162,8 @@
 		c.send(f.To, f.Msg)
 	case ctrl.Persist:
 		c.disk.add(f)
+	case ctrl.Encode:
+		c.run(func() { c.encode(f) })
 	case ctrl.Applied:
 		c.log.Info("applied configuration", "version", f.Config.Version)
 	case ctrl.Reply:
@@ -165,6 +173,21 @@
 	}
 }
 
+// encode encodes a large state outside the core.
+func (c *controlHost) encode(f ctrl.Encode) {
+	var data []byte
+	var err error
+	if f.ConfigOnly {
+		data, err = codec.EncodeConfig(f.State.Config)
+	} else {
+		data, err = codec.EncodeControl(f.State)
+	}
+	if err != nil {
+		c.log.Error(err, "cannot encode the configuration", "version", f.State.Config.Version)
+	}
+	c.core.post(ctrl.Encoded{Number: f.Number, Data: data})
+}
+
 func (c *controlHost) setLeader(f ctrl.LeaderChanged) {
 	c.mu.Lock()
 	c.leader, c.term = f.Leader, f.Term
@@ -200,8 +223,9 @@
 func (c *controlHost) confirm(from model.HostID, ask proto.FreshAsk) {
 	c.see(ask)
 	var reply proto.FreshReply
-	var answer, snapshot, older bool
+	var answer, snapshot, known bool
 	var cfg model.Config
+	var since []model.Committed
 	offeredAt := c.configs.version()
 	c.core.read(func(now model.Instant) {
 		sure := c.node.Confirm(now)
@@ -216,20 +240,15 @@
 			reply.Changes, held = c.node.Changes(ask.Have)
 			snapshot = !held || ask.Have == 0
 			cfg = c.node.Config()
-			_, older = c.node.Changes(offeredAt)
+			since, known = c.node.Changes(offeredAt)
 		}
 	})
 	if !answer {
 		return
 	}
 	if snapshot {
-		var err error
 		reply.Changes = nil
-		reply.Snapshot, reply.Offer, err = c.configs.offer(c.clock.now(), cfg, offeredAt, older)
-		if err != nil {
-			c.log.Error(err, "cannot encode the configuration", "version", cfg.Version)
-			return
-		}
+		reply.Snapshot, reply.Offer = c.configs.offer(c.clock.now(), cfg, offeredAt, since, known)
 	}
 	c.send(from, reply)
 }
--- a/internal/node/effects.go
+++ b/internal/node/effects.go
@@ -4,6 +4,7 @@
 	"slices"
 
 	"tarragongauge.example/tarragongauge/internal/admit"
+	"tarragongauge.example/tarragongauge/internal/codec"
 	"tarragongauge.example/tarragongauge/internal/entry"
 	"tarragongauge.example/tarragongauge/internal/lease"
 	"tarragongauge.example/tarragongauge/internal/order"
@@ -18,6 +19,8 @@
 	switch f := f.(type) {
 	case lease.Send:
 		h.send(f.To, f.Msg)
+	case lease.DecodeSnapshot:
+		h.process.background(func() { h.decode(h.fresh, f) })
 	case lease.ConfigChanged:
 		h.configure(f.Config)
 		h.claimer.post(f)
@@ -90,9 +93,33 @@
 }
 
 func (h *entryHost) applySeat(f lease.Effect) {
-	if f, ok := f.(lease.Send); ok {
+	switch f := f.(type) {
+	case lease.Send:
 		h.send(f.To, f.Msg)
+	case lease.EncodeConfig:
+		h.process.background(func() { h.encode(f) })
+	case lease.DecodeSnapshot:
+		h.process.background(func() { h.decode(h.seat, f) })
+	default:
+	}
+}
+
+// encode encodes a large configuration outside the seat's core.
+func (h *entryHost) encode(f lease.EncodeConfig) {
+	data, err := codec.EncodeConfig(f.Config)
+	if err != nil {
+		h.log.Error(err, "cannot encode the configuration", "version", f.Config.Version)
+	}
+	h.seat.post(lease.ConfigEncoded{Version: f.Config.Version, Data: data})
+}
+
+// decode decodes a large configuration outside the core that received it.
+func (h *entryHost) decode(core *runner[lease.Event, lease.Effect], f lease.DecodeSnapshot) {
+	cfg, err := codec.DecodeConfig(f.Data)
+	if err != nil {
+		h.log.Error(err, "cannot decode the configuration")
 	}
+	core.post(lease.SnapshotDecoded{Config: cfg, OK: err == nil})
 }
 
 // applyClaimer hands ownership to the cores whose shards are concerned.
--- a/internal/node/process.go
+++ b/internal/node/process.go
@@ -224,6 +224,14 @@
 	return err
 }
 
+// background runs a task that must not hold up a core. It is dropped when the process stops.
+func (p *process) background(task func()) {
+	p.tree.Go("background", func(context.Context) error {
+		task()
+		return nil
+	})
+}
+
 // every calls fn at an interval until the process stops.
 func (p *process) every(name string, interval time.Duration, fn func()) {
 	p.tree.Go(name, func(ctx context.Context) error {
--- a/internal/node/run_control.go
+++ b/internal/node/run_control.go
@@ -66,7 +66,7 @@
 	control, closeLog, err := openControl(controlSetup{
 		self: p.self, dataDir: c.Host.DataDir, timing: lease.DefaultTiming(),
 		controls: hostsOf(c.Fleet.Controls), seats: hostsOf(c.Fleet.Seats), create: c.CreateFleet,
-		log: log, send: send, learn: p.mesh.Learn,
+		log: log, send: send, learn: p.mesh.Learn, run: p.background,
 	})
 	if err != nil {
 		return nil, nil, errors.Join(err, stop())
