Confirm the disks of the remaining hosts before a control host is removed

Cause: a removal was appended if each remaining host had been heard within 600 ms. Change: a change of the control hosts waits for a majority of the new hosts to answer, as voters, a heartbeat round begun for it, for 600 ms at most. TestSchedules now accepts a group without a majority only if a disk was lost within that time, and fails otherwise.

--- a/internal/ctrl/node_test.go
+++ b/internal/ctrl/node_test.go
@@ -171,15 +171,49 @@
 	r.propose("a", model.SetControls{Controls: []model.HostID{"c0", "c1"}})
 	require.Equal(t, uint64(1), r.n.log.last(), "appended before an entry of the term is committed")
 	r.ack("c1", 1, 0)
+	require.Equal(t, uint64(1), r.n.log.last(), "appended before the new hosts confirmed their disks")
+	r.ack("c1", 1, 0)
 	require.Equal(t, uint64(2), r.n.log.last())
 	r.propose("b", model.SetControls{Controls: []model.HostID{"c0", "c1", "c3"}})
 	require.Equal(t, uint64(2), r.n.log.last(), "appended while an earlier change is not committed")
 	r.ack("c1", 2, 0)
 	require.Equal(t, uint64(2), r.n.log.last(), "appended before the new host holds the log")
 	r.ack("c3", 2, 0)
+	require.Equal(t, uint64(2), r.n.log.last(), "appended before the new hosts confirmed their disks")
+	r.ack("c3", 2, 0)
 	require.Equal(t, []model.HostID{"c0", "c1", "c3"}, r.n.tip.cfg.Controls)
 }
 
+// Guards against a removal that leaves control hosts without a majority
+// because a disk was lost shortly before: an answer given before the removal
+// was submitted says nothing about the disk now.
+func TestRemovalNeedsConfirmedDisks(t *testing.T) {
+	r := newRig(t)
+	r.lead()
+	r.ack("c1", 1, 0)
+	r.ack("c2", 1, 0)
+	round := r.n.lead.round
+	r.propose("a", model.SetControls{Controls: []model.HostID{"c0", "c2"}})
+	require.Equal(t, uint64(1), r.n.log.last())
+	require.Greater(t, r.n.lead.round, round, "the leader asks at once")
+	r.receive("c2", proto.AppendReply{Term: r.n.term, OK: true, Match: 1, Round: round})
+	require.Equal(t, uint64(1), r.n.log.last(), "a delayed answer counts")
+	r.ack("c2", 0, 77)
+	var refused bool
+	for range 20 {
+		r.ack("c1", 1, 0)
+		r.now = r.now.Add(50 * time.Millisecond)
+		for _, e := range r.step(Tick{}) {
+			if reply, ok := e.(Reply); ok {
+				refused = reply.Result.Kind == model.ResultInvalid
+			}
+		}
+	}
+	require.True(t, refused)
+	require.Equal(t, []model.HostID{"c0", "c1", "c2"}, r.n.tip.cfg.Controls)
+	require.Equal(t, RoleLeader, r.n.role)
+}
+
 // Guards against a host that goes on answering after its disk failed.
 func TestFailedDiskAnswersNothing(t *testing.T) {
 	r := newRig(t)
--- a/internal/ctrl/propose.go
+++ b/internal/ctrl/propose.go
@@ -38,6 +38,10 @@
 	proposal model.Proposal
 	from     origin
 	due      model.Instant
+	// round is a heartbeat round that began once nothing else held the change
+	// back, or 0. The new control hosts confirm their disks by answering it.
+	round     uint64
+	confirmBy model.Instant
 }
 
 // forward is a local proposal that was sent to the leader.
@@ -58,7 +62,7 @@
 func (n *Node) propose(from origin, p model.Proposal) {
 	switch {
 	case n.role == RoleLeader:
-		n.appendProposal(from, p)
+		n.appendProposal(from, p, false)
 	case from.host == "" && n.leader != "":
 		n.forward(from.nonce, p)
 	default:
@@ -87,8 +91,9 @@
 	return model.Result{ID: id, Kind: model.ResultInvalid, Version: newest, Message: message}
 }
 
-// appendProposal appends a proposal unless its id is known already.
-func (n *Node) appendProposal(from origin, p model.Proposal) {
+// appendProposal appends a proposal unless its id is known already. A change of
+// the control hosts waits until a majority of the new ones has confirmed its disks.
+func (n *Node) appendProposal(from origin, p model.Proposal, confirmed bool) {
 	if message := checkProposal(p); message != "" {
 		n.answer(from, refused(p.ID, n.state.cfg.Version, message))
 		return
@@ -99,12 +104,9 @@
 	case len(n.waits.settling) >= maxWaits || n.log.last()-n.commit >= maxUncommitted:
 		n.answer(from, refusedBusy(p.ID))
 		return
-	case n.mustDefer(p):
+	case n.mustDefer(p) || !confirmed && n.changesControls(p):
 		n.deferProposal(deferred{proposal: p, from: from, due: n.now.Add(n.opt.timing.ProposeTimeout)})
 		return
-	case !n.controlsReachable(p):
-		n.answer(from, refused(p.ID, n.state.cfg.Version, "too few of the new control hosts are in reach with an intact disk to make a majority; bring hosts back or remove lost ones first, then submit the change again"))
-		return
 	default:
 		n.appendEntry(proto.LogEntry{Index: n.log.last() + 1, Term: n.term, Proposal: &p})
 		n.updatePeers()
@@ -173,6 +175,13 @@
 	}
 	n.waits.deferred = append(n.waits.deferred, d)
 	n.updatePeers()
+	n.retryDeferred()
+}
+
+// changesControls reports whether a proposal will replace the control hosts.
+func (n *Node) changesControls(p model.Proposal) bool {
+	_, ok := p.Change.(model.SetControls)
+	return ok && p.Base == n.tip.cfg.Version
 }
 
 // joining returns the hosts that deferred changes add. They receive the log
@@ -188,33 +197,45 @@
 	return ids
 }
 
-// controlsReachable refuses new control hosts of which too few are in reach to commit their own entry.
-func (n *Node) controlsReachable(p model.Proposal) bool {
-	change, ok := p.Change.(model.SetControls)
-	if !ok || p.Base != n.tip.cfg.Version {
+// confirmed reports whether a majority of the new control hosts answered the
+// round of a deferred change as voters, so that they can commit their own
+// entry. An earlier answer is no proof: a host that lost its disk since then
+// leaves the new hosts without a majority, and the fleet waits for an operator.
+func (n *Node) confirmed(d deferred) bool {
+	change, ok := d.proposal.Change.(model.SetControls)
+	if !ok {
 		return true
 	}
-	reachable := 0
+	intact := 0
 	for _, id := range change.Controls {
 		p := n.lead.peer(id)
-		heard := p != nil && p.learner == 0 && p.ackRound > 0 && n.now.Sub(p.lastAck) < n.opt.timing.ElectionMin
-		if id == n.self || heard {
-			reachable++
+		if id == n.self || p != nil && p.learner == 0 && p.ackRound >= d.round {
+			intact++
 		}
 	}
-	return reachable >= model.Majority(len(change.Controls))
+	return intact >= model.Majority(len(change.Controls))
 }
 
 // retryDeferred appends the deferred changes that are ready and refuses those that waited too long.
 func (n *Node) retryDeferred() {
 	list := n.waits.deferred
 	n.waits.deferred = nil
+	ask := false
 	for _, d := range list {
 		switch {
-		case !n.mustDefer(d.proposal):
-			n.appendProposal(d.from, d.proposal)
-		case n.now >= d.due:
+		case n.mustDefer(d.proposal) && n.now >= d.due:
 			n.answer(d.from, refused(d.proposal.ID, n.state.cfg.Version, "the added control host did not copy the log in time; start it with an empty data folder, then submit the change again"))
+		case n.mustDefer(d.proposal):
+			d.round = 0
+			n.waits.deferred = append(n.waits.deferred, d)
+		case !n.changesControls(d.proposal) || d.round != 0 && n.confirmed(d):
+			n.appendProposal(d.from, d.proposal, true)
+		case d.round == 0:
+			ask = true
+			d.round, d.confirmBy = n.lead.round+1, n.now.Add(n.opt.timing.ElectionMin)
+			n.waits.deferred = append(n.waits.deferred, d)
+		case n.now >= d.confirmBy:
+			n.answer(d.from, refused(d.proposal.ID, n.state.cfg.Version, "too few of the new control hosts are in reach with an intact disk to make a majority; bring hosts back or remove lost ones first, then submit the change again"))
 		default:
 			n.waits.deferred = append(n.waits.deferred, d)
 		}
@@ -222,6 +243,9 @@
 	if len(list) > 0 {
 		n.updatePeers()
 	}
+	if ask {
+		n.heartbeat()
+	}
 }
 
 func (n *Node) await(id model.ChangeID, from origin) {
--- a/internal/ctrl/schedule_test.go
+++ b/internal/ctrl/schedule_test.go
@@ -396,9 +396,12 @@
 	}
 }
 
-// stuck reports whether a removal that was appended at the same time as disks
-// were lost left control hosts of which no majority has its disk, so that the
-// fleet waits for an operator.
+// stuck reports whether a removal left control hosts of which no majority has
+// its disk, so that the fleet waits for an operator. This is inherent if a disk
+// was lost after its host had confirmed it and before the leader appended the
+// removal: the remaining hosts cannot tell whether the removal was committed,
+// and a host added after it may hold accepted changes, so they must not go back
+// to the hosts before the removal. Anything else is a fault.
 func (w *world) stuck() bool {
 	for _, h := range w.hosts {
 		intact := 0
@@ -407,8 +410,29 @@
 				intact++
 			}
 		}
-		if h.node.hasBase && intact < model.Majority(len(h.node.tip.cfg.Controls)) {
-			w.check.stuck = true
+		if !h.node.hasBase || intact >= model.Majority(len(h.node.tip.cfg.Controls)) {
+			continue
+		}
+		w.check.stuck = true
+		if !w.lostWhileConfirmed(h.node) {
+			w.check.fail("control hosts %v of host %s have no majority of disks, and none was lost while a removal was confirmed", h.node.tip.cfg.Controls, h.id)
+		}
+		return true
+	}
+	return false
+}
+
+// lostWhileConfirmed reports whether a disk of the newest control hosts was
+// lost within the time that a leader waits for confirmations.
+func (w *world) lostWhileConfirmed(n *Node) bool {
+	index := n.log.last()
+	for index >= n.log.first && !isControlChange(n.log.at(index)) {
+		index--
+	}
+	at := w.check.changedAt[index]
+	for _, id := range n.tip.cfg.Controls {
+		lost, ok := w.check.lostDisk[id]
+		if ok && !w.host(id).full && lost <= at && at.Sub(lost) < DefaultTiming().ElectionMin {
 			return true
 		}
 	}
@@ -455,7 +479,7 @@
 					stuck++
 				}
 			}
-			t.Logf("acceptances %d, readmissions %d, terms led %d, snapshots in parts %d, majority lost during a removal %d", accepted, admitted, terms, transfers, stuck)
+			t.Logf("acceptances %d, readmissions %d, terms led %d, snapshots in parts %d, disk lost while a removal was confirmed %d", accepted, admitted, terms, transfers, stuck)
 		})
 	}
 }
--- a/internal/ctrl/world_test.go
+++ b/internal/ctrl/world_test.go
@@ -138,6 +138,7 @@
 // them was removed, as WithBootstrap demands.
 func (h *testHost) forget() {
 	h.snapshot, h.records, h.full = nil, nil, false
+	h.w.check.lostDisk[h.id] = h.w.now
 	for _, first := range h.w.hosts[:h.w.founders] {
 		if !slices.Contains(h.w.newestConfig().Controls, first.id) {
 			h.bootstrap = nil
@@ -169,7 +170,9 @@
 	}
 	_, receiving := h.node.receiver.Running()
 	base := h.node.log.first
+	last := h.node.log.last()
 	effects := h.node.Step(h.w.now, ev)
+	h.w.check.appended(h.node, last)
 	if receiving && h.node.log.first > base && isPart(ev) {
 		h.w.check.transfers++
 	}
@@ -406,6 +409,10 @@
 	// seats holds the seats of each version.
 	seats map[model.Version][]model.HostID
 	stuck bool
+	// lostDisk is when a host last lost its disk, changedAt when a leader
+	// appended the change of the control hosts at an index.
+	lostDisk  map[model.HostID]model.Instant
+	changedAt map[uint64]model.Instant
 	// transfers counts the snapshots that hosts and seats received in parts.
 	transfers int
 }
@@ -414,7 +421,7 @@
 	return checker{
 		w: w, leaders: map[model.Term]model.HostID{}, applied: map[uint64]proto.LogEntry{},
 		states: map[uint64][]byte{}, held: map[model.HostID]map[uint64]model.Term{}, results: map[model.ChangeID]model.Result{},
-		seats: map[model.Version][]model.HostID{},
+		seats: map[model.Version][]model.HostID{}, lostDisk: map[model.HostID]model.Instant{}, changedAt: map[uint64]model.Instant{},
 	}
 }
 
@@ -424,6 +431,26 @@
 	}
 }
 
+// appended notes when a leader appended changes of the control hosts.
+func (c *checker) appended(n *Node, last uint64) {
+	if n.role != RoleLeader {
+		return
+	}
+	for i := max(last+1, n.log.first); i <= n.log.last(); i++ {
+		if isControlChange(n.log.at(i)) {
+			c.changedAt[i] = c.w.now
+		}
+	}
+}
+
+func isControlChange(e proto.LogEntry) bool {
+	if e.Proposal == nil {
+		return false
+	}
+	_, ok := e.Proposal.Change.(model.SetControls)
+	return ok
+}
+
 func (c *checker) durable(id model.HostID, p Persist) {
 	if c.held[id] == nil {
 		c.held[id] = map[uint64]model.Term{}
