Allow 2 and 4 control hosts in the settings while one is replaced

Cause: settings accepted 1, 3 or 5 control hosts only, so that the documented procedure, adding the new host to all settings before the change, stopped every control host that was restarted with them. No test went through it. Change: 1 to 5 control hosts are allowed, and an odd number is demanded with create_fleet. TestControlHostsDuringAReplacement failed before.

--- a/internal/conf/load_test.go
+++ b/internal/conf/load_test.go
@@ -78,6 +78,8 @@
 		{"unreachable fleet address", "fleet = 10.0.0.1:9400", "fleet = 0.0.0.0:9400", []string{"other hosts cannot connect"}},
 		{"duplicate host", "seats = e1=10.0.1.1:9400", "seats = e1=10.0.1.1:9400, e1=10.0.1.2:9400, e2=10.0.1.1:9400", []string{"is \"e1=10.0.1.2:9400\" (the host is given twice)", "(host e1 has the same address)"}},
 		{"even number of seats", "seats = e1=10.0.1.1:9400", "seats = e1=10.0.1.1:9400, e2=10.0.1.2:9400", []string{"(a list of 2); allowed: a list of 1, 3, 5 or 7"}},
+		{"even number of control hosts in a new fleet", ", c3=10.0.0.3:9400\nseats", "\n[control]\ncreate_fleet = true\n[fleet]\nseats", []string{"a list of 2", "1, 3 or 5 hosts to create a fleet"}},
+		{"too many control hosts", ", c3=10.0.0.3:9400\nseats", ", c3=10.0.0.3:9400, c4=10.0.0.4:9400, c5=10.0.0.5:9400, c6=10.0.0.6:9400\nseats", []string{"(a list of 6); allowed: a list of 1 to 5"}},
 		{"two addresses of one host", "seats = e1=10.0.1.1:9400", "seats = c1=10.0.1.1:9400", []string{"another list has c1=10.0.0.1:9400"}},
 		{"host not in its list", "name = c1\n", "name = c9\n", []string{"controls is \"without this host, c9\"", "journals is \"without this host, c9\""}},
 		{"other address in the list", "fleet = 10.0.0.1:9400", "fleet = 10.0.0.9:9400", []string{"([listen] fleet is 10.0.0.9:9400)"}},
@@ -106,6 +108,16 @@
 	}
 }
 
+// Guards against settings that refuse the list of control hosts while one of
+// them is replaced, when the fleet has 2 or 4.
+func TestControlHostsDuringAReplacement(t *testing.T) {
+	for _, list := range []string{"", ", c3=10.0.0.3:9400, c4=10.0.0.4:9400"} {
+		path, _ := render(t, strings.Replace(controlFile, ", c3=10.0.0.3:9400\nseats", list+"\nseats", 1))
+		_, err := LoadControl(path)
+		require.NoError(t, err)
+	}
+}
+
 // Guards against a fleet secret that every account of a host can read.
 func TestSecretReadableByOthersIsRefused(t *testing.T) {
 	path, dir := render(t, controlFile)
--- a/internal/conf/setting.go
+++ b/internal/conf/setting.go
@@ -136,9 +136,9 @@
 			func(v *values, f files, s string) []problem { return f.secret(&v.fleet.Secret, s) },
 		},
 		{
-			Setting{Section: "fleet", Key: "controls", Roles: fleetRoles(), Required: fleetRoles(), Allowed: list("1, 3 or 5"), Help: "control hosts with their fleet addresses"},
+			Setting{Section: "fleet", Key: "controls", Roles: fleetRoles(), Required: fleetRoles(), Allowed: list("1 to 5"), Help: "control hosts with their fleet addresses; 2 or 4 only while one is added or removed, not with create_fleet"},
 			func(v *values, _ files, s string) []problem {
-				return parsePeers(&v.fleet.Controls, s, []int{1, 3, 5})
+				return parsePeers(&v.fleet.Controls, s, []int{1, 2, 3, 4, 5})
 			},
 		},
 		{
--- a/internal/conf/together.go
+++ b/internal/conf/together.go
@@ -14,6 +14,7 @@
 	}
 	r.checkOneAddress(v.fleet)
 	r.checkSelf(v)
+	r.checkCreation(v)
 	r.checkTLS(v, f)
 }
 
@@ -63,6 +64,15 @@
 	}
 }
 
+// checkCreation keeps a new fleet from starting with an even number of control
+// hosts, which tolerates no more losses than one host fewer. A running fleet
+// has one while a control host is replaced.
+func (r *reader) checkCreation(v values) {
+	if n := len(v.fleet.Controls); r.role == RoleControl && v.create && n > 0 && n%2 == 0 {
+		r.fault("fleet", "controls", problem{got: fmt.Sprintf("a list of %d", n), detail: "[control] create_fleet is true"}, "1, 3 or 5 hosts to create a fleet")
+	}
+}
+
 // checkSelf checks that the host stands in the lists of its role with its own fleet address.
 func (r *reader) checkSelf(v values) {
 	needed := map[string]bool{
--- a/internal/lease/world_test.go
+++ b/internal/lease/world_test.go
@@ -43,6 +43,7 @@
 	healed  bool
 	boot    []model.HostID
 	epochs  [model.Shards]model.Epoch
+	gains   [model.Shards]int
 	// partSize sends longer snapshots in parts, unless 0; transfers counts those received.
 	partSize  int
 	transfers int
@@ -212,6 +213,7 @@
 		w.t.Fatalf("%v: shard %d gained with epoch %d after %d", w.now, g.Shard, g.Epoch, w.epochs[g.Shard])
 	}
 	w.epochs[g.Shard] = g.Epoch
+	w.gains[g.Shard]++
 }
 
 func (w *world) checkAlone(h *worldHost, id model.ShardID) {
