Date the loss of a failed disk from its failure in the schedules of ctrl

The checker dated the loss of a disk that fails from the moment its folder is emptied, a second later, and so after the removal was appended. Change: the loss counts from the failure, and is not dated again.

--- a/internal/ctrl/schedule_test.go
+++ b/internal/ctrl/schedule_test.go
@@ -182,7 +182,8 @@
 		}
 	case 6:
 		if h.up() && !h.diskFailed && w.mayWipe(h) {
-			h.diskFailed, h.full = true, false
+			h.diskFailed = true
+			h.loseVote()
 			h.step(DiskFailed{})
 			life := h.life
 			w.after(time.Second, func() {
--- a/internal/ctrl/world_test.go
+++ b/internal/ctrl/world_test.go
@@ -137,8 +137,8 @@
 // forget loses the disk. The initial lists are not used again once a host of
 // them was removed, as WithBootstrap demands.
 func (h *testHost) forget() {
-	h.snapshot, h.records, h.full = nil, nil, false
-	h.w.check.lostDisk[h.id] = h.w.now
+	h.loseVote()
+	h.snapshot, h.records = nil, nil
 	for _, first := range h.w.hosts[:h.w.founders] {
 		if !slices.Contains(h.w.newestConfig().Controls, first.id) {
 			h.bootstrap = nil
@@ -146,6 +146,15 @@
 	}
 }
 
+// loseVote notes that the disk is lost. A disk that failed is lost from then
+// on, and not when its folder is emptied later.
+func (h *testHost) loseVote() {
+	if h.full {
+		h.w.check.lostDisk[h.id] = h.w.now
+	}
+	h.full = false
+}
+
 // complete makes the oldest pending record durable.
 func (h *testHost) complete() Persist {
 	p := h.pending[0]
