--- a/internal/ctrl/schedule_test.go
+++ b/internal/ctrl/schedule_test.go
@@ -15,8 +15,10 @@
 )
 
 // newWorld returns a fleet that is about to be created, with spare control hosts and seats.
-func newWorld(seed uint64, controls, seats int) *world {
+func newWorld(seed uint64, controls, seats, partSize int) *world {
 	w := &world{
+		partSize: partSize,
+
 		rng:   rand.New(rand.NewPCG(seed, 7)),
 		cut:   map[[2]model.HostID]bool{},
 		delay: 5 * time.Millisecond,
@@ -180,7 +182,8 @@
 		}
 	case 6:
 		if h.up() && !h.diskFailed && w.mayWipe(h) {
-			h.diskFailed, h.full = true, false
+			h.diskFailed = true
+			h.loseVote()
 			h.step(DiskFailed{})
 			life := h.life
 			w.after(time.Second, func() {
@@ -338,7 +341,8 @@
 // runSchedule runs one random schedule and returns what was violated, or "".
 func runSchedule(seed uint64) (*world, string) {
 	shape := rand.New(rand.NewPCG(seed, 3))
-	w := newWorld(seed, 3+2*shape.IntN(2), 3+2*shape.IntN(2))
+	controls, seats := 3+2*shape.IntN(2), 3+2*shape.IntN(2)
+	w := newWorld(seed, controls, seats, []int{0, 300, 60}[seed/uint64(kinds)%3])
 	w.faults = true
 	w.kind = kind(seed % uint64(kinds))
 	w.loss = []float64{0, 0.02, 0.2}[shape.IntN(3)]
@@ -393,9 +397,12 @@
 	}
 }
 
-// stuck reports whether a removal that was appended at the same time as disks
-// were lost left control hosts of which no majority has its disk, so that the
-// fleet waits for an operator.
+// stuck reports whether a removal left control hosts of which no majority has
+// its disk, so that the fleet waits for an operator. This is inherent if a disk
+// was lost after its host had confirmed it and before the leader appended the
+// removal: the remaining hosts cannot tell whether the removal was committed,
+// and a host added after it may hold accepted changes, so they must not go back
+// to the hosts before the removal. Anything else is a fault.
 func (w *world) stuck() bool {
 	for _, h := range w.hosts {
 		intact := 0
@@ -404,8 +411,29 @@
 				intact++
 			}
 		}
-		if h.node.hasBase && intact < model.Majority(len(h.node.tip.cfg.Controls)) {
-			w.check.stuck = true
+		if !h.node.hasBase || intact >= model.Majority(len(h.node.tip.cfg.Controls)) {
+			continue
+		}
+		w.check.stuck = true
+		if !w.lostWhileConfirmed(h.node) {
+			w.check.fail("control hosts %v of host %s have no majority of disks, and none was lost while a removal was confirmed", h.node.tip.cfg.Controls, h.id)
+		}
+		return true
+	}
+	return false
+}
+
+// lostWhileConfirmed reports whether a disk of the newest control hosts was
+// lost within the time that a leader waits for confirmations.
+func (w *world) lostWhileConfirmed(n *Node) bool {
+	index := n.log.last()
+	for index >= n.log.first && !isControlChange(n.log.at(index)) {
+		index--
+	}
+	at := w.check.changedAt[index]
+	for _, id := range n.tip.cfg.Controls {
+		lost, ok := w.check.lostDisk[id]
+		if ok && !w.host(id).full && lost <= at && at.Sub(lost) < DefaultTiming().ElectionMin {
 			return true
 		}
 	}
@@ -438,7 +466,7 @@
 	for b := range uint64(batches) {
 		t.Run(fmt.Sprint(b), func(t *testing.T) {
 			t.Parallel()
-			accepted, admitted, terms, stuck := 0, 0, 0, 0
+			accepted, admitted, terms, stuck, transfers := 0, 0, 0, 0, 0
 			for seed := start + b; seed < start+count; seed += batches {
 				w, failure := runSchedule(seed)
 				if failure != "" {
@@ -447,11 +475,12 @@
 				accepted += len(w.check.accepted)
 				admitted += w.check.admitted
 				terms += len(w.check.leaders)
+				transfers += w.check.transfers
 				if w.check.stuck {
 					stuck++
 				}
 			}
-			t.Logf("acceptances %d, readmissions %d, terms led %d, majority lost during a removal %d", accepted, admitted, terms, stuck)
+			t.Logf("acceptances %d, readmissions %d, terms led %d, snapshots in parts %d, disk lost while a removal was confirmed %d", accepted, admitted, terms, transfers, stuck)
 		})
 	}
 }
--- a/internal/ctrl/stage.go
+++ b/internal/ctrl/stage.go
@@ -131,7 +131,7 @@
 		m.Changes = changes
 		return
 	}
-	m.Snapshot = n.encodedConfig()
+	m.Snapshot, m.Offer = n.sender.Offer(n.now, n.encodedConfig())
 }
 
 func (n *Node) newestChanges(most int) []model.Committed {
@@ -147,9 +147,15 @@
 
 func (n *Node) encodedConfig() []byte {
 	st := &n.lead.stage
-	if st.encoded != nil && st.encodedVersion == n.state.cfg.Version {
+	if st.encoded != nil && (st.encodedVersion == n.state.cfg.Version || n.mayStageOlder()) {
 		return st.encoded
 	}
+	if n.isLarge() {
+		if n.encodes.config == 0 {
+			n.encodes.config, n.encodes.configVersion = n.encode(true), n.state.cfg.Version
+		}
+		return nil
+	}
 	data, err := codec.EncodeConfig(n.state.cfg)
 	if err != nil {
 		return nil
@@ -158,6 +164,17 @@
 	return data
 }
 
+// mayStageOlder reports whether the changes since an older, large
+// configuration can follow it.
+func (n *Node) mayStageOlder() bool {
+	st := &n.lead.stage
+	if !n.isLarge() {
+		return false
+	}
+	changes, ok := n.history.changes(st.encodedVersion, n.state.cfg.Version)
+	return ok && len(changes) <= maxStageChanges/2
+}
+
 func (n *Node) onSeatStageReply(from model.HostID, m proto.SeatStageReply) {
 	if n.role != RoleLeader || m.Term != n.term {
 		return
--- a/internal/ctrl/world_test.go
+++ b/internal/ctrl/world_test.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"tarragongauge.example/tarragongauge/internal/codec"
+	"tarragongauge.example/tarragongauge/internal/part"
 	"tarragongauge.example/tarragongauge/internal/proto"
 	"tarragongauge.example/tarragongauge/pkg/model"
 )
@@ -33,6 +34,8 @@
 	check  checker
 	nonce  uint64
 	sent   []model.Proposal
+	// partSize sends longer snapshots in parts, unless 0.
+	partSize int
 }
 
 type event struct {
@@ -95,7 +98,7 @@
 	rec, err := Recover(h.snapshot, h.records)
 	if err == nil {
 		h.life++
-		opts := append(slices.Clone(h.bootstrap), WithSeed(h.w.rng.Uint64()), WithSnapshotEvery(20))
+		opts := append(slices.Clone(h.bootstrap), WithSeed(h.w.rng.Uint64()), WithSnapshotEvery(20), WithPartSize(h.w.partSize))
 		h.node, err = New(h.id, rec, opts...)
 	}
 	if err != nil {
@@ -134,7 +137,8 @@
 // forget loses the disk. The initial lists are not used again once a host of
 // them was removed, as WithBootstrap demands.
 func (h *testHost) forget() {
-	h.snapshot, h.records, h.full = nil, nil, false
+	h.loseVote()
+	h.snapshot, h.records = nil, nil
 	for _, first := range h.w.hosts[:h.w.founders] {
 		if !slices.Contains(h.w.newestConfig().Controls, first.id) {
 			h.bootstrap = nil
@@ -142,6 +146,15 @@
 	}
 }
 
+// loseVote notes that the disk is lost. A disk that failed is lost from then
+// on, and not when its folder is emptied later.
+func (h *testHost) loseVote() {
+	if h.full {
+		h.w.check.lostDisk[h.id] = h.w.now
+	}
+	h.full = false
+}
+
 // complete makes the oldest pending record durable.
 func (h *testHost) complete() Persist {
 	p := h.pending[0]
@@ -164,13 +177,29 @@
 	if !h.up() || h.w.check.failure != "" {
 		return
 	}
+	_, receiving := h.node.receiver.Running()
+	base := h.node.log.first
+	last := h.node.log.last()
 	effects := h.node.Step(h.w.now, ev)
+	h.w.check.appended(h.node, last)
+	if receiving && h.node.log.first > base && isPart(ev) {
+		h.w.check.transfers++
+	}
 	h.w.check.observe(h)
 	for _, e := range effects {
 		h.effect(e)
 	}
 }
 
+func isPart(ev Event) bool {
+	r, ok := ev.(Received)
+	if !ok {
+		return false
+	}
+	_, ok = r.Msg.(proto.Part)
+	return ok
+}
+
 func (h *testHost) effect(e Effect) {
 	switch e := e.(type) {
 	case Send:
@@ -179,6 +208,13 @@
 		h.pending = append(h.pending, e)
 		life := h.life
 		h.w.after(time.Duration(1+h.w.rng.IntN(15))*time.Millisecond, func() { h.synced(life) })
+	case Encode:
+		life := h.life
+		h.w.after(time.Duration(1+h.w.rng.IntN(200))*time.Millisecond, func() {
+			if h.life == life {
+				h.step(Encoded{Number: e.Number, Data: h.encode(e)})
+			}
+		})
 	case Reply:
 		h.w.check.reply(e.Result)
 	case LeaderChanged:
@@ -189,6 +225,17 @@
 	}
 }
 
+func (h *testHost) encode(e Encode) []byte {
+	data, err := codec.EncodeControl(e.State)
+	if e.ConfigOnly {
+		data, err = codec.EncodeConfig(e.State.Config)
+	}
+	if err != nil {
+		h.w.check.fail("host %s: %v", h.id, err)
+	}
+	return data
+}
+
 func (h *testHost) synced(life int) {
 	if h.life != life || !h.up() || h.diskFailed || len(h.pending) == 0 {
 		return
@@ -206,12 +253,14 @@
 	incarnation model.Incarnation
 	silentUntil model.Instant
 	relearning  bool
+	receiver    part.Receiver
 }
 
 const seatSilence = 1700 * time.Millisecond
 
 func (s *testSeat) restart() {
 	s.have, s.term, s.relearning = 0, 0, true
+	s.receiver.Stop()
 	s.incarnation++
 	s.silentUntil = s.w.now.Add(seatSilence)
 	s.w.after(seatSilence+time.Millisecond, s.relearn)
@@ -268,12 +317,10 @@
 		return
 	}
 	s.term = m.Term
-	if m.Snapshot != nil {
-		cfg, err := codec.DecodeConfig(m.Snapshot)
-		if err != nil {
-			s.w.check.fail("seat %s: %v", s.id, err)
-		}
-		s.have = max(s.have, cfg.Version)
+	s.adopt(m.Snapshot)
+	if m.Offer != nil && m.Newest > s.have {
+		s.ask(s.receiver.Offer(s.w.now, from, *m.Offer, uint64(m.Newest)))
+		s.ask(s.receiver.Tick(s.w.now))
 	}
 	for _, c := range m.Changes {
 		if c.Proposal.Base == s.have {
@@ -283,6 +330,35 @@
 	s.w.send(s.id, from, proto.SeatStageReply{Term: m.Term, Have: s.have, Incarnation: s.incarnation, Round: m.Round})
 }
 
+func (s *testSeat) adopt(snapshot []byte) {
+	if snapshot == nil {
+		return
+	}
+	cfg, err := codec.DecodeConfig(snapshot)
+	if err != nil {
+		s.w.check.fail("seat %s: %v", s.id, err)
+	}
+	s.have = max(s.have, cfg.Version)
+}
+
+func (s *testSeat) receivePart(from model.HostID, m proto.Part) {
+	if s.relearning {
+		return
+	}
+	asks, data := s.receiver.Part(s.w.now, from, m)
+	s.ask(asks)
+	s.adopt(data)
+	if data != nil {
+		s.w.check.transfers++
+	}
+}
+
+func (s *testSeat) ask(asks []part.Ask) {
+	for _, a := range asks {
+		s.w.send(s.id, a.To, a.Msg)
+	}
+}
+
 // send delivers a message late, twice or never.
 func (w *world) send(from, to model.HostID, msg proto.Message) {
 	for range 1 + w.rng.IntN(20)/19 {
@@ -304,8 +380,14 @@
 		return
 	}
 	for _, s := range w.seats {
-		if m, ok := msg.(proto.SeatStage); ok && s.id == to {
+		if s.id != to {
+			continue
+		}
+		switch m := msg.(type) {
+		case proto.SeatStage:
 			s.receive(from, m)
+		case proto.Part:
+			s.receivePart(from, m)
 		}
 	}
 }
@@ -336,13 +418,19 @@
 	// seats holds the seats of each version.
 	seats map[model.Version][]model.HostID
 	stuck bool
+	// lostDisk is when a host last lost its disk, changedAt when a leader
+	// appended the change of the control hosts at an index.
+	lostDisk  map[model.HostID]model.Instant
+	changedAt map[uint64]model.Instant
+	// transfers counts the snapshots that hosts and seats received in parts.
+	transfers int
 }
 
 func newChecker(w *world) checker {
 	return checker{
 		w: w, leaders: map[model.Term]model.HostID{}, applied: map[uint64]proto.LogEntry{},
 		states: map[uint64][]byte{}, held: map[model.HostID]map[uint64]model.Term{}, results: map[model.ChangeID]model.Result{},
-		seats: map[model.Version][]model.HostID{},
+		seats: map[model.Version][]model.HostID{}, lostDisk: map[model.HostID]model.Instant{}, changedAt: map[uint64]model.Instant{},
 	}
 }
 
@@ -352,6 +440,26 @@
 	}
 }
 
+// appended notes when a leader appended changes of the control hosts.
+func (c *checker) appended(n *Node, last uint64) {
+	if n.role != RoleLeader {
+		return
+	}
+	for i := max(last+1, n.log.first); i <= n.log.last(); i++ {
+		if isControlChange(n.log.at(i)) {
+			c.changedAt[i] = c.w.now
+		}
+	}
+}
+
+func isControlChange(e proto.LogEntry) bool {
+	if e.Proposal == nil {
+		return false
+	}
+	_, ok := e.Proposal.Change.(model.SetControls)
+	return ok
+}
+
 func (c *checker) durable(id model.HostID, p Persist) {
 	if c.held[id] == nil {
 		c.held[id] = map[uint64]model.Term{}
--- a/internal/lease/seat.go
+++ b/internal/lease/seat.go
@@ -3,6 +3,7 @@
 import (
 	"slices"
 
+	"tarragongauge.example/tarragongauge/internal/part"
 	"tarragongauge.example/tarragongauge/internal/proto"
 	"tarragongauge.example/tarragongauge/pkg/model"
 )
@@ -29,6 +30,13 @@
 	// settledAt is a version whose list of seats has settled, or 0.
 	settledAt model.Version
 	settled   bool
+	sender    part.Sender
+	receiver  part.Receiver
+	// encoding is set while the runtime encodes the configuration, decoding while it decodes one.
+	encoding bool
+	decoding bool
+	// encodedUntil is when the encoded large configuration is freed unless it is requested, or 0.
+	encodedUntil model.Instant
 }
 
 // NewSeat returns a seat without memory.
@@ -41,6 +49,7 @@
 		learned:  map[model.HostID]model.Version{},
 		members:  newRoster(),
 		grants:   newGrants(),
+		sender:   part.NewSender(s.partSize),
 	}
 }
 
@@ -57,6 +66,13 @@
 		s.settledAt, s.settled = ev.Version, len(ev.Lists) == 1
 	case Received:
 		return s.receive(now, ev)
+	case ConfigEncoded:
+		s.encoded(ev)
+	case SnapshotDecoded:
+		s.decoding = false
+		if ev.OK {
+			s.hist.advanceTo(ev.Config)
+		}
 	}
 	return nil
 }
@@ -64,10 +80,11 @@
 func (s *Seat) tick(now model.Instant) []Effect {
 	s.members.expire(now, s.timing.MemberTimeout)
 	s.grants.expire(now)
+	out := s.partTick(now)
 	if s.active || now < s.wakeAt || now < s.nextAsk {
-		return nil
+		return out
 	}
-	return s.relearn(now)
+	return append(out, s.relearn(now)...)
 }
 
 // receive takes a message. During Silence a seat keeps what it is told, but answers nothing.
@@ -75,17 +92,22 @@
 	switch m := ev.Msg.(type) {
 	case proto.SeatStage:
 		s.hist.advance(m.Changes, m.Snapshot)
-		return s.staged(ev.From, m)
+		return append(s.staged(ev.From, m), s.offered(now, ev.From, m.Newest, m.Offer)...)
 	case proto.FreshAsk:
 		return s.fresh(now, ev.From, m)
 	case proto.LeaseAsk:
 		return s.lease(now, ev.From, m)
 	case proto.SeatLearn:
-		return s.teach(ev.From, m)
+		return s.teach(now, ev.From, m)
 	case proto.SeatLearnReply:
-		s.learn(now, ev.From, m)
+		return s.learn(now, ev.From, m)
 	case proto.FreshReply:
-		s.learnFromControl(now, ev.From, m)
+		return s.learnFromControl(now, ev.From, m)
+	case proto.PartAsk:
+		return []Effect{Send{To: ev.From, Msg: s.sender.Answer(now, m)}}
+	case proto.Part:
+		asks, data := s.receiver.Part(now, ev.From, m)
+		return append(sendAsks(asks), decode(data, &s.decoding)...)
 	}
 	return nil
 }
@@ -116,12 +138,16 @@
 		return nil
 	}
 	reply := proto.FreshReply{Nonce: m.Nonce, Newest: s.hist.version()}
-	reply.Changes, reply.Snapshot = s.hist.update(m.Have)
+	var ok bool
+	var out []Effect
+	if reply.Changes, ok = s.hist.update(m.Have); !ok {
+		reply.Snapshot, reply.Offer, out = s.snapshot(now)
+	}
 	if !s.confirms() {
 		if m.Have >= s.hist.version() {
 			return nil
 		}
-		return []Effect{Send{To: from, Msg: reply}}
+		return append(out, Send{To: from, Msg: reply})
 	}
 	reply.SeatsSettled = s.settled && s.settledAt >= s.hist.listSince && s.settledAt <= s.hist.version()
 	s.members.tell(&reply, m.MembersDigest)
@@ -129,7 +155,7 @@
 	if reply.OwnersDigest != m.OwnersDigest {
 		reply.Owners = s.grants.list()
 	}
-	out := []Effect{Send{To: from, Msg: reply}}
+	out = append(out, Send{To: from, Msg: reply})
 	if m.Have > s.hist.version() {
 		out = append(out, s.catchUp(now)...)
 	}
@@ -180,13 +206,15 @@
 	return []Effect{Send{To: from, Msg: reply}}
 }
 
-func (s *Seat) teach(from model.HostID, m proto.SeatLearn) []Effect {
+func (s *Seat) teach(now model.Instant, from model.HostID, m proto.SeatLearn) []Effect {
 	if !s.active {
 		return nil
 	}
 	reply := proto.SeatLearnReply{Nonce: m.Nonce, Newest: s.hist.version()}
-	if m.Have == 0 || m.Have < s.hist.version() {
-		reply.Snapshot = s.hist.snapshot()
+	var ok bool
+	var out []Effect
+	if reply.Changes, ok = s.hist.update(m.Have); !ok {
+		reply.Snapshot, reply.Offer, out = s.snapshot(now)
 	}
-	return []Effect{Send{To: from, Msg: reply}}
+	return append(out, Send{To: from, Msg: reply})
 }
--- a/internal/node/control.go
+++ b/internal/node/control.go
@@ -42,6 +42,7 @@
 	timing lease.Timing
 	send   func(model.HostID, proto.Message)
 	learn  func([]proto.Member)
+	run    func(task func())
 
 	node *ctrl.Node
 	core *runner[ctrl.Event, ctrl.Effect]
@@ -58,11 +59,9 @@
 	// members is guarded by mu.
 	members map[model.HostID]seenMember
 	// leader and term are guarded by mu.
-	leader model.HostID
-	term   model.Term
-	// snapshot caches the encoded configuration of snapshotAt, guarded by mu.
-	snapshot   []byte
-	snapshotAt model.Version
+	leader  model.HostID
+	term    model.Term
+	configs configOffers
 }
 
 // controlSetup is what a control host is made from.
@@ -76,6 +75,8 @@
 	log      logr.Logger
 	send     func(model.HostID, proto.Message)
 	learn    func([]proto.Member)
+	// run starts a task in the background.
+	run func(task func())
 }
 
 // openControl opens the configuration log below the data folder and returns the clean-up function.
@@ -91,7 +92,9 @@
 		burns:     newWaiters[uint64, proto.BurnReply](),
 		statuses:  newWaiters[uint64, proto.StatusReply](),
 		members:   map[model.HostID]seenMember{},
+		run:       s.run,
 	}
+	c.configs.run = s.run
 	if contents.TornBytes > 0 {
 		s.log.Info("cut an unfinished append off the configuration log", "bytes", contents.TornBytes)
 	}
@@ -159,6 +162,8 @@
 		c.send(f.To, f.Msg)
 	case ctrl.Persist:
 		c.disk.add(f)
+	case ctrl.Encode:
+		c.run(func() { c.encode(f) })
 	case ctrl.Applied:
 		c.log.Info("applied configuration", "version", f.Config.Version)
 	case ctrl.Reply:
@@ -168,6 +173,21 @@
 	}
 }
 
+// encode encodes a large state outside the core.
+func (c *controlHost) encode(f ctrl.Encode) {
+	var data []byte
+	var err error
+	if f.ConfigOnly {
+		data, err = codec.EncodeConfig(f.State.Config)
+	} else {
+		data, err = codec.EncodeControl(f.State)
+	}
+	if err != nil {
+		c.log.Error(err, "cannot encode the configuration", "version", f.State.Config.Version)
+	}
+	c.core.post(ctrl.Encoded{Number: f.Number, Data: data})
+}
+
 func (c *controlHost) setLeader(f ctrl.LeaderChanged) {
 	c.mu.Lock()
 	c.leader, c.term = f.Leader, f.Term
@@ -180,6 +200,8 @@
 	switch m := m.(type) {
 	case proto.FreshAsk:
 		c.confirm(from, m)
+	case proto.PartAsk:
+		c.answerPart(from, m)
 	case proto.EvidenceReply:
 		c.evidence.answer(m.Nonce, m)
 	case proto.BurnReply:
@@ -192,14 +214,19 @@
 	}
 }
 
-func (c *controlHost) tick() { c.core.post(ctrl.Tick{}) }
+func (c *controlHost) tick() {
+	c.core.post(ctrl.Tick{})
+	c.configs.expire(c.clock.now())
+}
 
 // confirm answers an entry host if this host leads with a live quorum.
 func (c *controlHost) confirm(from model.HostID, ask proto.FreshAsk) {
 	c.see(ask)
 	var reply proto.FreshReply
-	var answer, snapshot bool
+	var answer, snapshot, known bool
 	var cfg model.Config
+	var since []model.Committed
+	offeredAt := c.configs.version()
 	c.core.read(func(now model.Instant) {
 		sure := c.node.Confirm(now)
 		if !sure.OK {
@@ -213,31 +240,27 @@
 			reply.Changes, held = c.node.Changes(ask.Have)
 			snapshot = !held || ask.Have == 0
 			cfg = c.node.Config()
+			since, known = c.node.Changes(offeredAt)
 		}
 	})
 	if !answer {
 		return
 	}
 	if snapshot {
-		reply.Changes, reply.Snapshot = nil, c.encoded(cfg)
+		reply.Changes = nil
+		reply.Snapshot, reply.Offer = c.configs.offer(c.clock.now(), cfg, offeredAt, since, known)
 	}
 	c.send(from, reply)
 }
 
-// encoded returns the configuration as CBOR and keeps it for the next host that needs it.
-func (c *controlHost) encoded(cfg model.Config) []byte {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.snapshot != nil && c.snapshotAt == cfg.Version {
-		return c.snapshot
-	}
-	data, err := codec.EncodeConfig(cfg)
-	if err != nil {
-		c.log.Error(err, "cannot encode the configuration", "version", cfg.Version)
-		return nil
+// answerPart sends a part of a configuration that confirm offered. The core
+// answers for the snapshots that it offered itself.
+func (c *controlHost) answerPart(from model.HostID, ask proto.PartAsk) {
+	if reply, ok := c.configs.answer(c.clock.now(), ask); ok {
+		c.send(from, reply)
+		return
 	}
-	c.snapshot, c.snapshotAt = data, cfg.Version
-	return data
+	c.core.post(ctrl.Received{From: from, Msg: ask})
 }
 
 // see notes the asker. A seat that relearns asks without a role; the freshness
