Let control tell hosts where the seats are

A host took members, and with them addresses, from seats of its own configuration only. One that learned of a change of seats before it had heard of the new ones, or started with settings that name earlier ones, could ask none of them, and the seats did not know it either; it was fresh through control alone and knew no owners. Change: control's reply lists the seats of the configuration that it has heard from, once for each change of that list; hosts learn their addresses from it.

--- a/internal/lease/api.go
+++ b/internal/lease/api.go
@@ -64,6 +64,9 @@
 	FreshUntil struct{ Until model.Instant }
 	// MembersChanged publishes the live members.
 	MembersChanged struct{ Members []proto.Member }
+	// SeatsLocated publishes where seats are, as control reports them. Until a
+	// host has heard from a seat of its configuration it knows no other members.
+	SeatsLocated struct{ Seats []proto.Member }
 	// OwnersChanged publishes the owners of all shards as seats report them.
 	OwnersChanged struct{ Owners []proto.Owner }
 	// QuorumsChanged publishes the lists of seats of which an owner needs a
@@ -155,6 +158,7 @@
 func (ConfigChanged) isEffect()  {}
 func (FreshUntil) isEffect()     {}
 func (MembersChanged) isEffect() {}
+func (SeatsLocated) isEffect()   {}
 func (OwnersChanged) isEffect()  {}
 func (QuorumsChanged) isEffect() {}
 func (Gained) isEffect()         {}
--- a/internal/lease/fresh.go
+++ b/internal/lease/fresh.go
@@ -199,7 +199,9 @@
 		at := sent.Add(-f.timing.longest(m.Age))
 		out = append(out, f.confirm(now, from, at, control)...)
 	}
-	if !control {
+	if control {
+		out = append(out, f.located(from, m)...)
+	} else {
 		out = append(out, f.listed(now, from, m)...)
 	}
 	f.evidence(now, from, control, m)
@@ -319,6 +321,17 @@
 	return f.publish(now)
 }
 
+// located takes the addresses of the seats from control. A host that learns of
+// a change of seats before it heard of the new ones, or starts with settings
+// that name earlier ones, cannot ask them otherwise.
+func (f *Fresh) located(from model.HostID, m proto.FreshReply) []Effect {
+	p := f.peer(from)
+	if m.MembersDigest == 0 || !p.lists.take(m) {
+		return nil
+	}
+	return []Effect{SeatsLocated{Seats: p.lists.members}}
+}
+
 // publish merges the lists of the seats heard lately.
 func (f *Fresh) publish(now model.Instant) []Effect {
 	all := make([]*lists, 0, len(f.hist.cfg.Seats))
--- a/internal/lease/lease_test.go
+++ b/internal/lease/lease_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"tarragongauge.example/tarragongauge/internal/codec"
 	"tarragongauge.example/tarragongauge/internal/proto"
 	"tarragongauge.example/tarragongauge/pkg/model"
 )
@@ -260,3 +261,24 @@
 		}
 	}
 }
+
+// Guards against a host that learns of new seats before it knows where they
+// are: no seat of its configuration could ever tell it.
+func TestControlTellsWhereSeatsAre(t *testing.T) {
+	f := NewFresh(proto.Member{Host: "e"}, WithBootstrap([]model.HostID{"old"}, []model.HostID{"c"}))
+	var nonce uint64
+	for _, e := range f.Step(1, Tick{}) {
+		nonce = e.(Send).Msg.(proto.FreshAsk).Nonce
+	}
+	data, err := codec.EncodeConfig(model.NewConfig([]model.HostID{"c"}, []model.HostID{"new"}).WithVersion(7))
+	require.NoError(t, err)
+	seats := []proto.Member{{Host: "new", Role: proto.RoleSeat, Addr: "10.0.0.9:1"}}
+	reply := proto.FreshReply{Nonce: nonce, Newest: 7, FromControl: true, Snapshot: data, Members: seats, MembersDigest: Digest(seats)}
+	require.Contains(t, f.Step(2, Received{From: "c", Msg: reply}), SeatsLocated{Seats: seats})
+	next := model.Instant(time.Second)
+	for _, e := range f.Step(next, Tick{}) {
+		if ask, ok := e.(Send); ok && ask.To == "c" {
+			require.Equal(t, Digest(seats), ask.Msg.(proto.FreshAsk).MembersDigest, "the list is sent once")
+		}
+	}
+}
--- a/internal/node/control.go
+++ b/internal/node/control.go
@@ -226,6 +226,7 @@
 	var answer, snapshot, known bool
 	var cfg model.Config
 	var since []model.Committed
+	var seats []model.HostID
 	offeredAt := c.configs.version()
 	c.core.read(func(now model.Instant) {
 		sure := c.node.Confirm(now)
@@ -234,6 +235,7 @@
 		}
 		answer = true
 		reply = proto.FreshReply{Nonce: ask.Nonce, Newest: sure.Newest, FromControl: true, Age: sure.Age}
+		seats = c.node.Config().Seats
 		if ask.Have == 0 || ask.Have < sure.Newest {
 			// A host without a configuration cannot apply changes.
 			var held bool
@@ -250,9 +252,28 @@
 		reply.Changes = nil
 		reply.Snapshot, reply.Offer = c.configs.offer(c.clock.now(), cfg, offeredAt, since, known)
 	}
+	if members := c.located(seats); len(members) > 0 {
+		reply.MembersDigest = lease.Digest(members)
+		if reply.MembersDigest != ask.MembersDigest {
+			reply.Members = members
+		}
+	}
 	c.send(from, reply)
 }
 
+// located returns the seats that this host has heard from.
+func (c *controlHost) located(seats []model.HostID) []proto.Member {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var out []proto.Member
+	for _, host := range seats {
+		if m, ok := c.members[host]; ok {
+			out = append(out, m.member)
+		}
+	}
+	return out
+}
+
 // answerPart sends a part of a configuration that confirm offered. The core
 // answers for the snapshots that it offered itself.
 func (c *controlHost) answerPart(from model.HostID, ask proto.PartAsk) {
--- a/internal/node/effects.go
+++ b/internal/node/effects.go
@@ -33,6 +33,8 @@
 		h.joinMembers(f.Members)
 		h.claimer.post(f)
 		h.seat.post(f)
+	case lease.SeatsLocated:
+		h.mesh.Learn(f.Seats)
 	case lease.QuorumsChanged:
 		h.claimer.post(f)
 		h.seat.post(f)
--- a/internal/node/run_seat.go
+++ b/internal/node/run_seat.go
@@ -111,6 +111,8 @@
 	case lease.MembersChanged:
 		h.learn(f.Members)
 		h.seat.post(f)
+	case lease.SeatsLocated:
+		h.learn(f.Seats)
 	case lease.QuorumsChanged:
 		h.seat.post(f)
 	default:
--- a/internal/proto/message.go
+++ b/internal/proto/message.go
@@ -157,7 +157,8 @@
 		// Offer is set in place of Snapshot when that is too long for one message. The
 		// configuration offered may be older than Newest.
 		Offer *SnapshotOffer
-		// Members and Owners are nil when the digests agree.
+		// Members and Owners are nil when the digests agree. The Members of
+		// control are the seats of Newest that it has heard from, without Owners.
 		Members       []Member
 		MembersDigest uint64
 		// MembersBase is 0 when Members is the whole list. Otherwise it is the digest of the
