Form the journals only when all of them are empty

Otherwise it repairs. Disk numbers keep journals whose peer formed first from taking themselves for lost ones and waiting for each other.

--- a/internal/node/journal.go
+++ b/internal/node/journal.go
@@ -50,8 +50,9 @@
 	dataDir  string
 	self     proto.Member
 	journals []model.HostID
-	// create is set while a fleet is formed. Without it, an empty folder counts
-	// as a lost disk, and the journal copies from others before it votes.
+	// create is set while a fleet is formed. Without it, a folder without a
+	// complete journal counts as a lost disk, and the journal copies from others
+	// before it votes.
 	create bool
 	log    logr.Logger
 	send   func(model.HostID, proto.Message)
@@ -71,13 +72,27 @@
 	}
 	j.appended = len(contents.Records)
 	c := newClock()
-	core := order.NewJournal(s.self.Host, s.journals, records, contents.Empty && !s.create,
+	core := order.NewJournal(s.self.Host, s.journals, records, !s.create,
 		order.WithNonces(uint64(s.self.Incarnation)), order.WithClock(time.Now().UnixMilli(), c.now()))
-	j.core = newRunner(c, core.Step, j.apply)
+	j.core = newRunner(c, loggedStep(s.log, core), j.apply)
 	j.disk = newPersister(j.write, func(p order.Persist) { j.core.post(order.Persisted{Seq: p.Seq}) }, j.fail)
 	return j, closeFile, nil
 }
 
+// loggedStep reports when the journal starts to vote, so that operators know
+// when the next host may be replaced.
+func loggedStep(log logr.Logger, core *order.Journal) func(model.Instant, order.Event) []order.Effect {
+	voting := false
+	return func(now model.Instant, ev order.Event) []order.Effect {
+		effs := core.Step(now, ev)
+		if core.Voting() && !voting {
+			voting = true
+			log.Info("the order journal votes")
+		}
+		return effs
+	}
+}
+
 func (j *journalHost) load(contents store.Contents) ([]proto.JournalRecord, error) {
 	var raw [][]byte
 	if contents.Snapshot != nil {
@@ -144,8 +159,8 @@
 	oldest := time.Now().Add(-journalKeep).UnixMilli()
 	raw := make([][]byte, 0, len(j.live))
 	for key, rec := range j.live {
-		// The record without a name notes that the journal is complete; it is kept whatever its age.
-		if rec.UnixMilli < oldest && key != (journalKey{}) {
+		// Records without a workspace hold the state of the journal; they are kept whatever their age.
+		if rec.UnixMilli < oldest && key.workspace != "" {
 			delete(j.live, key)
 			continue
 		}
@@ -171,7 +186,8 @@
 // receive takes messages of order reservations and reports whether it did.
 func (j *journalHost) receive(from model.HostID, m proto.Message) bool {
 	switch m.(type) {
-	case proto.ReserveAsk, proto.ReserveFree, proto.AnswerSave, proto.JournalCopyAsk, proto.JournalCopyReply:
+	case proto.ReserveAsk, proto.ReserveFree, proto.AnswerSave, proto.JournalCopyAsk, proto.JournalCopyReply,
+		proto.JournalFormAsk, proto.JournalFormReply:
 		j.core.post(order.Received{From: from, Msg: m})
 		return true
 	default:
--- a/internal/order/journal.go
+++ b/internal/order/journal.go
@@ -35,8 +35,11 @@
 	// failed journals neither vote nor copy: a disk that failed a sync is never trusted again.
 	failed bool
 	swept  model.Instant
-	// repair is nil on a journal whose records are complete.
-	repair *repair
+	// repair and forming are nil on a journal whose records are complete.
+	repair  *repair
+	forming *forming
+	// formed holds the disks with which the journals were formed. It is empty on a repaired journal.
+	formed []proto.JournalDisk
 	// marked is set once the record of completeness was written.
 	marked bool
 }
@@ -53,9 +56,10 @@
 }
 
 // NewJournal returns the journal of a disk host. records are those on its disk.
-// empty is set when the disk was lost; it is not set when a fleet is formed. A
-// journal without complete records copies them from others before it votes. A
-// single journal whose disk was lost never votes again.
+// empty is set when an empty disk counts as lost; it is not set while a fleet
+// is formed. A journal that is not marked as complete forms the journals
+// together with all others, or copies the records from them, before it votes.
+// A single journal forms at once; if its disk counts as lost, it never votes again.
 func NewJournal(self model.HostID, journals []model.HostID, records []proto.JournalRecord, empty bool, opts ...Option) *Journal {
 	j := &Journal{settings: newSettings(opts), self: self, total: len(journals), records: map[string]entry{}}
 	for _, h := range slices.Sorted(slices.Values(journals)) {
@@ -63,31 +67,37 @@
 			j.others = append(j.others, h)
 		}
 	}
+	disk := uint64(0)
 	for _, rec := range records {
-		if isMark(rec) {
-			j.marked = true
-			continue
+		if host, d, ok := diskOf(rec); ok {
+			j.formed = append(j.formed, proto.JournalDisk{Host: host, Disk: d})
+			if host == self {
+				disk = d
+			}
+		}
+		j.marked = j.marked || isMark(rec)
+		if !isState(rec) {
+			j.records[cursor(rec.Workspace, rec.OrderKey)] = entry{rec: rec}
 		}
-		j.records[cursor(rec.Workspace, rec.OrderKey)] = entry{rec: rec}
 	}
-	if !j.marked && (empty || len(records) > 0) {
+	switch {
+	case j.marked:
+	case len(j.records) > 0 || (empty && disk == 0):
 		j.repair = newRepair(j.records)
 		j.records = map[string]entry{}
+	case len(j.others) > 0:
+		j.forming = newForming(disk)
 	}
 	return j
 }
 
-func isMark(rec proto.JournalRecord) bool {
-	return rec.Workspace == "" && rec.OrderKey == "" && rec.Holder == completeHolder
-}
-
 // cursor orders records for copying. Workspace names contain no NUL.
 func cursor(ws model.WorkspaceID, key string) string { return string(ws) + "\x00" + key }
 
 // Voting reports whether the journal takes part in reservations.
-func (j *Journal) Voting() bool { return j.repair == nil && !j.failed }
+func (j *Journal) Voting() bool { return j.repair == nil && j.forming == nil && !j.failed }
 
-// Records returns all records for a snapshot, in a fixed order, with the mark of completeness.
+// Records returns all reservations in a fixed order, with the mark of completeness.
 func (j *Journal) Records() []proto.JournalRecord {
 	var out []proto.JournalRecord
 	for _, key := range slices.Sorted(maps.Keys(j.records)) {
@@ -137,6 +147,9 @@
 	if j.repair != nil {
 		return j.receiveInRepair(now, from, msg)
 	}
+	if j.forming != nil {
+		return j.receiveForming(from, msg)
+	}
 	switch m := msg.(type) {
 	case proto.ReserveAsk:
 		return j.reserve(now, from, m)
@@ -146,6 +159,8 @@
 		return j.save(now, m)
 	case proto.JournalCopyAsk:
 		return j.copyPage(from, m)
+	case proto.JournalFormAsk:
+		return []Effect{j.formReply(from, m)}
 	default:
 		return nil
 	}
@@ -206,9 +221,15 @@
 
 // put stores a record and makes it durable.
 func (j *Journal) put(rec proto.JournalRecord) []Effect {
-	j.seq++
+	out := j.persist(rec)
 	j.records[cursor(rec.Workspace, rec.OrderKey)] = entry{rec: rec, seq: j.seq}
-	return []Effect{Persist{Seq: j.seq, Records: []proto.JournalRecord{rec}}}
+	return out
+}
+
+// persist makes records durable, all of them or none.
+func (j *Journal) persist(records ...proto.JournalRecord) []Effect {
+	j.seq++
+	return []Effect{Persist{Seq: j.seq, Records: records}}
 }
 
 // after sends a message once a Persist is durable.
@@ -233,6 +254,9 @@
 	if j.repair != nil && j.repair.markSeq != 0 && j.synced >= j.repair.markSeq {
 		j.repair = nil
 	}
+	if j.forming != nil && j.forming.markSeq != 0 && j.synced >= j.forming.markSeq {
+		j.forming = nil
+	}
 	return out
 }
 
@@ -272,6 +296,9 @@
 	if j.repair != nil {
 		return j.tickRepair(now)
 	}
+	if j.forming != nil {
+		return j.tickForming(now)
+	}
 	if now.Sub(j.swept) >= sweepEvery {
 		j.swept = now
 		oldest := j.wall(now) - j.timing.Keep.Milliseconds()
@@ -281,6 +308,5 @@
 		return nil
 	}
 	j.marked = true
-	j.seq++
-	return []Effect{Persist{Seq: j.seq, Records: []proto.JournalRecord{{Holder: completeHolder}}}}
+	return j.persist(proto.JournalRecord{Holder: completeHolder})
 }
--- a/internal/order/repair.go
+++ b/internal/order/repair.go
@@ -84,6 +84,8 @@
 		return j.unavailable(Received{From: from, Msg: m})
 	case proto.JournalCopyReply:
 		return j.copied(now, from, m)
+	case proto.JournalFormAsk:
+		return []Effect{j.formReply(from, m)}
 	default:
 		// Other repairing journals get no reply: these records are not complete.
 		return nil
@@ -119,16 +121,16 @@
 	if done <= j.total-model.Majority(j.total) {
 		return nil
 	}
-	j.seq++
 	var out []proto.JournalRecord
 	for _, key := range slices.Sorted(maps.Keys(j.repair.seen)) {
 		rec := resolve(j.repair.seen[key])
-		j.records[key] = entry{rec: rec, seq: j.seq}
+		j.records[key] = entry{rec: rec, seq: j.seq + 1}
 		out = append(out, rec)
 	}
+	effs := j.persist(append(out, proto.JournalRecord{Holder: completeHolder})...)
 	j.marked = true
 	j.repair.markSeq = j.seq
-	return []Effect{Persist{Seq: j.seq, Records: append(out, proto.JournalRecord{Holder: completeHolder})}}
+	return effs
 }
 
 func (j *Journal) askCopy(now model.Instant, to model.HostID, src *source) []Effect {
--- a/internal/wire/binding.go
+++ b/internal/wire/binding.go
@@ -55,6 +55,7 @@
 	all = append(all, leaseBindings()...)
 	all = append(all, poolBindings()...)
 	all = append(all, orderBindings()...)
+	all = append(all, formBindings()...)
 	return append(all, reportBindings()...)
 }
 
--- /dev/null
+++ b/internal/wire/form.go
@@ -0,0 +1,40 @@
+package wire
+
+import (
+	"tarragongauge.example/tarragongauge/internal/proto"
+	"tarragongauge.example/tarragongauge/pkg/model"
+)
+
+type journalFormAsk struct {
+	Nonce uint64 `cbor:"1,keyasint"`
+}
+
+type journalDisk struct {
+	Host model.HostID `cbor:"1,keyasint"`
+	Disk uint64       `cbor:"2,keyasint"`
+}
+
+type journalFormReply struct {
+	Nonce  uint64             `cbor:"1,keyasint"`
+	State  proto.JournalState `cbor:"2,keyasint"`
+	Disk   uint64             `cbor:"3,keyasint"`
+	Formed []journalDisk      `cbor:"4,keyasint"`
+}
+
+func formBindings() []binding {
+	return []binding{
+		plain(86, func(m proto.JournalFormAsk) journalFormAsk { return journalFormAsk(m) }, func(d journalFormAsk) proto.JournalFormAsk { return proto.JournalFormAsk(d) }),
+		bind(87, toJournalFormReply, fromJournalFormReply),
+	}
+}
+
+func toJournalFormReply(m proto.JournalFormReply) (journalFormReply, error) {
+	formed := convert(m.Formed, func(d proto.JournalDisk) journalDisk { return journalDisk(d) })
+	return journalFormReply{Nonce: m.Nonce, State: m.State, Disk: m.Disk, Formed: formed}, nil
+}
+
+func fromJournalFormReply(d journalFormReply) (proto.JournalFormReply, error) {
+	formed := convert(d.Formed, func(d journalDisk) proto.JournalDisk { return proto.JournalDisk(d) })
+	m := proto.JournalFormReply{Nonce: d.Nonce, State: d.State, Disk: d.Disk, Formed: formed}
+	return m, checkEnum("state of a journal", d.State, proto.JournalComplete)
+}
