--- a/internal/node/journal.go
+++ b/internal/node/journal.go
@@ -1,48 +1,42 @@
 package node
 
 import (
+	"fmt"
 	"path/filepath"
 	"time"
 
-	"github.com/fxamacker/cbor/v2"
 	"github.com/go-logr/logr"
-	"github.com/rotisserie/eris"
 
-	"tarragongauge.example/tarragongauge/internal/codec"
 	"tarragongauge.example/tarragongauge/internal/order"
 	"tarragongauge.example/tarragongauge/internal/proto"
 	"tarragongauge.example/tarragongauge/internal/store"
 	"tarragongauge.example/tarragongauge/pkg/model"
 )
 
-const (
-	// journalFolder is the folder of the order journal below the data folder.
-	journalFolder = "journal"
-	// journalCompaction is how many records are appended between two snapshots.
-	journalCompaction = 100_000
-	// journalKeep is how long a record is kept.
-	journalKeep = 24 * time.Hour
-)
-
-// journalKey names a reservation.
-type journalKey struct {
-	workspace model.WorkspaceID
-	order     string
-}
+// journalFolder is the folder of the order journal below the data folder.
+const journalFolder = "journal"
 
 // journalHost drives the order journal of a disk host.
 type journalHost struct {
 	log  logr.Logger
 	send func(model.HostID, proto.Message)
 	core *runner[order.Event, order.Effect]
-	disk *persister[order.Persist]
-	file store.Store
-
-	// live holds the newest record of each reservation, for snapshots. It is
-	// used by the persister alone after the start.
-	live map[journalKey]proto.JournalRecord
-	// appended counts records since the last snapshot.
-	appended int
+	file *store.Segments
+	disk *persister[*journalWrite]
+	// reads and pages read in the background; a page for a repairing journal does not delay the reads.
+	reads *persister[order.Read]
+	pages *persister[order.ReadPage]
+	// state holds the records without a workspace, by key. It is used by disk alone after the start.
+	state map[string]proto.JournalRecord
+}
+
+// journalWrite is an order.Persist or an order.Drop, carried out in the order of the effects.
+type journalWrite struct {
+	persist order.Persist
+	// at holds the positions of the written records.
+	at []order.Position
+	// drop is a segment to delete, or 0.
+	drop uint32
 }
 
 // journalSetup is what an order journal is made from.
@@ -60,22 +54,30 @@
 
 // openJournal opens the journal below a data folder and returns its clean-up function.
 func openJournal(s journalSetup) (*journalHost, func() error, error) {
-	file, contents, closeFile, err := store.Open(filepath.Join(s.dataDir, journalFolder))
-	if err != nil {
+	dir := filepath.Join(s.dataDir, journalFolder)
+	if err := importLog(dir, s.log); err != nil {
 		return nil, nil, err
 	}
-	j := &journalHost{log: s.log, send: s.send, file: file, live: map[journalKey]proto.JournalRecord{}}
-	records, err := j.load(contents)
+	j := &journalHost{log: s.log, send: s.send}
+	index := order.NewIndex()
+	file, contents, closeFile, err := store.OpenSegments(dir, func(p store.Position, data []byte) error {
+		return addToIndex(index, order.Position(p), data)
+	})
 	if err != nil {
+		return nil, nil, err
+	}
+	j.file = file
+	if j.state, err = decodeState(contents.State); err != nil {
 		_ = closeFile()
 		return nil, nil, err
 	}
-	j.appended = len(contents.Records)
 	c := newClock()
-	core := order.NewJournal(s.self.Host, s.journals, records, !s.create,
+	core := order.NewJournal(s.self.Host, s.journals, order.Recovered{Index: index, State: stateList(j.state)}, !s.create,
 		order.WithNonces(uint64(s.self.Incarnation)), order.WithClock(time.Now().UnixMilli(), c.now()))
 	j.core = newRunner(c, loggedStep(s.log, core), j.apply)
-	j.disk = newPersister(j.write, func(p order.Persist) { j.core.post(order.Persisted{Seq: p.Seq}) }, j.fail)
+	j.disk = newPersister(j.write, j.written, j.fail)
+	j.reads = newPersister(j.read, func(order.Read) {}, j.fail)
+	j.pages = newPersister(j.readPages, func(order.ReadPage) {}, j.fail)
 	return j, closeFile, nil
 }
 
@@ -87,95 +89,136 @@
 		effs := core.Step(now, ev)
 		if core.Voting() && !voting {
 			voting = true
-			log.Info("the order journal votes")
+			log.Info("the order journal votes", "records", core.Records())
 		}
 		return effs
 	}
 }
 
-func (j *journalHost) load(contents store.Contents) ([]proto.JournalRecord, error) {
-	var raw [][]byte
-	if contents.Snapshot != nil {
-		if err := cbor.Unmarshal(contents.Snapshot, &raw); err != nil {
-			return nil, eris.Wrap(err, "decode the snapshot of the order journal")
-		}
-	}
-	for _, data := range append(raw, contents.Records...) {
-		rec, err := codec.DecodeRecord(data)
-		if err != nil {
-			return nil, eris.Wrap(err, "decode a record of the order journal")
-		}
-		j.keep(rec)
-	}
-	records := make([]proto.JournalRecord, 0, len(j.live))
-	for _, rec := range j.live {
-		records = append(records, rec)
-	}
-	return records, nil
-}
-
-func (j *journalHost) keep(rec proto.JournalRecord) {
-	j.live[journalKey{rec.Workspace, rec.OrderKey}] = rec
-}
-
 func (j *journalHost) apply(f order.Effect) {
 	switch f := f.(type) {
 	case order.Send:
 		j.send(f.To, f.Msg)
 	case order.Persist:
-		j.disk.add(f)
+		j.disk.add(&journalWrite{persist: f})
+	case order.Drop:
+		j.disk.add(&journalWrite{drop: f.Segment})
+	case order.Read:
+		j.reads.add(f)
+	case order.ReadPage:
+		j.pages.add(f)
 	default:
 	}
 }
 
-// write syncs the records of a batch.
-func (j *journalHost) write(batch []order.Persist) error {
+// segmentNow returns the number of the segment of this hour.
+func segmentNow() uint32 { return uint32(time.Now().Unix() / int64(time.Hour/time.Second)) }
+
+// write syncs a batch: first records, then the journal's own state, which may
+// say that the records are complete, then deletions.
+func (j *journalHost) write(batch []*journalWrite) error {
 	var encoded [][]byte
-	for _, p := range batch {
-		for _, rec := range p.Records {
-			data, err := codec.EncodeRecord(rec)
+	var state []proto.JournalRecord
+	var drop uint32
+	for _, w := range batch {
+		drop = max(drop, w.drop)
+		for _, rec := range w.persist.Records {
+			if rec.Workspace == "" {
+				state = append(state, rec)
+				continue
+			}
+			data, err := encodeStored(rec)
 			if err != nil {
 				return err
 			}
 			encoded = append(encoded, data)
-			j.keep(rec)
+			w.at = append(w.at, order.Position{})
 		}
 	}
-	if len(encoded) == 0 {
-		return nil
+	if len(encoded) > 0 {
+		at, err := j.file.Append(segmentNow(), encoded)
+		if err != nil {
+			return err
+		}
+		for _, w := range batch {
+			for i := range w.at {
+				w.at[i] = order.Position(at[i])
+			}
+			at = at[len(w.at):]
+		}
 	}
-	if err := j.file.Append(encoded...); err != nil {
+	if err := j.writeState(state); err != nil || drop == 0 {
 		return err
 	}
-	j.appended += len(encoded)
-	if j.appended < journalCompaction {
+	return j.file.Remove(drop)
+}
+
+func (j *journalHost) writeState(records []proto.JournalRecord) error {
+	if len(records) == 0 {
 		return nil
 	}
-	return j.compact()
+	for _, rec := range records {
+		j.state[rec.OrderKey] = rec
+	}
+	data, err := encodeState(j.state)
+	if err != nil {
+		return err
+	}
+	return j.file.SetState(data)
+}
+
+func (j *journalHost) written(w *journalWrite) {
+	if w.drop == 0 {
+		j.core.post(order.Persisted{Seq: w.persist.Seq, At: w.at})
+	}
 }
 
-// compact replaces the records by a snapshot of those that are still needed.
-func (j *journalHost) compact() error {
-	oldest := time.Now().Add(-journalKeep).UnixMilli()
-	raw := make([][]byte, 0, len(j.live))
-	for key, rec := range j.live {
-		// Records without a workspace hold the state of the journal; they are kept whatever their age.
-		if rec.UnixMilli < oldest && key.workspace != "" {
-			delete(j.live, key)
-			continue
+func (j *journalHost) read(batch []order.Read) error {
+	for _, r := range batch {
+		data, err := j.file.Read(store.Position(r.At))
+		if err != nil {
+			return err
 		}
-		data, err := codec.EncodeRecord(rec)
+		rec, err := decodeStored(data)
 		if err != nil {
 			return err
 		}
-		raw = append(raw, data)
+		j.core.post(order.ReadDone{ID: r.ID, Record: rec})
 	}
-	data, err := cbor.Marshal(raw)
-	if err != nil {
-		return eris.Wrap(err, "encode a snapshot of the order journal")
+	return nil
+}
+
+func (j *journalHost) readPages(batch []order.ReadPage) error {
+	for _, p := range batch {
+		raw, next, done, err := j.file.Scan(parseCursor(p.After), p.Bytes)
+		if err != nil {
+			return err
+		}
+		records := make([]proto.JournalRecord, 0, len(raw))
+		for _, data := range raw {
+			rec, err := decodeStored(data)
+			if err != nil {
+				return err
+			}
+			records = append(records, rec)
+		}
+		j.core.post(order.PageRead{ID: p.ID, Records: records, Next: formatCursor(next), Done: done})
+	}
+	return nil
+}
+
+// Places in the segments, as text. Text that is not a place stands for the start.
+
+func formatCursor(c store.Cursor) string {
+	return fmt.Sprintf("%d.%d.%d", c.Segment, c.Offset, c.Frame)
+}
+
+func parseCursor(text string) store.Cursor {
+	var c store.Cursor
+	if _, err := fmt.Sscanf(text, "%d.%d.%d", &c.Segment, &c.Offset, &c.Frame); err != nil {
+		return store.Cursor{}
 	}
-	j.appended = 0
-	return j.file.Snapshot(data)
+	return c
 }
 
 func (j *journalHost) fail(err error) {
--- /dev/null
+++ b/internal/node/journal_record.go
@@ -0,0 +1,120 @@
+package node
+
+import (
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"maps"
+	"slices"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/rotisserie/eris"
+
+	"tarragongauge.example/tarragongauge/internal/codec"
+	"tarragongauge.example/tarragongauge/internal/order"
+	"tarragongauge.example/tarragongauge/internal/proto"
+)
+
+// A stored record starts with a fixed header, from which the index is recovered
+// without decoding the rest: format, state, time of creation and digest of
+// workspace and order key.
+const (
+	storedFormat = 1
+	storedHeader = 1 + 1 + 8 + len(order.Digest{})
+)
+
+// ErrJournalFormat tells that a record of the order journal has an unknown format.
+type ErrJournalFormat struct{ Got byte }
+
+func (e ErrJournalFormat) Error() string {
+	return fmt.Sprintf("a record of the order journal has format %d but this version reads format %d; start the version of tarragongauge that wrote it, or move the journal's folder away and restart this host with [control] or [journal] create_fleet = false, so that it copies the records from the other journals", e.Got, storedFormat)
+}
+
+// IsErrJournalFormat reports whether err is or wraps an ErrJournalFormat.
+func IsErrJournalFormat(err error) bool {
+	var e ErrJournalFormat
+	return errors.As(err, &e)
+}
+
+func encodeStored(rec proto.JournalRecord) ([]byte, error) {
+	body, err := codec.EncodeRecord(rec)
+	if err != nil {
+		return nil, err
+	}
+	key := order.DigestOf(rec.Workspace, rec.OrderKey)
+	out := make([]byte, 0, storedHeader+len(body))
+	out = append(out, storedFormat, byte(order.StateOf(rec)))
+	out = binary.BigEndian.AppendUint64(out, uint64(rec.UnixMilli))
+	out = append(out, key[:]...)
+	return append(out, body...), nil
+}
+
+func checkStored(data []byte) error {
+	if len(data) > 0 && data[0] != storedFormat {
+		return ErrJournalFormat{Got: data[0]}
+	}
+	if len(data) < storedHeader || data[1] > byte(order.RecordAnswered) {
+		return eris.New("a record of the order journal has no valid header; move the journal's folder away and restart this host, so that it copies the records from the other journals")
+	}
+	return nil
+}
+
+func decodeStored(data []byte) (proto.JournalRecord, error) {
+	if err := checkStored(data); err != nil {
+		return proto.JournalRecord{}, err
+	}
+	return codec.DecodeRecord(data[storedHeader:])
+}
+
+func addToIndex(index *order.Index, at order.Position, data []byte) error {
+	if err := checkStored(data); err != nil {
+		return err
+	}
+	made := int64(binary.BigEndian.Uint64(data[2:]))
+	index.Add(order.Digest(data[storedHeader-len(order.Digest{}):storedHeader]), at, made, order.RecordState(data[1]))
+	return nil
+}
+
+// encodeState encodes the records without a workspace.
+func encodeState(state map[string]proto.JournalRecord) ([]byte, error) {
+	raw := make([][]byte, 0, len(state))
+	for _, rec := range stateList(state) {
+		data, err := codec.EncodeRecord(rec)
+		if err != nil {
+			return nil, err
+		}
+		raw = append(raw, data)
+	}
+	data, err := cbor.Marshal(raw)
+	return append([]byte{storedFormat}, data...), eris.Wrap(err, "encode the state of the order journal")
+}
+
+func decodeState(data []byte) (map[string]proto.JournalRecord, error) {
+	state := map[string]proto.JournalRecord{}
+	if len(data) == 0 {
+		return state, nil
+	}
+	if data[0] != storedFormat {
+		return nil, ErrJournalFormat{Got: data[0]}
+	}
+	var raw [][]byte
+	if err := cbor.Unmarshal(data[1:], &raw); err != nil {
+		return nil, eris.Wrap(err, "decode the state of the order journal")
+	}
+	for _, d := range raw {
+		rec, err := codec.DecodeRecord(d)
+		if err != nil {
+			return nil, eris.Wrap(err, "decode the state of the order journal")
+		}
+		state[rec.OrderKey] = rec
+	}
+	return state, nil
+}
+
+func stateList(state map[string]proto.JournalRecord) []proto.JournalRecord {
+	out := make([]proto.JournalRecord, 0, len(state))
+	for _, key := range slices.Sorted(maps.Keys(state)) {
+		out = append(out, state[key])
+	}
+	return out
+}
--- a/internal/node/run_control.go
+++ b/internal/node/run_control.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"path/filepath"
 	"time"
 
 	"github.com/go-logr/logr"
@@ -118,7 +117,9 @@
 	}
 	p.files = append(p.files, closeJournal)
 	d.journal = j
-	p.tree.Go(filepath.Base(journalFolder), j.disk.run)
+	p.tree.Go("journal", j.disk.run)
+	p.tree.Go("journal reads", j.reads.run)
+	p.tree.Go("journal pages", j.pages.run)
 	return nil
 }
 
--- a/internal/order/api.go
+++ b/internal/order/api.go
@@ -34,8 +34,24 @@
 		NotRun  bool
 		Answer  *proto.StoredAnswer
 	}
-	// Persisted tells the journal that the Persist effect with this number is synced.
-	Persisted struct{ Seq uint64 }
+	// Persisted tells the journal that the Persist effect with this number is
+	// synced. At holds the positions of its records without those that have no workspace.
+	Persisted struct {
+		Seq uint64
+		At  []Position
+	}
+	// ReadDone answers Read. A read that fails is a DiskFailed.
+	ReadDone struct {
+		ID     uint64
+		Record proto.JournalRecord
+	}
+	// PageRead answers ReadPage. Next is the place after the records; Done is set if nothing synced follows.
+	PageRead struct {
+		ID      uint64
+		Records []proto.JournalRecord
+		Next    string
+		Done    bool
+	}
 	// DiskFailed tells the journal that a write or sync failed; it does not vote again.
 	DiskFailed struct{}
 )
@@ -49,11 +65,26 @@
 		To  model.HostID
 		Msg proto.Message
 	}
-	// Persist makes journal records durable, in order.
+	// Persist makes journal records durable, in order. Those without a workspace
+	// replace earlier ones with the same key and are kept whatever their age.
 	Persist struct {
 		Seq     uint64
 		Records []proto.JournalRecord
 	}
+	// Read reads a record from the disk.
+	Read struct {
+		ID uint64
+		At Position
+	}
+	// ReadPage reads about so many bytes of synced records, in the order in which
+	// they were written, from a place on; the first one is "".
+	ReadPage struct {
+		ID    uint64
+		After string
+		Bytes int
+	}
+	// Drop deletes the records of this segment and of all earlier ones.
+	Drop struct{ Segment uint32 }
 	// Reserved lets the order run, once.
 	Reserved struct{ Request model.RequestID }
 	// Known ends the request with the stored answer of an earlier run.
@@ -92,9 +123,14 @@
 func (Finished) isEvent()   {}
 func (Persisted) isEvent()  {}
 func (DiskFailed) isEvent() {}
+func (ReadDone) isEvent()   {}
+func (PageRead) isEvent()   {}
 
 func (Send) isEffect()     {}
 func (Persist) isEffect()  {}
+func (Read) isEffect()     {}
+func (ReadPage) isEffect() {}
+func (Drop) isEffect()     {}
 func (Reserved) isEffect() {}
 func (Known) isEffect()    {}
 func (Stopped) isEffect()  {}
--- /dev/null
+++ b/internal/order/disk_test.go
@@ -0,0 +1,107 @@
+package order_test
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"strconv"
+
+	"tarragongauge.example/tarragongauge/internal/order"
+	"tarragongauge.example/tarragongauge/internal/proto"
+	"tarragongauge.example/tarragongauge/pkg/model"
+)
+
+// disk holds what a journal has synced: records in segments, numbered by their offset, and state records.
+type disk struct {
+	records []proto.JournalRecord
+	places  []order.Position
+	state   map[string]proto.JournalRecord
+	// first is the oldest record that was not deleted.
+	first int
+}
+
+// formedDisk returns the disk of a journal that is complete and empty.
+func formedDisk() *disk {
+	d := &disk{state: map[string]proto.JournalRecord{}}
+	d.write(0, []proto.JournalRecord{{Holder: "complete"}})
+	return d
+}
+
+func emptyDisk() *disk { return &disk{state: map[string]proto.JournalRecord{}} }
+
+func (d *disk) write(segment uint32, records []proto.JournalRecord) (at []order.Position) {
+	for _, rec := range records {
+		if rec.Workspace == "" {
+			d.state[rec.OrderKey] = rec
+			continue
+		}
+		p := order.Position{Segment: segment, Offset: uint64(len(d.records)), Size: 1}
+		d.records, d.places, at = append(d.records, rec), append(d.places, p), append(at, p)
+	}
+	return at
+}
+
+func (d *disk) read(p order.Position) proto.JournalRecord {
+	if int(p.Offset) < d.first {
+		panic(fmt.Sprintf("read of a deleted record at %v", p))
+	}
+	return d.records[p.Offset]
+}
+
+// page returns records of about so many bytes, at least one.
+func (d *disk) page(f order.ReadPage) order.PageRead {
+	i, _ := strconv.Atoi(f.After)
+	i = max(i, d.first)
+	out := order.PageRead{ID: f.ID}
+	for size := 0; i < len(d.records) && (size == 0 || size+150 <= f.Bytes); i++ {
+		size += 150
+		out.Records = append(out.Records, d.records[i])
+	}
+	out.Next, out.Done = strconv.Itoa(i), i == len(d.records)
+	return out
+}
+
+func (d *disk) drop(segment uint32) {
+	for d.first < len(d.places) && d.places[d.first].Segment <= segment {
+		d.first++
+	}
+}
+
+// recovered returns what a process that starts finds.
+func (d *disk) recovered() order.Recovered {
+	rec := order.Recovered{Index: order.NewIndex()}
+	for i := d.first; i < len(d.records); i++ {
+		r := d.records[i]
+		rec.Index.Add(order.DigestOf(r.Workspace, r.OrderKey), d.places[i], r.UnixMilli, order.StateOf(r))
+	}
+	for _, key := range slices.Sorted(maps.Keys(d.state)) {
+		rec.State = append(rec.State, d.state[key])
+	}
+	return rec
+}
+
+// newest returns the newest copy of each record, by order key.
+func (d *disk) newest() map[string]proto.JournalRecord {
+	out := map[string]proto.JournalRecord{}
+	for _, r := range d.records[d.first:] {
+		out[r.OrderKey] = r
+	}
+	return out
+}
+
+// carryOut does at once what a journal wants of its disk.
+func carryOut(now model.Instant, j order.Core, d *disk, eff order.Effect) []order.Effect {
+	switch eff := eff.(type) {
+	case order.Persist:
+		return j.Step(now, order.Persisted{Seq: eff.Seq, At: d.write(uint32(now/hour), eff.Records)})
+	case order.Read:
+		return j.Step(now, order.ReadDone{ID: eff.ID, Record: d.read(eff.At)})
+	case order.ReadPage:
+		return j.Step(now, d.page(eff))
+	case order.Drop:
+		d.drop(eff.Segment)
+	}
+	return nil
+}
+
+const hour = model.Instant(3600e9)
--- a/internal/order/form.go
+++ b/internal/order/form.go
@@ -69,9 +69,6 @@
 	}
 	f.asked = now
 	for _, h := range j.others {
-		if f.disks[h] != 0 {
-			continue
-		}
 		f.queries[h] = j.nextNonce()
 		out = append(out, Send{To: h, Msg: proto.JournalFormAsk{Nonce: f.queries[h]}})
 	}
@@ -130,11 +127,12 @@
 			return j.form(m.Formed)
 		}
 		j.forming = nil
-		j.repair = newRepair(nil)
+		j.repair = newRepair()
 		j.repair.started, j.repair.since = true, f.since
 	default:
 		// A repairing journal cannot tell whether this disk was lost. Whichever
 		// complete journal it copies from can.
+		delete(f.disks, from)
 	}
 	return nil
 }
--- a/internal/order/form_test.go
+++ b/internal/order/form_test.go
@@ -15,16 +15,11 @@
 func forms(t *testing.T) *trio {
 	f := newTrio(t)
 	for i, id := range f.ids {
-		f.empty(id, uint64(1000*i))
+		f.lose(id, false, uint64(1000*i))
 	}
 	return f
 }
 
-// empty starts a journal with an empty disk while create_fleet is set.
-func (f *trio) empty(id model.HostID, nonce uint64) {
-	f.journals[id] = order.NewJournal(id, f.ids, nil, false, order.WithTiming(simTiming()), order.WithNonces(nonce))
-}
-
 func (f *trio) voting() (ids []model.HostID) {
 	for _, id := range f.ids {
 		if f.journals[id].Voting() {
@@ -43,7 +38,7 @@
 	f.finish("a", false, "")
 	require.Equal(t, []string{"a reserved"}, f.results)
 	f.advance(15 * time.Second) // no copy of a message is under way any more
-	f.empty("j1", 99)
+	f.lose("j1", false, 99)
 	f.down["j2"], f.down["j0"] = false, true
 	f.advance(time.Second)
 	f.start("b", "o", 1)
@@ -73,7 +68,7 @@
 	f.advance(time.Second)
 	require.Equal(t, []model.HostID{"j0"}, f.voting())
 	// j2 loses its disk. j1, which j0 counted, is complete; j2 copies from both.
-	f.empty("j2", 5000)
+	f.lose("j2", false, 5000)
 	f.drop = nil
 	f.advance(50 * time.Millisecond)
 	require.Equal(t, []model.HostID{"j0", "j1"}, f.voting())
@@ -84,12 +79,34 @@
 // Guards against a journal that uses the number of its disk before it is
 // synced: after a restart another journal would count a disk that does not exist.
 func TestDiskNumberIsSyncedFirst(t *testing.T) {
-	j := order.NewJournal("j0", []model.HostID{"j0", "j1", "j2"}, nil, false)
+	j := order.NewJournal("j0", []model.HostID{"j0", "j1", "j2"}, order.Recovered{}, false)
 	p := j.Step(1, order.Tick{})[0].(order.Persist)
 	ask := order.Received{From: "j1", Msg: proto.JournalFormAsk{Nonce: 7}}
 	require.Empty(t, j.Step(2, ask))
 	require.Empty(t, j.Step(model.Instant(time.Minute), order.Tick{}))
 	require.Len(t, j.Step(3, order.Persisted{Seq: p.Seq}), 1)
-	again := order.NewJournal("j0", []model.HostID{"j0", "j1", "j2"}, p.Records, true)
+	again := order.NewJournal("j0", []model.HostID{"j0", "j1", "j2"}, order.Recovered{State: p.Records}, true)
 	require.Equal(t, j.Step(4, ask), again.Step(4, ask), "the number survives a restart, also with create_fleet false")
 }
+
+// Guards against a journal that never hears that another one was formed,
+// because that one had replied earlier that it was forming.
+func TestFormingJournalAsksAgain(t *testing.T) {
+	f := forms(t)
+	f.advance(100 * time.Millisecond)
+	// j2 asks first.
+	f.lose("j0", false, 4000)
+	f.lose("j1", false, 4500)
+	f.drop = func(from model.HostID, m order.Send) bool {
+		reply, ok := m.Msg.(proto.JournalFormReply)
+		return ok && m.To == "j2" && (from == "j0" || reply.State != proto.JournalForming)
+	}
+	f.advance(time.Second)
+	require.Equal(t, []model.HostID{"j0", "j1"}, f.voting())
+	f.lose("j0", false, 5000)
+	f.advance(time.Second)
+	require.Equal(t, []model.HostID{"j1"}, f.voting(), "j0 waits for j2")
+	f.drop = nil
+	f.advance(time.Second)
+	require.Equal(t, f.ids, f.voting())
+}
--- a/internal/order/journal.go
+++ b/internal/order/journal.go
@@ -1,37 +1,40 @@
 package order
 
 import (
-	"maps"
 	"slices"
-	"strings"
-	"time"
 
 	"tarragongauge.example/tarragongauge/internal/proto"
 	"tarragongauge.example/tarragongauge/pkg/model"
 )
 
-const (
-	// completeHolder marks, in a record without an order key, that the records are complete.
-	completeHolder model.RequestID = "complete"
-	// sweepEvery is the interval at which expired records are removed.
-	sweepEvery = time.Minute
-	// recordOverhead estimates the bytes of a copied record besides its texts and answer.
-	recordOverhead = 128
-)
+// completeHolder marks, in a record without an order key, that the records are complete.
+const completeHolder model.RequestID = "complete"
 
 // Journal keeps the reservations of one disk host. It sends a reply about a
-// record only once that record is synced.
+// record only once that record is synced. In memory it holds an index; a record
+// is read from the disk when a message needs more than its state.
 type Journal struct {
 	settings
-	self    model.HostID
-	others  []model.HostID
-	total   int
-	records map[string]entry
+	self   model.HostID
+	others []model.HostID
+	total  int
+	// run is the number of this run of the process.
+	run   uint64
+	index *Index
+	// pending holds the newest copy of each record that is not synced yet.
+	pending map[Digest]entry
+	// writes are the Persist effects that are not synced, in the order of seq.
+	writes []write
 	// seq numbers Persist effects; synced is the last one that is durable.
 	seq    uint64
 	synced uint64
 	// waiting holds replies until their record is synced, in the order of seq.
 	waiting []deferred
+	// reads and pages are under way; readOf finds the read of a record.
+	readSeq uint64
+	reads   map[uint64]*reading
+	readOf  map[Digest]uint64
+	pages   map[uint64]page
 	// failed journals neither vote nor copy: a disk that failed a sync is never trusted again.
 	failed bool
 	swept  model.Instant
@@ -44,70 +47,82 @@
 	marked bool
 }
 
-// entry is a record and the Persist that makes it durable.
+// entry is a record and the Persist that makes it durable, or 0 if it is.
 type entry struct {
 	rec proto.JournalRecord
 	seq uint64
 }
 
+type write struct {
+	seq     uint64
+	records []written
+}
+
+// written is what the index needs of a record that is being written.
+type written struct {
+	key       Digest
+	holder    uint64
+	unixMilli int64
+	state     RecordState
+}
+
 type deferred struct {
 	seq  uint64
 	send Send
 }
 
-// NewJournal returns the journal of a disk host. records are those on its disk.
-// empty is set when an empty disk counts as lost; it is not set while a fleet
-// is formed. A journal that is not marked as complete forms the journals
-// together with all others, or copies the records from them, before it votes.
-// A single journal forms at once; if its disk counts as lost, it never votes again.
-func NewJournal(self model.HostID, journals []model.HostID, records []proto.JournalRecord, empty bool, opts ...Option) *Journal {
-	j := &Journal{settings: newSettings(opts), self: self, total: len(journals), records: map[string]entry{}}
+// Recovered is what the disk of a journal holds.
+type Recovered struct {
+	// Index may be nil if there are no records.
+	Index *Index
+	// State holds the records without a workspace.
+	State []proto.JournalRecord
+}
+
+// NewJournal returns the journal of a disk host. empty is set when an empty
+// disk counts as lost; it is not set while a fleet is formed. A journal that is
+// not marked as complete forms the journals together with all others, or copies
+// the records from them, before it votes. A single journal forms at once; if its
+// disk counts as lost, it never votes again.
+func NewJournal(self model.HostID, journals []model.HostID, rec Recovered, empty bool, opts ...Option) *Journal {
+	j := &Journal{
+		settings: newSettings(opts), self: self, total: len(journals), index: rec.Index,
+		pending: map[Digest]entry{}, reads: map[uint64]*reading{}, readOf: map[Digest]uint64{}, pages: map[uint64]page{},
+	}
+	j.run = j.nonce
+	if j.index == nil {
+		j.index = NewIndex()
+	}
 	for _, h := range slices.Sorted(slices.Values(journals)) {
 		if h != self {
 			j.others = append(j.others, h)
 		}
 	}
 	disk := uint64(0)
-	for _, rec := range records {
-		if host, d, ok := diskOf(rec); ok {
+	for _, s := range rec.State {
+		if host, d, ok := diskOf(s); ok {
 			j.formed = append(j.formed, proto.JournalDisk{Host: host, Disk: d})
 			if host == self {
 				disk = d
 			}
 		}
-		j.marked = j.marked || isMark(rec)
-		if !isState(rec) {
-			j.records[cursor(rec.Workspace, rec.OrderKey)] = entry{rec: rec}
-		}
+		j.marked = j.marked || isMark(s)
 	}
 	switch {
 	case j.marked:
-	case len(j.records) > 0 || (empty && disk == 0):
-		j.repair = newRepair(j.records)
-		j.records = map[string]entry{}
+	case j.index.Len() > 0 || (empty && disk == 0):
+		j.repair = newRepair()
 	case len(j.others) > 0:
 		j.forming = newForming(disk)
 	}
 	return j
 }
 
-// cursor orders records for copying. Workspace names contain no NUL.
-func cursor(ws model.WorkspaceID, key string) string { return string(ws) + "\x00" + key }
-
 // Voting reports whether the journal takes part in reservations.
 func (j *Journal) Voting() bool { return j.repair == nil && j.forming == nil && !j.failed }
 
-// Records returns all reservations in a fixed order, with the mark of completeness.
-func (j *Journal) Records() []proto.JournalRecord {
-	var out []proto.JournalRecord
-	for _, key := range slices.Sorted(maps.Keys(j.records)) {
-		out = append(out, j.records[key].rec)
-	}
-	if j.marked {
-		out = append(out, proto.JournalRecord{Holder: completeHolder})
-	}
-	return out
-}
+// Records returns the number of records in memory.
+func (j *Journal) Records() int { return j.index.Len() }
 
 // Step advances the journal by one event.
 func (j *Journal) Step(now model.Instant, ev Event) []Effect {
@@ -116,9 +131,13 @@
 	}
 	switch ev := ev.(type) {
 	case Received:
-		return j.receive(now, ev.From, ev.Msg)
+		return j.receive(now, ev)
 	case Persisted:
-		return j.persisted(ev.Seq)
+		return j.persisted(now, ev)
+	case ReadDone:
+		return j.readDone(now, ev)
+	case PageRead:
+		return j.pageRead(ev)
 	case DiskFailed:
 		j.failed = true
 		j.waiting = nil
@@ -143,38 +162,92 @@
 	return []Effect{Send{To: r.From, Msg: proto.ReserveReply{Nonce: ask.Nonce, Status: proto.ReserveUnavailable}}}
 }
 
-func (j *Journal) receive(now model.Instant, from model.HostID, msg proto.Message) []Effect {
+func (j *Journal) receive(now model.Instant, ev Received) []Effect {
 	if j.repair != nil {
-		return j.receiveInRepair(now, from, msg)
+		return j.receiveInRepair(now, ev.From, ev.Msg)
 	}
 	if j.forming != nil {
-		return j.receiveForming(from, msg)
+		return j.receiveForming(ev.From, ev.Msg)
 	}
-	switch m := msg.(type) {
+	switch m := ev.Msg.(type) {
 	case proto.ReserveAsk:
-		return j.reserve(now, from, m)
+		return j.find(now, DigestOf(m.Workspace, m.OrderKey), ev)
 	case proto.ReserveFree:
-		return j.free(now, m)
+		return j.find(now, DigestOf(m.Workspace, m.OrderKey), ev)
 	case proto.AnswerSave:
-		return j.save(now, m)
+		return j.find(now, DigestOf(m.Workspace, m.OrderKey), ev)
 	case proto.JournalCopyAsk:
-		return j.copyPage(from, m)
+		return j.copyPage(ev.From, m)
 	case proto.JournalFormAsk:
-		return []Effect{j.formReply(from, m)}
+		return []Effect{j.formReply(ev.From, m)}
 	default:
 		return nil
 	}
 }
 
-func (j *Journal) reserve(now model.Instant, from model.HostID, m proto.ReserveAsk) []Effect {
-	key := cursor(m.Workspace, m.OrderKey)
-	e, ok := j.records[key]
+// find handles a message about a record, at once if the record is not on the
+// disk only, or if its state is enough.
+func (j *Journal) find(now model.Instant, key Digest, ev Received) []Effect {
+	if e, ok := j.pending[key]; ok {
+		return j.handle(now, ev, &e)
+	}
+	s, ok := j.index.slots[key]
+	if !ok || s.unixMilli() < j.oldest(now) {
+		return j.handle(now, ev, nil)
+	}
+	switch ev.Msg.(type) {
+	case proto.ReserveFree:
+		if s.state() != RecordHeld {
+			return nil
+		}
+	case proto.AnswerSave:
+		if s.state() == RecordAnswered {
+			return nil
+		}
+	}
+	return j.read(key, s.at, ev)
+}
+
+// oldest returns the time of creation before which records have expired.
+func (j *Journal) oldest(now model.Instant) int64 {
+	return j.wall(now) - j.timing.Keep.Milliseconds()
+}
+
+// handle acts on a message about a record, which is nil if there is none.
+func (j *Journal) handle(now model.Instant, ev Received, e *entry) []Effect {
+	switch m := ev.Msg.(type) {
+	case proto.ReserveAsk:
+		if e != nil && !names(e.rec, m.Workspace, m.OrderKey) {
+			return j.unavailable(ev)
+		}
+		return j.reserve(now, ev.From, m, e)
+	case proto.ReserveFree:
+		if e != nil && !names(e.rec, m.Workspace, m.OrderKey) {
+			return nil
+		}
+		return j.free(now, m, e)
+	case proto.AnswerSave:
+		if e != nil && !names(e.rec, m.Workspace, m.OrderKey) {
+			return nil
+		}
+		return j.save(now, m, e)
+	default:
+		return nil
+	}
+}
+
+func names(rec proto.JournalRecord, ws model.WorkspaceID, key string) bool {
+	return rec.Workspace == ws && rec.OrderKey == key
+}
+
+func (j *Journal) reserve(now model.Instant, from model.HostID, m proto.ReserveAsk, e *entry) []Effect {
 	var out []Effect
-	if !ok || (e.rec.Freed && e.rec.Holder != m.Holder) {
-		out = j.put(proto.JournalRecord{
+	if e == nil || (e.rec.Freed && e.rec.Holder != m.Holder) {
+		rec := proto.JournalRecord{
 			Workspace: m.Workspace, OrderKey: m.OrderKey, Body: m.Body, Holder: m.Holder, UnixMilli: j.wall(now),
-		})
-		e = j.records[key]
+		}
+		out = j.persist(rec)
+		e = &entry{rec: rec, seq: j.seq}
 	}
 	reply := proto.ReserveReply{Nonce: m.Nonce, Status: proto.ReserveTaken, Holder: e.rec.Holder, Body: e.rec.Body, Answer: e.rec.Answer}
 	switch {
@@ -189,46 +262,49 @@
 
 // free marks a reservation as given up. The mark also stands when the question
 // has not arrived yet, so that the late question reserves nothing.
-func (j *Journal) free(now model.Instant, m proto.ReserveFree) []Effect {
-	e, ok := j.records[cursor(m.Workspace, m.OrderKey)]
-	if ok && (e.rec.Holder != m.Holder || e.rec.Freed || e.rec.Answer != nil) {
-		return nil
+func (j *Journal) free(now model.Instant, m proto.ReserveFree, e *entry) []Effect {
+	rec := proto.JournalRecord{UnixMilli: j.wall(now)}
+	if e != nil {
+		rec = e.rec
+		if rec.Holder != m.Holder || rec.Freed || rec.Answer != nil {
+			return nil
+		}
 	}
-	rec := e.rec
 	rec.Workspace, rec.OrderKey, rec.Holder, rec.Freed = m.Workspace, m.OrderKey, m.Holder, true
-	if !ok {
-		rec.UnixMilli = j.wall(now)
-	}
-	return j.put(rec)
+	return j.persist(rec)
 }
 
 // save stores the first answer of the holder. A journal that missed the
 // reservation, or held one that was given up, takes it from the answer: only a
 // holder with a majority has one.
-func (j *Journal) save(now model.Instant, m proto.AnswerSave) []Effect {
-	e, ok := j.records[cursor(m.Workspace, m.OrderKey)]
-	rec := e.rec
-	if !ok || (rec.Freed && rec.Holder != m.Holder) {
-		rec = proto.JournalRecord{Workspace: m.Workspace, OrderKey: m.OrderKey, Body: m.Body, Holder: m.Holder, UnixMilli: j.wall(now)}
+func (j *Journal) save(now model.Instant, m proto.AnswerSave, e *entry) []Effect {
+	rec := proto.JournalRecord{Workspace: m.Workspace, OrderKey: m.OrderKey, Body: m.Body, Holder: m.Holder, UnixMilli: j.wall(now)}
+	if e != nil && (!e.rec.Freed || e.rec.Holder == m.Holder) {
+		rec = e.rec
 	}
 	if rec.Holder != m.Holder || rec.Freed || rec.Answer != nil {
 		return nil
 	}
 	answer := m.Answer
 	rec.Answer = &answer
-	return j.put(rec)
-}
-
-// put stores a record and makes it durable.
-func (j *Journal) put(rec proto.JournalRecord) []Effect {
-	out := j.persist(rec)
-	j.records[cursor(rec.Workspace, rec.OrderKey)] = entry{rec: rec, seq: j.seq}
-	return out
+	return j.persist(rec)
 }
 
-// persist makes records durable, all of them or none.
+// persist makes records durable, in their order.
 func (j *Journal) persist(records ...proto.JournalRecord) []Effect {
 	j.seq++
+	w := write{seq: j.seq}
+	for _, rec := range records {
+		if isState(rec) {
+			continue
+		}
+		key := DigestOf(rec.Workspace, rec.OrderKey)
+		w.records = append(w.records, written{key: key, holder: holderHash(rec.Holder), unixMilli: rec.UnixMilli, state: StateOf(rec)})
+		if j.repair == nil {
+			j.pending[key] = entry{rec: rec, seq: j.seq}
+		}
+	}
+	j.writes = append(j.writes, w)
 	return []Effect{Persist{Seq: j.seq, Records: records}}
 }
 
@@ -241,8 +317,12 @@
 	return nil
 }
 
-func (j *Journal) persisted(seq uint64) []Effect {
-	j.synced = max(j.synced, seq)
+func (j *Journal) persisted(now model.Instant, ev Persisted) []Effect {
+	for len(j.writes) > 0 && j.writes[0].seq <= ev.Seq {
+		j.enter(j.writes[0], ev.At)
+		j.writes = j.writes[1:]
+	}
+	j.synced = max(j.synced, ev.Seq)
 	var out []Effect
 	j.waiting = slices.DeleteFunc(j.waiting, func(d deferred) bool {
 		if d.seq > j.synced {
@@ -251,8 +331,8 @@
 		out = append(out, d.send)
 		return true
 	})
-	if j.repair != nil && j.repair.markSeq != 0 && j.synced >= j.repair.markSeq {
-		j.repair = nil
+	if j.repair != nil {
+		out = append(out, j.repairPersisted(now)...)
 	}
 	if j.forming != nil && j.forming.markSeq != 0 && j.synced >= j.forming.markSeq {
 		j.forming = nil
@@ -260,36 +340,17 @@
 	return out
 }
 
-// copyPage answers a repairing journal with the records after a cursor. Records
-// that are not synced are included: an earlier, synced state of the same record
-// may count towards a majority.
-func (j *Journal) copyPage(from model.HostID, m proto.JournalCopyAsk) []Effect {
-	keys := slices.Collect(maps.Keys(j.records))
-	keys = slices.DeleteFunc(keys, func(k string) bool { return k <= m.After })
-	slices.Sort(keys)
-	reply := proto.JournalCopyReply{Nonce: m.Nonce, Done: true}
-	size := 0
-	for _, k := range keys {
-		rec := j.records[k].rec
-		if size > 0 && size+recordSize(rec) > j.pageBytes {
-			reply.Done = false
-			break
+// enter moves the records of a Persist from memory to the index.
+func (j *Journal) enter(w write, at []Position) {
+	for i, rec := range w.records {
+		j.index.Add(rec.key, at[i], rec.unixMilli, rec.state)
+		if e, ok := j.pending[rec.key]; ok && e.seq == w.seq {
+			delete(j.pending, rec.key)
+		}
+		if j.repair != nil {
+			j.repair.entered(rec, at[i])
 		}
-		size += recordSize(rec)
-		reply.Records = append(reply.Records, rec)
-	}
-	return []Effect{Send{To: from, Msg: reply}}
-}
-
-func recordSize(rec proto.JournalRecord) int {
-	n := recordOverhead + len(rec.Workspace) + len(rec.OrderKey) + len(rec.Holder)
-	if rec.Answer == nil {
-		return n
-	}
-	for name, values := range rec.Answer.Header {
-		n += len(name) + len(strings.Join(values, ""))
 	}
-	return n + len(rec.Answer.Body)
 }
 
 func (j *Journal) tick(now model.Instant) []Effect {
@@ -299,14 +360,27 @@
 	if j.forming != nil {
 		return j.tickForming(now)
 	}
-	if now.Sub(j.swept) >= sweepEvery {
-		j.swept = now
-		oldest := j.wall(now) - j.timing.Keep.Milliseconds()
-		maps.DeleteFunc(j.records, func(_ string, e entry) bool { return e.rec.UnixMilli < oldest })
-	}
+	out := j.sweep(now)
 	if j.marked {
-		return nil
+		return out
 	}
 	j.marked = true
-	return j.persist(proto.JournalRecord{Holder: completeHolder})
+	return append(out, j.persist(proto.JournalRecord{Holder: completeHolder})...)
+}
+
+// sweep deletes segments whose records have all expired, except while one of them is being read.
+func (j *Journal) sweep(now model.Instant) []Effect {
+	if now.Sub(j.swept) < j.timing.Sweep {
+		return nil
+	}
+	j.swept = now
+	var out []Effect
+	for {
+		segment, ok := j.index.expired(j.oldest(now))
+		if !ok || j.readsFrom(segment) {
+			return out
+		}
+		j.index.drop()
+		out = append(out, Drop{Segment: segment})
+	}
 }
--- a/internal/order/option.go
+++ b/internal/order/option.go
@@ -23,6 +23,8 @@
 	Silence time.Duration
 	// Keep is the age at which records expire, by the time in the record.
 	Keep time.Duration
+	// Sweep is the interval at which expired segments are deleted.
+	Sweep time.Duration
 }
 
 // DefaultTiming keeps records for 24 hours.
@@ -34,6 +36,7 @@
 		VoteValid: 2 * time.Second,
 		Silence:   2200 * time.Millisecond,
 		Keep:      24 * time.Hour,
+		Sweep:     time.Minute,
 	}
 }
 
@@ -69,7 +72,7 @@
 	return func(s *settings) { s.unixMilli, s.clockAt = unixMilli, at }
 }
 
-// WithPageBytes bounds a page of copied records, answers included.
+// WithPageBytes sets about how many bytes a page of copied records has.
 func WithPageBytes(n int) Option { return func(s *settings) { s.pageBytes = n } }
 
 func (s *settings) wall(now model.Instant) int64 {
--- a/internal/order/order_test.go
+++ b/internal/order/order_test.go
@@ -18,6 +18,7 @@
 	now      model.Instant
 	ids      []model.HostID
 	journals map[model.HostID]*order.Journal
+	disks    map[model.HostID]*disk
 	down     map[model.HostID]bool
 	reserver *order.Reserver
 	results  []string
@@ -26,22 +27,34 @@
 }
 
 func newTrio(t *testing.T) *trio {
-	f := &trio{t: t, ids: []model.HostID{"j0", "j1", "j2"}, journals: map[model.HostID]*order.Journal{}, down: map[model.HostID]bool{}}
+	f := &trio{t: t, ids: []model.HostID{"j0", "j1", "j2"}, journals: map[model.HostID]*order.Journal{}, disks: map[model.HostID]*disk{}, down: map[model.HostID]bool{}}
 	for _, id := range f.ids {
-		f.journals[id] = order.NewJournal(id, f.ids, formedDisk(), false, order.WithTiming(simTiming()))
+		f.disks[id] = formedDisk()
+		f.open(id, false, 1)
 	}
 	f.reserver = order.NewReserver("e0", f.ids, order.WithTiming(simTiming()))
 	f.advance(0)
 	return f
 }
 
+// open starts a journal with what its disk holds.
+func (f *trio) open(id model.HostID, empty bool, nonce uint64) {
+	f.journals[id] = order.NewJournal(id, f.ids, f.disks[id].recovered(), empty, order.WithTiming(simTiming()), order.WithNonces(nonce), order.WithPageBytes(500))
+}
+
+// lose starts a journal with an empty disk.
+func (f *trio) lose(id model.HostID, empty bool, nonce uint64) {
+	f.disks[id] = emptyDisk()
+	f.open(id, empty, nonce)
+}
+
 func (f *trio) apply(from model.HostID, effs []order.Effect) {
 	for _, eff := range effs {
 		switch eff := eff.(type) {
 		case order.Send:
 			f.deliver(from, eff)
-		case order.Persist:
-			f.apply(from, f.journals[from].Step(f.now, order.Persisted{Seq: eff.Seq}))
+		default:
+			f.apply(from, carryOut(f.now, f.journals[from], f.disks[from], eff))
 		case order.Reserved:
 			f.results = append(f.results, fmt.Sprint(eff.Request, " reserved"))
 		case order.Known:
@@ -165,10 +178,10 @@
 		f.start(id, fmt.Sprint("o", i), 1)
 		f.finish(id, i%3 == 0, map[bool]string{true: "x"}[i%3 == 1])
 	}
-	want := f.journals["j0"].Records()
-	require.Len(t, want, 21)
-	f.journals["j0"] = order.NewJournal("j0", f.ids, nil, true, order.WithTiming(simTiming()), order.WithNonces(99), order.WithPageBytes(500))
-	f.journals["j1"] = order.NewJournal("j1", f.ids, f.journals["j1"].Records(), false, order.WithTiming(simTiming()), order.WithPageBytes(500))
+	want := f.disks["j0"].newest()
+	require.Len(t, want, 20)
+	f.lose("j0", true, 99)
+	f.open("j1", false, 1000)
 	f.advance(200 * time.Millisecond)
 	require.False(t, f.journals["j0"].Voting(), "silent until votes from the lost disk have expired")
 	f.down["j2"] = true
@@ -177,27 +190,35 @@
 	f.down["j2"] = false
 	f.advance(50 * time.Millisecond)
 	require.True(t, f.journals["j0"].Voting())
-	require.Equal(t, want, f.journals["j0"].Records())
+	require.Equal(t, want, f.disks["j0"].newest())
+	require.Equal(t, 20, f.journals["j0"].Records())
+	f.open("j0", true, 2000)
+	require.True(t, f.journals["j0"].Voting(), "a repaired journal is complete")
 }
 
 // Guards against a journal that votes after an interrupted repair because its disk is not empty any more.
 func TestInterruptedRepairDoesNotVote(t *testing.T) {
-	left := []proto.JournalRecord{{Workspace: "ws", OrderKey: "o", Holder: "a"}}
-	require.False(t, order.NewJournal("j0", []model.HostID{"j0", "j1", "j2"}, left, false).Voting())
-	require.False(t, order.NewJournal("j0", []model.HostID{"j0"}, nil, true).Voting())
-	require.True(t, order.NewJournal("j0", []model.HostID{"j0"}, nil, false).Voting())
+	left := emptyDisk()
+	left.write(1, []proto.JournalRecord{{Workspace: "ws", OrderKey: "o", Holder: "a"}})
+	require.False(t, order.NewJournal("j0", []model.HostID{"j0", "j1", "j2"}, left.recovered(), false).Voting())
+	require.False(t, order.NewJournal("j0", []model.HostID{"j0"}, order.Recovered{}, true).Voting())
+	require.True(t, order.NewJournal("j0", []model.HostID{"j0"}, order.Recovered{}, false).Voting())
 }
 
 // Guards against an order that runs because a reply arrived before its record was synced.
 func TestRepliesWaitForTheDisk(t *testing.T) {
-	j := order.NewJournal("j0", []model.HostID{"j0"}, nil, false)
+	j := order.NewJournal("j0", []model.HostID{"j0"}, order.Recovered{}, false)
 	ask := order.Received{From: "e0", Msg: proto.ReserveAsk{Nonce: 1, Workspace: "ws", OrderKey: "o", Holder: "a"}}
 	effs := j.Step(1, ask)
 	require.Len(t, effs, 1)
 	persist := effs[0].(order.Persist)
 	require.Empty(t, j.Step(2, ask), "a repeated question waits too")
-	require.Len(t, j.Step(3, order.Persisted{Seq: persist.Seq}), 2)
-	require.Len(t, j.Step(4, ask), 1)
+	require.Len(t, j.Step(3, order.Persisted{Seq: persist.Seq, At: []order.Position{{Segment: 1}}}), 2)
+	read := j.Step(4, ask)[0].(order.Read)
+	require.Equal(t, order.Position{Segment: 1}, read.At)
+	require.Empty(t, j.Step(4, ask), "it waits for the same read")
+	require.Len(t, j.Step(5, order.ReadDone{ID: read.ID, Record: persist.Records[0]}), 2)
+	require.Empty(t, j.Step(5, order.ReadDone{ID: read.ID, Record: persist.Records[0]}))
 	require.Empty(t, j.Step(5, order.DiskFailed{}))
 	effs = j.Step(6, ask)
 	require.Equal(t, proto.ReserveUnavailable, effs[0].(order.Send).Msg.(proto.ReserveReply).Status)
@@ -215,7 +236,7 @@
 	}
 	f.start("a", "o", 1)
 	reach = ""
-	f.journals["j2"] = order.NewJournal("j2", f.ids, nil, true, order.WithTiming(simTiming()), order.WithNonces(99))
+	f.lose("j2", true, 99)
 	for step := 0; step < 100 && !f.journals["j2"].Voting(); step++ {
 		f.advance(5 * time.Millisecond)
 	}
@@ -241,6 +262,7 @@
 	}{
 		"two holders, asker first": {[][]proto.JournalRecord{held("b", false), held("a", false), nil}, proto.ReserveTaken},
 		"two holders":              {[][]proto.JournalRecord{held("a", false), held("b", false), nil}, proto.ReserveTaken},
+		"two holders, one freed":   {[][]proto.JournalRecord{held("b", false), held("a", false), held("a", true)}, proto.ReserveHeld},
 		"only the asker":           {[][]proto.JournalRecord{nil, held("b", false), nil}, proto.ReserveHeld},
 		"only another":             {[][]proto.JournalRecord{held("a", false), nil, nil}, proto.ReserveTaken},
 		"another gave up":          {[][]proto.JournalRecord{held("a", false), held("b", false), held("a", true)}, proto.ReserveHeld},
@@ -249,21 +271,29 @@
 	}
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
-			j := order.NewJournal("j0", ids, nil, true)
+			d := emptyDisk()
+			j := order.NewJournal("j0", ids, d.recovered(), true)
 			j.Step(1, order.Tick{})
 			now := model.Instant(5 * time.Second)
-			var effs []order.Effect
-			for i, eff := range j.Step(now, order.Tick{})[:3] {
-				ask := eff.(order.Send)
-				effs = j.Step(now, order.Received{From: ask.To, Msg: proto.JournalCopyReply{
+			asks := j.Step(now, order.Tick{})[:3]
+			for i := range asks {
+				ask := asks[i].(order.Send)
+				effs := j.Step(now, order.Received{From: ask.To, Msg: proto.JournalCopyReply{
 					Nonce: ask.Msg.(proto.JournalCopyAsk).Nonce, Records: c.copies[i], Done: true,
 				}})
+				for len(effs) > 0 {
+					effs = append(effs[1:], carryOut(now, j, d, effs[0])...)
+				}
 			}
-			j.Step(now, order.Persisted{Seq: effs[0].(order.Persist).Seq})
 			require.True(t, j.Voting())
-			effs = j.Step(now, order.Received{From: "e0", Msg: proto.ReserveAsk{Nonce: 1, Workspace: "ws", OrderKey: "o", Holder: "b"}})
-			if p, ok := effs[0].(order.Persist); ok {
-				effs = j.Step(now, order.Persisted{Seq: p.Seq})
+			j = order.NewJournal("j0", ids, d.recovered(), true)
+			require.True(t, j.Voting(), "the newest copy takes precedence after a restart")
+			effs := j.Step(now, order.Received{From: "e0", Msg: proto.ReserveAsk{Nonce: 1, Workspace: "ws", OrderKey: "o", Body: model.BodyHash{}, Holder: "b"}})
+			for len(effs) > 0 {
+				if _, ok := effs[0].(order.Send); ok {
+					break
+				}
+				effs = append(effs[1:], carryOut(now, j, d, effs[0])...)
 			}
 			require.Equal(t, c.want, effs[0].(order.Send).Msg.(proto.ReserveReply).Status)
 		})
--- a/internal/order/save_test.go
+++ b/internal/order/save_test.go
@@ -20,17 +20,23 @@
 		"given up by another": {proto.ReserveFree{Workspace: "ws", OrderKey: "o", Holder: "z"}},
 	} {
 		t.Run(name, func(t *testing.T) {
-			j := order.NewJournal("j0", ids, formedDisk(), false)
-			for _, m := range earlier {
-				j.Step(1, order.Received{From: "e1", Msg: m})
+			d := formedDisk()
+			j := order.NewJournal("j0", ids, d.recovered(), false)
+			step := func(from model.HostID, m proto.Message) (sent []order.Effect) {
+				effs := j.Step(1, order.Received{From: from, Msg: m})
+				for len(effs) > 0 {
+					if _, ok := effs[0].(order.Send); ok {
+						sent = append(sent, effs[0])
+					}
+					effs = append(effs[1:], carryOut(1, j, d, effs[0])...)
+				}
+				return sent
 			}
-			save := proto.AnswerSave{Workspace: "ws", OrderKey: "o", Holder: "a", Body: body, Answer: proto.StoredAnswer{Status: 201}}
-			for _, f := range j.Step(1, order.Received{From: "e1", Msg: save}) {
-				p, ok := f.(order.Persist)
-				require.True(t, ok)
-				j.Step(2, order.Persisted{Seq: p.Seq})
+			for _, m := range earlier {
+				step("e1", m)
 			}
-			effs := j.Step(3, order.Received{From: "e2", Msg: proto.ReserveAsk{Nonce: 1, Workspace: "ws", OrderKey: "o", Body: body, Holder: "b"}})
+			step("e1", proto.AnswerSave{Workspace: "ws", OrderKey: "o", Holder: "a", Body: body, Answer: proto.StoredAnswer{Status: 201}})
+			effs := step("e2", proto.ReserveAsk{Nonce: 1, Workspace: "ws", OrderKey: "o", Body: body, Holder: "b"})
 			require.Len(t, effs, 1)
 			reply := effs[0].(order.Send).Msg.(proto.ReserveReply)
 			require.Equal(t, proto.ReserveTaken, reply.Status)
--- a/internal/order/sim_test.go
+++ b/internal/order/sim_test.go
@@ -22,7 +22,7 @@
 func simTiming() order.Timing {
 	return order.Timing{
 		Resend: 10 * time.Millisecond, Wait: 150 * time.Millisecond, Settle: 5 * time.Millisecond,
-		VoteValid: 200 * time.Millisecond, Silence: 220 * time.Millisecond, Keep: 24 * time.Hour,
+		VoteValid: 200 * time.Millisecond, Silence: 220 * time.Millisecond, Keep: 24 * time.Hour, Sweep: time.Minute,
 	}
 }
 
@@ -54,7 +54,7 @@
 	life  int
 	speed float64
 	// disk is what a journal has synced; lost is set until a repair is complete.
-	disk []proto.JournalRecord
+	disk *disk
 	lost bool
 	// synced is when the last Persist becomes durable.
 	synced time.Duration
@@ -85,6 +85,8 @@
 	answers map[string]string
 	broken  []string
 	counts  map[string]int
+	// keep is the age at which records expire. It is longer than an order key is in use.
+	keep time.Duration
 	// formed is set once all journals voted at the same time.
 	formed bool
 	// quiet ends requests and faults.
@@ -97,6 +99,7 @@
 		keyOf: map[model.RequestID]string{}, bodyOf: map[model.RequestID]model.BodyHash{}, ended: map[model.RequestID]string{},
 		ranBy: map[string]model.RequestID{}, answers: map[string]string{}, counts: map[string]int{},
 	}
+	s.keep = 500 * time.Millisecond
 	s.loss = []float64{0, 0.05, 0.25}[s.rng.IntN(3)]
 	for i := range []int{3, 3, 5}[s.rng.IntN(3)] {
 		s.journals = append(s.journals, model.HostID(fmt.Sprint("j", i)))
@@ -105,7 +108,7 @@
 	// In some schedules the journals form a fleet under load.
 	forming := s.rng.IntN(4) == 0
 	for _, id := range slices.Concat(s.journals, s.entries) {
-		s.nodes[id] = &node{id: id, speed: 0.98 + 0.04*s.rng.Float64()}
+		s.nodes[id] = &node{id: id, disk: emptyDisk(), speed: 0.98 + 0.04*s.rng.Float64()}
 		if !forming {
 			s.nodes[id].disk = formedDisk()
 		}
@@ -115,9 +118,6 @@
 	return s
 }
 
-// formedDisk returns the records of a journal that is complete and empty.
-func formedDisk() []proto.JournalRecord { return []proto.JournalRecord{{Holder: "complete"}} }
-
 func (s *sim) at(d time.Duration, do func()) {
 	s.seq++
 	heap.Push(&s.queue, event{at: s.now + d, seq: s.seq, do: do})
@@ -132,9 +132,11 @@
 	n := s.nodes[id]
 	n.life++
 	s.nonce += 1 << 20
-	opts := []order.Option{order.WithTiming(simTiming()), order.WithNonces(s.nonce), order.WithPageBytes(300)}
+	timing := simTiming()
+	timing.Keep, timing.Sweep = s.keep, 10*time.Millisecond
+	opts := []order.Option{order.WithTiming(timing), order.WithNonces(s.nonce), order.WithPageBytes(300)}
 	if slices.Contains(s.journals, id) {
-		n.core = order.NewJournal(id, s.journals, slices.Clone(n.disk), empty, opts...)
+		n.core = order.NewJournal(id, s.journals, n.disk.recovered(), empty, opts...)
 	} else {
 		n.core = order.NewReserver(id, s.journals, opts...)
 	}
@@ -164,6 +166,14 @@
 		life := n.life
 		n.synced = max(n.synced, s.now+s.between(100*time.Microsecond, 4*time.Millisecond))
 		s.at(n.synced-s.now, func() { s.sync(n, life, eff) })
+	case order.Drop:
+		// Deletions are carried out after the writes before them.
+		life := n.life
+		s.at(n.synced-s.now+time.Microsecond, func() { s.drop(n, life, eff) })
+	case order.Read:
+		s.reads(n, func() order.Event { return order.ReadDone{ID: eff.ID, Record: n.disk.read(eff.At)} })
+	case order.ReadPage:
+		s.reads(n, func() order.Event { return n.disk.page(eff) })
 	case order.Reserved:
 		s.reserved(n, eff.Request)
 	case order.Known:
@@ -215,8 +225,8 @@
 	if n.life != life {
 		return
 	}
-	n.disk = append(n.disk, p.Records...)
-	s.step(n, order.Persisted{Seq: p.Seq})
+	at := n.disk.write(uint32(s.now/simHour), p.Records)
+	s.step(n, order.Persisted{Seq: p.Seq, At: at})
 	if !s.formed && s.allVote() {
 		s.formed = true
 		s.counts["formed"]++
@@ -230,6 +240,34 @@
 	}
 }
 
+// simHour is the time of a segment.
+const simHour = 50 * time.Millisecond
+
+// reads reads from a disk and delivers it later, unless the host stopped in between.
+func (s *sim) reads(n *node, read func() order.Event) {
+	life := n.life
+	s.at(s.between(0, 2*time.Millisecond), func() {
+		if n.life != life {
+			s.counts["read lost"]++
+			return
+		}
+		ev := read()
+		s.at(s.between(0, 2*time.Millisecond), func() {
+			if n.life == life {
+				s.counts["read"]++
+				s.step(n, ev)
+			}
+		})
+	})
+}
+
+func (s *sim) drop(n *node, life int, d order.Drop) {
+	if n.life == life {
+		s.counts["dropped"]++
+		n.disk.drop(d.Segment)
+	}
+}
+
 // reserved runs an order, or gives it up without running it.
 func (s *sim) reserved(n *node, id model.RequestID) {
 	s.end(id, "reserved")
@@ -288,7 +326,7 @@
 	}
 	s.counts["disk lost"]++
 	s.kill(id)
-	s.nodes[id].disk = nil
+	s.nodes[id].disk = emptyDisk()
 	s.nodes[id].lost = true
 	s.at(s.between(0, 50*time.Millisecond), func() { s.start(id, s.lostSetting()) })
 }
@@ -404,7 +442,7 @@
 		}
 	})
 	t.Log(total)
-	for _, name := range []string{"reserved", "known", "stopped 1", "stopped 2", "stopped 3", "disk lost", "repaired", "formed"} {
+	for _, name := range []string{"reserved", "known", "stopped 1", "stopped 2", "stopped 3", "disk lost", "repaired", "formed", "read", "read lost", "dropped"} {
 		require.NotZero(t, total[name], name)
 	}
 }
--- a/internal/proto/message.go
+++ b/internal/proto/message.go
@@ -383,7 +383,8 @@
 		Body   model.BodyHash
 		Answer StoredAnswer
 	}
-	// JournalCopyAsk asks another journal host for its records after the loss of a disk.
+	// JournalCopyAsk asks another journal host for its records after the loss of
+	// a disk. After is the Next of the last reply, or empty.
 	JournalCopyAsk struct {
 		Nonce uint64
 		After string
@@ -392,7 +393,9 @@
 	JournalCopyReply struct {
 		Nonce   uint64
 		Records []JournalRecord
-		Done    bool
+		// Next is the place after Records, in a form that only the replying journal knows.
+		Next string
+		Done bool
 	}
 )
 
--- a/internal/wire/order.go
+++ b/internal/wire/order.go
@@ -51,6 +51,7 @@
 	Nonce   uint64   `cbor:"1,keyasint"`
 	Records [][]byte `cbor:"2,keyasint"`
 	Done    bool     `cbor:"3,keyasint"`
+	Next    string   `cbor:"4,keyasint"`
 }
 
 func orderBindings() []binding {
@@ -106,10 +107,10 @@
 
 func toJournalCopyReply(m proto.JournalCopyReply) (journalCopyReply, error) {
 	records, err := mapSlice(m.Records, codec.EncodeRecord)
-	return journalCopyReply{Nonce: m.Nonce, Records: records, Done: m.Done}, err
+	return journalCopyReply{Nonce: m.Nonce, Records: records, Done: m.Done, Next: m.Next}, err
 }
 
 func fromJournalCopyReply(d journalCopyReply) (proto.JournalCopyReply, error) {
 	records, err := mapSlice(d.Records, codec.DecodeRecord)
-	return proto.JournalCopyReply{Nonce: d.Nonce, Records: records, Done: d.Done}, err
+	return proto.JournalCopyReply{Nonce: d.Nonce, Records: records, Done: d.Done, Next: d.Next}, err
 }
