--- a/internal/store/api.go
+++ b/internal/store/api.go
@@ -1,6 +1,7 @@
 // Package store keeps records in an append-only, checksummed file that is
 // synced before an append returns, together with an atomically replaced
-// snapshot. One process holds the lock on a data folder.
+// snapshot; or in numbered segment files that are deleted as a whole. One
+// process holds the lock on a data folder.
 package store
 
 // Store is an open data folder. It is safe for concurrent use; concurrent
