--- a/internal/order/sim_test.go
+++ b/internal/order/sim_test.go
@@ -22,7 +22,7 @@
 func simTiming() order.Timing {
 	return order.Timing{
 		Resend: 10 * time.Millisecond, Wait: 150 * time.Millisecond, Settle: 5 * time.Millisecond,
-		VoteValid: 200 * time.Millisecond, Silence: 220 * time.Millisecond, Keep: 24 * time.Hour,
+		VoteValid: 200 * time.Millisecond, Silence: 220 * time.Millisecond, Keep: 24 * time.Hour, Sweep: time.Minute,
 	}
 }
 
@@ -54,7 +54,7 @@
 	life  int
 	speed float64
 	// disk is what a journal has synced; lost is set until a repair is complete.
-	disk []proto.JournalRecord
+	disk *disk
 	lost bool
 	// synced is when the last Persist becomes durable.
 	synced time.Duration
@@ -85,6 +85,12 @@
 	answers map[string]string
 	broken  []string
 	counts  map[string]int
+	// keep is the age at which records expire. It is longer than an order key is in use.
+	keep time.Duration
+	// formed is set once all journals voted at the same time.
+	formed bool
+	// quiet ends requests and faults.
+	quiet bool
 }
 
 func newSim(seed uint64) *sim {
@@ -93,15 +99,22 @@
 		keyOf: map[model.RequestID]string{}, bodyOf: map[model.RequestID]model.BodyHash{}, ended: map[model.RequestID]string{},
 		ranBy: map[string]model.RequestID{}, answers: map[string]string{}, counts: map[string]int{},
 	}
+	s.keep = 500 * time.Millisecond
 	s.loss = []float64{0, 0.05, 0.25}[s.rng.IntN(3)]
 	for i := range []int{3, 3, 5}[s.rng.IntN(3)] {
 		s.journals = append(s.journals, model.HostID(fmt.Sprint("j", i)))
 	}
 	s.entries = []model.HostID{"e0", "e1", "e2"}
+	// In some schedules the journals form a fleet under load.
+	forming := s.rng.IntN(4) == 0
 	for _, id := range slices.Concat(s.journals, s.entries) {
-		s.nodes[id] = &node{id: id, speed: 0.98 + 0.04*s.rng.Float64()}
+		s.nodes[id] = &node{id: id, disk: emptyDisk(), speed: 0.98 + 0.04*s.rng.Float64()}
+		if !forming {
+			s.nodes[id].disk = formedDisk()
+		}
 		s.start(id, false)
 	}
+	s.formed = !forming
 	return s
 }
 
@@ -119,9 +132,11 @@
 	n := s.nodes[id]
 	n.life++
 	s.nonce += 1 << 20
-	opts := []order.Option{order.WithTiming(simTiming()), order.WithNonces(s.nonce), order.WithPageBytes(300)}
+	timing := simTiming()
+	timing.Keep, timing.Sweep = s.keep, 10*time.Millisecond
+	opts := []order.Option{order.WithTiming(timing), order.WithNonces(s.nonce), order.WithPageBytes(300)}
 	if slices.Contains(s.journals, id) {
-		n.core = order.NewJournal(id, s.journals, slices.Clone(n.disk), empty, opts...)
+		n.core = order.NewJournal(id, s.journals, n.disk.recovered(), empty, opts...)
 	} else {
 		n.core = order.NewReserver(id, s.journals, opts...)
 	}
@@ -151,6 +166,14 @@
 		life := n.life
 		n.synced = max(n.synced, s.now+s.between(100*time.Microsecond, 4*time.Millisecond))
 		s.at(n.synced-s.now, func() { s.sync(n, life, eff) })
+	case order.Drop:
+		// Deletions are carried out after the writes before them.
+		life := n.life
+		s.at(n.synced-s.now+time.Microsecond, func() { s.drop(n, life, eff) })
+	case order.Read:
+		s.reads(n, func() order.Event { return order.ReadDone{ID: eff.ID, Record: n.disk.read(eff.At)} })
+	case order.ReadPage:
+		s.reads(n, func() order.Event { return n.disk.page(eff) })
 	case order.Reserved:
 		s.reserved(n, eff.Request)
 	case order.Known:
@@ -202,8 +225,12 @@
 	if n.life != life {
 		return
 	}
-	n.disk = append(n.disk, p.Records...)
-	s.step(n, order.Persisted{Seq: p.Seq})
+	at := n.disk.write(uint32(s.now/simHour), p.Records)
+	s.step(n, order.Persisted{Seq: p.Seq, At: at})
+	if !s.formed && s.allVote() {
+		s.formed = true
+		s.counts["formed"]++
+	}
 	if n.lost && n.core.(*order.Journal).Voting() {
 		n.lost = false
 		s.counts["repaired"]++
@@ -213,6 +240,34 @@
 	}
 }
 
+// simHour is the time of a segment.
+const simHour = 50 * time.Millisecond
+
+// reads reads from a disk and delivers it later, unless the host stopped in between.
+func (s *sim) reads(n *node, read func() order.Event) {
+	life := n.life
+	s.at(s.between(0, 2*time.Millisecond), func() {
+		if n.life != life {
+			s.counts["read lost"]++
+			return
+		}
+		ev := read()
+		s.at(s.between(0, 2*time.Millisecond), func() {
+			if n.life == life {
+				s.counts["read"]++
+				s.step(n, ev)
+			}
+		})
+	})
+}
+
+func (s *sim) drop(n *node, life int, d order.Drop) {
+	if n.life == life {
+		s.counts["dropped"]++
+		n.disk.drop(d.Segment)
+	}
+}
+
 // reserved runs an order, or gives it up without running it.
 func (s *sim) reserved(n *node, id model.RequestID) {
 	s.end(id, "reserved")
@@ -237,6 +292,9 @@
 
 // request starts an order on a host that is up.
 func (s *sim) request() {
+	if s.quiet {
+		return
+	}
 	n := s.nodes[s.entries[s.rng.IntN(len(s.entries))]]
 	s.at(s.between(time.Millisecond, 12*time.Millisecond), s.request)
 	if n.core == nil {
@@ -268,12 +326,20 @@
 	}
 	s.counts["disk lost"]++
 	s.kill(id)
-	s.nodes[id].disk = nil
+	s.nodes[id].disk = emptyDisk()
 	s.nodes[id].lost = true
-	s.at(s.between(0, 50*time.Millisecond), func() { s.start(id, true) })
+	s.at(s.between(0, 50*time.Millisecond), func() { s.start(id, s.lostSetting()) })
 }
 
+// lostSetting returns whether an empty disk counts as lost. It does not while
+// create_fleet is still true, which says nothing about the disk. Operators keep
+// it so until the fleet is formed.
+func (s *sim) lostSetting() bool { return s.formed && s.rng.IntN(2) == 0 }
+
 func (s *sim) fault() {
+	if s.quiet {
+		return
+	}
 	s.at(s.between(5*time.Millisecond, 150*time.Millisecond), s.fault)
 	all := slices.Concat(s.journals, s.entries)
 	id := all[s.rng.IntN(len(all))]
@@ -294,7 +360,7 @@
 	case 1:
 		if s.nodes[id].core != nil {
 			s.kill(id)
-			s.at(s.between(0, 100*time.Millisecond), func() { s.start(id, s.nodes[id].lost) })
+			s.at(s.between(0, 100*time.Millisecond), func() { s.start(id, s.lostSetting()) })
 		}
 	case 2:
 		s.loseDisk(s.journals[s.rng.IntN(len(s.journals))])
@@ -308,13 +374,35 @@
 func (s *sim) run(length time.Duration) {
 	s.request()
 	s.fault()
-	for len(s.broken) == 0 && s.now < length {
+	s.until(length)
+}
+
+func (s *sim) until(end time.Duration) {
+	for len(s.broken) == 0 && s.now < end {
 		e := heap.Pop(&s.queue).(event)
 		s.now = e.at
 		e.do()
 	}
 }
 
+// settle ends the faults and demands that all journals vote after a while.
+func (s *sim) settle() {
+	s.quiet = true
+	clear(s.cut)
+	for s.until(s.now + 20*time.Millisecond); len(s.broken) == 0 && !s.allVote(); s.until(s.now + 20*time.Millisecond) {
+		if s.now > 10*time.Second {
+			s.fail("a journal does not vote although there is no fault any more")
+		}
+	}
+}
+
+func (s *sim) allVote() bool {
+	return !slices.ContainsFunc(s.journals, func(id model.HostID) bool {
+		core := s.nodes[id].core
+		return core == nil || !core.(*order.Journal).Voting()
+	})
+}
+
 // schedules returns the number of random schedules: by default what fits the
 // time of a unit test under the race detector, or ORDER_SCHEDULES.
 func schedules(t *testing.T) int {
@@ -328,7 +416,8 @@
 }
 
 // Guards against an order that runs twice, a request that runs after it was told that it does not, and an
-// answer that is not the first, under loss, delay, duplication, partitions, restarts and lost disks.
+// answer that is not the first, under loss, delay, duplication, partitions, restarts and lost disks, with
+// create_fleet set or not. Guards also against journals that wait for each other forever.
 func TestOrdersRunOnce(t *testing.T) {
 	const groups = 20
 	var mu sync.Mutex
@@ -341,6 +430,7 @@
 					seed := uint64(g + i*groups)
 					s := newSim(seed)
 					s.run(800 * time.Millisecond)
+					s.settle()
 					require.Empty(t, s.broken, "seed %d", seed)
 					mu.Lock()
 					for name, n := range s.counts {
@@ -352,7 +442,7 @@
 		}
 	})
 	t.Log(total)
-	for _, name := range []string{"reserved", "known", "stopped 1", "stopped 2", "stopped 3", "disk lost", "repaired"} {
+	for _, name := range []string{"reserved", "known", "stopped 1", "stopped 2", "stopped 3", "disk lost", "repaired", "formed", "read", "read lost", "dropped"} {
 		require.NotZero(t, total[name], name)
 	}
 }
--- a/internal/proto/message.go
+++ b/internal/proto/message.go
@@ -401,7 +401,8 @@
 		Body   model.BodyHash
 		Answer StoredAnswer
 	}
-	// JournalCopyAsk asks another journal host for its records after the loss of a disk.
+	// JournalCopyAsk asks another journal host for its records after the loss of
+	// a disk. After is the Next of the last reply, or empty.
 	JournalCopyAsk struct {
 		Nonce uint64
 		After string
@@ -410,7 +411,9 @@
 	JournalCopyReply struct {
 		Nonce   uint64
 		Records []JournalRecord
-		Done    bool
+		// Next is the place after Records, in a form that only the replying journal knows.
+		Next string
+		Done bool
 	}
 )
 
--- a/internal/wire/binding.go
+++ b/internal/wire/binding.go
@@ -57,6 +57,7 @@
 	all = append(all, standbyBindings()...)
 	all = append(all, poolBindings()...)
 	all = append(all, orderBindings()...)
+	all = append(all, formBindings()...)
 	return append(all, reportBindings()...)
 }
 
