Refuse reservations of hosts with another list of journals

Cause: the list of journals stands in each host's settings. Result: TestAnotherListOfJournalsGetsNoVote; the schedules of order pass. Shrinking the list is not protected.

--- a/internal/node/journal.go
+++ b/internal/node/journal.go
@@ -99,6 +99,8 @@
 	switch f := f.(type) {
 	case order.Send:
 		j.send(f.To, f.Msg)
+	case order.ListDiffers:
+		j.log.Info("refused a host with another list of journals; give all hosts the same [fleet] journals", "host", f.From)
 	case order.Persist:
 		j.disk.add(&journalWrite{persist: f})
 	case order.Drop:
--- a/internal/node/journal_bench_test.go
+++ b/internal/node/journal_bench_test.go
@@ -15,6 +15,7 @@
 	"github.com/go-logr/logr"
 	"github.com/stretchr/testify/require"
 
+	"tarragongauge.example/tarragongauge/internal/order"
 	"tarragongauge.example/tarragongauge/internal/proto"
 	"tarragongauge.example/tarragongauge/internal/store"
 	"tarragongauge.example/tarragongauge/internal/super"
@@ -56,7 +57,7 @@
 	reply := make(chan proto.ReserveReply, 1)
 	j.mu.Lock()
 	j.nonce++
-	m := proto.ReserveAsk{Nonce: j.nonce, Workspace: "shop-7", OrderKey: key, Holder: "0123456789abcdef0123456789abcdef"}
+	m := proto.ReserveAsk{Nonce: j.nonce, Workspace: "shop-7", OrderKey: key, Holder: "0123456789abcdef0123456789abcdef", Journals: order.ListDigest([]model.HostID{"j1"})}
 	j.waiting[m.Nonce] = reply
 	j.mu.Unlock()
 	j.receive("e1", m)
--- a/internal/node/journal_test.go
+++ b/internal/node/journal_test.go
@@ -12,6 +12,7 @@
 	"github.com/stretchr/testify/require"
 
 	"tarragongauge.example/tarragongauge/internal/codec"
+	"tarragongauge.example/tarragongauge/internal/order"
 	"tarragongauge.example/tarragongauge/internal/proto"
 	"tarragongauge.example/tarragongauge/internal/store"
 	"tarragongauge.example/tarragongauge/internal/super"
@@ -49,7 +50,7 @@
 }
 
 func (j *loneJournal) ask(key, holder string) proto.ReserveReply {
-	j.receive("e1", proto.ReserveAsk{Nonce: 1, Workspace: "shop-7", OrderKey: key, Holder: model.RequestID(holder)})
+	j.receive("e1", proto.ReserveAsk{Nonce: 1, Workspace: "shop-7", OrderKey: key, Holder: model.RequestID(holder), Journals: order.ListDigest([]model.HostID{"j1"})})
 	return <-j.replies
 }
 
--- a/internal/order/api.go
+++ b/internal/order/api.go
@@ -85,6 +85,8 @@
 	}
 	// Drop deletes the records of this segment and of all earlier ones.
 	Drop struct{ Segment uint32 }
+	// ListDiffers reports an asker with another list of journals in its settings.
+	ListDiffers struct{ From model.HostID }
 	// Reserved lets the order run, once.
 	Reserved struct{ Request model.RequestID }
 	// Known ends the request with the stored answer of an earlier run.
@@ -126,11 +128,12 @@
 func (ReadDone) isEvent()   {}
 func (PageRead) isEvent()   {}
 
-func (Send) isEffect()     {}
-func (Persist) isEffect()  {}
-func (Read) isEffect()     {}
-func (ReadPage) isEffect() {}
-func (Drop) isEffect()     {}
-func (Reserved) isEffect() {}
-func (Known) isEffect()    {}
-func (Stopped) isEffect()  {}
+func (Send) isEffect()        {}
+func (Persist) isEffect()     {}
+func (Read) isEffect()        {}
+func (ReadPage) isEffect()    {}
+func (Drop) isEffect()        {}
+func (ListDiffers) isEffect() {}
+func (Reserved) isEffect()    {}
+func (Known) isEffect()       {}
+func (Stopped) isEffect()     {}
--- a/internal/order/form.go
+++ b/internal/order/form.go
@@ -70,7 +70,7 @@
 	f.asked = now
 	for _, h := range j.others {
 		f.queries[h] = j.nextNonce()
-		out = append(out, Send{To: h, Msg: proto.JournalFormAsk{Nonce: f.queries[h]}})
+		out = append(out, Send{To: h, Msg: proto.JournalFormAsk{Nonce: f.queries[h], Journals: j.list}})
 	}
 	return out
 }
--- a/internal/order/journal.go
+++ b/internal/order/journal.go
@@ -18,6 +18,8 @@
 	self   model.HostID
 	others []model.HostID
 	total  int
+	// list is the digest of all journals.
+	list uint64
 	// run is the number of this run of the process.
 	run   uint64
 	index *Index
@@ -86,7 +88,7 @@
 // disk counts as lost, it never votes again.
 func NewJournal(self model.HostID, journals []model.HostID, rec Recovered, empty bool, opts ...Option) *Journal {
 	j := &Journal{
-		settings: newSettings(opts), self: self, total: len(journals), index: rec.Index,
+		settings: newSettings(opts), self: self, total: len(journals), list: ListDigest(journals), index: rec.Index,
 		pending: map[Digest]entry{}, reads: map[uint64]*reading{}, readOf: map[Digest]uint64{}, pages: map[uint64]page{},
 	}
 	j.run = j.nonce
@@ -163,6 +165,9 @@
 }
 
 func (j *Journal) receive(now model.Instant, ev Received) []Effect {
+	if list, ok := listOf(ev.Msg); ok && list != j.list {
+		return j.refuseList(ev)
+	}
 	if j.repair != nil {
 		return j.receiveInRepair(now, ev.From, ev.Msg)
 	}
--- a/internal/order/order_test.go
+++ b/internal/order/order_test.go
@@ -208,7 +208,7 @@
 // Guards against an order that runs because a reply arrived before its record was synced.
 func TestRepliesWaitForTheDisk(t *testing.T) {
 	j := order.NewJournal("j0", []model.HostID{"j0"}, order.Recovered{}, false)
-	ask := order.Received{From: "e0", Msg: proto.ReserveAsk{Nonce: 1, Workspace: "ws", OrderKey: "o", Holder: "a"}}
+	ask := order.Received{From: "e0", Msg: proto.ReserveAsk{Nonce: 1, Workspace: "ws", OrderKey: "o", Holder: "a", Journals: order.ListDigest([]model.HostID{"j0"})}}
 	effs := j.Step(1, ask)
 	require.Len(t, effs, 1)
 	persist := effs[0].(order.Persist)
@@ -288,7 +288,7 @@
 			require.True(t, j.Voting())
 			j = order.NewJournal("j0", ids, d.recovered(), true)
 			require.True(t, j.Voting(), "the newest copy takes precedence after a restart")
-			effs := j.Step(now, order.Received{From: "e0", Msg: proto.ReserveAsk{Nonce: 1, Workspace: "ws", OrderKey: "o", Body: model.BodyHash{}, Holder: "b"}})
+			effs := j.Step(now, order.Received{From: "e0", Msg: proto.ReserveAsk{Nonce: 1, Workspace: "ws", OrderKey: "o", Body: model.BodyHash{}, Holder: "b", Journals: order.ListDigest(ids)}})
 			for len(effs) > 0 {
 				if _, ok := effs[0].(order.Send); ok {
 					break
@@ -299,3 +299,20 @@
 		})
 	}
 }
+
+// Guards against an order that runs twice after the list of journals was
+// changed on some hosts only: majorities of two lists need not meet.
+func TestAnotherListOfJournalsGetsNoVote(t *testing.T) {
+	ids, others := []model.HostID{"j0", "j1", "j2"}, []model.HostID{"j0", "j1", "j3"}
+	require.Equal(t, order.ListDigest(ids), order.ListDigest([]model.HostID{"j2", "j0", "j1"}))
+	j := order.NewJournal("j0", ids, formedDisk().recovered(), false)
+	r := order.NewReserver("e0", others, order.WithTiming(simTiming()))
+	ask := r.Step(1, order.Started{Request: "a", Workspace: "ws", OrderKey: "o"})[0].(order.Send)
+	require.Equal(t, model.HostID("j0"), ask.To)
+	effs := j.Step(1, order.Received{From: "e0", Msg: ask.Msg})
+	require.Equal(t, proto.ReserveUnavailable, effs[0].(order.Send).Msg.(proto.ReserveReply).Status)
+	require.Equal(t, order.ListDiffers{From: "e0"}, effs[1])
+	for _, m := range []proto.Message{proto.JournalCopyAsk{Nonce: 1, Journals: order.ListDigest(others)}, proto.JournalFormAsk{Nonce: 1, Journals: order.ListDigest(others)}} {
+		require.Equal(t, []order.Effect{order.ListDiffers{From: "j3"}}, j.Step(1, order.Received{From: "j3", Msg: m}))
+	}
+}
--- a/internal/order/reserver.go
+++ b/internal/order/reserver.go
@@ -14,6 +14,7 @@
 type Reserver struct {
 	settings
 	journals []model.HostID
+	list     uint64
 	// pending holds the requests that wait for a majority.
 	pending map[model.RequestID]*reservation
 	// running holds the requests that were told Reserved.
@@ -70,6 +71,7 @@
 	return &Reserver{
 		settings: newSettings(opts),
 		journals: slices.Sorted(slices.Values(journals)),
+		list:     ListDigest(journals),
 		pending:  map[model.RequestID]*reservation{},
 		running:  map[model.RequestID]Started{},
 		queries:  map[uint64]query{},
@@ -121,7 +123,7 @@
 		r.queries[nonce] = query{request: res.Request, journal: j, sent: now}
 		res.nonces = append(res.nonces, nonce)
 		out = append(out, Send{To: j, Msg: proto.ReserveAsk{
-			Nonce: nonce, Workspace: res.Workspace, OrderKey: res.OrderKey, Body: res.Body, Holder: res.Request,
+			Nonce: nonce, Workspace: res.Workspace, OrderKey: res.OrderKey, Body: res.Body, Holder: res.Request, Journals: r.list,
 		}})
 	}
 	return out
--- a/internal/proto/form.go
+++ b/internal/proto/form.go
@@ -5,7 +5,11 @@
 // Messages of the bootstrap of journals.
 type (
 	// JournalFormAsk asks another journal host whether it forms the journals, too.
-	JournalFormAsk struct{ Nonce uint64 }
+	JournalFormAsk struct {
+		Nonce uint64
+		// Journals is the digest of the asker's list of journals.
+		Journals uint64
+	}
 	// JournalFormReply answers JournalFormAsk.
 	JournalFormReply struct {
 		Nonce uint64
--- a/internal/proto/message.go
+++ b/internal/proto/message.go
@@ -375,6 +375,8 @@
 		Body      model.BodyHash
 		// Holder identifies the reserving request; it is never used again.
 		Holder model.RequestID
+		// Journals is the digest of the asker's list of journals; a journal with another list does not vote.
+		Journals uint64
 	}
 	// ReserveReply answers ReserveAsk once the record is synced.
 	ReserveReply struct {
@@ -406,6 +408,8 @@
 	JournalCopyAsk struct {
 		Nonce uint64
 		After string
+		// Journals is the digest of the asker's list of journals.
+		Journals uint64
 	}
 	// JournalCopyReply answers JournalCopyAsk; Done is set on the last page.
 	JournalCopyReply struct {
--- a/internal/wire/form.go
+++ b/internal/wire/form.go
@@ -6,7 +6,8 @@
 )
 
 type journalFormAsk struct {
-	Nonce uint64 `cbor:"1,keyasint"`
+	Nonce    uint64 `cbor:"1,keyasint"`
+	Journals uint64 `cbor:"2,keyasint"`
 }
 
 type journalDisk struct {
--- a/internal/wire/order.go
+++ b/internal/wire/order.go
@@ -12,6 +12,7 @@
 	OrderKey  string            `cbor:"3,keyasint"`
 	Body      []byte            `cbor:"4,keyasint"`
 	Holder    model.RequestID   `cbor:"5,keyasint"`
+	Journals  uint64            `cbor:"6,keyasint"`
 }
 
 type storedAnswer struct {
@@ -43,8 +44,9 @@
 }
 
 type journalCopyAsk struct {
-	Nonce uint64 `cbor:"1,keyasint"`
-	After string `cbor:"2,keyasint"`
+	Nonce    uint64 `cbor:"1,keyasint"`
+	After    string `cbor:"2,keyasint"`
+	Journals uint64 `cbor:"3,keyasint"`
 }
 
 type journalCopyReply struct {
@@ -66,12 +68,12 @@
 }
 
 func toReserveAsk(m proto.ReserveAsk) (reserveAsk, error) {
-	return reserveAsk{Nonce: m.Nonce, Workspace: m.Workspace, OrderKey: m.OrderKey, Body: m.Body[:], Holder: m.Holder}, nil
+	return reserveAsk{Nonce: m.Nonce, Workspace: m.Workspace, OrderKey: m.OrderKey, Body: m.Body[:], Holder: m.Holder, Journals: m.Journals}, nil
 }
 
 func fromReserveAsk(d reserveAsk) (proto.ReserveAsk, error) {
 	body, err := checkDigest[model.BodyHash](d.Body)
-	return proto.ReserveAsk{Nonce: d.Nonce, Workspace: d.Workspace, OrderKey: d.OrderKey, Body: body, Holder: d.Holder}, err
+	return proto.ReserveAsk{Nonce: d.Nonce, Workspace: d.Workspace, OrderKey: d.OrderKey, Body: body, Holder: d.Holder, Journals: d.Journals}, err
 }
 
 func toReserveReply(m proto.ReserveReply) (reserveReply, error) {
