--- a/internal/node/effects.go
+++ b/internal/node/effects.go
@@ -74,11 +74,13 @@
 	}
 }
 
-// joinMembers tells the links where hosts are, and the pool owner which entry hosts are gone.
+// joinMembers tells the links where hosts are, and the pool owner which entry hosts live and which are gone.
 func (h *entryHost) joinMembers(members []proto.Member) {
 	h.mesh.Learn(members)
-	for _, gone := range h.hosts.replace(members) {
-		h.targets.post(pool.HostGone{Host: gone})
+	gone := h.hosts.replace(members)
+	h.targets.post(pool.HostsChanged{Hosts: h.hosts.hosts})
+	for _, id := range gone {
+		h.targets.post(pool.HostGone{Host: id})
 	}
 	h.shareConnections()
 }
--- a/internal/node/entry.go
+++ b/internal/node/entry.go
@@ -101,7 +101,7 @@
 func (h *entryHost) makeDecisions(s entrySetup) {
 	h.wallet = newRunner(h.clock, admit.NewWallet(s.self.Host, admit.WithDrift(s.timing.Drift), admit.WithIncarnation(s.self.Incarnation)).Step, h.applyAdmit)
 	h.buckets = newRunner(h.clock, admit.NewOwner(s.self.Host, admit.WithDrift(s.timing.Drift), admit.WithIncarnation(s.self.Incarnation)).Step, h.applyAdmit)
-	h.picker = newRunner(h.clock, pool.NewPicker(s.self.Host, s.self.Zone).Step, h.applyPool)
+	h.picker = newRunner(h.clock, pool.NewPicker(s.self.Host, s.self.Zone, pool.WithIncarnation(s.self.Incarnation)).Step, h.applyPool)
 	h.poolOwner = pool.NewOwner(s.self.Host)
 	h.targets = newRunner(h.clock, h.poolOwner.Step, h.applyPool)
 	h.reserver = newRunner(h.clock, order.NewReserver(s.self.Host, s.journals, order.WithNonces(uint64(s.self.Incarnation))).Step, h.applyOrder)
@@ -152,9 +152,9 @@
 		h.buckets.post(admit.Received{From: from, Msg: m})
 	case proto.DrawReply:
 		h.wallet.post(admit.Received{From: from, Msg: m})
-	case proto.SlotAsk, proto.SlotDone, proto.SlotCancel, proto.TargetNews, proto.ProbeResult, proto.ViewAsk, proto.QuarantineClear:
+	case proto.SlotAsk, proto.SlotDone, proto.SlotCancel, proto.TargetNews, proto.ProbeResult, proto.ViewAsk, proto.RestoreReport, proto.QuarantineClear:
 		h.targets.post(pool.Received{From: from, Msg: m})
-	case proto.SlotReply, proto.ViewReply:
+	case proto.SlotReply, proto.ViewReply, proto.RestoreAck:
 		h.picker.post(pool.Received{From: from, Msg: m})
 	case proto.ReserveReply:
 		h.reserver.post(order.Received{From: from, Msg: m})
--- a/internal/pool/api.go
+++ b/internal/pool/api.go
@@ -36,6 +36,8 @@
 	}
 	// Lost tells the owner core that this host does not own a shard any more.
 	Lost struct{ Shard model.ShardID }
+	// HostsChanged replaces the live entry hosts, for the owner.
+	HostsChanged struct{ Hosts []model.HostID }
 	// HostGone tells the owner that an entry host left, so that its slots return.
 	HostGone struct{ Host model.HostID }
 	// Announced delivers a target's announcement that this entry host took, for the picker.
@@ -131,6 +133,7 @@
 func (Gained) isEvent()        {}
 func (Renewed) isEvent()       {}
 func (Lost) isEvent()          {}
+func (HostsChanged) isEvent()  {}
 func (HostGone) isEvent()      {}
 func (Announced) isEvent()     {}
 func (Wanted) isEvent()        {}
--- a/internal/pool/assign.go
+++ b/internal/pool/assign.go
@@ -12,7 +12,8 @@
 const (
 	slotSerialBits = 40
 	slotSerialMask = 1<<slotSerialBits - 1
-	slotEpochMask  = 1<<(64-slotSerialBits) - 1
+	// slotEpochMask leaves the uppermost bit to localSlot.
+	slotEpochMask = 1<<(63-slotSerialBits) - 1
 )
 
 func slotEpoch(id uint64) uint64 { return id >> slotSerialBits }
@@ -27,6 +28,10 @@
 		o.send(from, proto.SlotReply{Nonce: m.Nonce, Status: proto.SlotNotOwner})
 		return
 	}
+	if !s.tenure.restore.complete {
+		// The picker asks again when it hears that this owner is ready.
+		return
+	}
 	key := askKey{host: host, nonce: m.Nonce}
 	if l, ok := s.byAsk[key]; ok {
 		o.replyAssigned(s, l)
@@ -62,7 +67,7 @@
 	if h := s.trust(host); h.inUse >= distrustSlots && h.distrusted() {
 		return proto.SlotNoTarget
 	}
-	if !s.anyUsable(m.Exclude) && (len(s.targets) > 0 || now.Sub(s.tenure.gained) >= o.tune.Learn) {
+	if !s.anyUsable(m.Exclude) && (s.anyAnnounced() || now.Sub(s.tenure.gained) >= o.tune.Learn) {
 		return proto.SlotNoTarget
 	}
 	if m.Budget <= 0 || s.base.typical() > m.Budget {
@@ -182,6 +187,8 @@
 	return false
 }
 
+func (s *service) anyAnnounced() bool { return slices.ContainsFunc(s.targets, (*target).announced) }
+
 // Penalties that order targets in classes: all others come first.
 const (
 	// rampingPenalty is for a target beyond its share of a slow start.
--- a/internal/pool/crash.go
+++ b/internal/pool/crash.go
@@ -17,13 +17,17 @@
 
 // brokenAttempt is an attempt that ended early and may turn out to be a crash.
 type brokenAttempt struct {
-	target *target
-	host   int32
-	// weight is what it counted as evidence of an error.
+	target      *target
+	incarnation model.Incarnation
+	host        int32
+	// weight is what it counted as evidence of an error, unless uncounted is set.
 	weight      float64
+	uncounted   bool
 	workspace   model.WorkspaceID
 	fingerprint model.Fingerprint
-	at          model.Instant
+	// at is when it ended. It may turn out to be a crash up to until.
+	at    model.Instant
+	until model.Instant
 }
 
 // suspect is a fingerprint that was running when a target crashed.
@@ -49,7 +53,7 @@
 		return
 	}
 	confirmed := slices.ContainsFunc(s.broken, func(b brokenAttempt) bool {
-		return b.target == t && now.Sub(b.at) <= o.tune.CrashWindow && t.okAt <= b.at &&
+		return b.target == t && now <= b.until && t.okAt <= b.at &&
 			(b.host != t.refusedBy || t.givenTo < severalHosts)
 	})
 	if confirmed {
@@ -64,12 +68,14 @@
 	found := false
 	kept := s.broken[:0]
 	for _, b := range s.broken {
-		if b.target != t || now.Sub(b.at) > o.tune.CrashWindow {
+		if b.target != t || now > b.until {
 			kept = append(kept, b)
 			continue
 		}
 		found = true
-		t.stats.removeError(b.weight)
+		if !b.uncounted {
+			t.stats.removeError(b.weight)
+		}
 		o.addCrash(now, s, b.workspace, b.fingerprint)
 	}
 	s.broken = kept
@@ -78,6 +84,18 @@
 	}
 }
 
+// crashedBefore counts the broken attempts on earlier runs of a target that
+// this owner hears of for the first time.
+func (o *Owner) crashedBefore(now model.Instant, s *service, t *target) {
+	s.broken = slices.DeleteFunc(s.broken, func(b brokenAttempt) bool {
+		if b.target != t || b.incarnation >= t.incarnation {
+			return false
+		}
+		o.addCrash(now, s, b.workspace, b.fingerprint)
+		return true
+	})
+}
+
 func (o *Owner) addCrash(now model.Instant, s *service, ws model.WorkspaceID, fp model.Fingerprint) {
 	if s.isQuarantined(now, ws, fp) {
 		return
@@ -96,12 +114,17 @@
 		return
 	}
 	s.suspects = slices.Delete(s.suspects, i, i+1)
+	s.addQuarantined(quarantined{workspace: ws, fingerprint: fp, until: now.Add(o.tune.Quarantine)})
+	o.emit(Quarantined{Service: s.name, Workspace: ws, Fingerprint: fp, For: o.tune.Quarantine})
+	o.refuseQuarantined(s, ws, fp)
+}
+
+func (s *service) addQuarantined(q quarantined) {
 	if len(s.quarantine) == maxQuarantined {
 		s.quarantine = slices.Delete(s.quarantine, 0, 1)
 	}
-	s.quarantine = append(s.quarantine, quarantined{workspace: ws, fingerprint: fp, until: now.Add(o.tune.Quarantine)})
-	o.emit(Quarantined{Service: s.name, Workspace: ws, Fingerprint: fp, For: o.tune.Quarantine})
-	o.refuseQuarantined(s, ws, fp)
+	s.quarantine = append(s.quarantine, q)
+	s.version++
 }
 
 // refuseQuarantined refuses the like requests that already wait.
@@ -181,12 +204,16 @@
 
 func (o *Owner) expireBroken(now model.Instant, s *service) {
 	s.broken = slices.DeleteFunc(s.broken, func(b brokenAttempt) bool {
-		return now.Sub(b.at) > o.tune.CrashWindow
+		return now > b.until
 	})
 }
 
 func (o *Owner) expireQuarantine(now model.Instant, s *service) {
+	before := len(s.quarantine)
 	s.quarantine = slices.DeleteFunc(s.quarantine, func(q quarantined) bool { return now >= q.until })
+	if len(s.quarantine) != before {
+		s.version++
+	}
 	s.suspects = slices.DeleteFunc(s.suspects, func(x suspect) bool { return now.Sub(x.at) > o.tune.Quarantine })
 }
 
@@ -196,6 +223,10 @@
 	if s == nil {
 		return
 	}
+	s.version++
+	if !slices.Contains(s.cleared, m.Workspace) {
+		s.cleared = append(s.cleared, m.Workspace)
+	}
 	s.quarantine = slices.DeleteFunc(s.quarantine, func(q quarantined) bool { return q.workspace == m.Workspace })
 	s.suspects = slices.DeleteFunc(s.suspects, func(x suspect) bool { return x.workspace == m.Workspace })
 	s.broken = slices.DeleteFunc(s.broken, func(b brokenAttempt) bool { return b.workspace == m.Workspace })
--- a/internal/pool/detect.go
+++ b/internal/pool/detect.go
@@ -327,11 +327,23 @@
 		return 0
 	}
 	sum := 0.0
+	restored := 0
 	for i, l := range t.busy {
 		if s.trust(l.host).distrusted() {
 			continue
 		}
-		d := logLatency(now.Sub(l.start)) - s.base.level - t.stats.offset
+		took, rounds := now.Sub(l.start), 1.0
+		if l.restored {
+			// Of more attempts than slots some wait inside the target.
+			if restored++; restored > t.slots {
+				continue
+			}
+			rounds = t.restoredRounds()
+			took = time.Duration(float64(took) / rounds)
+		}
+		// The mean of several attempts varies less than one, and lies above the median.
+		d := logLatency(took) - s.base.level - t.stats.offset
+		d = (d - (1-1/rounds)*s.base.sigma*s.base.sigma/2) * math.Sqrt(rounds)
 		z := d / s.base.sigma
 		e := min(o.tune.UnfinishedCap, logSurvival(z-s.base.stuck)-logSurvival(z), s.unfinishedEvidence(&t.stats, d))
 		if z <= 0 || e <= 0 {
--- a/internal/pool/doc.go
+++ b/internal/pool/doc.go
@@ -46,13 +46,31 @@
 //     requests that only shared the target are not refused.
 //   - A fingerprint with two broken attempts is not retried while it is not known
 //     whether they were crashes.
+//   - A restore report covers a shard, so that a host that uses none of its
+//     services counts as one that reported. Reports of hosts that are not
+//     members stay unanswered.
+//   - Requests ask a new owner when it says that it is ready, or after
+//     RestoreWait. A picker declines an assignment of an earlier owner, since its
+//     report does not contain it, and reports again after a local choice.
+//   - Broken attempts of the last 30 s are reported to every new owner, because
+//     each starts without any. The owner remembers the ends of slots that it did
+//     not give, so that none counts twice. An attempt on an earlier run of a
+//     target than the announced one was a crash.
+//   - Quarantined requests of all reported views are united; ejections come from
+//     the newest view. A target whose ejection ended while there was no owner
+//     returns with a small share.
+//   - Evidence of restored attempts is how long the target takes for all of them,
+//     since some may wait inside the target; their latencies are not used.
 //
 // # Limits
 //
-// A new owner does not know the slots that requests of the previous owner still
-// use; until these requests end, a target may run up to twice its slots and
-// sheds the rest. It does not know ejections and quarantined fingerprints
-// either, and finds them again.
+// Without an owner, hosts together may give a target more than its slots; the
+// next owner gives it none until these requests ended. A host that is lost with
+// its owner does not report, so its requests are not counted. Fingerprints with
+// one crash, targets on probation or in a slow start, and targets that the floor
+// keeps in service are not part of the view, and are forgotten with their owner.
+// A view is up to 500 ms old, and a host that did not use a service for a minute
+// has none without quarantined requests.
 //
 // One SlotAsk with its SlotDone costs at most 2 us and 2 allocations at 18 and
 // 60 targets (BenchmarkDecision). A picker spends 5 allocations in the three
--- a/internal/pool/done.go
+++ b/internal/pool/done.go
@@ -8,33 +8,53 @@
 	"tarragongauge.example/tarragongauge/pkg/model"
 )
 
-// done takes the report of an attempt and frees its slot. A report of a slot
-// that this owner gave and already freed is a duplicate and has no effect; a
-// report of another owner's or of a local choice counts as evidence only.
+// done takes the report of an attempt.
 func (o *Owner) done(now model.Instant, from model.HostID, m proto.SlotDone) {
 	s := o.service(now, m.Service)
 	if s == nil {
 		return
 	}
-	l, ok := s.bySlot[m.Slot]
+	o.ended(now, s, o.host(from), &m, now)
+	o.dispatch(now, s)
+}
+
+// ended frees the slot of an attempt that ended at an instant and takes it as
+// evidence. A repeated report of an end has no effect.
+func (o *Owner) ended(now model.Instant, s *service, host int32, m *proto.SlotDone, at model.Instant) {
+	l, own := s.bySlot[m.Slot]
 	switch {
-	case ok && o.hostNames[l.host] != from:
+	case own && l.host != host:
 		return
-	case ok:
+	case own:
 		s.free(l)
-	case slotEpoch(m.Slot) == epochBits(s.tenure.epoch):
+	case s.gave(m.Slot):
 		return
+	case m.Slot != 0:
+		key := askKey{host: host, nonce: m.Slot}
+		if !s.firstEnd(now, key) {
+			return
+		}
+		if l, ok := s.restored[key]; ok {
+			s.free(l)
+		}
 	}
-	if t, known := s.byTarget[m.Attempt.Target]; known {
-		o.observe(now, s, t, o.host(from), &m, ok)
+	if t, ok := s.byTarget[m.Attempt.Target]; ok && t.announced() {
+		o.observe(now, s, t, host, m, own, at)
+		return
+	}
+	if m.Attempt.End == model.AttemptBroken && !own {
+		// Whether it was a crash is known when the target announces itself.
+		s.broken = append(s.broken, brokenAttempt{
+			target: s.targetOrPlaceholder(now, m.Attempt.Target), incarnation: m.Attempt.Incarnation, host: host, uncounted: true,
+			workspace: m.Workspace, fingerprint: m.Fingerprint, at: at, until: now.Add(o.tune.CrashWindow),
+		})
 	}
-	o.dispatch(now, s)
 }
 
 // observe turns the end of an attempt into evidence on its target.
-func (o *Owner) observe(now model.Instant, s *service, t *target, host int32, m *proto.SlotDone, own bool) {
+func (o *Owner) observe(now model.Instant, s *service, t *target, host int32, m *proto.SlotDone, own bool, at model.Instant) {
 	if m.Attempt.Incarnation != t.incarnation {
-		if own && m.Attempt.End == model.AttemptBroken && m.Attempt.Incarnation < t.incarnation {
+		if (own || m.Slot != 0) && m.Attempt.End == model.AttemptBroken && m.Attempt.Incarnation < t.incarnation {
 			o.addCrash(now, s, m.Workspace, m.Fingerprint)
 		}
 		return
@@ -53,7 +73,7 @@
 		// The response came from the target, so the host's connection is not in question.
 		t.stats.addError(1)
 	case model.AttemptBroken:
-		o.observeBroken(now, s, t, host, m, own)
+		o.observeBroken(now, s, t, host, m, at)
 	case model.AttemptNotSent:
 		t.stats.addError(s.errorWeight(t, host))
 		t.refusedAt = now
@@ -71,15 +91,16 @@
 }
 
 // observeBroken keeps a broken attempt until it is known whether it was a crash.
-func (o *Owner) observeBroken(now model.Instant, s *service, t *target, host int32, m *proto.SlotDone, own bool) {
+func (o *Owner) observeBroken(now model.Instant, s *service, t *target, host int32, m *proto.SlotDone, at model.Instant) {
 	weight := s.errorWeight(t, host)
 	t.stats.addError(weight)
-	if !own && s.hasBroken(t, host, m) {
+	if m.Slot == 0 && s.hasBroken(t, host, m) {
 		// A repeat of a report that has no slot here to tell it by.
 		return
 	}
 	s.broken = append(s.broken, brokenAttempt{
-		target: t, host: host, weight: weight, workspace: m.Workspace, fingerprint: m.Fingerprint, at: now,
+		target: t, incarnation: m.Attempt.Incarnation, host: host, weight: weight,
+		workspace: m.Workspace, fingerprint: m.Fingerprint, at: at, until: now.Add(o.tune.CrashWindow),
 	})
 	// Reports of different hosts may arrive out of order.
 	if t.refusedAt != 0 && now.Sub(t.refusedAt) <= reportSkew {
--- a/internal/pool/eject.go
+++ b/internal/pool/eject.go
@@ -136,24 +136,33 @@
 // eject takes a target out of service unless the remaining capacity would fall
 // below the floor; then it stays as a last resort.
 func (o *Owner) eject(now model.Instant, s *service, t *target, reason string, severity float64) {
-	announced, healthy := s.capacity()
 	t.reason = reason
 	t.severity = severity
-	if float64(healthy-t.slots) < s.floor*float64(announced)-floorSlack {
+	if !s.mayEject(t) {
 		t.denied = true
 		return
 	}
+	t.ejections++
+	wait := o.backoff(t.ejections)
+	t.takeOut(now, now.Add(wait))
+	s.version++
+	o.emit(Ejected{Service: s.name, Target: t.id, Reason: reason, For: wait})
+}
+
+// mayEject reports whether the floor allows to eject a target in service.
+func (s *service) mayEject(t *target) bool {
+	announced, healthy := s.capacity()
+	return float64(healthy-t.slots) >= s.floor*float64(announced)-floorSlack
+}
+
+func (t *target) takeOut(now, until model.Instant) {
 	t.ejected = true
 	t.denied = false
-	t.ejections++
 	t.ejectedAt = now
 	t.changed = now
 	t.probed = false
 	t.postponed = 0
-	wait := o.backoff(t.ejections)
-	t.until = now.Add(wait)
-	s.version++
-	o.emit(Ejected{Service: s.name, Target: t.id, Reason: reason, For: wait})
+	t.until = until
 }
 
 // backoff doubles with each ejection, with a quarter of jitter in each direction.
@@ -199,16 +208,22 @@
 			t.postponed++
 			t.until = now.Add(postponeBy)
 			t.probed = false
+			s.version++
 			continue
 		}
-		o.restore(s, t)
-		t.probation = true
-		t.cold = true
-		t.rampFrom = now
-		t.changed = now
+		o.takeBack(now, s, t)
 	}
 }
 
+// takeBack restores a target on probation, with a slow start.
+func (o *Owner) takeBack(now model.Instant, s *service, t *target) {
+	o.restore(s, t)
+	t.probation = true
+	t.cold = true
+	t.rampFrom = now
+	t.changed = now
+}
+
 // keepFloor returns the least severe ejected targets early when the floor is
 // not met any more, because other targets left or came back.
 func (o *Owner) keepFloor(s *service) {
--- a/internal/pool/local.go
+++ b/internal/pool/local.go
@@ -22,8 +22,14 @@
 	if s.queued == 0 {
 		return
 	}
+	for _, r := range s.waiting.items[s.waiting.head:] {
+		if !r.gone {
+			p.refuseQuarantined(now, s, r)
+		}
+	}
 	usable := p.localTargets(now, s)
 	if len(usable) == 0 {
+		p.sweep(s)
 		return
 	}
 	for _, r := range s.waiting.items[s.waiting.head:] {
@@ -46,7 +52,9 @@
 			continue
 		}
 		p.withdraw(now, r)
+		r.slot = localSlot | r.nonce
 		p.assign(r, v.Target, v.Addr, v.Incarnation, true)
+		p.reportAgain(s)
 	}
 	p.sweep(s)
 }
--- a/internal/pool/news.go
+++ b/internal/pool/news.go
@@ -55,7 +55,7 @@
 }
 
 // setOwners replaces the table of owners. A new owner learns the recent
-// announcements and the waiting requests at once.
+// announcements at once, and the waiting requests when it is ready.
 func (p *Picker) setOwners(now model.Instant, owners []proto.Owner) {
 	next := make(map[model.ShardID]proto.Owner, len(owners))
 	for _, o := range owners {
@@ -65,7 +65,9 @@
 		next[o.Shard] = o
 	}
 	p.owners = next
+	p.setReports(now, owners)
 	for _, s := range p.ordered {
+		s.report = p.report(s.shard)
 		if o := next[s.shard]; o != s.owner {
 			p.changeOwner(now, s, o)
 		}
@@ -86,10 +88,5 @@
 			p.send(o.Host, proto.TargetNews{Announcement: n.announcement})
 		}
 	}
-	for _, r := range s.waiting.items[s.waiting.head:] {
-		if !r.gone {
-			p.ask(now, r)
-		}
-	}
 	p.refreshView(now, s)
 }
--- a/internal/pool/owner.go
+++ b/internal/pool/owner.go
@@ -14,6 +14,8 @@
 	epoch  model.Epoch
 	until  model.Instant
 	gained model.Instant
+	// restore is never nil.
+	restore *restore
 }
 
 // Owner decides for the services of the shards that this host owns. Sends to
@@ -32,8 +34,13 @@
 	// hostIndex numbers entry hosts in the order in which they were first seen.
 	hostIndex map[model.HostID]int32
 	hostNames []model.HostID
-	serial    uint64
-	out       []Effect
+	// live holds the live entry hosts in order, once liveKnown is set.
+	live      []model.HostID
+	liveKnown bool
+	// restores holds those of all tenures, in the order in which they began.
+	restores []*restore
+	serial   uint64
+	out      []Effect
 }
 
 // NewOwner returns an owner core that owns no shard.
@@ -67,6 +74,8 @@
 		o.renew(ev)
 	case Lost:
 		o.lose(ev.Shard)
+	case HostsChanged:
+		o.setHosts(now, ev.Hosts)
 	case HostGone:
 		o.hostGone(now, ev.Host)
 	case Probed:
@@ -89,6 +98,8 @@
 		o.probed(now, m)
 	case proto.ViewAsk:
 		o.view(now, from, m)
+	case proto.RestoreReport:
+		o.report(now, from, &m)
 	case proto.QuarantineClear:
 		o.clearQuarantine(now, m)
 	}
@@ -111,7 +122,10 @@
 		o.renew(Renewed(ev))
 		return
 	}
-	o.tenures[ev.Shard] = tenure{epoch: ev.Epoch, until: ev.Until, gained: now}
+	r := &restore{shard: ev.Shard, until: now.Add(o.tune.RestoreWait)}
+	o.tenures[ev.Shard] = tenure{epoch: ev.Epoch, until: ev.Until, gained: now, restore: r}
+	o.restores = append(o.restores, r)
+	o.finishRestore(now, r)
 }
 
 func (o *Owner) renew(ev Renewed) {
@@ -126,6 +140,7 @@
 // lose drops the state of a shard and sends those who wait to the next owner.
 func (o *Owner) lose(shard model.ShardID) {
 	delete(o.tenures, shard)
+	o.restores = slices.DeleteFunc(o.restores, func(r *restore) bool { return r.shard == shard })
 	kept := o.ordered[:0]
 	for _, s := range o.ordered {
 		if s.shard != shard {
@@ -186,6 +201,9 @@
 }
 
 func (o *Owner) tick(now model.Instant) {
+	for _, r := range o.restores {
+		o.finishRestore(now, r)
+	}
 	for _, s := range o.ordered {
 		if now >= o.tenures[s.shard].until {
 			continue
@@ -193,6 +211,7 @@
 		o.ageTargets(now, s)
 		o.expireSlots(now, s)
 		o.expireBroken(now, s)
+		o.expireEnded(now, s)
 		o.expireQuarantine(now, s)
 		o.evaluate(now, s)
 		o.returnTargets(now, s)
--- a/internal/pool/owner_test.go
+++ b/internal/pool/owner_test.go
@@ -28,6 +28,7 @@
 		c(&cfg)
 	}
 	b.step(Configured{Config: cfg})
+	b.step(HostsChanged{})
 	b.step(Gained{Shard: testShard(), Epoch: 1, Until: 1 << 60})
 	for i := range targets {
 		b.announce(i, 1, model.TargetReady)
--- a/internal/pool/picker.go
+++ b/internal/pool/picker.go
@@ -18,10 +18,16 @@
 	tune Tuning
 	rng  *rand.Rand
 	cfg  model.Config
-	// nonce starts at a random number, so that queries of a restarted host
-	// are not taken for repeats of earlier ones.
-	nonce    uint64
-	owners   map[model.ShardID]proto.Owner
+	// nonce starts at a number that depends on the random source and the
+	// incarnation, so that queries and local choices of a restarted host are
+	// not taken for repeats of earlier ones.
+	nonce       uint64
+	incarnation model.Incarnation
+	owners      map[model.ShardID]proto.Owner
+	// reports holds one entry for each owned service shard, ordered by shard.
+	reports []*report
+	// serial numbers restore reports.
+	serial   uint64
 	services map[model.ServiceName]*access
 	// ordered lists services by name, so that ticks are deterministic.
 	ordered  []*access
@@ -54,10 +60,14 @@
 	tries    int
 	assigned bool
 	// paidRetry is set when a local retry was taken from the budget.
-	paidRetry   bool
-	slot        uint64
+	paidRetry bool
+	slot      uint64
+	// epoch is that of the owner that assigned the target, or 0 for a local choice.
+	epoch       model.Epoch
 	target      model.TargetID
 	incarnation model.Incarnation
+	// place is the index of an assigned request in access.held.
+	place int
 	// gone marks a request that does not wait any more, linked one that is
 	// still stored in the queue, and ended one that the picker forgot.
 	gone   bool
@@ -71,6 +81,8 @@
 	shard model.ShardID
 	// owner is empty while the service has none.
 	owner proto.Owner
+	// report is that of the shard, or nil without an owner.
+	report *report
 	// disowned is set when the host that should own the service said it does not.
 	disowned bool
 	// unanswered is when the first query since the owner was last heard was sent, or 0.
@@ -78,11 +90,19 @@
 	asked      model.Instant
 	used       model.Instant
 
-	view   []proto.TargetView
-	digest uint64
+	// view and quarantine are those of viewEpoch and digest, received at viewTaken.
+	view       []proto.TargetView
+	quarantine []quarantined
+	viewEpoch  model.Epoch
+	digest     uint64
+	viewTaken  model.Instant
 	// viewAt is when the owner last confirmed the view, or 0.
 	viewAt model.Instant
 	news   []news
+	// held holds the requests that have a target; its order follows no rule.
+	held []*request
+	// broken holds the broken attempts of the last RestoreMemory.
+	broken []brokenReport
 	// running counts this host's own attempts by target.
 	running map[model.TargetID]int
 	// inFlight is the sum of running, usual its decayed mean while the service had an owner.
@@ -105,20 +125,28 @@
 func NewPicker(self model.HostID, zone model.ZoneName, opts ...Option) *Picker {
 	s := newSettings(opts)
 	return &Picker{
-		self:      self,
-		zone:      zone,
-		tune:      s.tune,
-		rng:       s.rng,
-		cfg:       model.NewConfig(nil, nil),
-		nonce:     s.rng.Uint64() >> 1,
-		owners:    map[model.ShardID]proto.Owner{},
-		services:  map[model.ServiceName]*access{},
-		requests:  map[model.RequestID]*request{},
-		byNonce:   map[uint64]*request{},
-		withdrawn: map[uint64]model.ServiceName{},
+		self:        self,
+		zone:        zone,
+		tune:        s.tune,
+		rng:         s.rng,
+		cfg:         model.NewConfig(nil, nil),
+		nonce:       firstNonce(s.rng.Uint64(), s.incarnation),
+		incarnation: s.incarnation,
+		owners:      map[model.ShardID]proto.Owner{},
+		services:    map[model.ServiceName]*access{},
+		requests:    map[model.RequestID]*request{},
+		byNonce:     map[uint64]*request{},
+		withdrawn:   map[uint64]model.ServiceName{},
 	}
 }
 
+// firstNonce spreads the first nonces of the runs of a host, whose incarnations
+// may be consecutive numbers, over 63 bits.
+func firstNonce(random uint64, run model.Incarnation) uint64 {
+	const spread = 0x9e3779b97f4a7c15 // odd, so that no two incarnations share a product
+	return (random ^ uint64(run)*spread) >> 1
+}
+
 // Step applies one event. The returned slice is valid until the next call.
 func (p *Picker) Step(now model.Instant, ev Event) []Effect {
 	clear(p.out)
@@ -158,6 +186,8 @@
 		p.reply(now, from, m)
 	case proto.ViewReply:
 		p.takeView(now, from, m)
+	case proto.RestoreAck:
+		p.restoreAck(now, from, m)
 	}
 }
 
@@ -167,7 +197,10 @@
 		return s
 	}
 	shard := model.ServiceShard(name)
-	s = &access{name: name, shard: shard, owner: p.owners[shard], running: map[model.TargetID]int{}, retryTokens: p.tune.RetryBurst / 2}
+	s = &access{
+		name: name, shard: shard, owner: p.owners[shard], report: p.report(shard),
+		running: map[model.TargetID]int{}, retryTokens: p.tune.RetryBurst / 2,
+	}
 	p.services[name] = s
 	at, _ := slices.BinarySearchFunc(p.ordered, s, func(a, b *access) int {
 		return strings.Compare(string(a.name), string(b.name))
@@ -201,7 +234,9 @@
 	s.waiting.push(r)
 	s.queued++
 	if s.hasOwner(now, &p.tune) {
-		p.ask(now, r)
+		if s.report.asks(now, &p.tune) {
+			p.ask(now, r)
+		}
 		return
 	}
 	p.serveLocally(now, s)
@@ -266,9 +301,15 @@
 	}
 	switch m.Status {
 	case proto.SlotAssigned:
+		if m.Epoch < s.owner.Epoch {
+			// The report to the present owner does not contain this slot.
+			p.send(from, proto.SlotCancel{Service: s.name, Nonce: m.Nonce})
+			return
+		}
 		p.leaveQueue(r)
 		p.dropGone(s)
 		r.slot = m.Slot
+		r.epoch = m.Epoch
 		p.assign(r, m.Target, m.Addr, m.Incarnation, false)
 	case proto.SlotNotOwner:
 		if from == s.owner.Host {
@@ -288,6 +329,7 @@
 	r.incarnation = inc
 	r.access.running[id]++
 	r.access.inFlight++
+	r.access.hold(r)
 	p.emit(Assigned{Request: r.id, Target: id, Addr: addr, Incarnation: inc, Local: local})
 }
 
@@ -299,6 +341,7 @@
 		return
 	}
 	s := r.access
+	s.release(r)
 	s.inFlight--
 	if s.running[r.target]--; s.running[r.target] <= 0 {
 		delete(s.running, r.target)
@@ -306,6 +349,9 @@
 	a := ev.Attempt
 	a.Target = r.target
 	a.Incarnation = r.incarnation
+	if a.End == model.AttemptBroken {
+		s.noteBroken(now, r)
+	}
 	if s.owner.Host != "" {
 		p.send(s.owner.Host, proto.SlotDone{
 			Service: s.name, Slot: r.slot, Workspace: r.workspace, Fingerprint: r.fingerprint, Attempt: a,
@@ -423,8 +469,10 @@
 	for p.expiry.len() > 0 && p.expiry.peek().until < now {
 		delete(p.withdrawn, p.expiry.pop().nonce)
 	}
+	p.repeatReports(now)
 	for _, s := range p.ordered {
 		p.expireNews(now, s)
+		s.expireBroken(now, p.tune.RestoreMemory)
 		p.expireRequests(now, s)
 		if s.hasOwner(now, &p.tune) {
 			s.usual += usualWeight * (float64(s.inFlight) - s.usual)
@@ -448,14 +496,21 @@
 
 // refuse ends a waiting request without a target. The caller sweeps the queue afterwards.
 func (p *Picker) refuse(now model.Instant, r *request, status proto.SlotStatus) {
+	p.refuseFor(now, r, status, 0)
+}
+
+func (p *Picker) refuseFor(now model.Instant, r *request, status proto.SlotStatus, after time.Duration) {
 	p.withdraw(now, r)
 	delete(p.requests, r.id)
 	delete(p.byNonce, r.nonce)
 	r.ended = true
-	p.emit(Refused{Request: r.id, Status: status})
+	p.emit(Refused{Request: r.id, Status: status, RetryAfter: after})
 }
 
 func (p *Picker) repeat(now model.Instant, s *access) {
+	if !s.report.asks(now, &p.tune) {
+		return
+	}
 	for _, r := range s.waiting.items[s.waiting.head:] {
 		wait := p.tune.Repeat << min(max(0, r.tries-1), repeatLimit)
 		if !r.gone && (r.tries == 0 || now.Sub(r.asked) >= wait) {
@@ -470,7 +525,9 @@
 // refreshView asks for the list of targets. The query also tells whether the
 // owner still responds, since one that lets a request wait does not reply to it.
 func (p *Picker) refreshView(now model.Instant, s *access) {
-	if s.owner.Host == "" || s.used == 0 || now.Sub(s.used) > usedFor {
+	// A service with quarantined requests is kept up to date although unused, so
+	// that requests cleared by an operator are not reported to the next owner.
+	if s.owner.Host == "" || s.used == 0 || now.Sub(s.used) > usedFor && len(s.quarantine) == 0 {
 		return
 	}
 	every := p.tune.ViewEvery
@@ -491,9 +548,20 @@
 		return
 	}
 	s.disowned = false
+	if m.Digest == 0 || s.report != nil && !s.report.taken {
+		// The owner does not know yet what the last view says.
+		return
+	}
 	s.viewAt = now
-	if m.Digest != s.digest {
-		s.digest = m.Digest
-		s.view = m.Targets
+	if m.Digest == s.digest {
+		return
+	}
+	s.digest = m.Digest
+	s.view = m.Targets
+	s.viewEpoch = m.Epoch
+	s.viewTaken = now
+	s.quarantine = nil
+	for _, q := range m.Quarantined {
+		s.quarantine = append(s.quarantine, quarantined{workspace: q.Workspace, fingerprint: q.Fingerprint, until: now.Add(q.Left)})
 	}
 }
--- a/internal/pool/service.go
+++ b/internal/pool/service.go
@@ -30,7 +30,10 @@
 // slot is one slot in use.
 type slot struct {
 	askKey
-	id        uint64
+	id uint64
+	// restored is set for a slot that an earlier owner gave or the host chose
+	// itself. Its askKey then holds its number instead of the nonce of a query.
+	restored  bool
 	target    *target
 	workspace *workspace
 	start     model.Instant
@@ -66,9 +69,22 @@
 	// targetCount numbers targets in the order in which they were first announced.
 	targetCount uint
 	byTarget    map[model.TargetID]*target
-	// bySlot holds every slot in use, once.
-	bySlot map[uint64]*slot
-	byAsk  map[askKey]*slot
+	// bySlot and byAsk hold every slot in use that this owner gave, restored
+	// the others by host and number.
+	bySlot   map[uint64]*slot
+	byAsk    map[askKey]*slot
+	restored map[askKey]*slot
+	// ended holds the ends of slots that this owner did not give, endings in order.
+	ended   map[askKey]struct{}
+	endings fifo[endedSlot]
+	// viewEpoch and viewDigest are those of the newest view reported, whose
+	// ejections are tried until ejectionsUntil.
+	viewEpoch      model.Epoch
+	viewDigest     uint64
+	ejections      []restoredEjection
+	ejectionsUntil model.Instant
+	// cleared holds the workspaces whose quarantine an operator cleared here.
+	cleared []model.WorkspaceID
 	// waitingAsk holds every ask that waits and is not withdrawn.
 	waitingAsk map[askKey]*ask
 	workspaces []*workspace
@@ -177,8 +193,14 @@
 	}
 	l.workspace.inUse--
 	s.trust(l.host).inUse--
-	delete(s.bySlot, l.id)
-	delete(s.byAsk, l.askKey)
+	if l.restored {
+		t.restoredSlots--
+		t.restoredEnds++
+		delete(s.restored, l.askKey)
+	} else {
+		delete(s.bySlot, l.id)
+		delete(s.byAsk, l.askKey)
+	}
 	*l = slot{}
 	s.freeSlots = append(s.freeSlots, l)
 }
--- a/internal/pool/status.go
+++ b/internal/pool/status.go
@@ -20,7 +20,10 @@
 	// Slots is the announced limit, Limit the present one during a slow start, InUse counts over all hosts.
 	Slots int
 	Limit int
-	InUse int
+	// Restored is the part of InUse that another owner gave or hosts chose
+	// themselves; only with these may InUse exceed Slots.
+	InUse    int
+	Restored int
 	// Hosts counts the entry hosts the target is given to, HostLimit bounds them.
 	Hosts     int
 	HostLimit int
@@ -79,7 +82,9 @@
 	}
 	st.Announced, st.Healthy = s.capacity()
 	for _, t := range s.targets {
-		st.Targets = append(st.Targets, o.targetStatus(now, s, t))
+		if t.announced() {
+			st.Targets = append(st.Targets, o.targetStatus(now, s, t))
+		}
 	}
 	for _, w := range s.workspaces {
 		st.Workspaces = append(st.Workspaces, WorkspaceStatus{Workspace: w.id, InUse: w.inUse, Waiting: w.waiting})
@@ -97,7 +102,7 @@
 func (o *Owner) targetStatus(now model.Instant, s *service, t *target) TargetStatus {
 	st := TargetStatus{
 		Target: t.id, Addr: t.addr, Zone: t.zone, Incarnation: t.incarnation, State: t.state, Stale: t.stale,
-		Slots: t.slots, Limit: t.limit(now, &o.tune), InUse: len(t.busy),
+		Slots: t.slots, Limit: t.limit(now, &o.tune), InUse: len(t.busy), Restored: t.restoredSlots,
 		Hosts: t.givenTo, HostLimit: s.hostBudget(t),
 		Ejected: t.ejected, KeptByFloor: t.denied, Reason: t.reason, Ejections: t.ejections,
 		ErrorScore:   t.stats.errorScore / o.tune.ErrorLimit,
@@ -115,9 +120,15 @@
 	if s == nil {
 		return
 	}
-	reply := proto.ViewReply{Service: s.name, Epoch: s.tenure.epoch, Digest: s.digest()}
+	reply := proto.ViewReply{Service: s.name, Epoch: s.tenure.epoch}
+	if !s.tenure.restore.complete {
+		o.send(from, reply)
+		return
+	}
+	reply.Digest = s.digest()
 	if m.Digest != reply.Digest {
-		reply.Targets = s.views()
+		reply.Targets = s.views(now)
+		reply.Quarantined = listQuarantined(now, s.quarantine)
 	}
 	o.send(from, reply)
 }
@@ -129,14 +140,17 @@
 
 // views lists the targets that take work. It is never nil, so that an empty
 // list differs from an unchanged one where the encoding keeps the difference.
-func (s *service) views() []proto.TargetView {
+func (s *service) views(now model.Instant) []proto.TargetView {
 	list := make([]proto.TargetView, 0, len(s.targets))
 	for _, t := range s.targets {
-		if t.ready() {
-			list = append(list, proto.TargetView{
-				Target: t.id, Addr: t.addr, Zone: t.zone, Slots: t.slots, Incarnation: t.incarnation, Ejected: t.ejected,
-			})
+		if !t.ready() {
+			continue
+		}
+		v := proto.TargetView{Target: t.id, Addr: t.addr, Zone: t.zone, Slots: t.slots, Incarnation: t.incarnation, Ejected: t.ejected}
+		if t.ejected {
+			v.EjectedFor, v.Severity, v.Ejections = max(0, t.until.Sub(now)), t.severity, t.ejections
 		}
+		list = append(list, v)
 	}
 	return slices.Clip(list)
 }
--- a/internal/pool/target.go
+++ b/internal/pool/target.go
@@ -40,8 +40,12 @@
 	refusedBy int32
 	// lastPick is the number of the service's assignment that last gave this target.
 	lastPick uint64
-	// busy holds the slots in use; its length never exceeds slots as last announced when assigned.
+	// busy holds the slots in use. Its length never exceeds slots as last
+	// announced when one is assigned; restored slots may exceed it.
 	busy []*slot
+	// restoredSlots counts the slots in use that were restored, restoredEnds those that ended.
+	restoredSlots int
+	restoredEnds  int
 
 	// lastGiven holds, by host number, when the target was last given to that
 	// host, or neverGiven. givenTo counts the others.
@@ -73,6 +77,13 @@
 // ready reports whether the target says that it takes work.
 func (t *target) ready() bool { return t.state == model.TargetReady && !t.stale }
 
+// announced reports whether the target is more than a placeholder.
+func (t *target) announced() bool { return t.seen != 0 }
+
+// restoredRounds is the mean number of restored attempts that each of the
+// target's slots has begun, if the target has run as many at a time as it has slots.
+func (t *target) restoredRounds() float64 { return 1 + float64(t.restoredEnds)/float64(t.slots) }
+
 // usable reports whether the target may get new work.
 func (t *target) usable() bool { return t.ready() && !t.ejected }
 
@@ -143,26 +154,34 @@
 		return
 	}
 	if !ok {
-		s.targetCount++
-		t = &target{id: a.Target, number: s.targetCount, errorHost: noHost}
-		s.byTarget[a.Target] = t
-		at, _ := slices.BinarySearchFunc(s.targets, a.Target, compareTarget)
-		s.targets = slices.Insert(s.targets, at, t)
+		t = s.addTarget(a.Target)
 	}
-	if !ok || a.Incarnation > t.incarnation {
+	if !t.announced() || a.Incarnation > t.incarnation {
 		o.begin(now, s, t, a)
 	}
 	o.refresh(now, s, t, a)
+	o.adoptEjections(now, s)
 	o.keepFloor(s)
 	o.dispatch(now, s)
 }
 
+func (s *service) addTarget(id model.TargetID) *target {
+	s.targetCount++
+	t := &target{id: id, number: s.targetCount, errorHost: noHost}
+	s.byTarget[id] = t
+	at, _ := slices.BinarySearchFunc(s.targets, id, compareTarget)
+	s.targets = slices.Insert(s.targets, at, t)
+	return t
+}
+
 // begin starts a new incarnation of a target.
 func (o *Owner) begin(now model.Instant, s *service, t *target, a model.Announcement) {
 	restarted := t.incarnation != 0
 	t.incarnation = a.Incarnation
 	if restarted {
 		o.crashed(now, s, t, "")
+	} else {
+		o.crashedBefore(now, s, t)
 	}
 	if t.ejected {
 		o.restore(s, t)
@@ -199,7 +218,7 @@
 	changed := false
 	kept := s.targets[:0]
 	for _, t := range s.targets {
-		silent := now.Sub(t.seen)
+		silent := now.Sub(max(t.seen, t.since))
 		if silent > o.tune.RemoveAfter && len(t.busy) == 0 {
 			delete(s.byTarget, t.id)
 			changed = true
--- a/internal/pool/trust.go
+++ b/internal/pool/trust.go
@@ -71,7 +71,7 @@
 	for _, t := range s.targets {
 		for _, l := range t.busy {
 			h := s.trust(l.host)
-			if now.Sub(l.start) > least && l.start > h.answered {
+			if !l.restored && now.Sub(l.start) > least && l.start > h.answered {
 				h.late |= t.bit()
 			}
 		}
--- a/internal/pool/tuning.go
+++ b/internal/pool/tuning.go
@@ -3,6 +3,8 @@
 import (
 	"math/rand/v2"
 	"time"
+
+	"tarragongauge.example/tarragongauge/pkg/model"
 )
 
 // Tuning holds the durations, thresholds and shares of the target policy. The
@@ -75,6 +77,11 @@
 	Quarantine time.Duration
 	// CrashLimit is the number of crashes at which a fingerprint is refused.
 	CrashLimit int
+	// RestoreWait is how long a new owner waits for the reports of the live hosts before it assigns.
+	RestoreWait time.Duration
+	// RestoreMemory is how long a picker keeps broken attempts for a new owner,
+	// and an owner remembers the ends of slots that it did not give twice as long.
+	RestoreMemory time.Duration
 	// IdleConnection is how long an entry host is taken to keep connections to a target.
 	IdleConnection time.Duration
 
@@ -124,6 +131,8 @@
 		CrashWindow:    5 * time.Second,
 		Quarantine:     10 * time.Minute,
 		CrashLimit:     2,
+		RestoreWait:    250 * time.Millisecond,
+		RestoreMemory:  30 * time.Second,
 		IdleConnection: 90 * time.Second,
 
 		Repeat:       50 * time.Millisecond,
@@ -134,8 +143,9 @@
 }
 
 type settings struct {
-	tune Tuning
-	rng  *rand.Rand
+	tune        Tuning
+	rng         *rand.Rand
+	incarnation model.Incarnation
 }
 
 // Option changes a setting of an Owner or a Picker.
@@ -146,6 +156,12 @@
 	return func(s *settings) { s.tune = t }
 }
 
+// WithIncarnation sets the incarnation of the host's process, so that reports
+// of an earlier run are not taken for newer ones.
+func WithIncarnation(i model.Incarnation) Option {
+	return func(s *settings) { s.incarnation = i }
+}
+
 // WithSource replaces the random source. The runtime passes one seeded from
 // the system; the default is a fixed seed.
 func WithSource(src rand.Source) Option {
--- a/internal/proto/message.go
+++ b/internal/proto/message.go
@@ -308,12 +308,15 @@
 		Service model.ServiceName
 		Digest  uint64
 	}
-	// ViewReply answers ViewAsk; Targets is nil when the digests agree.
+	// ViewReply answers ViewAsk; Targets is nil when the digests agree. Digest
+	// is 0 while a new owner still reconstructs its state and has no view.
 	ViewReply struct {
 		Service model.ServiceName
 		Epoch   model.Epoch
 		Digest  uint64
 		Targets []TargetView
+		// Quarantined comes with Targets.
+		Quarantined []QuarantinedRequest
 	}
 )
 
@@ -345,6 +348,10 @@
 	Slots       int
 	Incarnation model.Incarnation
 	Ejected     bool
+	// EjectedFor, Severity and Ejections are set with Ejected; see EjectedTarget.
+	EjectedFor time.Duration
+	Severity   float64
+	Ejections  int
 }
 
 // Messages of order reservations, between entry hosts and journal hosts.
--- a/internal/trial/request.go
+++ b/internal/trial/request.go
@@ -80,7 +80,7 @@
 			w.finish(r, false)
 			return
 		}
-		w.start(r, t)
+		w.start(r, t, false)
 		return
 	}
 	w.stepPicker(r.host, pool.Wanted{
@@ -97,9 +97,10 @@
 	if e.Local {
 		w.Result.Local++
 	}
+	w.noteAssigned(r.service, e.Local)
 	for _, t := range r.service.targets {
 		if t.id == e.Target {
-			w.after(0, func() { w.start(r, t) })
+			w.after(0, func() { w.start(r, t, e.Local) })
 		}
 	}
 }
@@ -117,11 +118,11 @@
 }
 
 // start sends an attempt to a target and ends it at the deadline.
-func (w *World) start(r *request, t *target) {
+func (w *World) start(r *request, t *target, local bool) {
 	if r.done || r.host.dead {
 		return
 	}
-	a := &attempt{request: r, target: t, begun: w.now, run: t.incarnation}
+	a := &attempt{request: r, target: t, begun: w.now, run: t.incarnation, local: local}
 	r.current = a
 	r.attempts++
 	r.tried = append(r.tried, t.id)
--- a/internal/trial/result.go
+++ b/internal/trial/result.go
@@ -37,6 +37,8 @@
 	FalseReasons []string
 	Violations   []string
 
+	Recovery Recovery
+
 	byWorkspace [workspaces]served
 	hostVotes   map[*target]int
 }
--- a/internal/trial/scenario.go
+++ b/internal/trial/scenario.go
@@ -66,6 +66,11 @@
 			w.At(faultAt, w.LoseOwner)
 			w.At(faultAt+6*time.Second, w.LoseOwner)
 		}},
+		{Name: "ejected, owner lost twice", Detect: true, Until: faultAt + 13*time.Second, setup: func(w *World) {
+			one(func(t *target) { t.slow = 10 })(w)
+			w.At(faultAt+2*time.Second, w.LoseOwner)
+			w.At(faultAt+6*time.Second, w.LoseOwner)
+		}},
 		{Name: "target leaves", setup: func(w *World) {
 			w.At(faultAt, func() { w.each(func(s *service) { s.targets[0].leave() }) })
 		}},
--- a/internal/trial/target.go
+++ b/internal/trial/target.go
@@ -47,6 +47,8 @@
 	run     model.Incarnation
 	begun   model.Instant
 	ended   bool
+	// local is set if the entry host placed it without the owner.
+	local bool
 }
 
 func (t *target) announceLoop() {
@@ -92,6 +94,7 @@
 		w.Result.violate("%s: new work %v after leaving", t.id, w.now.Sub(t.left))
 	}
 	t.started++
+	w.noteHeld(a, len(t.running)+len(t.waiting)+1)
 	if len(t.running) < slots {
 		t.run(a)
 		return
--- a/internal/trial/targets_test.go
+++ b/internal/trial/targets_test.go
@@ -50,6 +50,7 @@
 		{scenario: "entry host hangs", success: 0.95, refused: 0.1, attempts: 1.01},
 		{scenario: "owner lost", success: 0.999, attempts: 1.02, refused: 0.001},
 		{scenario: "owner lost twice, x10", median: 3 * second, worst: 5 * second, success: 0.998, attempts: 1.02, refused: 0.001},
+		{scenario: "ejected, owner lost twice", median: second, worst: 3 * second, success: 0.998, attempts: 1.02, refused: 0.001},
 		{scenario: "target leaves", success: 0.998, attempts: 1.01},
 	}
 	scenarios := Scenarios()
--- a/internal/wire/binding.go
+++ b/internal/wire/binding.go
@@ -54,6 +54,7 @@
 	all = append(all, freshBindings()...)
 	all = append(all, leaseBindings()...)
 	all = append(all, poolBindings()...)
+	all = append(all, restoreBindings()...)
 	all = append(all, orderBindings()...)
 	return append(all, reportBindings()...)
 }
--- a/internal/wire/pool.go
+++ b/internal/wire/pool.go
@@ -84,6 +84,9 @@
 	Slots       int               `cbor:"4,keyasint"`
 	Incarnation model.Incarnation `cbor:"5,keyasint"`
 	Ejected     bool              `cbor:"6,keyasint,omitempty"`
+	EjectedFor  time.Duration     `cbor:"7,keyasint,omitempty"`
+	Severity    float64           `cbor:"8,keyasint,omitempty"`
+	Ejections   int               `cbor:"9,keyasint,omitempty"`
 }
 
 type viewReply struct {
@@ -91,6 +94,8 @@
 	Epoch   model.Epoch       `cbor:"2,keyasint"`
 	Digest  uint64            `cbor:"3,keyasint"`
 	Targets []targetView      `cbor:"4,keyasint"`
+	// Quarantined has no omitempty, which would turn an empty list into none.
+	Quarantined []quarantinedRequest `cbor:"5,keyasint"`
 }
 
 func poolBindings() []binding {
@@ -128,9 +133,17 @@
 }
 
 func toViewReply(m proto.ViewReply) viewReply {
-	return viewReply{Service: m.Service, Epoch: m.Epoch, Digest: m.Digest, Targets: convert(m.Targets, func(t proto.TargetView) targetView { return targetView(t) })}
+	return viewReply{
+		Service: m.Service, Epoch: m.Epoch, Digest: m.Digest,
+		Targets:     convert(m.Targets, func(t proto.TargetView) targetView { return targetView(t) }),
+		Quarantined: convert(m.Quarantined, toQuarantined),
+	}
 }
 
 func fromViewReply(d viewReply) proto.ViewReply {
-	return proto.ViewReply{Service: d.Service, Epoch: d.Epoch, Digest: d.Digest, Targets: convert(d.Targets, func(t targetView) proto.TargetView { return proto.TargetView(t) })}
+	return proto.ViewReply{
+		Service: d.Service, Epoch: d.Epoch, Digest: d.Digest,
+		Targets:     convert(d.Targets, func(t targetView) proto.TargetView { return proto.TargetView(t) }),
+		Quarantined: convert(d.Quarantined, fromQuarantined),
+	}
 }
--- /dev/null
+++ b/internal/wire/restore.go
@@ -0,0 +1,116 @@
+package wire
+
+import (
+	"time"
+
+	"tarragongauge.example/tarragongauge/internal/proto"
+	"tarragongauge.example/tarragongauge/pkg/model"
+)
+
+type restoreReport struct {
+	Shard       model.ShardID     `cbor:"1,keyasint"`
+	Epoch       model.Epoch       `cbor:"2,keyasint"`
+	Incarnation model.Incarnation `cbor:"3,keyasint"`
+	Serial      uint64            `cbor:"4,keyasint"`
+	Services    []restoreService  `cbor:"5,keyasint"`
+}
+
+type restoreAck struct {
+	Shard  model.ShardID `cbor:"1,keyasint"`
+	Epoch  model.Epoch   `cbor:"2,keyasint"`
+	Serial uint64        `cbor:"3,keyasint"`
+	Ready  bool          `cbor:"4,keyasint"`
+}
+
+type restoreService struct {
+	Service     model.ServiceName    `cbor:"1,keyasint"`
+	Slots       []heldSlot           `cbor:"2,keyasint"`
+	Broken      []brokenAttempt      `cbor:"3,keyasint"`
+	ViewEpoch   model.Epoch          `cbor:"4,keyasint"`
+	ViewDigest  uint64               `cbor:"5,keyasint"`
+	Ejected     []ejectedTarget      `cbor:"6,keyasint"`
+	Quarantined []quarantinedRequest `cbor:"7,keyasint"`
+}
+
+type heldSlot struct {
+	Slot        uint64            `cbor:"1,keyasint"`
+	Target      model.TargetID    `cbor:"2,keyasint"`
+	Incarnation model.Incarnation `cbor:"3,keyasint"`
+	Workspace   model.WorkspaceID `cbor:"4,keyasint"`
+	Fingerprint model.Fingerprint `cbor:"5,keyasint"`
+	Left        time.Duration     `cbor:"6,keyasint"`
+}
+
+type brokenAttempt struct {
+	Slot        uint64            `cbor:"1,keyasint"`
+	Target      model.TargetID    `cbor:"2,keyasint"`
+	Incarnation model.Incarnation `cbor:"3,keyasint"`
+	Workspace   model.WorkspaceID `cbor:"4,keyasint"`
+	Fingerprint model.Fingerprint `cbor:"5,keyasint"`
+	Age         time.Duration     `cbor:"6,keyasint"`
+}
+
+type ejectedTarget struct {
+	Target      model.TargetID    `cbor:"1,keyasint"`
+	Incarnation model.Incarnation `cbor:"2,keyasint"`
+	Left        time.Duration     `cbor:"3,keyasint"`
+	Severity    float64           `cbor:"4,keyasint"`
+	Count       int               `cbor:"5,keyasint"`
+}
+
+type quarantinedRequest struct {
+	Workspace   model.WorkspaceID `cbor:"1,keyasint"`
+	Fingerprint model.Fingerprint `cbor:"2,keyasint"`
+	Left        time.Duration     `cbor:"3,keyasint"`
+}
+
+func restoreBindings() []binding {
+	return []binding{
+		plain(68, toRestoreReport, fromRestoreReport),
+		plain(69, func(m proto.RestoreAck) restoreAck { return restoreAck(m) }, func(d restoreAck) proto.RestoreAck { return proto.RestoreAck(d) }),
+	}
+}
+
+func toRestoreReport(m proto.RestoreReport) restoreReport {
+	return restoreReport{
+		Shard: m.Shard, Epoch: m.Epoch, Incarnation: m.Incarnation, Serial: m.Serial,
+		Services: convert(m.Services, toRestoreService),
+	}
+}
+
+func fromRestoreReport(d restoreReport) proto.RestoreReport {
+	return proto.RestoreReport{
+		Shard: d.Shard, Epoch: d.Epoch, Incarnation: d.Incarnation, Serial: d.Serial,
+		Services: convert(d.Services, fromRestoreService),
+	}
+}
+
+func toRestoreService(m proto.RestoreService) restoreService {
+	return restoreService{
+		Service:     m.Service,
+		Slots:       convert(m.Slots, func(x proto.HeldSlot) heldSlot { return heldSlot(x) }),
+		Broken:      convert(m.Broken, func(x proto.BrokenAttempt) brokenAttempt { return brokenAttempt(x) }),
+		ViewEpoch:   m.ViewEpoch,
+		ViewDigest:  m.ViewDigest,
+		Ejected:     convert(m.Ejected, func(x proto.EjectedTarget) ejectedTarget { return ejectedTarget(x) }),
+		Quarantined: convert(m.Quarantined, toQuarantined),
+	}
+}
+
+func fromRestoreService(d restoreService) proto.RestoreService {
+	return proto.RestoreService{
+		Service:     d.Service,
+		Slots:       convert(d.Slots, func(x heldSlot) proto.HeldSlot { return proto.HeldSlot(x) }),
+		Broken:      convert(d.Broken, func(x brokenAttempt) proto.BrokenAttempt { return proto.BrokenAttempt(x) }),
+		ViewEpoch:   d.ViewEpoch,
+		ViewDigest:  d.ViewDigest,
+		Ejected:     convert(d.Ejected, func(x ejectedTarget) proto.EjectedTarget { return proto.EjectedTarget(x) }),
+		Quarantined: convert(d.Quarantined, fromQuarantined),
+	}
+}
+
+func toQuarantined(x proto.QuarantinedRequest) quarantinedRequest { return quarantinedRequest(x) }
+
+func fromQuarantined(x quarantinedRequest) proto.QuarantinedRequest {
+	return proto.QuarantinedRequest(x)
+}
