--- a/internal/trial/recovery.go
+++ b/internal/trial/recovery.go
@@ -20,11 +20,15 @@
 	// Out holds, for each loss and each target ejected before it, the time until
 	// the new owner has ejected it.
 	Out []time.Duration
+	// AtEjected counts the requests that a new owner placed at targets that were
+	// ejected before the loss.
+	AtEjected int
 
 	lost     model.Instant
 	last     map[*service]model.Instant
 	resumed  map[*service]bool
 	expected map[model.TargetID]bool
+	ejected  map[model.TargetID]bool
 }
 
 // recoveryWindow is the time after a loss in which figures of recovery are taken.
@@ -42,9 +46,11 @@
 	r.last = map[*service]model.Instant{}
 	r.resumed = map[*service]bool{}
 	r.expected = map[model.TargetID]bool{}
+	r.ejected = map[model.TargetID]bool{}
 	for _, s := range w.owner.core.Status(w.now) {
 		for _, t := range s.Targets {
 			r.expected[t.Target] = t.Ejected
+			r.ejected[t.Target] = t.Ejected
 		}
 	}
 }
@@ -70,6 +76,9 @@
 	r.MostHeld = max(r.MostHeld, held)
 	if !a.local && a.begun > r.lost {
 		r.MostPlaced = max(r.MostPlaced, held)
+		if r.ejected[a.target.id] {
+			r.AtEjected++
+		}
 	}
 }
 
--- a/internal/trial/recovery_test.go
+++ b/internal/trial/recovery_test.go
@@ -19,25 +19,20 @@
 			if !strings.Contains(sc.Name, "owner lost") {
 				continue
 			}
-			var held, placed, wrong []int
+			var held, placed, wrong, bad []int
 			var pause, resumed, out []time.Duration
-			missing := 0
 			for _, w := range run(t, dep, sc, PolicyOwner) {
 				r := &w.Result.Recovery
 				held = append(held, r.MostHeld)
 				placed = append(placed, r.MostPlaced)
 				wrong = append(wrong, w.Result.False)
+				bad = append(bad, r.AtEjected)
 				pause = append(pause, r.Pause)
 				resumed = append(resumed, r.Resumed...)
 				out = append(out, r.Out...)
-				for _, ejected := range r.expected {
-					if ejected {
-						missing++
-					}
-				}
 			}
-			fmt.Printf("%s, %s: most requests at a target %s, found by an owner's %s, pause %s, owner assigns again %s, ejected again %s (%d, not within %s: %d after the last loss), false ejections %v\n",
-				dep.Name, sc.Name, spread(held), spread(placed), spread(pause), spread(resumed), spread(out), len(out), recoveryWindow, missing, wrong)
+			fmt.Printf("%s, %s: most requests at a target %s, found by an owner's %s, pause %s, owner assigns again %s, ejected again %s (%d times), placed there meanwhile %s, false ejections %s\n",
+				dep.Name, sc.Name, spread(held), spread(placed), spread(pause), spread(resumed), spread(out), len(out), spread(bad), spread(wrong))
 		}
 	}
 }
