--- /dev/null
+++ b/internal/trial/neighbor_test.go
@@ -0,0 +1,78 @@
+package trial
+
+import (
+	"fmt"
+	"os"
+	"testing"
+	"time"
+
+	"github.com/alitto/pond/v2"
+	"github.com/stretchr/testify/require"
+)
+
+const (
+	// neighborSeeds runs of neighborTime give the smallest workspace about 18,000
+	// requests; with five runs of 6 s its p99 varies by a tenth.
+	neighborSeeds = 20
+	neighborTime  = time.Minute
+)
+
+// Prints the p99 of each workspace with and without another that sends 8 times
+// its rate; set TRIAL_TABLE to print it.
+func TestNeighborTable(t *testing.T) {
+	if os.Getenv(tableVar) == "" {
+		t.Skip("prints measurements; set " + tableVar)
+	}
+	for _, dep := range Deployments() {
+		var alone [workspaces]time.Duration
+		for _, name := range []string{"quiet", "one workspace x8"} {
+			worst, all, pooled := neighborRuns(t, dep, name)
+			fmt.Printf("%s, %s: worst-served workspace by run %s, all %v", dep.Name, name, spread(worst), all.Round(time.Millisecond/10))
+			for ws, p := range pooled {
+				if ws != loud {
+					fmt.Printf(", w%d %v", ws, p.Round(time.Millisecond/10))
+				}
+				if ws != loud && alone[ws] != 0 {
+					fmt.Printf(" (%+.1f %%)", 100*(float64(p)/float64(alone[ws])-1))
+				}
+			}
+			fmt.Println()
+			alone = pooled
+		}
+	}
+}
+
+// neighborRuns returns the p99 of the worst-served workspace of each run, of all
+// requests, and of each workspace over all runs, without the loud one.
+func neighborRuns(t *testing.T, dep Deployment, name string) (worst []time.Duration, all time.Duration, pooled [workspaces]time.Duration) {
+	workers := pond.NewPool(seeds)
+	defer workers.StopAndWait()
+	group := workers.NewGroup()
+	runs := make([]*World, neighborSeeds)
+	for _, sc := range Scenarios() {
+		if sc.Name != name {
+			continue
+		}
+		sc.Until = faultAt + neighborTime
+		for i := range runs {
+			group.Submit(func() { runs[i] = Measure(dep, sc, PolicyOwner, uint64(i+1)) })
+		}
+	}
+	require.NoError(t, group.Wait())
+	var every []time.Duration
+	var each [workspaces][]time.Duration
+	for _, w := range runs {
+		_, p99 := w.Result.Worst(loud)
+		worst = append(worst, p99)
+		for ws := range workspaces {
+			if ws != loud {
+				each[ws] = append(each[ws], w.Result.byWorkspace[ws].latencies...)
+				every = append(every, w.Result.byWorkspace[ws].latencies...)
+			}
+		}
+	}
+	for ws := range workspaces {
+		pooled[ws] = percentile99(each[ws])
+	}
+	return worst, percentile99(every), pooled
+}
--- a/internal/trial/result.go
+++ b/internal/trial/result.go
@@ -138,7 +138,7 @@
 	for _, s := range r.byWorkspace {
 		all = append(all, s.latencies...)
 	}
-	return percentile(all, 0.99)
+	return percentile99(all)
 }
 
 // Worst returns the success and p99 of the worst-served workspace but the excluded one.
@@ -149,16 +149,16 @@
 			continue
 		}
 		success = min(success, float64(s.ok)/float64(s.ok+s.failed))
-		p99 = max(p99, percentile(s.latencies, 0.99))
+		p99 = max(p99, percentile99(s.latencies))
 	}
 	return success, p99
 }
 
-func percentile(x []time.Duration, q float64) time.Duration {
+func percentile99(x []time.Duration) time.Duration {
 	if len(x) == 0 {
 		return 0
 	}
 	x = slices.Clone(x)
 	slices.Sort(x)
-	return x[min(len(x)-1, int(q*float64(len(x))))]
+	return x[min(len(x)-1, int(0.99*float64(len(x))))]
 }
