--- a/internal/wire/binding.go
+++ b/internal/wire/binding.go
@@ -56,6 +56,7 @@
 	all = append(all, leaseBindings()...)
 	all = append(all, standbyBindings()...)
 	all = append(all, poolBindings()...)
+	all = append(all, restoreBindings()...)
 	all = append(all, orderBindings()...)
 	all = append(all, formBindings()...)
 	return append(all, reportBindings()...)
