Record ejections, detection times and unconfirmed ejections

Cause: the burn report has had the table since it was added, but owners did not record anything. Change: an Ejected effect carries its cause and its detection time, counted from when evidence first exceeded a tenth of the limit, for a crash from the broken attempt. A target that ends its slow start after an ejection without a further failure is Unconfirmed. The owner's host records both.

--- a/internal/node/effects.go
+++ b/internal/node/effects.go
@@ -190,7 +190,10 @@
 	case pool.Probe:
 		h.prober.start(f)
 	case pool.Ejected:
-		h.log.Info("target ejected", "service", f.Service, "target", f.Target, "reason", f.Reason, "for", f.For.String())
+		h.burn.RecordEjection(f.Service, f.Cause, f.After)
+		h.log.Info("target ejected", "service", f.Service, "target", f.Target, "cause", f.Cause.String(), "reason", f.Reason, "after", f.After.String(), "for", f.For.String())
+	case pool.Unconfirmed:
+		h.burn.RecordUnconfirmed(f.Service)
 	case pool.Returned:
 		h.log.Info("target returned", "service", f.Service, "target", f.Target)
 	case pool.Quarantined:
--- a/internal/pool/api.go
+++ b/internal/pool/api.go
@@ -103,7 +103,10 @@
 	Ejected struct {
 		Service model.ServiceName
 		Target  model.TargetID
+		Cause   model.EjectionCause
 		Reason  string
+		// After is the detection time, from the first evidence of this failure.
+		After time.Duration
 		// For is the time until the target is tried again.
 		For time.Duration
 	}
@@ -112,6 +115,12 @@
 		Service model.ServiceName
 		Target  model.TargetID
 	}
+	// Unconfirmed reports a target that takes its full share of the traffic
+	// again after an ejection, without a further failure.
+	Unconfirmed struct {
+		Service model.ServiceName
+		Target  model.TargetID
+	}
 	// Quarantined reports a fingerprint that is refused from now on.
 	Quarantined struct {
 		Service     model.ServiceName
@@ -147,4 +156,5 @@
 func (Probe) isEffect()       {}
 func (Ejected) isEffect()     {}
 func (Returned) isEffect()    {}
+func (Unconfirmed) isEffect() {}
 func (Quarantined) isEffect() {}
--- a/internal/pool/crash.go
+++ b/internal/pool/crash.go
@@ -65,14 +65,14 @@
 // counting as evidence of a gray failure and count against their fingerprints.
 // With a reason the target is ejected until it announces a new incarnation.
 func (o *Owner) crashed(now model.Instant, s *service, t *target, reason string) {
-	found := false
+	found, since := false, now
 	kept := s.broken[:0]
 	for _, b := range s.broken {
 		if b.target != t || now > b.until {
 			kept = append(kept, b)
 			continue
 		}
-		found = true
+		found, since = true, min(since, b.at)
 		if !b.uncounted {
 			t.stats.removeError(b.weight)
 		}
@@ -80,7 +80,7 @@
 	}
 	s.broken = kept
 	if found && reason != "" && !t.ejected && t.ready() {
-		o.eject(now, s, t, reason, crashSeverity)
+		o.eject(now, s, finding{target: t, excess: crashSeverity, cause: model.CauseCrash}, reason, since)
 	}
 }
 
--- a/internal/pool/eject.go
+++ b/internal/pool/eject.go
@@ -23,17 +23,12 @@
 	target *target
 	// excess is 1 at the limit.
 	excess float64
-	cause  cause
+	cause  model.EjectionCause
 }
 
-// cause is the kind of evidence behind a finding.
-type cause int
-
-const (
-	causeErrors cause = iota + 1
-	causeSlow
-	causeUnresponsive
-)
+// suspicion is the part of the limit of ejection from which on evidence counts
+// as the begin of a failure, for its detection time. Noise stays below it.
+const suspicion = 0.1
 
 // crashSeverity ranks a crashed target before any other: it runs nothing.
 const crashSeverity = 100
@@ -61,6 +56,7 @@
 			continue
 		}
 		f := o.find(s, t, ignoreLate)
+		t.suspect(now, f.excess >= suspicion)
 		if f.excess >= 1 {
 			found = append(found, f)
 		} else if f.excess < 0.5 {
@@ -72,7 +68,7 @@
 	}
 	slices.SortStableFunc(found, func(a, b finding) int { return cmp.Compare(b.excess, a.excess) })
 	for _, f := range found {
-		o.eject(now, s, f.target, s.explain(f), f.excess)
+		o.eject(now, s, f, s.explain(f), f.target.suspectedAt)
 	}
 }
 
@@ -92,12 +88,12 @@
 	if r := s.latencyRatio(t); r != 0 && r < o.tune.MinLatencyRatio*math.Exp(st.offset) {
 		slow = 0
 	}
-	f := finding{target: t, excess: scale * st.errorScore / o.tune.ErrorLimit, cause: causeErrors}
+	f := finding{target: t, excess: scale * st.errorScore / o.tune.ErrorLimit, cause: model.CauseErrors}
 	if e := scale * max(slow, min(slow, st.stuckScore)+late) / o.tune.LatencyLimit; e > f.excess {
 		f.excess = e
-		f.cause = causeSlow
+		f.cause = model.CauseSlow
 		if late > slow {
-			f.cause = causeUnresponsive
+			f.cause = model.CauseUnresponsive
 		}
 	}
 	return f
@@ -107,9 +103,9 @@
 func (s *service) explain(f finding) string {
 	st := &f.target.stats
 	switch f.cause {
-	case causeErrors:
+	case model.CauseErrors:
 		return fmt.Sprintf("errors: %.0f %% of recent attempts, peers %.0f %%", 100*st.window.errorShare(), 100*s.peerErrors())
-	case causeSlow:
+	case model.CauseSlow:
 		return fmt.Sprintf("slow: %.1f times the latency of peers", s.latencyRatio(f.target))
 	default:
 		return "unresponsive: attempts unfinished far beyond the latency of peers"
@@ -134,10 +130,11 @@
 }
 
 // eject takes a target out of service unless the remaining capacity would fall
-// below the floor; then it stays as a last resort.
-func (o *Owner) eject(now model.Instant, s *service, t *target, reason string, severity float64) {
+// below the floor; then it stays as a last resort. Since is when the failure began.
+func (o *Owner) eject(now model.Instant, s *service, f finding, reason string, since model.Instant) {
+	t := f.target
 	t.reason = reason
-	t.severity = severity
+	t.severity = f.excess
 	if !s.mayEject(t) {
 		t.denied = true
 		return
@@ -146,7 +143,17 @@
 	wait := o.backoff(t.ejections)
 	t.takeOut(now, now.Add(wait))
 	s.version++
-	o.emit(Ejected{Service: s.name, Target: t.id, Reason: reason, For: wait})
+	o.emit(Ejected{Service: s.name, Target: t.id, Cause: f.cause, Reason: reason, After: now.Sub(since), For: wait})
+}
+
+// suspect notes since when there is evidence against a target.
+func (t *target) suspect(now model.Instant, evident bool) {
+	switch {
+	case !evident:
+		t.suspectedAt = 0
+	case t.suspectedAt == 0:
+		t.suspectedAt = now
+	}
 }
 
 // mayEject reports whether the floor allows to eject a target in service.
--- a/internal/pool/owner_test.go
+++ b/internal/pool/owner_test.go
@@ -470,3 +470,46 @@
 	require.True(t, b.status().Targets[0].Ejected)
 	require.Contains(t, b.status().Targets[0].Reason, "crashed")
 }
+
+// Guards against a detection time that counts from before the failure, and
+// against ejections of targets that were well that nobody hears of.
+func TestDetectionTimeAndUnconfirmedEjections(t *testing.T) {
+	b := newBed(t, 6)
+	var ejected []Ejected
+	unconfirmed := 0
+	run := func(d time.Duration, bad string) {
+		for end := b.now.Add(d); b.now < end; {
+			b.now = b.now.Add(5 * time.Millisecond)
+			r := b.ask("w", 1)
+			how := model.AttemptOK
+			if string(r.Target) == bad {
+				how = model.AttemptError
+			}
+			b.done(r, "w", 1, how)
+			b.step(Tick{})
+			ejected = append(ejected, effects[Ejected](b.out)...)
+			unconfirmed += len(effects[Unconfirmed](b.out))
+			if b.now%model.Instant(500*time.Millisecond) == 0 {
+				for n := range 6 {
+					b.announce(n, 1, model.TargetReady)
+				}
+			}
+		}
+	}
+	bad := string(targetID(2))
+	run(15*time.Second, "")
+	require.Zero(t, unconfirmed, "the first slow start follows no ejection")
+	run(2*time.Second, bad)
+	require.Len(t, ejected, 1)
+	require.Equal(t, model.CauseErrors, ejected[0].Cause)
+	require.Positive(t, ejected[0].After)
+	require.Less(t, ejected[0].After, 2*time.Second, "the failure began 2 s ago at most")
+
+	run(8*time.Second, bad)
+	require.Greater(t, len(ejected), 1, "it fails again when it returns")
+	require.Zero(t, unconfirmed)
+	again := len(ejected)
+	run(60*time.Second, "")
+	require.Len(t, ejected, again)
+	require.Equal(t, 1, unconfirmed)
+}
--- a/internal/pool/target.go
+++ b/internal/pool/target.go
@@ -57,6 +57,8 @@
 	// denied is set while the target would be ejected but for the floor.
 	denied    bool
 	probation bool
+	// suspectedAt is since when there is evidence against the target, or 0.
+	suspectedAt model.Instant
 	// until ends an ejection; ejectedAt and reason describe the last one.
 	until     model.Instant
 	ejectedAt model.Instant
@@ -230,7 +232,10 @@
 		}
 		if t.cold && now.Sub(t.rampFrom) >= o.tune.SlowStart {
 			t.cold = false
-			t.probation = false
+			if t.probation {
+				t.probation = false
+				o.emit(Unconfirmed{Service: s.name, Target: t.id})
+			}
 		}
 		t.expireHosts(now, o.tune.IdleConnection)
 		kept = append(kept, t)
