Settle for 5 s, check that slots ahead return, and document reserves

TestSlotAheadReturnsWithoutItsToken failed on a scratch copy in which slots of canceled requests are not withdrawn. The schedules with reserves let waiting requests end before the directed faults and keep owner and standby apart: before, a note of any epoch passed 64 schedules.

--- a/internal/admit/reserve_test.go
+++ b/internal/admit/reserve_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math/rand/v2"
 	"os"
+	"slices"
 	"testing"
 	"time"
 
@@ -83,6 +84,7 @@
 		f.apart[[2]*fleetHost{f.standby, f.owner}] = true
 		f.runUntil(f.now + 4*time.Second + time.Duration(f.r.Int64N(4e9)))
 	case 2:
+		f.settle()
 		f.apart[[2]*fleetHost{f.owner, f.standby}] = true
 		l := f.deepLimits()
 		f.setLimits("a", model.Limits{Rate: l.Rate, Burst: max(l.Rate/10, l.Burst/8)})
@@ -115,11 +117,14 @@
 	}
 }
 
-// settle ends all faults and lets buckets fill.
+// settle ends all faults and lets buckets fill after the requests that wait.
 func (f *fleet) settle() {
 	f.heal()
+	if f.owner == f.standby {
+		f.stand(f.hosts[(slices.Index(f.hosts, f.owner)+1)%len(f.hosts)])
+	}
 	f.owner.frozen, f.standby.frozen = 0, 0
-	f.runUntil(f.now + 3*time.Second)
+	f.runUntil(f.now + settleTime + 3*time.Second)
 }
 
 // toStandby moves the shards to the standby and uses what it holds.
@@ -141,7 +146,7 @@
 	any := func() *fleetHost { return f.hosts[f.r.IntN(len(f.hosts))] }
 	f.apart[[2]*fleetHost{h, f.standby}] = true
 	f.release(h)
-	f.runUntil(f.now + time.Second + time.Duration(f.r.Int64N(2e9)))
+	f.runUntil(f.now + 2500*time.Millisecond + time.Duration(f.r.Int64N(1e9)))
 	f.flood(any)
 	f.runUntil(f.now + 50*time.Millisecond)
 	f.forgetful = f.r.IntN(2) == 0
--- a/internal/admit/wallet.go
+++ b/internal/admit/wallet.go
@@ -24,9 +24,10 @@
 	maxPoll = 100 * time.Millisecond
 	// settleTime is how long after a change of owner no request is refused for
 	// the rate or for its time without an owner: the requests that waited
-	// meanwhile use what the new owner's bucket has. At 1 s, and for requests
+	// meanwhile use what the new owner's bucket has. At 3 s the worst workspace had
+	// 0.05 % refused within its rate, at 5 s none (medians). At 1 s, and for requests
 	// that waited without the owner only, most refusals hit later requests.
-	settleTime = 3 * time.Second
+	settleTime = 5 * time.Second
 	// scarceTime is how long after tokens were short or a request was refused
 	// targets are not asked for ahead of the token.
 	scarceTime = time.Second
--- a/internal/node/ahead_test.go
+++ b/internal/node/ahead_test.go
@@ -1,7 +1,9 @@
 package node
 
 import (
+	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
 	"slices"
@@ -12,6 +14,7 @@
 	"github.com/stretchr/testify/require"
 
 	"tarragongauge.example/tarragongauge/internal/lease"
+	"tarragongauge.example/tarragongauge/internal/pool"
 	"tarragongauge.example/tarragongauge/internal/proto"
 	"tarragongauge.example/tarragongauge/internal/stub"
 	"tarragongauge.example/tarragongauge/pkg/model"
@@ -66,6 +69,76 @@
 	require.Less(t, f.lookups(entry, 30)[0], 4*oneWay)
 }
 
+// Guards against slots that stay taken when their request is canceled or
+// refused before its token arrives, and against refused requests that ran.
+func TestSlotAheadReturnsWithoutItsToken(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t, 6)
+	target, _ := f.addTarget("stockbook-1", stub.Behavior{})
+	entry := f.remoteEntry()
+	f.until(entry, http.StatusOK)
+	f.delayLinks(4 * time.Millisecond)
+	time.Sleep(2 * time.Second)
+	h := f.entries[entry].host
+	for i := range 20 {
+		ctx, cancel := context.WithCancel(context.Background())
+		stop := time.AfterFunc(time.Duration(i)*time.Millisecond/2, cancel)
+		want := pool.Wanted{Request: model.RequestID(fmt.Sprint("canceled-", i)), Service: "stockbook", Workspace: testShop}
+		if _, got, err := h.AdmitAhead(ctx, want); err == nil && got != nil && got.OK {
+			h.End(pool.Ended{Request: got.Assigned.Request, Attempt: model.Attempt{End: model.AttemptCanceled}})
+		}
+		stop.Stop()
+		cancel()
+		time.Sleep(20 * time.Millisecond)
+	}
+	f.requireFreeSlots("slots of canceled requests")
+
+	d := h.Config().Defaults
+	d.Limits = model.Limits{Rate: 2, Burst: 4}
+	f.inForce(f.change(model.SetDefaults{Defaults: d}))
+	time.Sleep(2 * time.Second)
+	ran := len(target.Journal())
+	group := pond.NewResultPool[answer](30)
+	defer group.StopAndWait()
+	var tasks []pond.ResultTask[answer]
+	for range 30 {
+		tasks = append(tasks, group.Submit(func() answer { return f.send(entry, http.MethodGet, "/stock/a", "", "") }))
+	}
+	served := 0
+	for _, task := range tasks {
+		got, err := task.Wait()
+		require.NoError(t, err)
+		if got.status == http.StatusOK {
+			served++
+			continue
+		}
+		require.Equal(t, http.StatusTooManyRequests, got.status, got.body)
+		require.Equal(t, "not_run", got.outcome)
+	}
+	require.Positive(t, served)
+	require.Less(t, served, 10)
+	require.Len(t, target.Journal(), ran+served, "a refused request ran")
+	f.requireFreeSlots("slots of refused requests")
+}
+
+// requireFreeSlots waits for a short time until no target of the sample service has a slot in use.
+func (f *fleet) requireFreeSlots(what string) {
+	f.t.Helper()
+	h := f.entries[f.ownerOf(model.ServiceShard("stockbook"))].host
+	require.Eventually(f.t, func() bool {
+		inUse, targets := 0, 0
+		h.targets.read(func(now model.Instant) {
+			for _, s := range h.poolOwner.Status(now) {
+				for _, target := range s.Targets {
+					targets++
+					inUse += target.InUse
+				}
+			}
+		})
+		return targets > 0 && inUse == 0
+	}, time.Second, 10*time.Millisecond, what)
+}
+
 // Guards against small workspaces that are refused within their rate for
 // seconds because the owner of their buckets is lost without a hand-over.
 func TestReserveOutlivesTheOwner(t *testing.T) {
