--- a/internal/admit/handover_test.go
+++ b/internal/admit/handover_test.go
@@ -38,3 +38,36 @@
 		}
 	}
 }
+
+// Guards against refusing requests within the rate after an owner lost its
+// lease and gained the shard again: its bucket starts empty with the new epoch,
+// also for workspaces that sent nothing at that moment.
+func TestNewEpochOfAnOwnerDoesNotRefuseRequests(t *testing.T) {
+	const ws = model.WorkspaceID("w")
+	w := NewWallet("e")
+	owned := func(epoch model.Epoch) OwnersChanged {
+		return OwnersChanged{Owners: []proto.Owner{{Shard: model.WorkspaceShard(ws), Host: "a", Epoch: epoch}}}
+	}
+	at := func(ms int) model.Instant { return model.Instant(time.Duration(ms) * time.Millisecond) }
+	answer := func(now model.Instant, effects []Effect) (limited bool) {
+		for _, f := range effects {
+			switch f := f.(type) {
+			case Send:
+				w.Step(now, Received{From: "a", Msg: proto.DrawReply{Nonce: f.Msg.(proto.DrawAsk).Nonce, Workspace: ws, Epoch: 2, RetryAfter: 20 * time.Millisecond}})
+			case Limited:
+				limited = true
+			}
+		}
+		return limited
+	}
+	w.Step(0, owned(1))
+	w.Step(at(5000), owned(2))
+	answer(at(5050), w.Step(at(5050), Arrived{Request: "r", Workspace: ws, Deadline: at(60_000)}))
+	limited := 0
+	for ms := 5060; ms < 7000 && limited == 0; ms += 10 {
+		if answer(at(ms), w.Step(at(ms), Tick{})) {
+			limited = ms
+		}
+	}
+	require.Zero(t, limited, "requests may wait for longer after a change of owner")
+}
--- a/internal/node/ahead_test.go
+++ b/internal/node/ahead_test.go
@@ -1,6 +1,10 @@
 package node
 
 import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
 	"net/http"
 	"slices"
 	"testing"
@@ -10,6 +14,7 @@
 	"github.com/stretchr/testify/require"
 
 	"tarragongauge.example/tarragongauge/internal/lease"
+	"tarragongauge.example/tarragongauge/internal/pool"
 	"tarragongauge.example/tarragongauge/internal/proto"
 	"tarragongauge.example/tarragongauge/internal/stub"
 	"tarragongauge.example/tarragongauge/pkg/model"
@@ -44,16 +49,10 @@
 
 // lookups measures requests that find no token at an entry host.
 func (f *fleet) lookups(i, n int) []time.Duration {
-	var took []time.Duration
-	for range n {
-		begin := time.Now()
+	return samples(n, func() {
 		got := f.send(i, http.MethodGet, "/stock/a", "", "")
-		took = append(took, time.Since(begin))
 		require.Equal(f.t, http.StatusOK, got.status, got.body)
-		time.Sleep(30 * time.Millisecond)
-	}
-	slices.Sort(took)
-	return took
+	})
 }
 
 // Guards against a request of a small workspace that waits for a second round
@@ -70,6 +69,76 @@
 	require.Less(t, f.lookups(entry, 30)[0], 4*oneWay)
 }
 
+// Guards against slots that stay taken when their request is canceled or
+// refused before its token arrives, and against refused requests that ran.
+func TestSlotAheadReturnsWithoutItsToken(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t, 6)
+	target, _ := f.addTarget("stockbook-1", stub.Behavior{})
+	entry := f.remoteEntry()
+	f.until(entry, http.StatusOK)
+	f.delayLinks(4 * time.Millisecond)
+	time.Sleep(2 * time.Second)
+	h := f.entries[entry].host
+	for i := range 20 {
+		ctx, cancel := context.WithCancel(context.Background())
+		stop := time.AfterFunc(time.Duration(i)*time.Millisecond/2, cancel)
+		want := pool.Wanted{Request: model.RequestID(fmt.Sprint("canceled-", i)), Service: "stockbook", Workspace: testShop}
+		if _, got, err := h.AdmitAhead(ctx, want); err == nil && got != nil && got.OK {
+			h.End(pool.Ended{Request: got.Assigned.Request, Attempt: model.Attempt{End: model.AttemptCanceled}})
+		}
+		stop.Stop()
+		cancel()
+		time.Sleep(20 * time.Millisecond)
+	}
+	f.requireFreeSlots("slots of canceled requests")
+
+	d := h.Config().Defaults
+	d.Limits = model.Limits{Rate: 2, Burst: 4}
+	f.inForce(f.change(model.SetDefaults{Defaults: d}))
+	time.Sleep(2 * time.Second)
+	ran := len(target.Journal())
+	group := pond.NewResultPool[answer](30)
+	defer group.StopAndWait()
+	var tasks []pond.ResultTask[answer]
+	for range 30 {
+		tasks = append(tasks, group.Submit(func() answer { return f.send(entry, http.MethodGet, "/stock/a", "", "") }))
+	}
+	served := 0
+	for _, task := range tasks {
+		got, err := task.Wait()
+		require.NoError(t, err)
+		if got.status == http.StatusOK {
+			served++
+			continue
+		}
+		require.Equal(t, http.StatusTooManyRequests, got.status, got.body)
+		require.Equal(t, "not_run", got.outcome)
+	}
+	require.Positive(t, served)
+	require.Less(t, served, 10)
+	require.Len(t, target.Journal(), ran+served, "a refused request ran")
+	f.requireFreeSlots("slots of refused requests")
+}
+
+// requireFreeSlots waits for a short time until no target of the sample service has a slot in use.
+func (f *fleet) requireFreeSlots(what string) {
+	f.t.Helper()
+	h := f.entries[f.ownerOf(model.ServiceShard("stockbook"))].host
+	require.Eventually(f.t, func() bool {
+		inUse, targets := 0, 0
+		h.targets.read(func(now model.Instant) {
+			for _, s := range h.poolOwner.Status(now) {
+				for _, target := range s.Targets {
+					targets++
+					inUse += target.InUse
+				}
+			}
+		})
+		return targets > 0 && inUse == 0
+	}, time.Second, 10*time.Millisecond, what)
+}
+
 // Guards against small workspaces that are refused within their rate for
 // seconds because the owner of their buckets is lost without a hand-over.
 func TestReserveOutlivesTheOwner(t *testing.T) {
@@ -111,19 +180,44 @@
 	}
 }
 
-// BenchmarkAddedLatency measures what the fleet adds to a request of a small
-// workspace with 0.5 ms between processes.
+// BenchmarkAddedLatency measures requests of a small workspace with 0.5 ms
+// between processes, against requests that callers send to a target directly.
 func BenchmarkAddedLatency(b *testing.B) {
 	f := newFleet(b, 6)
 	f.addTarget("stockbook-1", stub.Behavior{})
-	f.addTarget("stockbook-2", stub.Behavior{})
+	target := "http://" + f.addrs.last() + "/stock/a"
 	entry := f.remoteEntry()
 	f.until(entry, http.StatusOK)
 	f.delayLinks(500 * time.Microsecond)
 	time.Sleep(2 * time.Second)
 	for b.Loop() {
-		took := f.lookups(entry, 300)
-		b.ReportMetric(took[len(took)/2].Seconds()*1e3, "p50-ms")
-		b.ReportMetric(took[len(took)*99/100].Seconds()*1e3, "p99-ms")
+		const n = 300
+		took := f.lookups(entry, n)
+		direct := samples(n, func() { requireGet(b, target) })
+		b.ReportMetric((took[n/2]-direct[n/2]).Seconds()*1e3, "added-p50-ms")
+		b.ReportMetric((took[n*99/100]-direct[n*99/100]).Seconds()*1e3, "added-p99-ms")
+		b.ReportMetric(direct[n/2].Seconds()*1e3, "direct-p50-ms")
+		b.ReportMetric(direct[n*99/100].Seconds()*1e3, "direct-p99-ms")
 	}
 }
+
+// samples returns the sorted times that do takes.
+func samples(n int, do func()) []time.Duration {
+	var took []time.Duration
+	for range n {
+		begin := time.Now()
+		do()
+		took = append(took, time.Since(begin))
+		time.Sleep(30 * time.Millisecond)
+	}
+	slices.Sort(took)
+	return took
+}
+
+func requireGet(tb testing.TB, url string) {
+	tb.Helper()
+	resp, err := http.Get(url) //nolint:gosec // a stub target of this test
+	require.NoError(tb, err)
+	_, err = io.Copy(io.Discard, resp.Body)
+	require.NoError(tb, errors.Join(err, resp.Body.Close()))
+}
