Do not cancel late assignments of an earlier tenure

A picker gave a slot of an earlier owner back with SlotCancel, which names the query. When the same host owned the service again, the cancel freed the slot that it had given to the query in its present tenure, while the request ran: TestRestoreOverALossyNetwork with -rapid.checks=8000. A repeated reply of an earlier tenure had the same effect before restore reports.

Such replies are ignored now; the state that they refer to is gone with the tenure. TestPickerIgnoresAssignmentsOfEarlierTenures failed before.

--- a/internal/pool/doc.go
+++ b/internal/pool/doc.go
@@ -50,7 +50,7 @@
 //     services counts as one that reported. Reports of hosts that are not
 //     members stay unanswered.
 //   - Requests ask a new owner when it says that it is ready, or after
-//     RestoreWait. A picker declines an assignment of an earlier owner, since its
+//     RestoreWait. A picker ignores an assignment of an earlier owner, since its
 //     report does not contain it, and reports again after a local choice.
 //   - Broken attempts of the last 30 s are reported to every new owner, because
 //     each starts without any. The owner remembers the ends of slots that it did
--- a/internal/pool/picker.go
+++ b/internal/pool/picker.go
@@ -293,6 +293,11 @@
 	}
 	s := r.access
 	s.heard(from)
+	if m.Status == proto.SlotAssigned && m.Epoch < max(s.owner.Epoch, r.epoch) {
+		// The report to the present owner does not contain this slot. It is not
+		// cancelled: the query may have a slot of the same host's present tenure.
+		return
+	}
 	if r.assigned {
 		if m.Status == proto.SlotAssigned && m.Slot != r.slot {
 			p.send(from, proto.SlotCancel{Service: s.name, Nonce: m.Nonce})
@@ -301,11 +306,6 @@
 	}
 	switch m.Status {
 	case proto.SlotAssigned:
-		if m.Epoch < s.owner.Epoch {
-			// The report to the present owner does not contain this slot.
-			p.send(from, proto.SlotCancel{Service: s.name, Nonce: m.Nonce})
-			return
-		}
 		p.leaveQueue(r)
 		p.dropGone(s)
 		r.slot = m.Slot
--- a/internal/pool/picker_test.go
+++ b/internal/pool/picker_test.go
@@ -123,6 +123,25 @@
 	require.Empty(t, d.step(Ended{Request: "r", Attempt: model.Attempt{End: model.AttemptOK}}))
 }
 
+// Guards against a late assignment of an earlier tenure that takes a slot
+// unknown to the present owner, or whose return frees the one in use.
+func TestPickerIgnoresAssignmentsOfEarlierTenures(t *testing.T) {
+	d := newDesk(t, "e0")
+	d.want("r")
+	ask := sent[proto.SlotAsk](d.out)[0]
+	reply := func(epoch model.Epoch) []Effect {
+		return d.step(Received{From: "e0", Msg: proto.SlotReply{
+			Nonce: ask.Nonce, Status: proto.SlotAssigned, Slot: uint64(epoch), Target: "t0", Incarnation: 1, Epoch: epoch,
+		}})
+	}
+	d.own("e0", 2)
+	d.ready("e0", 2)
+	require.Empty(t, reply(1))
+	require.Len(t, effects[Assigned](reply(2)), 1)
+	require.Empty(t, reply(1), "a repeat")
+	require.Len(t, sent[proto.SlotCancel](reply(3)), 1, "another slot of a later tenure is given back")
+}
+
 // Guards against an outage of a service while its owner is lost, and against
 // use of targets that the owner had ejected or that left.
 func TestPickerDecidesLocallyWithoutOwner(t *testing.T) {
