Keep owners while all seats are replaced; trust no previous epoch across it

A seat that had left the list no longer answered, while owners need a majority of the earlier list until the change has settled after 3 s. After 1.5 s each host took itself for cut off and drained. New seats know only the hosts that have asked them, so that members seemed to leave, too. Not seen before because a change of one seat leaves a majority of the earlier list. Change: seats that left go on telling members and owners; they name the version without them, by which no host counts them as seats. Hosts merge the lists of all seats whose leases count, and a list that is new to a host counts as heard for the time of a lease. No previous epoch counts within ReserveValid (4 s) after a seat became active or the lists changed; after that, every reserve of an owner before has expired.

--- a/internal/admit/reserve.go
+++ b/internal/admit/reserve.go
@@ -3,15 +3,12 @@
 import (
 	"maps"
 	"slices"
-	"time"
 
 	"tarragongauge.example/tarragongauge/internal/proto"
 	"tarragongauge.example/tarragongauge/pkg/model"
 )
 
-// noteValid is how long a reserve may be used after the standby was last heard.
-// It covers the loss of an owner, 2.2 s at worst, and the age of its last note.
-const noteValid = 4 * time.Second
+const noteValid = model.ReserveValid
 
 // reserve is what the owner of a shard has set aside at this host, its standby.
 type reserve struct {
--- a/internal/lease/claimer.go
+++ b/internal/lease/claimer.go
@@ -20,10 +20,12 @@
 // the seats safe, see Fresh.evidence.
 type Claimer struct {
 	settings
-	self       model.HostID
-	rounds     rounds
-	nextAsk    model.Instant
-	lists      [][]model.HostID
+	self    model.HostID
+	rounds  rounds
+	nextAsk model.Instant
+	lists   [][]model.HostID
+	// listedAt is when the lists last changed.
+	listedAt   model.Instant
 	seats      []model.HostID
 	heard      map[model.HostID]model.Instant
 	freshUntil model.Instant
@@ -80,7 +82,7 @@
 	case MembersChanged:
 		out = append(out, c.place(now, ev.Members)...)
 	case QuorumsChanged:
-		c.setLists(ev.Lists)
+		c.setLists(now, ev.Lists)
 		out = append(out, c.count(now)...)
 	case Handover:
 		c.draining = true
@@ -147,8 +149,8 @@
 	return append(out, c.ask(now)...)
 }
 
-func (c *Claimer) setLists(lists [][]model.HostID) {
-	c.lists = lists
+func (c *Claimer) setLists(now model.Instant, lists [][]model.HostID) {
+	c.lists, c.listedAt = lists, now
 	c.seats = nil
 	for _, list := range lists {
 		c.seats = addHosts(c.seats, list)
@@ -301,6 +303,11 @@
 // answers of any majority whose seats have not forgotten. Without such a
 // majority it returns 0.
 func (c *Claimer) previousEpoch(now model.Instant, sh *claim) model.Epoch {
+	// A majority of the present lists need not meet that of an owner by earlier
+	// ones. Such an owner ended before the change, and those before it earlier.
+	if now.Sub(c.listedAt) < c.timing.atLeast(model.ReserveValid) {
+		return 0
+	}
 	var greatest model.Epoch
 	for _, list := range c.lists {
 		known := 0
--- a/internal/lease/fresh.go
+++ b/internal/lease/fresh.go
@@ -36,6 +36,8 @@
 	// quorums are the lists of seats since the last settled one, or nil if that is not known.
 	quorums [][]model.HostID
 	settled bool
+	// listedAt is when the newest of several lists of seats was learned.
+	listedAt model.Instant
 	// settleAt is when the current list settles, or 0 while it is not known to be accepted.
 	settleAt model.Instant
 	draining bool
@@ -141,9 +143,13 @@
 
 // canOwn reports whether this host hears a majority of each list of seats. A
 // host that is heard but does not hear announces itself as draining:
-// otherwise it stays the candidate for its shards without ever gaining them.
+// otherwise it stays the candidate for its shards without ever gaining them. A
+// list that is new to this host has had no time to answer yet.
 func (f *Fresh) canOwn(now model.Instant) bool {
-	for _, list := range f.quorums {
+	for i, list := range f.quorums {
+		if i > 0 && i == len(f.quorums)-1 && now.Sub(f.listedAt) <= f.timing.Lease {
+			continue
+		}
 		at, ok := majorityInstant(list, f.confirmedAt)
 		if !ok || now.Sub(at) > f.timing.Lease {
 			return false
@@ -190,7 +196,11 @@
 	if !ok || m.Age < 0 {
 		return nil
 	}
+	known := len(f.quorums)
 	out := append(f.advance(m), f.offered(now, from, m)...)
+	if len(f.quorums) > known {
+		f.listedAt = now
+	}
 	if !f.hist.known {
 		return out
 	}
@@ -310,7 +320,7 @@
 
 // listed takes members and owners from the reply of a seat.
 func (f *Fresh) listed(now model.Instant, from model.HostID, m proto.FreshReply) []Effect {
-	if !slices.Contains(f.hist.cfg.Seats, from) {
+	if !slices.Contains(f.listing(), from) {
 		return nil
 	}
 	p := f.peer(from)
@@ -332,10 +342,22 @@
 	return []Effect{SeatsLocated{Seats: p.lists.members}}
 }
 
+// listing returns the seats whose members and owners count: those of the
+// configuration, and earlier ones while leases of theirs do. New seats know
+// only the hosts that have asked them already.
+func (f *Fresh) listing() []model.HostID {
+	seats := addHosts(nil, f.hist.cfg.Seats)
+	for _, list := range f.quorums {
+		seats = addHosts(seats, list)
+	}
+	return seats
+}
+
 // publish merges the lists of the seats heard lately.
 func (f *Fresh) publish(now model.Instant) []Effect {
-	all := make([]*lists, 0, len(f.hist.cfg.Seats))
-	for _, seat := range f.hist.cfg.Seats {
+	seats := f.listing()
+	all := make([]*lists, 0, len(seats))
+	for _, seat := range seats {
 		p, ok := f.peers[seat]
 		if ok && p.lists.membersDigest != 0 && now.Sub(p.heard) <= f.timing.MemberTimeout {
 			all = append(all, &p.lists)
--- a/internal/lease/lease_test.go
+++ b/internal/lease/lease_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -237,6 +238,37 @@
 	w.requireWhole()
 }
 
+// Guards against seats that stop answering once they have left the list, while
+// owners still need a majority of them: every host then drained for seconds.
+func TestReplacingAllSeatsKeepsOwners(t *testing.T) {
+	w := newWorld(t, 6)
+	w.runUntil(5 * time.Second)
+	// Hosts of version 0 take the next one as a snapshot and own nothing until it has settled.
+	require.True(t, w.lead.propose(model.CreateWorkspace{Workspace: "w"}))
+	w.runUntil(10 * time.Second)
+	seats := w.lead.newest().Seats
+	var others []model.HostID
+	for _, h := range w.hosts {
+		if !slices.Contains(seats, h.id) && len(others) < 3 {
+			others = append(others, h.id)
+		}
+	}
+	require.True(t, w.lead.propose(model.SetSeats{Seats: others}))
+	var without [model.Shards]time.Duration
+	const step = 20 * time.Millisecond
+	for w.now < 20*time.Second {
+		w.runUntil(w.now + step)
+		for s := range without {
+			owned := slices.ContainsFunc(w.hosts, func(h *worldHost) bool { return h.claimer.Owns(h.local(w.now), model.ShardID(s)) })
+			if !owned {
+				without[s] += step
+			}
+		}
+	}
+	require.Less(t, slices.Max(without[:]), time.Second, "a planned change must cost less than the loss of an owner, 2 s")
+	w.requireWhole()
+}
+
 func (h *worldHost) ownsCount(now moment) int {
 	n := 0
 	for s := range model.ShardID(model.Shards) {
--- a/internal/lease/relearn.go
+++ b/internal/lease/relearn.go
@@ -61,7 +61,7 @@
 		}
 	}
 	if n >= model.Majority(len(s.allSeats())) {
-		s.activate()
+		s.activate(now)
 	}
 	return out
 }
@@ -80,12 +80,12 @@
 		return out
 	}
 	if s.hist.known && slices.Contains(s.hist.cfg.Controls, from) && m.Newest <= s.hist.version() {
-		s.activate()
+		s.activate(now)
 	}
 	return out
 }
 
-func (s *Seat) activate() {
-	s.active = true
+func (s *Seat) activate(now model.Instant) {
+	s.active, s.activeAt = true, now
 	s.learned = nil
 }
--- a/internal/lease/seat.go
+++ b/internal/lease/seat.go
@@ -1,8 +1,6 @@
 package lease
 
 import (
-	"slices"
-
 	"tarragongauge.example/tarragongauge/internal/part"
 	"tarragongauge.example/tarragongauge/internal/proto"
 	"tarragongauge.example/tarragongauge/pkg/model"
@@ -21,12 +19,14 @@
 	started bool
 	wakeAt  model.Instant
 	active  bool
-	hist    history
-	rounds  rounds
-	nextAsk model.Instant
-	learned map[model.HostID]model.Version
-	members roster
-	grants  grants
+	// activeAt is when the seat became active.
+	activeAt model.Instant
+	hist     history
+	rounds   rounds
+	nextAsk  model.Instant
+	learned  map[model.HostID]model.Version
+	members  roster
+	grants   grants
 	// settledAt is a version whose list of seats has settled, or 0.
 	settledAt model.Version
 	settled   bool
@@ -124,12 +124,6 @@
 	}}}
 }
 
-// confirms reports whether an answer of this seat may count. A seat that left
-// the list does not learn later versions.
-func (s *Seat) confirms() bool {
-	return s.hist.known && slices.Contains(s.hist.cfg.Seats, s.self)
-}
-
 func (s *Seat) fresh(now model.Instant, from model.HostID, m proto.FreshAsk) []Effect {
 	if m.Member.Host == from {
 		s.members.heard(now, m.Member)
@@ -143,12 +137,9 @@
 	if reply.Changes, ok = s.hist.update(m.Have); !ok {
 		reply.Snapshot, reply.Offer, out = s.snapshot(now)
 	}
-	if !s.confirms() {
-		if m.Have >= s.hist.version() {
-			return nil
-		}
-		return append(out, Send{To: from, Msg: reply})
-	}
+	// A seat that has left the list goes on telling members and owners: owners
+	// need a majority of the earlier seats until the change has settled. It names
+	// the version without it, by which no host counts it as a seat.
 	reply.SeatsSettled = s.settled && s.settledAt >= s.hist.listSince && s.settledAt <= s.hist.version()
 	s.members.tell(&reply, m.MembersDigest)
 	reply.OwnersDigest = s.grants.digest()
@@ -181,6 +172,14 @@
 	return out
 }
 
+// remembers reports whether the epochs that this seat knows tell the owner
+// before a claim. A restarted seat may have forgotten an owner and then granted
+// an older epoch to a claim that came to nothing. Once it has been active for
+// ReserveValid, every reserve of an owner before the forgotten one has expired.
+func (s *Seat) remembers(now model.Instant) bool {
+	return now.Sub(s.activeAt) >= s.timing.atLeast(model.ReserveValid)
+}
+
 func (s *Seat) lease(now model.Instant, from model.HostID, m proto.LeaseAsk) []Effect {
 	if !s.active {
 		return nil
@@ -199,7 +198,7 @@
 			continue
 		}
 		reply.Granted = append(reply.Granted, c)
-		if previous := s.grants.shards[c.Shard].previous; previous != 0 {
+		if previous := s.grants.shards[c.Shard].previous; previous != 0 && s.remembers(now) {
 			reply.Previous = append(reply.Previous, proto.Claim{Shard: c.Shard, Epoch: previous})
 		}
 	}
--- a/pkg/model/shard.go
+++ b/pkg/model/shard.go
@@ -1,6 +1,9 @@
 package model
 
-import "hash/fnv"
+import (
+	"hash/fnv"
+	"time"
+)
 
 // The number of shards of each kind. Every host of a fleet must agree on it.
 const (
@@ -25,3 +28,8 @@
 	_, _ = h.Write([]byte(s))
 	return h.Sum64()
 }
+
+// ReserveValid is how long the reserve that the owner of a workspace shard has
+// set aside at its standby may be used after the standby was last heard. It
+// covers the loss of an owner, 2.2 s at worst, and the age of its last note.
+const ReserveValid = 4 * time.Second
