--- a/internal/link/api.go
+++ b/internal/link/api.go
@@ -9,7 +9,7 @@
 )
 
 // Protocol is the version of the message set. Hosts with different versions refuse each other.
-const Protocol = 1
+const Protocol = 2
 
 // Path is where a process serves Mesh.Handler on its fleet address.
 const Path = "/v1/link"
