--- a/cmd/tarragongauge/authority.go
+++ b/cmd/tarragongauge/authority.go
@@ -28,8 +28,8 @@
 		Short: "Create an authority for a fleet",
 		Long: "Create an authority for a fleet: " + authorityFile + ", which every host and operator gets, and " + authorityKey + ", which stays where certificates are issued.\n\n" +
 			"FLEET is the [fleet] name of the settings. Files that exist are not touched.",
-		Example: "  tarragongauge authority create egin-tatws --dir /root/authority\n" +
-			"  tarragongauge authority create egin-tatws --dir /root/authority-2027 --validity 43800h",
+		Example: "  tarragongauge authority create egin-tatws --dir /etc/tarragongauge/authority\n" +
+			"  tarragongauge authority create egin-tatws --dir /etc/tarragongauge/authority-2027 --validity 43800h",
 		Args: exactly("FLEET"),
 		RunE: func(_ *cobra.Command, args []string) error {
 			if dir == "" {
--- a/cmd/tarragongauge/certificate.go
+++ b/cmd/tarragongauge/certificate.go
@@ -33,8 +33,8 @@
 		Short: "Issue a certificate for a host",
 		Long: "Issue a certificate for a host with a new key, as HOST.crt and HOST.key.\n\n" +
 			"HOST is the [host] name of the settings. A process needs its own role (control, entry or journal) and the role operators for its operators' port. Addresses are for tools such as curl that check IP addresses; the fleet checks host names.",
-		Example: "  tarragongauge certificate issue control-1 --role control,operators --address 10.20.1.11 --authority-dir /root/authority --dir /root/issued\n" +
-			"  tarragongauge certificate issue entry-1 --role entry,operators --validity 720h --authority-dir /root/authority --dir /root/issued --replace",
+		Example: "  tarragongauge certificate issue control-1 --role control,operators --address 10.20.1.11 --authority-dir /etc/tarragongauge/authority --dir /etc/tarragongauge/issued\n" +
+			"  tarragongauge certificate issue entry-1 --role entry,operators --validity 720h --authority-dir /etc/tarragongauge/authority --dir /etc/tarragongauge/issued --replace",
 		Args: exactly("HOST"),
 		RunE: func(_ *cobra.Command, args []string) error { return a.issueCertificate(args[0], f) },
 	}
--- a/internal/codec/codec.go
+++ b/internal/codec/codec.go
@@ -52,22 +52,28 @@
 	return data, nil
 }
 
-// decode refuses unknown fields: ignoring a field that another version added
-// could apply a change differently on two hosts. Strings may hold invalid
-// UTF-8, since order keys and headers come from callers.
-func decode(value string, data []byte, v any) error {
-	mode, err := cbor.DecOptions{
+// Strict returns the options of every decoder of the fleet. Unknown fields are
+// refused: ignoring a field that another version added could apply a change
+// differently on two hosts. Strings may hold invalid UTF-8, since order keys
+// and headers come from callers. Lists and maps are bounded by items, nesting
+// by depth.
+func Strict(items, depth int) cbor.DecOptions {
+	return cbor.DecOptions{
 		DupMapKey:         cbor.DupMapKeyEnforcedAPF,
 		IndefLength:       cbor.IndefLengthForbidden,
 		TagsMd:            cbor.TagsForbidden,
-		MaxNestedLevels:   maxDepth,
-		MaxArrayElements:  maxItems,
-		MaxMapPairs:       maxItems,
+		MaxNestedLevels:   depth,
+		MaxArrayElements:  items,
+		MaxMapPairs:       items,
 		ExtraReturnErrors: cbor.ExtraDecErrorUnknownField,
 		UTF8:              cbor.UTF8DecodeInvalid,
 		NaN:               cbor.NaNDecodeForbidden,
 		Inf:               cbor.InfDecodeForbidden,
-	}.DecMode()
+	}
+}
+
+func decode(value string, data []byte, v any) error {
+	mode, err := Strict(maxItems, maxDepth).DecMode()
 	if err != nil {
 		return fmt.Errorf("decode %s: %w", value, err)
 	}
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -7,6 +7,7 @@
 
 	"github.com/fxamacker/cbor/v2"
 
+	"tarragongauge.example/tarragongauge/internal/codec"
 	"tarragongauge.example/tarragongauge/internal/proto"
 	"tarragongauge.example/tarragongauge/pkg/model"
 )
@@ -51,19 +52,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("set up encoding: %w", err)
 	}
-	// Unknown fields are refused: hosts of one fleet speak the same protocol version.
-	dec, err := cbor.DecOptions{
-		DupMapKey:         cbor.DupMapKeyEnforcedAPF,
-		IndefLength:       cbor.IndefLengthForbidden,
-		TagsMd:            cbor.TagsForbidden,
-		MaxNestedLevels:   maxDepth,
-		MaxArrayElements:  maxItems,
-		MaxMapPairs:       maxItems,
-		ExtraReturnErrors: cbor.ExtraDecErrorUnknownField,
-		UTF8:              cbor.UTF8DecodeInvalid,
-		NaN:               cbor.NaNDecodeForbidden,
-		Inf:               cbor.InfDecodeForbidden,
-	}.DecMode()
+	dec, err := codec.Strict(maxItems, maxDepth).DecMode()
 	if err != nil {
 		return nil, fmt.Errorf("set up decoding: %w", err)
 	}
