--- a/internal/codec/change.go
+++ b/internal/codec/change.go
@@ -21,6 +21,7 @@
 	RemoveRoute       *model.RouteName   `cbor:"10,keyasint,omitempty"`
 	SetSeats          *hostsDTO          `cbor:"11,keyasint,omitempty"`
 	SetControls       *hostsDTO          `cbor:"12,keyasint,omitempty"`
+	ReplaceContent    *replaceContentDTO `cbor:"13,keyasint,omitempty"`
 }
 
 type withdrawKeyDTO struct {
@@ -147,7 +148,8 @@
 		service := serviceToDTO(ch.Service)
 		dto.PutService = &service
 	case model.PutRoute:
-		route := routeDTO(ch.Route)
+		var route routeDTO
+		route, err = routeToDTO(ch.Route)
 		dto.PutRoute = &route
 	case model.RemoveRoute:
 		dto.RemoveRoute = &ch.Route
@@ -155,6 +157,10 @@
 		dto.SetSeats = &hostsDTO{Hosts: ch.Seats}
 	case model.SetControls:
 		dto.SetControls = &hostsDTO{Hosts: ch.Controls}
+	case model.ReplaceContent:
+		var replace replaceContentDTO
+		replace, err = replaceContentToDTO(ch)
+		dto.ReplaceContent = &replace
 	default:
 		err = fmt.Errorf("encode change: type %T has no encoding", ch)
 	}
@@ -232,7 +238,14 @@
 		changes = append(changes, model.PutService{Service: service})
 	}
 	if r := dto.PutRoute; r != nil {
-		changes = append(changes, model.PutRoute{Route: model.Route(*r)})
+		changes = append(changes, model.PutRoute{Route: routeFromDTO(*r)})
+	}
+	if r := dto.ReplaceContent; r != nil {
+		replace, err := replaceContentFromDTO(*r)
+		if err != nil {
+			return nil, err
+		}
+		changes = append(changes, replace)
 	}
 	return changes, nil
 }
--- a/internal/codec/config.go
+++ b/internal/codec/config.go
@@ -43,16 +43,8 @@
 type serviceDTO struct {
 	Name         model.ServiceName `cbor:"1,keyasint"`
 	AnnounceHash []byte            `cbor:"2,keyasint"`
-}
-
-type routeDTO struct {
-	Name            model.RouteName   `cbor:"1,keyasint"`
-	PathPrefix      string            `cbor:"2,keyasint"`
-	Methods         []string          `cbor:"3,keyasint"`
-	Service         model.ServiceName `cbor:"4,keyasint"`
-	Open            bool              `cbor:"5,keyasint,omitempty"`
-	Idempotent      bool              `cbor:"6,keyasint,omitempty"`
-	RequireOrderKey bool              `cbor:"7,keyasint,omitempty"`
+	HealthPath   string            `cbor:"3,keyasint,omitempty"`
+	Connections  int               `cbor:"4,keyasint,omitempty"`
 }
 
 // exceptionDTO sets the one override field that applies, or none.
@@ -97,6 +89,8 @@
 	Exceptions []exceptionDTO `cbor:"7,keyasint"`
 	Seats      []model.HostID `cbor:"8,keyasint"`
 	Controls   []model.HostID `cbor:"9,keyasint"`
+	Revision   model.Revision `cbor:"10,keyasint,omitempty"`
+	Document   []byte         `cbor:"11,keyasint,omitempty"`
 }
 
 // EncodeConfig encodes a configuration. Equal configurations have equal bytes.
@@ -130,12 +124,18 @@
 		Keys:       keysDTO{cfg.Keys},
 		Seats:      cfg.Seats,
 		Controls:   cfg.Controls,
+		Revision:   cfg.Revision,
+		Document:   cfg.Document,
 	}
 	for s := range cfg.Services.All() {
 		dto.Services = append(dto.Services, serviceToDTO(s))
 	}
 	for r := range cfg.Routes.All() {
-		dto.Routes = append(dto.Routes, routeDTO(r))
+		route, err := routeToDTO(r)
+		if err != nil {
+			return configDTO{}, err
+		}
+		dto.Routes = append(dto.Routes, route)
 	}
 	for e := range cfg.Exceptions.All() {
 		ex, err := exceptionToDTO(e)
@@ -158,7 +158,7 @@
 	}
 	routes := make([]model.Route, 0, len(dto.Routes))
 	for _, r := range dto.Routes {
-		routes = append(routes, model.Route(r))
+		routes = append(routes, routeFromDTO(r))
 	}
 	cfg := model.Config{
 		Version:    dto.Version,
@@ -170,6 +170,8 @@
 		Exceptions: model.ExceptionsOf(exceptions),
 		Seats:      dto.Seats,
 		Controls:   dto.Controls,
+		Revision:   dto.Revision,
+		Document:   dto.Document,
 	}
 	return cfg, checkDuplicates(cfg, dto)
 }
@@ -223,12 +225,12 @@
 }
 
 func serviceToDTO(s model.Service) serviceDTO {
-	return serviceDTO{Name: s.Name, AnnounceHash: s.AnnounceHash[:]}
+	return serviceDTO{Name: s.Name, AnnounceHash: s.AnnounceHash[:], HealthPath: s.HealthPath, Connections: s.Connections}
 }
 
 func serviceFromDTO(s serviceDTO) (model.Service, error) {
 	hash, err := decodeHash[model.KeyHash]("service", s.AnnounceHash)
-	return model.Service{Name: s.Name, AnnounceHash: hash}, err
+	return model.Service{Name: s.Name, AnnounceHash: hash, HealthPath: s.HealthPath, Connections: s.Connections}, err
 }
 
 func exceptionToDTO(e model.Exception) (exceptionDTO, error) {
--- a/internal/codec/result.go
+++ b/internal/codec/result.go
@@ -27,7 +27,7 @@
 }
 
 func resultFromDTO(dto resultDTO) (model.Result, error) {
-	if dto.Kind < model.ResultAccepted || dto.Kind > model.ResultNotLeader {
+	if dto.Kind < model.ResultAccepted || dto.Kind > model.ResultSuperseded {
 		return model.Result{}, malformed("result", "unknown kind %d", dto.Kind)
 	}
 	return model.Result(dto), nil
--- a/internal/conf/types.go
+++ b/internal/conf/types.go
@@ -41,6 +41,36 @@
 	Controls []Peer
 	Seats    []Peer
 	Journals []Peer
+	// AddressNames is set in a fleet whose host names are their fleet addresses,
+	// so that hosts that no settings file names can be reached.
+	AddressNames bool
+	// ServeUnconfirmed lets entry hosts serve by the last known configuration
+	// while nothing confirms it.
+	ServeUnconfirmed bool
+	// OwnersAtControl lets control hosts own all shards. Entry hosts then ask one
+	// control host, of their own zone if there is one, on behalf of all.
+	OwnersAtControl bool
+	// StaleAfter ends new work for a target that has not announced itself, or is 0 for the default.
+	StaleAfter time.Duration
+}
+
+// Join says how a control host joins the others by itself. Without Size the
+// operators choose the control hosts and seats.
+type Join struct {
+	// Size is the number of control hosts and seats to keep: 0, 1, 3 or 5.
+	Size int
+	// MinCopies is the number of synced copies that an accepted change must have.
+	MinCopies int
+}
+
+// Headers are the names of headers between callers, entry hosts and targets,
+// or empty for the defaults; see entry.Names.
+type Headers struct {
+	RequestID, Deadline, Workspace, NotRun, Instance, KeyScheme string
+	CallerIDs                                                   bool
+	// StatusPromise and EndlessAnswers are those of package entry.
+	StatusPromise  bool
+	EndlessAnswers bool
 }
 
 // Limits bounds what a process accepts.
@@ -56,6 +86,9 @@
 	LinkQueue int
 	// StopTimeout bounds a graceful shutdown.
 	StopTimeout time.Duration
+	// LeaveTime is how long a host that is shutting down goes on taking requests
+	// while the balancer learns of it.
+	LeaveTime time.Duration
 }
 
 // Log says what is logged and how.
@@ -88,6 +121,7 @@
 	Journal bool
 	// CreateFleet lets a host with an empty data folder vote. It is set only while a fleet is created.
 	CreateFleet bool
+	Join        Join
 }
 
 // Entry holds the settings of an entry host.
@@ -97,6 +131,7 @@
 	Fleet     Fleet
 	Operators Operators
 	Limits    Limits
+	Headers   Headers
 	Log       Log
 	TLS       TLS
 }
--- a/internal/ctrl/lead.go
+++ b/internal/ctrl/lead.go
@@ -11,7 +11,7 @@
 const (
 	// maxAppend bounds the entries of one message; with maxProposal it keeps a
 	// message below the frame limit of 8 MiB.
-	maxAppend = 64
+	maxAppend = 16
 	// probeEntries is the number of entries sent before it is known where the
 	// follower's log agrees; usually the entry that starts the term is all it lacks.
 	probeEntries = 1
@@ -309,3 +309,15 @@
 	}
 	return Confirmation{OK: true, Newest: n.state.cfg.Version, Age: age}
 }
+
+// HeardAt returns when a control host last answered this leader, and false if it has not in this term.
+func (n *Node) HeardAt(host model.HostID) (model.Instant, bool) {
+	if n.role != RoleLeader {
+		return 0, false
+	}
+	p := n.lead.peer(host)
+	if p == nil || p.lastAck == 0 {
+		return 0, false
+	}
+	return p.lastAck, true
+}
--- a/internal/ctrl/propose.go
+++ b/internal/ctrl/propose.go
@@ -11,7 +11,7 @@
 
 const (
 	// maxProposal bounds an encoded change in bytes.
-	maxProposal = 64 << 10
+	maxProposal = 256 << 10
 	// maxUncommitted bounds the entries that a leader appends ahead of the majority.
 	maxUncommitted = 256
 	// maxDeferred bounds the changes of control hosts that wait for a commit.
@@ -94,6 +94,10 @@
 // appendProposal appends a proposal unless its id is known already. A change of
 // the control hosts waits until a majority of the new ones has confirmed its disks.
 func (n *Node) appendProposal(from origin, p model.Proposal, confirmed bool) {
+	if _, ok := p.Change.(model.ReplaceContent); ok {
+		// The order of revisions decides, so such a change is never based on a stale version.
+		p.Base = n.tip.cfg.Version
+	}
 	if message := checkProposal(p); message != "" {
 		n.answer(from, refused(p.ID, n.state.cfg.Version, message))
 		return
@@ -264,7 +268,7 @@
 func (n *Node) settle() {
 	n.waits.settling = slices.DeleteFunc(n.waits.settling, func(w wait) bool {
 		result, ok := n.history.results[w.id]
-		if !ok || result.Kind == model.ResultAccepted && result.Version > n.accepted {
+		if !ok || mustBeHeld(result.Kind) && result.Version > n.accepted {
 			return false
 		}
 		n.answer(w.from, result)
@@ -272,6 +276,11 @@
 	})
 }
 
+// mustBeHeld reports whether a result is given only once the seats hold its version.
+func mustBeHeld(kind model.ResultKind) bool {
+	return kind == model.ResultAccepted || kind == model.ResultSuperseded
+}
+
 func (n *Node) answer(to origin, r model.Result) {
 	if to.host == "" {
 		n.emit(Reply{Nonce: to.nonce, Result: r})
--- a/internal/ctrl/stage.go
+++ b/internal/ctrl/stage.go
@@ -123,12 +123,12 @@
 // fillStage adds what leads from the seat's version to the newest.
 func (n *Node) fillStage(s *seat, m *proto.SeatStage) {
 	if !s.known && len(n.history.outcomes) > 0 {
-		m.Changes = n.newestChanges(probeChanges)
+		m.Changes = model.WithoutDocuments(n.newestChanges(probeChanges))
 		return
 	}
 	changes, ok := n.history.changes(s.have, m.Newest)
 	if ok && s.known && len(changes) <= maxStageChanges {
-		m.Changes = changes
+		m.Changes = model.WithoutDocuments(changes)
 		return
 	}
 	m.Snapshot, m.Offer = n.sender.Offer(n.now, n.encodedConfig())
@@ -137,7 +137,7 @@
 func (n *Node) newestChanges(most int) []model.Committed {
 	var changes []model.Committed
 	for i := len(n.history.outcomes) - 1; i >= 0 && len(changes) < most; i-- {
-		if o := n.history.outcomes[i]; o.Result.Kind == model.ResultAccepted {
+		if o := n.history.outcomes[i]; o.Result.Kind == model.ResultAccepted && o.Committed.Proposal.Change != nil {
 			changes = append(changes, o.Committed)
 		}
 	}
@@ -156,7 +156,7 @@
 		}
 		return nil
 	}
-	data, err := codec.EncodeConfig(n.state.cfg)
+	data, err := codec.EncodeConfig(n.state.cfg.WithoutDocument())
 	if err != nil {
 		return nil
 	}
--- a/internal/ctrl/state.go
+++ b/internal/ctrl/state.go
@@ -14,6 +14,10 @@
 // version moved on from its base, so that it is never applied twice.
 const maxHistory = 2048
 
+// keptContents is how many outcomes back whole configurations are kept for
+// hosts that are behind. At 70 kB each they hold 2 MB.
+const keptContents = 32
+
 // state is what the log determines, without the history. It is immutable.
 type state struct {
 	cfg model.Config
@@ -54,10 +58,14 @@
 }
 
 func refusal(err error) model.ResultKind {
-	if model.IsErrConflict(err) {
+	switch {
+	case model.IsErrConflict(err):
 		return model.ResultConflict
+	case model.IsErrSuperseded(err):
+		return model.ResultSuperseded
+	default:
+		return model.ResultInvalid
 	}
-	return model.ResultInvalid
 }
 
 // seatSets returns the sets of seats that must each hold a version by majority.
@@ -90,6 +98,7 @@
 		h.results[o.Result.ID] = o.Result
 	}
 	h.outcomes = append(h.outcomes, o)
+	h.trim()
 	if len(h.outcomes) <= maxHistory {
 		return
 	}
@@ -101,6 +110,18 @@
 	h.outcomes = h.outcomes[1:]
 }
 
+// trim drops the content of the whole configuration that is keptContents places
+// before the newest outcome. Its result stays; hosts that need it get a snapshot.
+func (h *history) trim() {
+	at := len(h.outcomes) - 1 - keptContents
+	if at < 0 {
+		return
+	}
+	if _, ok := h.outcomes[at].Committed.Proposal.Change.(model.ReplaceContent); ok {
+		h.outcomes[at].Committed.Proposal.Change = nil
+	}
+}
+
 // changes returns the accepted changes after a version, and false if some are no longer held.
 func (h *history) changes(after, newest model.Version) ([]model.Committed, bool) {
 	if after == newest {
@@ -115,6 +136,9 @@
 		if o.Committed.Version <= after {
 			break
 		}
+		if o.Committed.Proposal.Change == nil {
+			return nil, false
+		}
 		changes = append(changes, o.Committed)
 	}
 	slices.Reverse(changes)
--- a/internal/entry/announce.go
+++ b/internal/entry/announce.go
@@ -42,7 +42,7 @@
 func (s *Server) announce(w http.ResponseWriter, r *http.Request) {
 	a, err := s.readAnnouncement(w, r)
 	if err != nil {
-		err.write(w, "", 0)
+		err.write(w, "", "", 0)
 		return
 	}
 	s.decider.Announce(a)
@@ -59,7 +59,7 @@
 		}
 		return model.Announcement{}, badAnnounce("the body is not the expected JSON; send the documented fields")
 	}
-	if !s.secretFits(model.ServiceName(in.Service), presentedKeys(r.Header)) {
+	if !s.secretFits(model.ServiceName(in.Service), presentedKeys(r.Header, s.names.KeyScheme)) {
 		return model.Announcement{}, refuse(http.StatusForbidden, CodeAnnounceDenied, "the service does not exist or the secret is wrong; check the target's service name and its announcement secret")
 	}
 	return in.checked(r.RemoteAddr, s.peerChecks)
--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -127,7 +127,7 @@
 		GotConn:              a.trace.gotConn,
 		GotFirstResponseByte: a.trace.gotFirstByte,
 	})
-	res, err := c.s.targetSide.get().RoundTrip(c.outgoing(traced, a.target.Addr)) //nolint:bodyclose // close and finish close it.
+	res, err := c.s.targetSide.get().RoundTrip(c.outgoing(traced, a.target)) //nolint:bodyclose // close and finish close it.
 	if err != nil {
 		a.fail(ctx, c, err)
 		return
@@ -177,16 +177,25 @@
 	case !c.echoed(a.res.Header) || a.res.StatusCode == http.StatusSwitchingProtocols:
 		a.err = errors.New("the answer does not carry the id of the request")
 		a.drop(model.AttemptInvalid)
-	case endless(c.r.Method, a.res):
+	case !c.s.endless && endless(c.r.Method, a.res):
 		a.err = errors.New("the answer has neither a length nor chunks, so that its end cannot be recognized")
 		a.drop(model.AttemptInvalid)
-	case a.res.StatusCode == http.StatusServiceUnavailable && a.res.Header.Get(headerShed) == "1":
+	case c.s.saysNotRun(a.res):
 		io.CopyN(io.Discard, a.res.Body, shedDrain) //nolint:errcheck // The header alone proves that the request did not run.
 		a.close()
 		a.done(model.AttemptShed)
 	}
 }
 
+// saysNotRun reports whether a target's answer says that it did not run the
+// request. Targets that check which instance is meant answer 421 without running it.
+func (s *Server) saysNotRun(res *http.Response) bool {
+	if s.names.Instance != "" {
+		return res.StatusCode == http.StatusMisdirectedRequest || res.Header.Get(s.names.NotRun) != ""
+	}
+	return res.StatusCode == http.StatusServiceUnavailable && res.Header.Get(s.names.NotRun) == "1"
+}
+
 // endless reports whether a body ends with the connection, which a broken connection looks like.
 func endless(method string, res *http.Response) bool {
 	return res.ContentLength < 0 && len(res.TransferEncoding) == 0 && bodyAllowed(method, res.StatusCode)
@@ -194,9 +203,9 @@
 
 // echoed reports whether an answer belongs to the request.
 func (c *call) echoed(h http.Header) bool {
-	ids := h[headerRequestID]
+	ids := h[c.s.names.RequestID]
 	for _, id := range ids {
-		if id != string(c.id) {
+		if id != c.shownID() {
 			return false
 		}
 	}
@@ -246,10 +255,10 @@
 }
 
 // outgoing builds the request that a target sees.
-func (c *call) outgoing(ctx context.Context, addr string) *http.Request {
+func (c *call) outgoing(ctx context.Context, target pool.Assigned) *http.Request {
 	out := (&http.Request{
 		Method:     c.r.Method,
-		URL:        &url.URL{Scheme: "http", Host: addr, Path: c.r.URL.Path, RawPath: c.r.URL.RawPath, RawQuery: c.query},
+		URL:        &url.URL{Scheme: "http", Host: target.Addr, Path: c.r.URL.Path, RawPath: c.r.URL.RawPath, RawQuery: c.query},
 		Host:       c.r.Host,
 		Header:     c.header.Clone(),
 		Proto:      "HTTP/1.1",
@@ -257,12 +266,15 @@
 		ProtoMinor: 1,
 	}).WithContext(ctx)
 	h := out.Header
-	h.Set(headerRequestID, string(c.id))
+	h.Set(c.s.names.RequestID, c.shownID())
+	if c.s.names.Instance != "" {
+		h.Set(c.s.names.Instance, string(target.Target))
+	}
 	if deadline, ok := ctx.Deadline(); ok {
-		h.Set(headerDeadline, strconv.FormatInt(max(1, time.Until(deadline).Milliseconds()), 10))
+		h.Set(c.s.names.Deadline, strconv.FormatInt(max(1, time.Until(deadline).Milliseconds()), 10))
 	}
 	if c.workspace != "" {
-		h.Set(headerWorkspace, string(c.workspace))
+		h.Set(c.s.names.Workspace, string(c.workspace))
 	}
 	if _, ok := h["User-Agent"]; !ok {
 		h["User-Agent"] = nil // keeps net/http from adding its own
--- a/internal/entry/call.go
+++ b/internal/entry/call.go
@@ -4,6 +4,8 @@
 	"context"
 	"errors"
 	"fmt"
+	"math/rand/v2"
+	"net"
 	"net/http"
 	"runtime/debug"
 	"strconv"
@@ -25,13 +27,15 @@
 
 // call is one request of a caller.
 type call struct {
-	s     *Server
-	w     http.ResponseWriter
-	rc    *http.ResponseController
-	r     *http.Request
-	id    model.RequestID
-	start time.Time
-	cfg   model.Config
+	s  *Server
+	w  http.ResponseWriter
+	rc *http.ResponseController
+	r  *http.Request
+	id model.RequestID
+	// callerID is the id that the caller sent, if ids of callers are passed on.
+	callerID string
+	start    time.Time
+	cfg      model.Config
 
 	route     model.Route
 	workspace model.WorkspaceID
@@ -71,11 +75,22 @@
 	defer s.active.Add(-1)
 	defer c.record()
 	defer c.logPanic()
+	if s.names.CallerIDs {
+		c.callerID = r.Header.Get(s.names.RequestID)
+	}
 	if err := c.serve(); err != nil {
 		c.answerError(err)
 	}
 }
 
+// shownID is the id that the caller and the target see.
+func (c *call) shownID() string {
+	if c.callerID != "" {
+		return c.callerID
+	}
+	return string(c.id)
+}
+
 // logPanic logs a fault of this package and breaks the caller's connection.
 func (c *call) logPanic() {
 	v := recover()
@@ -127,14 +142,26 @@
 	if !plainPath(path) {
 		return refuse(http.StatusBadRequest, CodeBadPath, "the path has empty, \".\" or \"..\" segments or control characters; send it in its shortest form")
 	}
-	route, ok := c.cfg.Match(c.r.Method, path)
+	route, ok := c.cfg.MatchHost(c.r.Method, hostName(c.r.Host), path)
+	if !ok && c.cfg.Routes.Len() == 0 {
+		return refuse(http.StatusServiceUnavailable, CodeNotFresh, "this host knows no route yet; send the request again, to another host").after(defaultRetryAfter)
+	}
 	if !ok {
 		return refuse(http.StatusNotFound, CodeNoRoute, "no route takes %s %q; check the method and the path", c.r.Method, path)
 	}
+	route.Service = route.Pick(rand.Float64())
 	c.route = route
 	return nil
 }
 
+// hostName returns the host of a Host header in lower case and without its port.
+func hostName(host string) string {
+	if name, _, err := net.SplitHostPort(host); err == nil {
+		host = name
+	}
+	return strings.ToLower(host)
+}
+
 func plainPath(path string) bool {
 	if strings.ContainsFunc(path, func(r rune) bool { return r < ' ' || r == 0x7f || r == '\\' }) {
 		return false
@@ -150,11 +177,11 @@
 
 // context returns the context of the request with its deadline: the route's, or the caller's if that is earlier.
 func (c *call) context() (context.Context, context.CancelCauseFunc, *ErrRefused) {
-	limit := c.cfg.DeadlineFor(c.route.Name)
-	for _, v := range c.r.Header[headerDeadline] {
+	limit := c.cfg.TimeoutFor(c.route)
+	for _, v := range c.r.Header[c.s.names.Deadline] {
 		ms, err := strconv.ParseUint(v, 10, 31)
 		if err != nil || ms == 0 {
-			return nil, nil, refuse(http.StatusBadRequest, CodeBadDeadline, "%s is not a number of milliseconds greater than 0; correct or omit it", headerDeadline)
+			return nil, nil, refuse(http.StatusBadRequest, CodeBadDeadline, "%s is not a number of milliseconds greater than 0; correct or omit it", c.s.names.Deadline)
 		}
 		limit = min(limit, time.Duration(ms)*time.Millisecond)
 	}
@@ -171,7 +198,7 @@
 // looked up before and after the registration, so that a withdrawal either
 // finds the request registered or is seen here.
 func (c *call) authenticate(cancel context.CancelCauseFunc) *ErrRefused {
-	keys := presentedKeys(c.r.Header)
+	keys := presentedKeys(c.r.Header, c.s.names.KeyScheme)
 	c.clean = newCleaner(c.cfg, keys, c.route.Open)
 	if c.route.Open {
 		return nil
@@ -229,6 +256,11 @@
 		return err
 	}
 	c.header = c.clean.header(c.r.Header)
+	for name := range c.header {
+		if c.s.names.controlled(name) {
+			delete(c.header, name)
+		}
+	}
 	c.query = c.clean.query(c.r.URL.RawQuery)
 	if c.r.ContentLength > c.s.limits.Body {
 		return bodyTooLarge(c.s.limits.Body)
@@ -406,8 +438,12 @@
 		// The rest of the body is not read any more.
 		c.w.Header().Set("Connection", "close")
 	}
+	if c.s.promise {
+		err = err.promised(c.outcome)
+		c.status = err.Status
+	}
 	c.closeIfEnding()
-	err.write(c.w, c.id, c.outcome)
+	err.write(c.w, c.s.names.RequestID, c.shownID(), c.outcome)
 }
 
 // closeIfEnding ends a connection that presented a withdrawn key after this answer.
--- a/internal/entry/error.go
+++ b/internal/entry/error.go
@@ -108,14 +108,29 @@
 	return e
 }
 
+// promised returns the error with a status that tells the outcome alone.
+func (e *ErrRefused) promised(outcome model.Outcome) *ErrRefused {
+	out := *e
+	promise := e.Status == http.StatusServiceUnavailable || e.Status == http.StatusTooManyRequests ||
+		e.Status == http.StatusRequestTimeout || e.Status == http.StatusMisdirectedRequest
+	switch {
+	case outcome != model.OutcomeNotRun && promise:
+		out.Status, out.RetryAfter = http.StatusBadGateway, 0
+	case outcome == model.OutcomeNotRun && e.Status >= http.StatusInternalServerError && !promise,
+		outcome == model.OutcomeNotRun && e.Code == CodeQuarantined:
+		out.Status, out.RetryAfter = http.StatusServiceUnavailable, max(e.RetryAfter, defaultRetryAfter)
+	}
+	return &out
+}
+
 type errorBody struct {
-	Code      Code            `json:"code"`
-	Message   string          `json:"message"`
-	RequestID model.RequestID `json:"request_id"`
+	Code      Code   `json:"code"`
+	Message   string `json:"message"`
+	RequestID string `json:"request_id"`
 }
 
 // write sends the error as JSON.
-func (e *ErrRefused) write(w http.ResponseWriter, id model.RequestID, outcome model.Outcome) {
+func (e *ErrRefused) write(w http.ResponseWriter, name, id string, outcome model.Outcome) {
 	body, err := json.Marshal(errorBody{Code: e.Code, Message: e.Message, RequestID: id})
 	if err != nil {
 		panic(http.ErrAbortHandler)
@@ -124,7 +139,7 @@
 	h.Set("Content-Type", "application/json")
 	h.Set("Content-Length", strconv.Itoa(len(body)))
 	if id != "" {
-		h.Set(headerRequestID, string(id))
+		h.Set(name, id)
 	}
 	if outcome != 0 {
 		h.Set(headerOutcome, outcome.String())
--- a/internal/entry/forward.go
+++ b/internal/entry/forward.go
@@ -30,12 +30,20 @@
 			return nil
 		}
 		last = failed
-		if len(tried) >= c.s.limits.Attempts || !c.retryable(ctx, failed.attempt) {
+		if len(tried) >= c.attempts() || !c.retryable(ctx, failed.attempt) {
 			return c.giveUp(last, nil)
 		}
 	}
 }
 
+// attempts bounds the targets that the request is sent to.
+func (c *call) attempts() int {
+	if c.route.Attempts > 0 {
+		return min(c.route.Attempts, c.s.limits.Attempts)
+	}
+	return c.s.limits.Attempts
+}
+
 // failure is an attempt that did not end the request.
 type failure struct {
 	attempt *attempt
--- a/internal/entry/key.go
+++ b/internal/entry/key.go
@@ -20,11 +20,11 @@
 )
 
 // presentedKeys returns the distinct keys of a request, from every copy of both headers.
-func presentedKeys(h http.Header) []string {
+func presentedKeys(h http.Header, scheme string) []string {
 	var keys []string
 	for _, v := range h["Authorization"] {
-		scheme, key, ok := strings.Cut(strings.TrimSpace(v), " ")
-		if ok && strings.EqualFold(scheme, "Bearer") {
+		named, key, ok := strings.Cut(strings.TrimSpace(v), " ")
+		if ok && strings.EqualFold(named, scheme) {
 			keys = append(keys, strings.TrimSpace(key))
 		}
 	}
--- a/internal/entry/options.go
+++ b/internal/entry/options.go
@@ -62,6 +62,9 @@
 	echo       bool
 	peerChecks bool
 	log        logr.Logger
+	names      Names
+	promise    bool
+	endless    bool
 }
 
 // Option changes a setting of a Server.
--- a/internal/entry/reply.go
+++ b/internal/entry/reply.go
@@ -97,7 +97,7 @@
 	for name, values := range r.header {
 		h[name] = values
 	}
-	h.Set(headerRequestID, string(c.id))
+	h.Set(c.s.names.RequestID, c.shownID())
 	h.Set(headerOutcome, model.OutcomeRan.String())
 	if _, ok := h["Date"]; !ok {
 		h["Date"] = nil // keeps net/http from adding one that the target did not send
@@ -204,7 +204,7 @@
 	}
 	h.Set("Content-Length", strconv.Itoa(len(answer.Body)))
 	h.Set(headerReplayed, "true")
-	h.Set(headerRequestID, string(c.id))
+	h.Set(c.s.names.RequestID, c.shownID())
 	h.Set(headerOutcome, c.outcome.String())
 	c.closeIfEnding()
 	c.w.WriteHeader(answer.Status)
--- a/internal/entry/resolve_test.go
+++ b/internal/entry/resolve_test.go
@@ -42,7 +42,7 @@
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
-			key, err := resolveKey(keyed(), presentedKeys(tt.header))
+			key, err := resolveKey(keyed(), presentedKeys(tt.header, "Bearer"))
 			require.Equal(t, tt.want, key.Workspace)
 			if tt.code == "" {
 				require.Nil(t, err)
--- a/internal/lease/api.go
+++ b/internal/lease/api.go
@@ -24,6 +24,8 @@
 	// Handover asks an owner to give up all shards before shutdown, and the
 	// freshness client to announce this host as draining.
 	Handover struct{}
+	// Heard is a heartbeat of a member that was answered without the seat.
+	Heard struct{ Member proto.Member }
 	// ConfigEncoded ends an EncodeConfig.
 	ConfigEncoded struct {
 		Version model.Version
@@ -143,6 +145,7 @@
 func (Tick) isEvent()     {}
 func (Received) isEvent() {}
 func (Handover) isEvent() {}
+func (Heard) isEvent()    {}
 
 func (ConfigEncoded) isEvent()   {}
 func (SnapshotDecoded) isEvent() {}
--- a/internal/lease/claimer.go
+++ b/internal/lease/claimer.go
@@ -126,7 +126,7 @@
 
 // place claims the shards whose first candidate this host is and gives up the others.
 func (c *Claimer) place(now model.Instant, members []proto.Member) []Effect {
-	first := Place(members)
+	first := PlaceAmong(members, c.owners)
 	var out []Effect
 	changed := false
 	for i := range c.shards {
--- a/internal/lease/fresh.go
+++ b/internal/lease/fresh.go
@@ -52,6 +52,7 @@
 	receiver part.Receiver
 	// decoding is set while the runtime decodes a snapshot.
 	decoding bool
+	relays   relayChoice
 }
 
 // peer is what one seat said last.
@@ -72,6 +73,7 @@
 		self:     self,
 		rounds:   newRounds("fresh", self.Host, self.Incarnation),
 		peers:    map[model.HostID]*peer{},
+		relays:   relayChoice{failed: map[model.HostID]model.Instant{}, zones: map[model.HostID]model.ZoneName{}},
 	}
 }
 
@@ -169,6 +171,12 @@
 // targets returns the hosts to ask. The bootstrap lists are used while the
 // right to serve is missing, since all hosts of a known list may have been replaced.
 func (f *Fresh) targets(now model.Instant) []model.HostID {
+	if f.settings.relay {
+		if host := f.relay(now); host != "" {
+			return []model.HostID{host}
+		}
+		return nil
+	}
 	var hosts []model.HostID
 	hosts = addHosts(hosts, f.hist.cfg.Seats)
 	hosts = addHosts(hosts, f.hist.cfg.Controls)
@@ -196,6 +204,9 @@
 	if !ok || m.Age < 0 {
 		return nil
 	}
+	if f.settings.relay {
+		f.relayed(from, sent, m)
+	}
 	known := len(f.quorums)
 	out := append(f.advance(m), f.offered(now, from, m)...)
 	if len(f.quorums) > known {
@@ -209,7 +220,7 @@
 		at := sent.Add(-f.timing.longest(m.Age))
 		out = append(out, f.confirm(now, from, at, control)...)
 	}
-	if control {
+	if control && !f.settings.relay {
 		out = append(out, f.located(from, m)...)
 	} else {
 		out = append(out, f.listed(now, from, m)...)
@@ -369,7 +380,7 @@
 	}
 	f.merged = key
 	var out []Effect
-	if members := mergeMembers(all); !slices.Equal(members, f.members) {
+	if members := mergeMembers(all, f.settings.owners); !slices.Equal(members, f.members) {
 		f.members = members
 		out = append(out, MembersChanged{Members: members})
 	}
--- a/internal/lease/lease_test.go
+++ b/internal/lease/lease_test.go
@@ -284,7 +284,7 @@
 func TestPlaceNextIsTheCandidateAfterALoss(t *testing.T) {
 	members := entryMembers(9)
 	lost := members[4].Host
-	before, next := Place(members), PlaceNext(members, lost)
+	before, next := Place(members), PlaceNext(members, lost, proto.RoleEntry)
 	after := Place(append(append([]proto.Member{}, members[:4]...), members[5:]...))
 	for s := range before {
 		require.NotEqual(t, lost, next[s])
--- a/internal/lease/option.go
+++ b/internal/lease/option.go
@@ -1,6 +1,7 @@
 package lease
 
 import (
+	"tarragongauge.example/tarragongauge/internal/proto"
 	"tarragongauge.example/tarragongauge/pkg/model"
 )
 
@@ -14,12 +15,17 @@
 	controls    []model.HostID
 	wallMillis  func() int64
 	partSize    int
+	// owners is the role of the hosts that own shards.
+	owners proto.Role
+	// relay is set on hosts that ask one control host on behalf of all.
+	relay bool
 }
 
 func newSettings(opts []Option) settings {
 	s := settings{
 		timing:     DefaultTiming(),
 		wallMillis: func() int64 { return 0 },
+		owners:     proto.RoleEntry,
 	}
 	for _, opt := range opts {
 		opt(&s)
@@ -42,6 +48,15 @@
 // WithWallMillis gives the wall clock in Unix milliseconds, the least value of new epochs.
 func WithWallMillis(f func() int64) Option { return func(s *settings) { s.wallMillis = f } }
 
+// WithOwners names the role of the hosts that own shards, entry hosts by default.
+// All hosts of a fleet must have the same.
+func WithOwners(role proto.Role) Option { return func(s *settings) { s.owners = role } }
+
+// WithRelay lets an entry host ask one control host, of its own zone if there
+// is one, in place of every seat. Its right to serve is then as old as what the
+// relay was confirmed.
+func WithRelay() Option { return func(s *settings) { s.relay = true } }
+
 // WithPartSize replaces part.Size by a smaller one, so that tests transfer
 // small configurations in parts.
 func WithPartSize(bytes int) Option { return func(s *settings) { s.partSize = bytes } }
--- a/internal/lease/place.go
+++ b/internal/lease/place.go
@@ -11,10 +11,15 @@
 // an empty name where there is none. When a member joins or leaves, only the
 // shards of that member move.
 func Place(members []proto.Member) [model.Shards]model.HostID {
+	return PlaceAmong(members, proto.RoleEntry)
+}
+
+// PlaceAmong is Place among the members of a role.
+func PlaceAmong(members []proto.Member, role proto.Role) [model.Shards]model.HostID {
 	var first [model.Shards]model.HostID
 	var best [model.Shards]uint64
 	for _, m := range members {
-		if m.Role != proto.RoleEntry || m.Draining {
+		if m.Role != role || m.Draining {
 			continue
 		}
 		host := hashString(string(m.Host))
@@ -30,7 +35,7 @@
 
 // PlaceNext returns the candidate for each shard if self were gone: the host
 // that takes over the shards that self owns.
-func PlaceNext(members []proto.Member, self model.HostID) [model.Shards]model.HostID {
+func PlaceNext(members []proto.Member, self model.HostID, role proto.Role) [model.Shards]model.HostID {
 	others := slices.DeleteFunc(slices.Clone(members), func(m proto.Member) bool { return m.Host == self })
-	return Place(others)
+	return PlaceAmong(others, role)
 }
--- /dev/null
+++ b/internal/lease/relay.go
@@ -0,0 +1,137 @@
+package lease
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"tarragongauge.example/tarragongauge/internal/proto"
+	"tarragongauge.example/tarragongauge/pkg/model"
+)
+
+const (
+	// relayPatience is how many asks a relay may leave without a confirmation
+	// that is recent enough before another one is asked.
+	relayPatience = 2
+	// relayReturn is how long a host stays with a relay of another zone before
+	// it tries those of its own zone again.
+	relayReturn = 10 * time.Second
+)
+
+// relayChoice is which control host an entry host asks on behalf of all.
+type relayChoice struct {
+	host model.HostID
+	// since is when the host was chosen, goodAt when its last usable reply was asked for.
+	since  model.Instant
+	goodAt model.Instant
+	// failed holds when a host was last given up.
+	failed map[model.HostID]model.Instant
+	// zones holds the zones of control hosts as replies tell them.
+	zones map[model.HostID]model.ZoneName
+}
+
+// relay returns the control host to ask, and changes it if it does not confirm
+// recent versions: it may be cut off from the others.
+func (f *Fresh) relay(now model.Instant) model.HostID {
+	r := &f.relays
+	hosts := f.relayHosts()
+	if len(hosts) == 0 {
+		return ""
+	}
+	patience := relayPatience*f.timing.Ask + f.timing.Ask/2
+	waited := now.Sub(max(r.since, r.goodAt))
+	switch {
+	case r.host == "":
+	case waited > patience:
+		r.failed[r.host] = now
+	case !f.inOwnZone(r.host) && now.Sub(r.since) > relayReturn:
+	default:
+		return r.host
+	}
+	r.host, r.since = f.bestRelay(now, hosts), now
+	return r.host
+}
+
+// relayHosts returns the control hosts that are known, in the order of their names.
+func (f *Fresh) relayHosts() []model.HostID {
+	hosts := addHosts(nil, f.hist.cfg.Controls)
+	if len(hosts) == 0 || f.until == 0 || len(f.relays.failed) >= len(hosts) {
+		hosts = addHosts(hosts, f.controls)
+	}
+	slices.Sort(hosts)
+	return hosts
+}
+
+// bestRelay prefers hosts that did not fail lately, then those of this zone.
+// Hosts of equal rank are spread over the entry hosts by a hash.
+func (f *Fresh) bestRelay(now model.Instant, hosts []model.HostID) model.HostID {
+	rank := func(h model.HostID) int {
+		failed, ok := f.relays.failed[h]
+		switch {
+		case ok && now.Sub(failed) < f.timing.MemberTimeout:
+			return 2
+		case f.inOwnZone(h):
+			return 0
+		default:
+			return 1
+		}
+	}
+	self := hashString(string(f.self.Host))
+	return slices.MinFunc(hosts, func(a, b model.HostID) int {
+		return cmp.Or(
+			cmp.Compare(rank(a), rank(b)),
+			cmp.Compare(f.relays.failed[a], f.relays.failed[b]),
+			cmp.Compare(mix(self^hashString(string(a))), mix(self^hashString(string(b)))),
+		)
+	})
+}
+
+func (f *Fresh) inOwnZone(h model.HostID) bool { return f.relays.zones[h] == f.self.Zone }
+
+// relayed notes a reply of the relay: whether it is recent enough, and where control hosts are.
+func (f *Fresh) relayed(from model.HostID, sent model.Instant, m proto.FreshReply) {
+	r := &f.relays
+	if from != r.host {
+		return
+	}
+	if m.Age <= relayPatience*f.timing.Ask {
+		r.goodAt = max(r.goodAt, sent)
+	}
+	for _, member := range m.Members {
+		r.zones[member.Host] = member.Zone
+	}
+}
+
+// Relay answers the ask of an entry host on behalf of all control hosts, from
+// what this host was confirmed last. The age of that confirmation is part of
+// the answer, so the asker's right to serve ends as if it had asked itself.
+// The second result is false while this host knows nothing that it could tell.
+func (f *Fresh) Relay(now model.Instant, ask proto.FreshAsk) (proto.FreshReply, bool) {
+	if !f.hist.known || f.until == 0 {
+		return proto.FreshReply{}, false
+	}
+	confirmed := f.until.Add(-f.timing.atMost(f.timing.Fresh))
+	reply := proto.FreshReply{Nonce: ask.Nonce, Newest: f.hist.version(), FromControl: true, Age: max(0, now.Sub(confirmed)), SeatsSettled: f.settled}
+	changes, held := f.hist.update(ask.Have)
+	if held {
+		reply.Changes = changes
+	} else {
+		reply.Snapshot = f.hist.snapshot()
+	}
+	controls := slices.DeleteFunc(slices.Clone(f.members), func(m proto.Member) bool { return m.Role != proto.RoleControl })
+	if reply.MembersDigest = Digest(controls); reply.MembersDigest != ask.MembersDigest {
+		reply.Members = controls
+	}
+	if reply.OwnersDigest = ownersDigest(f.owners); reply.OwnersDigest != ask.OwnersDigest {
+		reply.Owners = f.owners
+	}
+	return reply, true
+}
+
+func ownersDigest(owners []proto.Owner) uint64 {
+	var sum uint64
+	for _, o := range owners {
+		sum += hashOwner(o)
+	}
+	return digest(sum)
+}
--- a/internal/lease/view.go
+++ b/internal/lease/view.go
@@ -119,8 +119,9 @@
 
 // mergeMembers returns the members that more than half of the lists name,
 // ordered by host. A host that reaches only a minority of the seats cannot gain
-// a shard, and must not keep others from claiming it.
-func mergeMembers(all []*lists) []proto.Member {
+// a shard, and must not keep others from claiming it. Entry hosts that own no
+// shards ask one seat only, so one list that names them is enough.
+func mergeMembers(all []*lists, owners proto.Role) []proto.Member {
 	if len(all) == 0 {
 		return nil
 	}
@@ -134,7 +135,7 @@
 		if n == 0 {
 			return merged
 		}
-		if 2*n > len(all) {
+		if 2*n > len(all) || m.Role == proto.RoleEntry && owners != proto.RoleEntry {
 			merged = append(merged, m)
 		}
 	}
--- a/internal/link/mesh.go
+++ b/internal/link/mesh.go
@@ -88,6 +88,9 @@
 		return m.loop.put(msg)
 	}
 	p := m.peer(to)
+	if p == nil {
+		p = m.resolve(to)
+	}
 	if p == nil {
 		return false
 	}
@@ -109,6 +112,20 @@
 	return true
 }
 
+// resolve returns a host that was never learned, if its address can be found.
+func (m *Mesh) resolve(host model.HostID) *peer {
+	if m.opts.resolve == nil {
+		return nil
+	}
+	addr := m.opts.resolve(host)
+	if addr == "" {
+		return nil
+	}
+	p := m.ensure(host)
+	p.learn(addr, 0)
+	return p
+}
+
 // Learn adds or moves hosts; links to them are opened when first needed.
 func (m *Mesh) Learn(members []proto.Member) {
 	for _, member := range members {
--- a/internal/link/options.go
+++ b/internal/link/options.go
@@ -6,6 +6,7 @@
 	"github.com/go-logr/logr"
 
 	"tarragongauge.example/tarragongauge/internal/trust"
+	"tarragongauge.example/tarragongauge/pkg/model"
 )
 
 // Timing holds the time limits of links.
@@ -57,6 +58,7 @@
 	timing  Timing
 	faults  *Faults
 	tls     *trust.Source
+	resolve func(model.HostID) string
 	// optional is set while links without TLS are taken too.
 	optional bool
 }
@@ -79,6 +81,12 @@
 	return func(o *options) { o.queue = messages }
 }
 
+// WithResolver finds the addresses of hosts that were never learned, such as
+// those whose name tells it. It returns "" for a name without an address.
+func WithResolver(resolve func(model.HostID) string) Option {
+	return func(o *options) { o.resolve = resolve }
+}
+
 // WithTiming replaces the time limits.
 func WithTiming(t Timing) Option {
 	return func(o *options) { o.timing = t }
--- a/internal/node/all.go
+++ b/internal/node/all.go
@@ -129,7 +129,7 @@
 		CreateFleet: true,
 	}
 	c.Operators.Tokens = append(c.Operators.Tokens, conf.Token{Actor: "trial", Hash: sha256.Sum256([]byte(t.token))})
-	_, stop, err := startControl(c, t.log)
+	_, stop, err := startControl(c, t.log, nil)
 	if err != nil {
 		return err
 	}
--- a/internal/node/config_offers.go
+++ b/internal/node/config_offers.go
@@ -57,7 +57,7 @@
 }
 
 func (o *configOffers) encode(cfg model.Config) {
-	data, err := codec.EncodeConfig(cfg)
+	data, err := codec.EncodeConfig(cfg.WithoutDocument())
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	o.encoding = false
--- a/internal/node/control.go
+++ b/internal/node/control.go
@@ -178,7 +178,7 @@
 	var data []byte
 	var err error
 	if f.ConfigOnly {
-		data, err = codec.EncodeConfig(f.State.Config)
+		data, err = codec.EncodeConfig(f.State.Config.WithoutDocument())
 	} else {
 		data, err = codec.EncodeControl(f.State)
 	}
@@ -240,6 +240,7 @@
 			// A host without a configuration cannot apply changes.
 			var held bool
 			reply.Changes, held = c.node.Changes(ask.Have)
+			reply.Changes = model.WithoutDocuments(reply.Changes)
 			snapshot = !held || ask.Have == 0
 			cfg = c.node.Config()
 			since, known = c.node.Changes(offeredAt)
--- a/internal/node/decider.go
+++ b/internal/node/decider.go
@@ -15,6 +15,9 @@
 
 // Fresh reports whether keyed requests may be admitted now.
 func (h *entryHost) Fresh() bool {
+	if h.serveUnconfirmed {
+		return h.cfg.Load().Routes.Len() > 0
+	}
 	return h.clock.now() < model.Instant(h.freshUntil.Load())
 }
 
--- a/internal/node/effects.go
+++ b/internal/node/effects.go
@@ -85,18 +85,23 @@
 	for _, id := range gone {
 		h.targets.post(pool.HostGone{Host: id})
 	}
-	h.buckets.post(admit.StandbysChanged{Standbys: workspaceStandbys(members, h.self.Host)})
+	h.buckets.post(admit.StandbysChanged{Standbys: workspaceStandbys(members, h.self)})
 	h.shareConnections()
 }
 
 // workspaceStandbys returns the next candidate for each workspace shard after this host.
-func workspaceStandbys(members []proto.Member, self model.HostID) [model.WorkspaceShards]model.HostID {
-	next := lease.PlaceNext(members, self)
+func workspaceStandbys(members []proto.Member, self proto.Member) [model.WorkspaceShards]model.HostID {
+	next := lease.PlaceNext(members, self.Host, self.Role)
 	return [model.WorkspaceShards]model.HostID(next[:model.WorkspaceShards])
 }
 
 // shareConnections divides the connections that a target may have among the live entry hosts.
 func (h *entryHost) shareConnections() {
+	if h.relay {
+		// The number of entry hosts is not known here; owners bound the hosts that a target is given to.
+		h.server.SetTargetConns(entry.DefaultLimits().TargetConns)
+		return
+	}
 	share := h.cfg.Load().Defaults.Connections / max(1, len(h.hosts.hosts))
 	h.server.SetTargetConns(max(1, share))
 }
@@ -136,27 +141,8 @@
 	switch f := f.(type) {
 	case lease.Send:
 		h.send(f.To, f.Msg)
-	case lease.Gained:
-		h.log.V(1).Info("gained a shard", "shard", f.Shard, "epoch", f.Epoch)
-		if isWorkspaceShard(f.Shard) {
-			h.buckets.post(admit.Gained(f))
-		} else {
-			h.targets.post(pool.Gained{Shard: f.Shard, Epoch: f.Epoch, Until: f.Until})
-		}
-	case lease.Renewed:
-		if isWorkspaceShard(f.Shard) {
-			h.buckets.post(admit.Renewed(f))
-		} else {
-			h.targets.post(pool.Renewed(f))
-		}
-	case lease.Lost:
-		h.log.V(1).Info("lost a shard", "shard", f.Shard, "epoch", f.Epoch)
-		if isWorkspaceShard(f.Shard) {
-			h.buckets.post(admit.Lost{Shard: f.Shard})
-		} else {
-			h.targets.post(pool.Lost{Shard: f.Shard})
-		}
 	default:
+		handOver(f, h.log, h.buckets, h.targets)
 	}
 }
 
@@ -191,13 +177,11 @@
 		h.prober.start(f)
 	case pool.Ejected:
 		h.burn.RecordEjection(f.Service, f.Cause, f.After)
-		h.log.Info("target ejected", "service", f.Service, "target", f.Target, "cause", f.Cause.String(), "reason", f.Reason, "after", f.After.String(), "for", f.For.String())
+		logTarget(h.log, f)
 	case pool.Unconfirmed:
 		h.burn.RecordUnconfirmed(f.Service)
-	case pool.Returned:
-		h.log.Info("target returned", "service", f.Service, "target", f.Target)
-	case pool.Quarantined:
-		h.log.Info("requests quarantined: they crashed targets twice", "service", f.Service, "workspace", f.Workspace, "fingerprint", f.Fingerprint, "for", f.For.String())
+	default:
+		logTarget(h.log, f)
 	}
 }
 
--- a/internal/node/entry.go
+++ b/internal/node/entry.go
@@ -38,7 +38,11 @@
 	// ended is set once keyed requests in flight were ended for lack of freshness.
 	ended    atomic.Bool
 	draining atomic.Bool
-	hosts    hostSet
+	// serveUnconfirmed is set if keyed requests are admitted by the last known configuration.
+	serveUnconfirmed bool
+	// relay is set if the host asks one control host and owns no shards.
+	relay bool
+	hosts hostSet
 
 	fresh    *runner[lease.Event, lease.Effect]
 	seat     *runner[lease.Event, lease.Effect]
@@ -64,14 +68,23 @@
 	controls []model.HostID
 	journals []model.HostID
 	log      logr.Logger
+	// serve lets the host serve without a confirmation.
+	serve bool
+	tune  pool.Tuning
+	// relay is set if the host asks one control host and owns no shards.
+	relay bool
 }
 
 func newEntryHost(s entrySetup) *entryHost {
 	h := &entryHost{
-		clock:        newClock(),
-		log:          s.log,
-		self:         s.self,
-		timing:       s.timing,
+		clock:  newClock(),
+		log:    s.log,
+		self:   s.self,
+		timing: s.timing,
+
+		serveUnconfirmed: s.serve,
+		relay:            s.relay,
+
 		admissions:   newWaiters[requestKey, admission](),
 		assignments:  newWaiters[requestKey, entry.Assignment](),
 		reservations: newWaiters[requestKey, entry.Reservation](),
@@ -82,6 +95,9 @@
 		return h.cfg.Load().ObjectiveFor(name)
 	})
 	h.makeLeases(s)
+	if s.tune == (pool.Tuning{}) {
+		s.tune = pool.DefaultTuning()
+	}
 	h.makeDecisions(s)
 	return h
 }
@@ -91,7 +107,10 @@
 		lease.WithTiming(s.timing),
 		lease.WithIncarnation(s.self.Incarnation),
 		lease.WithBootstrap(s.seats, s.controls),
-		lease.WithWallMillis(func() int64 { return time.Now().UnixMilli() }),
+		lease.WithWallMillis(wallMillis),
+	}
+	if s.relay {
+		opts = append(opts, lease.WithOwners(proto.RoleControl), lease.WithRelay())
 	}
 	h.fresh = newRunner(h.clock, lease.NewFresh(s.self, opts...).Step, h.applyFresh)
 	h.seat = newRunner(h.clock, lease.NewSeat(s.self.Host, opts...).Step, h.applySeat)
@@ -101,8 +120,8 @@
 func (h *entryHost) makeDecisions(s entrySetup) {
 	h.wallet = newRunner(h.clock, admit.NewWallet(s.self.Host, admit.WithDrift(s.timing.Drift), admit.WithIncarnation(s.self.Incarnation)).Step, h.applyAdmit)
 	h.buckets = newRunner(h.clock, admit.NewOwner(s.self.Host, admit.WithDrift(s.timing.Drift), admit.WithIncarnation(s.self.Incarnation)).Step, h.applyAdmit)
-	h.picker = newRunner(h.clock, pool.NewPicker(s.self.Host, s.self.Zone, pool.WithIncarnation(s.self.Incarnation)).Step, h.applyPool)
-	h.poolOwner = pool.NewOwner(s.self.Host)
+	h.picker = newRunner(h.clock, pool.NewPicker(s.self.Host, s.self.Zone, pool.WithIncarnation(s.self.Incarnation), pool.WithTuning(s.tune)).Step, h.applyPool)
+	h.poolOwner = pool.NewOwner(s.self.Host, pool.WithTuning(s.tune))
 	h.targets = newRunner(h.clock, h.poolOwner.Step, h.applyPool)
 	h.reserver = newRunner(h.clock, order.NewReserver(s.self.Host, s.journals, order.WithNonces(uint64(s.self.Incarnation))).Step, h.applyOrder)
 }
@@ -110,19 +129,30 @@
 // tick lets every core act on elapsed time.
 func (h *entryHost) tick() {
 	h.fresh.post(lease.Tick{})
-	h.seat.post(lease.Tick{})
-	h.claimer.post(lease.Tick{})
 	h.wallet.post(admit.Tick{})
-	h.buckets.post(admit.Tick{})
 	h.picker.post(pool.Tick{})
-	h.targets.post(pool.Tick{})
+	if !h.relay {
+		h.seat.post(lease.Tick{})
+		h.claimer.post(lease.Tick{})
+		h.buckets.post(admit.Tick{})
+		h.targets.post(pool.Tick{})
+	}
 	h.reserver.post(order.Tick{})
 	h.endStale()
 }
 
+func wallMillis() int64 { return time.Now().UnixMilli() }
+
+func (h *entryHost) healthPath(name model.ServiceName) string {
+	return healthPathOf(*h.cfg.Load(), name)
+}
+
 // endStale ends keyed requests in flight once the right to serve ended Cut
 // ago: the key of each may have been withdrawn without this host's knowledge.
 func (h *entryHost) endStale() {
+	if h.serveUnconfirmed {
+		return
+	}
 	until := model.Instant(h.freshUntil.Load())
 	if h.clock.now() < until.Add(h.timing.Cut) {
 		h.ended.Store(false)
@@ -149,6 +179,9 @@
 		h.fresh.post(lease.Received{From: from, Msg: m})
 		h.seat.post(lease.Received{From: from, Msg: m})
 	case proto.FreshAsk, proto.SeatStage, proto.SeatLearn, proto.SeatLearnReply, proto.LeaseAsk, proto.PartAsk:
+		if h.relay {
+			return
+		}
 		h.seat.post(lease.Received{From: from, Msg: m})
 	case proto.LeaseReply:
 		h.claimer.post(lease.Received{From: from, Msg: m})
--- a/internal/node/fleet_test.go
+++ b/internal/node/fleet_test.go
@@ -151,7 +151,7 @@
 }
 
 func (f *fleet) startControl(c *testControl) {
-	_, stop, err := startControl(c.cfg, logr.Discard())
+	_, stop, err := startControl(c.cfg, logr.Discard(), nil)
 	require.NoError(f.t, err)
 	c.stop = stop
 }
--- /dev/null
+++ b/internal/node/member.go
@@ -0,0 +1,80 @@
+package node
+
+import (
+	"context"
+	"slices"
+
+	"tarragongauge.example/tarragongauge/internal/ctrl"
+	"tarragongauge.example/tarragongauge/internal/member"
+	"tarragongauge.example/tarragongauge/internal/proto"
+	"tarragongauge.example/tarragongauge/pkg/model"
+)
+
+// membership drives the planner of a control host that joins by itself.
+type membership struct {
+	control *controlHost
+	core    *runner[member.Event, member.Effect]
+}
+
+func newMembership(c *controlHost, seeds []model.HostID, size int) *membership {
+	m := &membership{control: c}
+	m.core = newRunner(c.clock, member.NewPlanner(c.self, seeds, size).Step, m.apply)
+	return m
+}
+
+func (m *membership) apply(f member.Effect) {
+	switch f := f.(type) {
+	case member.Send:
+		m.control.send(f.To, f.Msg)
+	case member.Learned:
+		m.control.learn([]proto.Member{f.Member})
+	case member.Propose:
+		m.control.run(func() { m.propose(f.Proposal) })
+	}
+}
+
+// propose submits a change of the lists and logs what became of it.
+func (m *membership) propose(p model.Proposal) {
+	ctx, cancel := context.WithTimeout(context.Background(), ctrl.DefaultTiming().ProposeTimeout)
+	defer cancel()
+	result, err := m.control.propose(ctx, p)
+	if err != nil {
+		m.control.log.Error(err, "cannot change the members of control", "change_id", p.ID)
+		return
+	}
+	m.control.log.Info("members of control changed", "change_id", p.ID, "change", p.Change, "result", int(result.Kind), "version", result.Version, "cause", result.Message)
+}
+
+func (m *membership) receive(ask proto.JoinAsk) {
+	m.core.post(member.Asked{View: m.view(), Ask: ask})
+}
+
+func (m *membership) tick() { m.core.post(member.Tick{View: m.view()}) }
+
+// view copies what the planner needs, since the consensus core is not safe for concurrent use.
+func (m *membership) view() member.View {
+	var v member.View
+	heard := map[model.HostID]model.Instant{}
+	m.control.core.read(func(now model.Instant) {
+		v.Leads = m.control.node.Confirm(now).OK
+		v.Leader = m.control.node.Status().Leader
+		v.Config = m.control.node.Config()
+		for _, host := range v.Config.Controls {
+			if at, ok := m.control.node.HeardAt(host); ok {
+				heard[host] = at
+			}
+		}
+	})
+	v.Heard = func(host model.HostID) (model.Instant, bool) {
+		at, ok := heard[host]
+		return at, ok
+	}
+	return v
+}
+
+// copies returns how many synced copies an accepted change has, and whether
+// this host is one of the control hosts.
+func (c *controlHost) copies() (n int, isMember bool) {
+	cfg := c.applied()
+	return model.Majority(len(cfg.Controls)), slices.Contains(cfg.Controls, c.self.Host)
+}
--- /dev/null
+++ b/internal/node/owner_part.go
@@ -0,0 +1,187 @@
+package node
+
+import (
+	"context"
+	"sync/atomic"
+
+	"github.com/go-logr/logr"
+
+	"tarragongauge.example/tarragongauge/internal/admit"
+	"tarragongauge.example/tarragongauge/internal/lease"
+	"tarragongauge.example/tarragongauge/internal/pool"
+	"tarragongauge.example/tarragongauge/internal/proto"
+	"tarragongauge.example/tarragongauge/pkg/model"
+)
+
+// ownerPart drives the cores that own shards on a control host, in a fleet
+// whose entry hosts own none. It also passes on the announcements that the host
+// takes, and holds them, so that a new owner learns of the targets at once.
+type ownerPart struct {
+	log    logr.Logger
+	self   proto.Member
+	send   func(model.HostID, proto.Message)
+	cfg    atomic.Pointer[model.Config]
+	hosts  hostSet
+	prober *prober
+
+	claimer *runner[lease.Event, lease.Effect]
+	buckets *runner[admit.Event, admit.Effect]
+	targets *runner[pool.Event, pool.Effect]
+	// news is a picker of which nothing is asked: it forwards announcements.
+	news *runner[pool.Event, pool.Effect]
+}
+
+// newOwnerPart returns the owner side of a control host and its clean-up function.
+func newOwnerPart(self proto.Member, timing lease.Timing, tune pool.Tuning, log logr.Logger, send func(model.HostID, proto.Message)) (*ownerPart, func()) {
+	p := &ownerPart{log: log, self: self, send: send}
+	cfg := model.NewConfig(nil, nil)
+	p.cfg.Store(&cfg)
+	c := newClock()
+	opts := []lease.Option{
+		lease.WithTiming(timing), lease.WithIncarnation(self.Incarnation), lease.WithOwners(self.Role), lease.WithWallMillis(wallMillis),
+	}
+	p.claimer = newRunner(c, lease.NewClaimer(self.Host, opts...).Step, p.applyClaimer)
+	p.buckets = newRunner(c, admit.NewOwner(self.Host, admit.WithDrift(timing.Drift), admit.WithIncarnation(self.Incarnation)).Step, p.applyAdmit)
+	p.targets = newRunner(c, pool.NewOwner(self.Host, pool.WithTuning(tune)).Step, p.applyPool)
+	p.news = newRunner(c, pool.NewPicker(self.Host, self.Zone, pool.WithIncarnation(self.Incarnation), pool.WithTuning(tune)).Step, p.applyNews)
+	prober, stop := newProber(context.Background(), p.healthPath, func(ev pool.Probed) { p.targets.post(ev) })
+	p.prober = prober
+	return p, stop
+}
+
+// follow takes the effects of the freshness client of the same host.
+func (p *ownerPart) follow(f lease.Effect) {
+	switch f := f.(type) {
+	case lease.ConfigChanged:
+		p.cfg.Store(&f.Config)
+		p.claimer.post(f)
+		p.buckets.post(admit.Configured{Config: f.Config})
+		p.targets.post(pool.Configured{Config: f.Config})
+		p.news.post(pool.Configured{Config: f.Config})
+	case lease.FreshUntil:
+		p.claimer.post(f)
+	case lease.QuorumsChanged:
+		p.claimer.post(f)
+	case lease.MembersChanged:
+		p.claimer.post(f)
+		p.joinMembers(f.Members)
+	case lease.OwnersChanged:
+		p.news.post(pool.OwnersChanged{Owners: f.Owners})
+	default:
+	}
+}
+
+func (p *ownerPart) joinMembers(members []proto.Member) {
+	gone := p.hosts.replace(members)
+	p.targets.post(pool.HostsChanged{Hosts: p.hosts.hosts})
+	for _, id := range gone {
+		p.log.Info("entry host lost", "host", id)
+		p.targets.post(pool.HostGone{Host: id})
+	}
+	p.buckets.post(admit.StandbysChanged{Standbys: workspaceStandbys(members, p.self)})
+}
+
+// receive hands a message to the core that takes it and reports whether one did.
+func (p *ownerPart) receive(from model.HostID, m proto.Message) bool {
+	switch m := m.(type) {
+	case proto.LeaseReply:
+		p.claimer.post(lease.Received{From: from, Msg: m})
+	case proto.DrawAsk, proto.StandbyNote, proto.StandbyAck:
+		p.buckets.post(admit.Received{From: from, Msg: m})
+	case proto.SlotAsk, proto.SlotDone, proto.SlotCancel, proto.TargetNews, proto.ProbeResult, proto.ViewAsk, proto.RestoreReport, proto.QuarantineClear:
+		p.targets.post(pool.Received{From: from, Msg: m})
+	case proto.SlotReply, proto.ViewReply, proto.RestoreAck:
+		p.news.post(pool.Received{From: from, Msg: m})
+	default:
+		return false
+	}
+	return true
+}
+
+func (p *ownerPart) tick() {
+	p.claimer.post(lease.Tick{})
+	p.buckets.post(admit.Tick{})
+	p.targets.post(pool.Tick{})
+	p.news.post(pool.Tick{})
+}
+
+func (p *ownerPart) applyClaimer(f lease.Effect) {
+	if f, ok := f.(lease.Send); ok {
+		p.send(f.To, f.Msg)
+		return
+	}
+	handOver(f, p.log, p.buckets, p.targets)
+}
+
+func (p *ownerPart) applyAdmit(f admit.Effect) {
+	if f, ok := f.(admit.Send); ok {
+		p.send(f.To, f.Msg)
+	}
+}
+
+func (p *ownerPart) applyPool(f pool.Effect) {
+	switch f := f.(type) {
+	case pool.Send:
+		p.send(f.To, f.Msg)
+	case pool.Probe:
+		p.prober.start(f)
+	default:
+		logTarget(p.log, f)
+	}
+}
+
+// applyNews sends what the picker wants sent. It leaves probes to the owners.
+func (p *ownerPart) applyNews(f pool.Effect) {
+	if f, ok := f.(pool.Send); ok {
+		p.send(f.To, f.Msg)
+	}
+}
+
+// announce takes an announcement.
+func (p *ownerPart) announce(a model.Announcement) {
+	p.news.post(pool.Announced{Announcement: a})
+}
+
+func (p *ownerPart) healthPath(name model.ServiceName) string {
+	return healthPathOf(*p.cfg.Load(), name)
+}
+
+// logTarget logs what an owner decides about a target.
+func logTarget(log logr.Logger, f pool.Effect) {
+	switch f := f.(type) {
+	case pool.Ejected:
+		log.Info("target ejected", "service", f.Service, "target", f.Target, "cause", f.Cause.String(), "reason", f.Reason, "after", f.After.String(), "for", f.For.String())
+	case pool.Returned:
+		log.Info("target returned", "service", f.Service, "target", f.Target)
+	case pool.Quarantined:
+		log.Info("requests quarantined: they crashed targets twice", "service", f.Service, "workspace", f.Workspace, "fingerprint", f.Fingerprint, "for", f.For.String())
+	default:
+	}
+}
+
+// handOver hands the ownership that a claimer gained or lost to the cores whose shards are concerned.
+func handOver(f lease.Effect, log logr.Logger, buckets *runner[admit.Event, admit.Effect], targets *runner[pool.Event, pool.Effect]) {
+	switch f := f.(type) {
+	case lease.Gained:
+		log.V(1).Info("gained a shard", "shard", f.Shard, "epoch", f.Epoch)
+		if isWorkspaceShard(f.Shard) {
+			buckets.post(admit.Gained(f))
+		} else {
+			targets.post(pool.Gained{Shard: f.Shard, Epoch: f.Epoch, Until: f.Until})
+		}
+	case lease.Renewed:
+		if isWorkspaceShard(f.Shard) {
+			buckets.post(admit.Renewed(f))
+		} else {
+			targets.post(pool.Renewed(f))
+		}
+	case lease.Lost:
+		log.V(1).Info("lost a shard", "shard", f.Shard, "epoch", f.Epoch)
+		if isWorkspaceShard(f.Shard) {
+			buckets.post(admit.Lost{Shard: f.Shard})
+		} else {
+			targets.post(pool.Lost{Shard: f.Shard})
+		}
+	default:
+	}
+}
--- /dev/null
+++ b/internal/node/port.go
@@ -0,0 +1,125 @@
+package node
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"errors"
+	"fmt"
+	"net/http"
+	"time"
+
+	"tarragongauge.example/tarragongauge/internal/ctrl"
+	"tarragongauge.example/tarragongauge/pkg/model"
+)
+
+// ErrUnsure tells that this host cannot say which configuration is the newest.
+type ErrUnsure struct {
+	// Leader is the control host to ask, or empty if none is known.
+	Leader model.HostID
+	Cause  string
+}
+
+func (e ErrUnsure) Error() string {
+	return fmt.Sprintf("this host cannot answer for the fleet: %s; ask the leader %q or try again", e.Cause, e.Leader)
+}
+
+// IsErrUnsure reports whether err is or wraps an ErrUnsure.
+func IsErrUnsure(err error) bool {
+	var e ErrUnsure
+	return errors.As(err, &e)
+}
+
+// ControlPort is what an adapter to another operators' interface may ask of a
+// control host. It is safe for concurrent use.
+type ControlPort interface {
+	// Apply replaces the whole configuration and waits until it is accepted. A
+	// revision that is not higher than the newest is acknowledged as superseded.
+	// It returns ErrUnsure if the change was not taken.
+	Apply(ctx context.Context, change model.ReplaceContent) (model.Result, error)
+	// Newest returns the newest configuration with its document. It returns
+	// ErrUnsure unless this host leads with a live quorum.
+	Newest() (model.Config, error)
+	// Announce takes an announcement of a target that the adapter has checked.
+	Announce(a model.Announcement) error
+}
+
+// EntryPort is what an adapter may ask of an entry host.
+type EntryPort interface {
+	// Ready returns what the host waits for before it can serve callers.
+	Ready() error
+}
+
+// ControlHandler makes the handler of a further port of a control host.
+type ControlHandler struct {
+	// Addr is ip:port.
+	Addr string
+	New  func(ControlPort) http.Handler
+}
+
+// EntryHandler makes the handler of a further port of an entry host.
+type EntryHandler struct {
+	// Addr is ip:port.
+	Addr string
+	New  func(EntryPort) http.Handler
+}
+
+// announceAge bounds the age of the last confirmation of a host that takes
+// announcements: three asks. Without a majority it could not tell the owners.
+const announceAge = 1200 * time.Millisecond
+
+// controlPort implements ControlPort.
+type controlPort struct {
+	control *controlHost
+	// seat and owner are nil on a host that the operators made a control host.
+	seat  *seatHost
+	owner *ownerPart
+	// minCopies is the number of synced copies that an accepted change must have.
+	minCopies int
+}
+
+func (p *controlPort) Newest() (model.Config, error) {
+	var cfg model.Config
+	var sure ctrl.Confirmation
+	var leader model.HostID
+	p.control.core.read(func(now model.Instant) {
+		cfg, sure, leader = p.control.node.Config(), p.control.node.Confirm(now), p.control.node.Status().Leader
+	})
+	switch {
+	case !sure.OK:
+		return model.Config{}, ErrUnsure{Leader: leader, Cause: "it does not lead with a live quorum"}
+	case cfg.Revision == 0:
+		return model.Config{}, ErrUnsure{Leader: leader, Cause: "no configuration was applied yet"}
+	default:
+		return cfg, nil
+	}
+}
+
+func (p *controlPort) Apply(ctx context.Context, change model.ReplaceContent) (model.Result, error) {
+	if cfg, err := p.Newest(); err == nil && change.Revision <= cfg.Revision {
+		return model.Result{Kind: model.ResultSuperseded, Version: cfg.Version}, nil
+	}
+	if copies, isMember := p.control.copies(); copies < p.minCopies || !isMember {
+		return model.Result{}, ErrUnsure{Cause: fmt.Sprintf("an accepted change would have %d synced copies, and %d are needed", copies, p.minCopies)}
+	}
+	digest := sha256.Sum256(change.Document)
+	result, err := p.control.propose(ctx, model.Proposal{
+		ID:     model.ChangeID(fmt.Sprintf("apply-%d-%s", change.Revision, hex.EncodeToString(digest[:8]))),
+		Actor:  "operator",
+		Reason: "whole configuration",
+		Change: change,
+	})
+	if err != nil {
+		return result, err
+	}
+	p.control.log.Info("whole configuration proposed", "revision", change.Revision, "result", int(result.Kind), "version", result.Version, "cause", result.Message)
+	return result, nil
+}
+
+func (p *controlPort) Announce(a model.Announcement) error {
+	if p.owner == nil || !p.seat.confirmedWithin(announceAge) {
+		return ErrUnsure{Cause: "it does not reach a majority of the fleet"}
+	}
+	p.owner.announce(a)
+	return nil
+}
--- a/internal/node/probe.go
+++ b/internal/node/probe.go
@@ -9,6 +9,7 @@
 	"github.com/go-resty/resty/v2"
 
 	"tarragongauge.example/tarragongauge/internal/pool"
+	"tarragongauge.example/tarragongauge/pkg/model"
 )
 
 // Bounds of health probes.
@@ -23,15 +24,28 @@
 	ctx    context.Context
 	client *resty.Client
 	group  pond.Pool
-	done   func(pool.Probed)
+	// path returns the path that a service's probes ask for.
+	path func(model.ServiceName) string
+	done func(pool.Probed)
+}
+
+// defaultHealthPath is asked for where the service names none.
+const defaultHealthPath = "/healthz"
+
+func healthPathOf(cfg model.Config, name model.ServiceName) string {
+	if s, ok := cfg.Services.Get(name); ok && s.HealthPath != "" {
+		return s.HealthPath
+	}
+	return defaultHealthPath
 }
 
 // newProber returns a prober and its clean-up function.
-func newProber(ctx context.Context, done func(pool.Probed)) (*prober, func()) {
+func newProber(ctx context.Context, path func(model.ServiceName) string, done func(pool.Probed)) (*prober, func()) {
 	p := &prober{
 		ctx:    ctx,
 		client: resty.New().SetTimeout(probeTimeout).SetRedirectPolicy(resty.NoRedirectPolicy()),
 		group:  pond.NewPool(probeWorkers, pond.WithQueueSize(probeQueue), pond.WithNonBlocking(true)),
+		path:   path,
 		done:   done,
 	}
 	return p, p.group.StopAndWait
@@ -44,7 +58,7 @@
 
 func (p *prober) probe(f pool.Probe) {
 	begin := time.Now()
-	resp, err := p.client.R().SetContext(p.ctx).Get("http://" + f.Addr + "/healthz")
+	resp, err := p.client.R().SetContext(p.ctx).Get("http://" + f.Addr + p.path(f.Service))
 	p.done(pool.Probed{
 		Service:     f.Service,
 		Target:      f.Target,
--- a/internal/node/process.go
+++ b/internal/node/process.go
@@ -117,6 +117,9 @@
 	tree, stopTree := super.New(string(s.host.Name), super.WithLogger(s.log))
 	p.tree = tree
 	p.stops = append(p.stops, stopTree)
+	if s.fleet.AddressNames {
+		extra = append(extra, link.WithResolver(addressHost))
+	}
 	opts := append([]link.Option{link.WithCluster(s.fleet.Name), link.WithLogger(s.log), link.WithQueue(s.queue)}, extra...)
 	if s.tls.Enabled() {
 		source, stopSource, err := trust.NewSource(s.tls.Files, s.tls.Expect, time.Now, tree, trust.WithLogger(s.log))
--- a/internal/node/run_control.go
+++ b/internal/node/run_control.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"net"
 	"time"
 
 	"github.com/go-logr/logr"
@@ -11,6 +12,7 @@
 	"tarragongauge.example/tarragongauge/internal/conf"
 	"tarragongauge.example/tarragongauge/internal/lease"
 	"tarragongauge.example/tarragongauge/internal/link"
+	"tarragongauge.example/tarragongauge/internal/pool"
 	"tarragongauge.example/tarragongauge/internal/proto"
 	"tarragongauge.example/tarragongauge/pkg/model"
 )
@@ -20,7 +22,12 @@
 
 // RunControl runs a control host until ctx ends.
 func RunControl(ctx context.Context, c conf.Control, log logr.Logger) error {
-	p, stop, err := startControl(c, log)
+	return RunControlWith(ctx, c, log)
+}
+
+// RunControlWith runs a control host with further ports.
+func RunControlWith(ctx context.Context, c conf.Control, log logr.Logger, ports ...ControlHandler) error {
+	p, stop, err := startControl(c, log, ports)
 	if err != nil {
 		return err
 	}
@@ -32,12 +39,36 @@
 type diskHost struct {
 	control *controlHost
 	journal *journalHost
+	// seat, owner and membership are nil unless the host joins by itself.
+	seat       *seatHost
+	owner      *ownerPart
+	membership *membership
 }
 
 func (d *diskHost) receive(from hostID, m proto.Message) {
 	if d.journal != nil && d.journal.receive(from, m) {
 		return
 	}
+	if ask, ok := m.(proto.FreshAsk); ok && d.seat != nil && ask.Member.Role == proto.RoleEntry {
+		d.seat.relay(from, ask)
+		d.control.see(ask)
+		return
+	}
+	if d.owner != nil && d.owner.receive(from, m) {
+		return
+	}
+	if taken, alone := seatMessages(m); taken && d.seat != nil {
+		d.seat.receive(from, m)
+		if alone {
+			return
+		}
+	}
+	if ask, ok := m.(proto.JoinAsk); ok {
+		if d.membership != nil {
+			d.membership.receive(ask)
+		}
+		return
+	}
 	if d.control != nil {
 		d.control.receive(from, m)
 	}
@@ -50,9 +81,13 @@
 	if d.control != nil {
 		d.control.tick()
 	}
+	if d.seat != nil {
+		d.seat.tick()
+		d.owner.tick()
+	}
 }
 
-func startControl(c conf.Control, log logr.Logger, extra ...link.Option) (*process, func() error, error) {
+func startControl(c conf.Control, log logr.Logger, ports []ControlHandler, extra ...link.Option) (*process, func() error, error) {
 	d := &diskHost{}
 	p, stopProcess, err := newProcess(processSetup{
 		role: proto.RoleControl, host: c.Host, addr: c.Listen.Fleet, fleet: c.Fleet, tls: c.TLS, queue: c.Limits.LinkQueue, log: log,
@@ -71,6 +106,9 @@
 		return nil, nil, errors.Join(err, stop())
 	}
 	p.files = append(p.files, closeLog)
+	if c.Join.Size > 0 {
+		d.joinFleet(p, c, control)
+	}
 	d.control = control
 	p.tree.Go("log", control.disk.run)
 	if c.Journal {
@@ -86,10 +124,44 @@
 	if err != nil {
 		return nil, nil, errors.Join(err, stop())
 	}
+	for _, port := range ports {
+		handler := port.New(&controlPort{control: control, seat: d.seat, owner: d.owner, minCopies: c.Join.MinCopies})
+		if err := p.serveHTTP("adapter", port.Addr, handler, unwrapped); err != nil {
+			return nil, nil, errors.Join(err, stop())
+		}
+	}
 	p.every(controlTick, d.tick)
+	if d.membership != nil {
+		p.every(joinTick, d.membership.tick)
+	}
 	return p, stop, nil
 }
 
+// unwrapped serves a listener as it is.
+func unwrapped(l net.Listener) net.Listener { return l }
+
+// joinFleet adds what a control host needs that joins by itself: it is a seat
+// too, takes announcements and asks to become a control host.
+func (d *diskHost) joinFleet(p *process, c conf.Control, control *controlHost) {
+	send := func(to model.HostID, m proto.Message) { p.mesh.Send(to, m) }
+	owner, stopOwner := newOwnerPart(p.self, lease.DefaultTiming(), tuning(c.Fleet), p.log, send)
+	p.stops = append(p.stops, stopOwner)
+	d.owner = owner
+	d.seat = newSeatHost(p, c.Fleet, p.log, owner.follow)
+	d.membership = newMembership(control, hostsOf(c.Fleet.Controls), c.Join.Size)
+}
+
+// tuning returns the target policy of a fleet.
+func tuning(f conf.Fleet) pool.Tuning {
+	t := pool.DefaultTuning()
+	if f.StaleAfter > 0 {
+		t.StaleAfter = f.StaleAfter
+		t.NewsFresh = f.StaleAfter
+		t.RemoveAfter = max(t.RemoveAfter, f.StaleAfter)
+	}
+	return t
+}
+
 func tokens(o conf.Operators) []admin.Token {
 	out := make([]admin.Token, 0, len(o.Tokens))
 	for _, t := range o.Tokens {
--- a/internal/node/run_entry.go
+++ b/internal/node/run_entry.go
@@ -26,11 +26,21 @@
 
 // RunEntry runs an entry host until ctx ends, then drains it.
 func RunEntry(ctx context.Context, c conf.Entry, log logr.Logger) error {
+	return RunEntryWith(ctx, c, log)
+}
+
+// RunEntryWith runs an entry host with further ports.
+func RunEntryWith(ctx context.Context, c conf.Entry, log logr.Logger, ports ...EntryHandler) error {
 	h, stop, err := startEntry(c, log)
 	if err != nil {
 		return err
 	}
 	log.Info("entry host started", "host", c.Host.Name, "zone", c.Host.Zone, "callers", c.Listen.Callers, "announce", c.Listen.Announce)
+	for _, port := range ports {
+		if err := h.process.serveHTTP("adapter", port.Addr, port.New(h), unwrapped); err != nil {
+			return errors.Join(err, stop())
+		}
+	}
 	failed := h.process.failure()
 	select {
 	case <-ctx.Done():
@@ -57,6 +67,9 @@
 		controls: hostsOf(c.Fleet.Controls),
 		journals: hostsOf(c.Fleet.Journals),
 		log:      log,
+		serve:    c.Fleet.ServeUnconfirmed,
+		tune:     tuning(c.Fleet),
+		relay:    c.Fleet.OwnersAtControl,
 	})
 	h.process, h.mesh = p, p.mesh
 	drain, err := h.open(c)
@@ -65,7 +78,7 @@
 		return nil, nil, err
 	}
 	return h, func() error {
-		err := h.drain(drain, c.Limits.StopTimeout)
+		err := h.drain(drain, max(readyGrace, c.Limits.LeaveTime), c.Limits.StopTimeout)
 		stopProcess()
 		return err
 	}, nil
@@ -74,12 +87,12 @@
 // open starts the listeners and the ticks of an entry host.
 func (h *entryHost) open(c conf.Entry) (func(context.Context) error, error) {
 	p := h.process
-	server, drain, err := entry.NewServer(h, h.burn, entry.WithHost(c.Host.Name), entry.WithLimits(entryLimits(c.Limits)))
+	server, drain, err := entry.NewServer(h, h.burn, append(headerOptions(c.Headers), entry.WithHost(c.Host.Name), entry.WithLimits(entryLimits(c.Limits)))...)
 	if err != nil {
 		return nil, err
 	}
 	h.server = server
-	probes, stopProbes := newProber(context.Background(), func(ev pool.Probed) { h.picker.post(ev) })
+	probes, stopProbes := newProber(context.Background(), h.healthPath, func(ev pool.Probed) { h.picker.post(ev) })
 	h.prober = probes
 	p.stops = append(p.stops, stopProbes)
 	callers, err := listen("callers", c.Listen.Callers)
@@ -87,11 +100,13 @@
 		return nil, err
 	}
 	p.tree.Go("callers", func(context.Context) error { return server.ServeCallers(callers) })
-	announce, err := listen("announce", c.Listen.Announce)
-	if err != nil {
-		return nil, err
+	if c.Listen.Announce != "" {
+		announce, err := listen("announce", c.Listen.Announce)
+		if err != nil {
+			return nil, err
+		}
+		p.tree.Go("announce", func(context.Context) error { return server.ServeAnnouncements(announce) })
 	}
-	p.tree.Go("announce", func(context.Context) error { return server.ServeAnnouncements(announce) })
 	h.publish()
 	if err := errors.Join(p.serveFleet(c.Listen.Fleet), p.serveOperators(c.Listen.Operators, h, h.vars)); err != nil {
 		return nil, err
@@ -100,6 +115,35 @@
 	return drain, nil
 }
 
+// headerOptions returns the options for the headers that differ from the product's own.
+func headerOptions(h conf.Headers) []entry.Option {
+	n := entry.DefaultNames()
+	for _, name := range []struct {
+		to   *string
+		from string
+	}{
+		{&n.RequestID, h.RequestID},
+		{&n.Deadline, h.Deadline},
+		{&n.Workspace, h.Workspace},
+		{&n.NotRun, h.NotRun},
+		{&n.Instance, h.Instance},
+		{&n.KeyScheme, h.KeyScheme},
+	} {
+		if name.from != "" {
+			*name.to = name.from
+		}
+	}
+	n.CallerIDs = h.CallerIDs
+	opts := []entry.Option{entry.WithNames(n)}
+	if h.StatusPromise {
+		opts = append(opts, entry.WithStatusPromise())
+	}
+	if h.EndlessAnswers {
+		opts = append(opts, entry.WithEndlessAnswers())
+	}
+	return opts
+}
+
 func entryLimits(c conf.Limits) entry.Limits {
 	l := entry.DefaultLimits()
 	l.Header = c.HeaderBytes
@@ -121,6 +165,8 @@
 	switch {
 	case h.draining.Load():
 		return errors.New("this host is draining")
+	case h.cfg.Load().Routes.Len() == 0 && h.serveUnconfirmed:
+		return errors.New("this host knows no route yet; check that control is reachable and a configuration was applied")
 	case !h.Fresh():
 		return errors.New("this host waits for a confirmation of its configuration; check that a majority of seats or the leader of control is reachable")
 	default:
@@ -129,11 +175,11 @@
 }
 
 // drain stops taking work, hands shards over and waits for requests in flight.
-func (h *entryHost) drain(stop func(context.Context) error, timeout time.Duration) error {
+func (h *entryHost) drain(stop func(context.Context) error, leave, timeout time.Duration) error {
 	h.draining.Store(true)
 	h.fresh.post(lease.Handover{})
 	h.claimer.post(lease.Handover{})
-	time.Sleep(readyGrace)
+	time.Sleep(leave)
 	ctx, cancel := context.WithTimeout(context.Background(), timeout)
 	defer cancel()
 	return eris.Wrap(stop(ctx), "requests were still in flight at the end of [limits] stop_timeout")
--- a/internal/node/run_seat.go
+++ b/internal/node/run_seat.go
@@ -5,7 +5,6 @@
 	"encoding/json"
 	"errors"
 	"sync/atomic"
-	"time"
 
 	"github.com/go-logr/logr"
 
@@ -25,9 +24,13 @@
 	log   logr.Logger
 	mesh  link.Sender
 	fresh *runner[lease.Event, lease.Effect]
-	seat  *runner[lease.Event, lease.Effect]
-	clock clock
-	learn func([]proto.Member)
+	// freshCore is read under the lock of fresh.
+	freshCore *lease.Fresh
+	seat      *runner[lease.Event, lease.Effect]
+	clock     clock
+	learn     func([]proto.Member)
+	// follow takes the effects of the freshness client too; it may be nil.
+	follow func(lease.Effect)
 
 	version atomic.Uint64
 	// freshUntil is a model.Instant.
@@ -53,7 +56,7 @@
 	if err != nil {
 		return nil, nil, err
 	}
-	h = newSeatHost(p, c.Fleet, log)
+	h = newSeatHost(p, c.Fleet, log, nil)
 	vars := admin.NewVars()
 	vars.Func("links", func() any { return p.mesh.Stats() })
 	vars.Func("seat", func() any { return h.status() })
@@ -65,15 +68,19 @@
 	return p, func() error { h.draining.Store(true); stopProcess(); return nil }, nil
 }
 
-func newSeatHost(p *process, fleet conf.Fleet, log logr.Logger) *seatHost {
-	h := &seatHost{log: log, mesh: p.mesh, clock: newClock(), learn: p.mesh.Learn}
+func newSeatHost(p *process, fleet conf.Fleet, log logr.Logger, follow func(lease.Effect)) *seatHost {
+	h := &seatHost{log: log, mesh: p.mesh, clock: newClock(), learn: p.mesh.Learn, follow: follow}
 	opts := []lease.Option{
 		lease.WithTiming(lease.DefaultTiming()),
 		lease.WithIncarnation(p.self.Incarnation),
 		lease.WithBootstrap(hostsOf(fleet.Seats), hostsOf(fleet.Controls)),
-		lease.WithWallMillis(func() int64 { return time.Now().UnixMilli() }),
+		lease.WithWallMillis(wallMillis),
 	}
-	h.fresh = newRunner(h.clock, lease.NewFresh(p.self, opts...).Step, h.applyFresh)
+	if fleet.OwnersAtControl {
+		opts = append(opts, lease.WithOwners(proto.RoleControl))
+	}
+	h.freshCore = lease.NewFresh(p.self, opts...)
+	h.fresh = newRunner(h.clock, h.freshCore.Step, h.applyFresh)
 	h.seat = newRunner(h.clock, lease.NewSeat(p.self.Host, opts...).Step, h.applySeat)
 	return h
 }
@@ -85,7 +92,7 @@
 
 func (h *seatHost) receive(from model.HostID, m proto.Message) {
 	switch m := m.(type) {
-	case proto.FreshReply:
+	case proto.FreshReply, proto.Part:
 		h.fresh.post(lease.Received{From: from, Msg: m})
 		h.seat.post(lease.Received{From: from, Msg: m})
 	case proto.FreshAsk, proto.SeatStage, proto.SeatLearn, proto.SeatLearnReply, proto.LeaseAsk:
@@ -98,6 +105,9 @@
 }
 
 func (h *seatHost) applyFresh(f lease.Effect) {
+	if h.follow != nil {
+		h.follow(f)
+	}
 	switch f := f.(type) {
 	case lease.Send:
 		h.mesh.Send(f.To, f.Msg)
--- /dev/null
+++ b/internal/node/seat_part.go
@@ -0,0 +1,51 @@
+package node
+
+import (
+	"time"
+
+	"tarragongauge.example/tarragongauge/internal/lease"
+	"tarragongauge.example/tarragongauge/internal/proto"
+	"tarragongauge.example/tarragongauge/pkg/model"
+)
+
+// seatMessages reports whether a seat takes a message, and whether it alone does.
+func seatMessages(m proto.Message) (taken, alone bool) {
+	switch m.(type) {
+	case proto.FreshReply, proto.SeatStage, proto.SeatLearn, proto.SeatLearnReply, proto.LeaseAsk:
+		return true, true
+	case proto.FreshAsk, proto.Part:
+		return true, false
+	default:
+		return false, false
+	}
+}
+
+// addressHost resolves host names of the form IP_PORT.
+func addressHost(host model.HostID) string {
+	addr, ok := AddressOf(host)
+	if !ok {
+		return ""
+	}
+	return addr
+}
+
+// joinTick is the interval at which membership acts on elapsed time.
+const joinTick = 100 * time.Millisecond
+
+// relay answers an entry host on behalf of all control hosts.
+func (h *seatHost) relay(from model.HostID, ask proto.FreshAsk) {
+	var reply proto.FreshReply
+	var ok bool
+	h.fresh.read(func(now model.Instant) { reply, ok = h.freshCore.Relay(now, ask) })
+	h.seat.post(lease.Heard{Member: ask.Member})
+	if ok {
+		h.mesh.Send(from, reply)
+	}
+}
+
+// confirmedWithin reports whether this host was confirmed a version lately: it
+// then reaches a majority of the seats or the leader.
+func (h *seatHost) confirmedWithin(age time.Duration) bool {
+	confirmed := model.Instant(h.freshUntil.Load()).Add(-lease.DefaultTiming().Fresh)
+	return h.clock.now().Sub(confirmed) <= age
+}
--- a/internal/proto/message.go
+++ b/internal/proto/message.go
@@ -118,6 +118,13 @@
 	}
 )
 
+// JoinAsk asks to become a control host. A host that does not lead passes it on to the leader.
+type JoinAsk struct {
+	Member Member
+	// Relayed is set once a host has passed it on, so that it is passed on once.
+	Relayed bool
+}
+
 // LogEntry is one entry of the replicated log. An entry without a proposal
 // starts a term, or lets a host that started without state count again.
 type LogEntry struct {
--- a/internal/proto/sealed.go
+++ b/internal/proto/sealed.go
@@ -39,3 +39,4 @@
 func (StatusAsk) isMessage()        {}
 func (StatusReply) isMessage()      {}
 func (QuarantineClear) isMessage()  {}
+func (JoinAsk) isMessage()          {}
--- a/internal/wire/binding.go
+++ b/internal/wire/binding.go
@@ -59,6 +59,7 @@
 	all = append(all, restoreBindings()...)
 	all = append(all, orderBindings()...)
 	all = append(all, formBindings()...)
+	all = append(all, joinBindings()...)
 	return append(all, reportBindings()...)
 }
 
--- a/pkg/model/apply.go
+++ b/pkg/model/apply.go
@@ -76,6 +76,8 @@
 		return c.setSeats(ch)
 	case SetControls:
 		return c.setControls(ch)
+	case ReplaceContent:
+		return c.replaceContent(ch)
 	default:
 		return c, ErrInvalid{Field: "change", Got: fmt.Sprintf("%T", ch), Want: "a change this version knows; upgrade this host"}
 	}
@@ -213,8 +215,10 @@
 	if err := ch.Route.Check(); err != nil {
 		return c, err
 	}
-	if err := c.checkService(ch.Route.Service); err != nil {
-		return c, err
+	for _, name := range ch.Route.Services() {
+		if err := c.checkService(name); err != nil {
+			return c, err
+		}
 	}
 	c.Routes = c.Routes.With(ch.Route)
 	return c, nil
--- a/pkg/model/change.go
+++ b/pkg/model/change.go
@@ -82,6 +82,8 @@
 	ResultUnknown
 	// ResultNotLeader means another control host takes changes.
 	ResultNotLeader
+	// ResultSuperseded means that a whole configuration of the same or a higher revision is in force.
+	ResultSuperseded
 )
 
 // Result is the answer to a proposal.
--- a/pkg/model/check.go
+++ b/pkg/model/check.go
@@ -107,7 +107,14 @@
 	for _, m := range r.Methods {
 		err = cmp.Or(err, valid(m != "" && strings.ToUpper(m) == m, "methods", strconv.Quote(m), "HTTP methods in capitals, such as GET"))
 	}
-	return cmp.Or(err, valid(!r.Idempotent || !r.RequireOrderKey, "require_order_key", true, "false on an idempotent route, which needs no order key"))
+	return cmp.Or(
+		err,
+		valid(!r.Idempotent || !r.RequireOrderKey, "require_order_key", true, "false on an idempotent route, which needs no order key"),
+		valid(!strings.ContainsAny(r.Host, "/?# \t\r\n"), "host", strconv.Quote(r.Host), "a host name without a scheme or path"),
+		checkBetween("attempts", r.Attempts, 0, 100, "between 0 and 100"),
+		r.checkSplit(),
+		r.checkTimes(),
+	)
 }
 
 // Check returns an ErrInvalid if the exception is malformed by itself.
--- a/pkg/model/config.go
+++ b/pkg/model/config.go
@@ -59,22 +59,40 @@
 	Name ServiceName
 	// AnnounceHash is the digest of the secret that targets of this service announce with.
 	AnnounceHash KeyHash
+	// HealthPath is the path that health probes of the targets ask for, or empty for the default.
+	HealthPath string
+	// Connections bounds the connections to one target over the whole fleet, or is 0 for the default.
+	Connections int
 }
 
 // Route maps requests to a service.
 type Route struct {
 	Name RouteName
+	// Host is the host name that the route belongs to, in lower case and without
+	// a port, or empty for all hosts. Routes of the request's host come first.
+	Host string
 	// PathPrefix starts with a slash. The longest matching prefix wins.
 	PathPrefix string
 	// Methods is empty when the route takes every method.
 	Methods []string
 	Service ServiceName
+	// Split divides the requests among several services, or is empty. Service is
+	// then the first of them.
+	Split []Share
 	// Open routes need no key.
 	Open bool
 	// Idempotent routes may be retried after a request may have run.
 	Idempotent bool
 	// RequireOrderKey refuses requests without an Idempotency-Key header.
 	RequireOrderKey bool
+	// Attempts bounds the targets that one request is sent to, or is 0 for the bound of the host.
+	Attempts int
+	// Timeout bounds a request as Defaults.Deadline does, or is 0 for that.
+	Timeout time.Duration
+	// Objective is the time within which an answer is of full use, or 0 if none is set.
+	Objective time.Duration
+	// Priority ranks the route; 0 is the most urgent.
+	Priority int
 }
 
 // Override is the setting an Exception replaces. It is a sealed interface.
@@ -120,7 +138,11 @@
 // Config is one version of the fleet configuration. A Config and everything
 // reachable from it is immutable; With methods and Apply return copies.
 type Config struct {
-	Version    Version
+	Version Version
+	// Revision is the operator's number of the whole configuration in force, or 0.
+	Revision Revision
+	// Document is that configuration as the operator wrote it. Only control hosts hold it.
+	Document   []byte
 	Defaults   Defaults
 	Workspaces Workspaces
 	// Keys holds only keys that may be used: withdrawal removes them.
--- a/pkg/model/lookup.go
+++ b/pkg/model/lookup.go
@@ -5,6 +5,19 @@
 // Match returns the route of a request, see Routes.Match.
 func (c Config) Match(method, path string) (Route, bool) { return c.Routes.Match(method, path) }
 
+// MatchHost returns the route of a request to a host, see Routes.MatchHost.
+func (c Config) MatchHost(method, host, path string) (Route, bool) {
+	return c.Routes.MatchHost(method, host, path)
+}
+
+// TimeoutFor returns the bound on a request of a route: that of an exception, of the route, or the default.
+func (c Config) TimeoutFor(r Route) time.Duration {
+	if _, ok := override[DeadlineOverride](c, scopeDeadline, string(r.Name)); ok || r.Timeout == 0 {
+		return c.DeadlineFor(r.Name)
+	}
+	return r.Timeout
+}
+
 // KeyFor returns the key with a digest if its workspace is not withdrawn. It does not allocate.
 func (c Config) KeyFor(hash KeyHash) (Key, bool) {
 	key, ok := c.Keys.Get(hash)
--- a/pkg/model/routes.go
+++ b/pkg/model/routes.go
@@ -23,6 +23,8 @@
 	byName   []int32
 	byPrefix []int32
 	tree     prefixTree
+	// hosted is set if a route belongs to one host only.
+	hosted bool
 }
 
 // RoutesOf returns the list of routes in any order.
@@ -35,7 +37,7 @@
 	}
 	byPrefix := slices.Clone(byName)
 	slices.SortStableFunc(byName, func(a, b int32) int { return cmp.Compare(ordered[a].Name, ordered[b].Name) })
-	slices.SortStableFunc(byPrefix, func(a, b int32) int { return cmp.Compare(ordered[a].PathPrefix, ordered[b].PathPrefix) })
+	slices.SortStableFunc(byPrefix, func(a, b int32) int { return cmp.Compare(ordered[a].place(), ordered[b].place()) })
 	return newRoutes(ordered, byName, byPrefix)
 }
 
@@ -43,7 +45,8 @@
 	if len(ordered) == 0 {
 		return Routes{}
 	}
-	return Routes{lists: &routeLists{ordered: ordered, byName: byName, byPrefix: byPrefix, tree: newPrefixTree(ordered, byPrefix)}}
+	hosted := slices.ContainsFunc(ordered, func(r Route) bool { return r.Host != "" })
+	return Routes{lists: &routeLists{ordered: ordered, byName: byName, byPrefix: byPrefix, tree: newPrefixTree(ordered, byPrefix), hosted: hosted}}
 }
 
 func compareRoutes(a, b Route) int {
@@ -57,6 +60,9 @@
 	return r.lists.ordered
 }
 
+// Len returns the number of routes.
+func (r Routes) Len() int { return len(r.list()) }
+
 // All returns the routes by descending prefix length, then by name.
 func (r Routes) All() iter.Seq[Route] { return slices.Values(r.list()) }
 
@@ -74,7 +80,7 @@
 
 func routeName(r *Route) RouteName { return r.Name }
 
-func routePrefix(r *Route) string { return r.PathPrefix }
+func routePlace(r *Route) string { return r.place() }
 
 // searchPositions searches positions that are ordered by a part of their routes.
 func searchPositions[K ~string](ordered []Route, positions []int32, want K, part func(*Route) K) (int, bool) {
@@ -98,8 +104,8 @@
 		return i
 	}
 	name, _ := searchPositions(old.ordered, old.byName, route.Name, routeName)
-	prefix, _ := searchPositions(old.ordered, old.byPrefix, route.PathPrefix, routePrefix)
-	for prefix < len(old.byPrefix) && old.ordered[old.byPrefix[prefix]].PathPrefix == route.PathPrefix && int(old.byPrefix[prefix]) < at {
+	prefix, _ := searchPositions(old.ordered, old.byPrefix, route.place(), routePlace)
+	for prefix < len(old.byPrefix) && old.ordered[old.byPrefix[prefix]].place() == route.place() && int(old.byPrefix[prefix]) < at {
 		prefix++
 	}
 	return newRoutes(ordered, shifted(old.byName, name, int32(at), shift), shifted(old.byPrefix, prefix, int32(at), shift))
@@ -165,6 +171,19 @@
 	return r.lists.ordered[i], true
 }
 
+// MatchHost is Match among the routes of a host, then among those of all hosts.
+func (r Routes) MatchHost(method, host, path string) (Route, bool) {
+	if r.lists == nil {
+		return Route{}, false
+	}
+	if host != "" && r.lists.hosted {
+		if i := r.lists.match(method, host+path); i >= 0 {
+			return r.lists.ordered[i], true
+		}
+	}
+	return r.Match(method, path)
+}
+
 func (r Route) takes(method string) bool {
 	return len(r.Methods) == 0 || slices.Contains(r.Methods, method)
 }
@@ -195,7 +214,7 @@
 	return slices.Clone(b.nodes)
 }
 
-func (b *treeBuilder) prefix(i int) string { return b.ordered[b.byPrefix[i]].PathPrefix }
+func (b *treeBuilder) prefix(i int) string { return b.ordered[b.byPrefix[i]].place() }
 
 // build completes a node that has the routes from first to last, exclusive,
 // in its subtree. They share the first depth bytes of their prefixes.
--- a/pkg/model/workspaces.go
+++ b/pkg/model/workspaces.go
@@ -95,6 +95,11 @@
 	return Workspaces{table: w.table.put(workspaceLayout, string(appendWorkspace(nil, ws)))}
 }
 
+// Without returns a table without the workspace of a name.
+func (w Workspaces) Without(id WorkspaceID) Workspaces {
+	return Workspaces{table: w.table.without(workspaceLayout, string(id))}
+}
+
 // ChangedSince returns, by ascending name, the workspaces that an older table
 // lacks or has otherwise. What both tables share is skipped.
 func (w Workspaces) ChangedSince(older Workspaces) iter.Seq[Workspace] {
--- a/pkg/opsapi/opsapi.go
+++ b/pkg/opsapi/opsapi.go
@@ -104,6 +104,8 @@
 		model.ResultInvalid:   "invalid",
 		model.ResultUnknown:   "unknown",
 		model.ResultNotLeader: "not_leader",
+
+		model.ResultSuperseded: "superseded",
 	}
 }
 
@@ -130,7 +132,7 @@
 // ResultStatus returns the HTTP status of a result.
 func ResultStatus(kind model.ResultKind) int {
 	switch kind {
-	case model.ResultAccepted:
+	case model.ResultAccepted, model.ResultSuperseded:
 		return http.StatusOK
 	case model.ResultConflict:
 		return http.StatusConflict
