--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -250,6 +251,18 @@
 	return a.sent && a.end != model.AttemptShed
 }
 
+// describe returns the target, the end and the time of the attempt for the log.
+func (a *attempt) describe() string {
+	text := fmt.Sprintf("%s %s %d ms", a.target.Target, a.end, a.latency.Milliseconds())
+	if a.target.Local {
+		text += " chosen without owner"
+	}
+	if a.err != nil {
+		text += ": " + a.err.Error()
+	}
+	return text
+}
+
 func (a *attempt) record() model.Attempt {
 	return model.Attempt{Target: a.target.Target, Incarnation: a.target.Incarnation, End: a.end, Latency: a.latency}
 }
--- a/internal/entry/call.go
+++ b/internal/entry/call.go
@@ -12,6 +12,7 @@
 	"strings"
 	"time"
 
+	"tarragongauge.example/tarragongauge/internal/logs"
 	"tarragongauge.example/tarragongauge/internal/order"
 	"tarragongauge.example/tarragongauge/pkg/model"
 )
@@ -62,6 +63,11 @@
 	outcome    model.Outcome
 	limited    bool
 	noOwner    bool
+	// code, tokenWait and history are for the log: the refusal, the wait for a
+	// token and what became of each attempt.
+	code      Code
+	tokenWait time.Duration
+	history   []string
 }
 
 // ServeHTTP answers one request of a caller.
@@ -334,7 +340,9 @@
 	if c.route.Open {
 		return nil
 	}
+	began := time.Now()
 	adm, err := c.draw(ctx)
+	c.tokenWait = time.Since(began)
 	if err != nil {
 		return c.interrupted(ctx)
 	}
@@ -426,7 +434,7 @@
 
 // answerError sends an error. Its outcome covers all attempts.
 func (c *call) answerError(err *ErrRefused) {
-	c.status = err.Status
+	c.status, c.code = err.Status, err.Code
 	c.outcome = model.OutcomeNotRun
 	if err.Outcome != 0 {
 		c.outcome = err.Outcome
@@ -453,7 +461,21 @@
 	}
 }
 
+// tell writes one line on how the request ended and what decided it. It names
+// the configuration that it was judged by, every attempt, and never a key.
+func (c *call) tell() {
+	outcome := c.outcome.String()
+	if c.outcome == model.OutcomeRan && c.status < http.StatusInternalServerError {
+		outcome = logs.OutcomeServed
+	}
+	c.s.requests.Info("request ended",
+		"request_id", c.shownID(), logs.FieldOutcome, outcome, "status", c.status, "code", string(c.code),
+		"route", c.route.Name, "service", c.route.Service, "workspace", c.workspace, "version", c.cfg.Version,
+		"ms", time.Since(c.start).Milliseconds(), "token_ms", c.tokenWait.Milliseconds(), "attempts", c.history)
+}
+
 func (c *call) record() {
+	c.tell()
 	if c.route.Service == "" {
 		return
 	}
--- a/internal/entry/forward.go
+++ b/internal/entry/forward.go
@@ -150,6 +150,7 @@
 			reported = true
 			c.mayHaveRun = before || a.mayHaveRun()
 			c.returnTarget(a.record())
+			c.history = append(c.history, a.describe())
 		}
 	}
 	defer report()
--- a/internal/entry/options.go
+++ b/internal/entry/options.go
@@ -62,6 +62,7 @@
 	echo       bool
 	peerChecks bool
 	log        logr.Logger
+	requests   logr.Logger
 	names      Names
 	promise    bool
 	endless    bool
@@ -91,6 +92,11 @@
 	return func(s *settings) { s.log = log }
 }
 
+// WithRequestLog sets the log for one line on each request.
+func WithRequestLog(log logr.Logger) Option {
+	return func(s *settings) { s.requests = log }
+}
+
 // WithPeerCheck refuses announcements whose address differs from the address
 // that they come from.
 func WithPeerCheck() Option {
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -39,7 +39,7 @@
 	if decider == nil || recorder == nil {
 		return nil, nil, model.ErrInvalid{Field: "decider or recorder", Got: "nil", Want: "set"}
 	}
-	s := &Server{settings: settings{limits: DefaultLimits(), echo: true, log: logr.Discard(), names: DefaultNames()}, decider: decider, recorder: recorder, registry: newRegistry()}
+	s := &Server{settings: settings{limits: DefaultLimits(), echo: true, log: logr.Discard(), requests: logr.Discard(), names: DefaultNames()}, decider: decider, recorder: recorder, registry: newRegistry()}
 	for _, opt := range opts {
 		opt(&s.settings)
 	}
--- a/internal/lease/fresh.go
+++ b/internal/lease/fresh.go
@@ -346,6 +346,10 @@
 // a change of seats before it heard of the new ones, or starts with settings
 // that name earlier ones, cannot ask them otherwise.
 func (f *Fresh) located(from model.HostID, m proto.FreshReply) []Effect {
+	if slices.Contains(f.listing(), from) {
+		// The seat on the same host tells all members; its list must not be replaced by that of the seats.
+		return nil
+	}
 	p := f.peer(from)
 	if m.MembersDigest == 0 || !p.lists.take(m) {
 		return nil
--- a/internal/logs/logs.go
+++ b/internal/logs/logs.go
@@ -42,7 +42,7 @@
 	core := zapcore.NewCore(encoder(c.Format), zapcore.Lock(zapcore.AddSync(w)), level(c.Level))
 	drops := newDrops(core)
 	sampled := zapcore.NewSamplerWithOptions(core, sampleWindow, sampleFirst, 0, zapcore.SamplerHook(drops.note))
-	log := zap.New(reporter{Core: sampled, drops: drops}, zap.WithClock(o.clock))
+	log := reported(newBudget(sampled, core, drops), drops, o.clock)
 	return zapr.NewLogger(log), func() { drops.report(o.clock.Now(), 0) }
 }
 
--- a/internal/node/owner_part.go
+++ b/internal/node/owner_part.go
@@ -130,10 +130,15 @@
 	}
 }
 
-// applyNews sends what the picker wants sent. It leaves probes to the owners.
+// applyNews sends announcements on. Probes are left to the owners, and there is
+// nothing to report to new ones, since the picker gives no targets.
 func (p *ownerPart) applyNews(f pool.Effect) {
-	if f, ok := f.(pool.Send); ok {
-		p.send(f.To, f.Msg)
+	send, ok := f.(pool.Send)
+	if !ok {
+		return
+	}
+	if news, ok := send.Msg.(proto.TargetNews); ok {
+		p.send(send.To, news)
 	}
 }
 
--- a/internal/node/run_entry.go
+++ b/internal/node/run_entry.go
@@ -13,6 +13,7 @@
 	"tarragongauge.example/tarragongauge/internal/entry"
 	"tarragongauge.example/tarragongauge/internal/lease"
 	"tarragongauge.example/tarragongauge/internal/link"
+	"tarragongauge.example/tarragongauge/internal/logs"
 	"tarragongauge.example/tarragongauge/internal/pool"
 	"tarragongauge.example/tarragongauge/internal/proto"
 )
@@ -87,7 +88,7 @@
 // open starts the listeners and the ticks of an entry host.
 func (h *entryHost) open(c conf.Entry) (func(context.Context) error, error) {
 	p := h.process
-	server, drain, err := entry.NewServer(h, h.burn, append(headerOptions(c.Headers), entry.WithHost(c.Host.Name), entry.WithLimits(entryLimits(c.Limits)))...)
+	server, drain, err := entry.NewServer(h, h.burn, append(headerOptions(c.Headers), entry.WithHost(c.Host.Name), entry.WithLog(h.log), entry.WithRequestLog(h.log.WithName(logs.Requests)), entry.WithLimits(entryLimits(c.Limits)))...)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/pool/assign.go
+++ b/internal/pool/assign.go
@@ -191,6 +191,8 @@
 
 // Penalties that order targets in classes: all others come first.
 const (
+	// doubtPenalty is for a target that failed lately.
+	doubtPenalty = 5.0
 	// rampingPenalty is for a target beyond its share of a slow start.
 	rampingPenalty = 10.0
 	// deniedPenalty is for a failing target that the floor keeps in service,
@@ -229,6 +231,9 @@
 	if t.zone != zone {
 		score += o.tune.ZonePenalty
 	}
+	if t.doubted(now, &o.tune) {
+		score += doubtPenalty
+	}
 	switch {
 	case t.denied && !s.due(t, o.tune.StartShare):
 		score += deniedPenalty
--- a/internal/pool/done.go
+++ b/internal/pool/done.go
@@ -22,6 +22,10 @@
 // evidence. A repeated report of an end has no effect.
 func (o *Owner) ended(now model.Instant, s *service, host int32, m *proto.SlotDone, at model.Instant) {
 	l, own := s.bySlot[m.Slot]
+	began := now
+	if own {
+		began = l.start
+	}
 	switch {
 	case own && l.host != host:
 		return
@@ -39,6 +43,7 @@
 		}
 	}
 	if t, ok := s.byTarget[m.Attempt.Target]; ok && t.announced() {
+		t.doubt(now, began, m.Attempt)
 		o.observe(now, s, t, host, m, own, at)
 		return
 	}
@@ -51,6 +56,23 @@
 	}
 }
 
+// doubt notes a failed attempt, and forgets it after a success of an attempt
+// that began later: one that was under way says nothing about the failure.
+func (t *target) doubt(now, began model.Instant, a model.Attempt) {
+	if a.Incarnation != t.incarnation {
+		return
+	}
+	switch a.End {
+	case model.AttemptOK:
+		if began > t.doubtedAt {
+			t.doubtedAt = 0
+		}
+	case model.AttemptError, model.AttemptInvalid, model.AttemptBroken, model.AttemptNotSent, model.AttemptTimeout:
+		t.doubtedAt = now
+	default:
+	}
+}
+
 // observe turns the end of an attempt into evidence on its target.
 func (o *Owner) observe(now model.Instant, s *service, t *target, host int32, m *proto.SlotDone, own bool, at model.Instant) {
 	if m.Attempt.Incarnation != t.incarnation {
--- a/internal/pool/target.go
+++ b/internal/pool/target.go
@@ -30,6 +30,9 @@
 	cold     bool
 	// pausedUntil ends a pause after the target shed a request.
 	pausedUntil model.Instant
+	// doubtedAt is when the last failed attempt was reported, or 0 once an attempt
+	// that began later succeeded.
+	doubtedAt model.Instant
 	// errorHost is the host that reported the last error, or noHost.
 	errorHost int32
 	// okAt is when a complete run was last reported, or 0.
@@ -72,6 +75,15 @@
 	postponed int
 }
 
+// doubted reports whether the target is to be avoided: it failed lately, or is
+// being tried by an attempt.
+func (t *target) doubted(now model.Instant, tune *Tuning) bool {
+	if t.doubtedAt == 0 || tune.Doubt == 0 {
+		return false
+	}
+	return now.Sub(t.doubtedAt) < tune.Doubt || len(t.busy) > 0
+}
+
 const noHost = int32(-1)
 
 const neverGiven = model.Instant(-1 << 63)
@@ -189,6 +201,7 @@
 		o.restore(s, t)
 	}
 	t.stats = stats{}
+	t.doubtedAt = 0
 	t.denied = false
 	t.since = now
 	t.changed = now
--- a/internal/pool/tuning.go
+++ b/internal/pool/tuning.go
@@ -21,6 +21,10 @@
 	// ZonePenalty is how much more loaded, as a share of its slots, a target
 	// in the caller's zone may be before one in another zone is preferred.
 	ZonePenalty float64
+	// Doubt is how long a target that failed an attempt gets work only if no
+	// other one has room. Then one attempt at a time tries it, until one succeeds.
+	// 0 turns it off.
+	Doubt time.Duration
 	// DoneGrace is how long after a request's deadline its slot waits for SlotDone.
 	// Without it the reports of timeouts would arrive after their slots were freed.
 	DoneGrace time.Duration
--- a/pkg/model/target.go
+++ b/pkg/model/target.go
@@ -83,6 +83,30 @@
 	AttemptInvalid
 )
 
+// String names an end in logs.
+func (e AttemptEnd) String() string {
+	switch e {
+	case AttemptOK:
+		return "ok"
+	case AttemptError:
+		return "error"
+	case AttemptShed:
+		return "shed"
+	case AttemptNotSent:
+		return "not_sent"
+	case AttemptBroken:
+		return "broken"
+	case AttemptTimeout:
+		return "timeout"
+	case AttemptCanceled:
+		return "canceled"
+	case AttemptInvalid:
+		return "invalid"
+	default:
+		return "unknown"
+	}
+}
+
 // ProvablyNotRun reports whether an attempt that ended so cannot have run.
 func (e AttemptEnd) ProvablyNotRun() bool {
 	return e == AttemptShed || e == AttemptNotSent
