Use a host's share of each bucket while no owner answers; learn of the leader from the log

While owners were lost, requests waited for a token or a target until their deadlines.

Change: the log of a control host tells its seat which hosts to ask; a wallet uses its share of a bucket (the bucket divided by the entry hosts) while no owner answers, and a picker refuses after 700 ms without an owner.

--- a/internal/admit/api.go
+++ b/internal/admit/api.go
@@ -52,6 +52,8 @@
 		Workspace model.WorkspaceID
 		Deadline  model.Instant
 	}
+	// HostsCounted tells the wallet how many entry hosts there are.
+	HostsCounted struct{ Hosts int }
 	// Abandoned withdraws a waiting request.
 	Abandoned struct{ Request model.RequestID }
 )
@@ -95,6 +97,7 @@
 func (Renewed) isEvent()         {}
 func (Lost) isEvent()            {}
 func (Arrived) isEvent()         {}
+func (HostsCounted) isEvent()    {}
 func (Abandoned) isEvent()       {}
 
 func (Send) isEffect()     {}
--- a/internal/admit/option.go
+++ b/internal/admit/option.go
@@ -12,6 +12,8 @@
 type settings struct {
 	drift       float64
 	incarnation model.Incarnation
+	// shares is set if hosts use their own share of a bucket while no owner answers.
+	shares bool
 }
 
 const defaultDrift = 0.02
@@ -31,6 +33,9 @@
 // taken for replies to this run. It must differ between runs.
 func WithIncarnation(i model.Incarnation) Option { return func(s *settings) { s.incarnation = i } }
 
+// WithShares lets a wallet use its host's share of each bucket while no owner answers.
+func WithShares() Option { return func(s *settings) { s.shares = true } }
+
 // atMost returns the local duration that lasts d of true time at most.
 func (s settings) atMost(d time.Duration) time.Duration {
 	return time.Duration(float64(d) * (1 - s.drift))
--- a/internal/admit/purse.go
+++ b/internal/admit/purse.go
@@ -44,8 +44,13 @@
 	outage    bool
 	outageEnd model.Instant
 	active    bool
-	demand    demand
-	used      model.Instant
+	// silentSince is when the first draw since the owner's last answer was sent, or 0.
+	silentSince model.Instant
+	share       share
+	// chance is a number from 0 to 1 that differs between hosts and workspaces.
+	chance float64
+	demand demand
+	used   model.Instant
 }
 
 // lot is a number of tokens with one end of validity.
--- a/internal/admit/wallet.go
+++ b/internal/admit/wallet.go
@@ -43,6 +43,8 @@
 // The slice that Step returns is valid until the next Step.
 type Wallet struct {
 	settings
+	// first is a number that differs between hosts and runs.
+	first  uint64
 	owners [model.WorkspaceShards]model.HostID
 	// latest is the present owner of each shard or, without one, the one before.
 	latest [model.WorkspaceShards]proto.Owner
@@ -55,6 +57,8 @@
 	waiting map[model.RequestID]*purse
 	nonce   uint64
 	sweepAt model.Instant
+	cfg     model.Config
+	hosts   hostCount
 	out     []Effect
 }
 
@@ -63,6 +67,7 @@
 	s := newSettings(opts)
 	return &Wallet{
 		settings: s,
+		first:    firstNonce(self, s.incarnation),
 		purses:   map[model.WorkspaceID]*purse{},
 		waiting:  map[model.RequestID]*purse{},
 		nonce:    firstNonce(self, s.incarnation),
@@ -80,6 +85,13 @@
 	return x ^ (x >> 31)
 }
 
+// chanceOf spreads hosts and workspaces evenly from 0 to 1.
+func chanceOf(host uint64, ws model.WorkspaceID) float64 {
+	h := fnv.New64a()
+	_, _ = h.Write([]byte(ws))
+	return float64((h.Sum64()^host)*0x9e3779b97f4a7c15>>11) / (1 << 53)
+}
+
 // Step takes one event.
 func (w *Wallet) Step(now model.Instant, ev Event) []Effect {
 	w.out = w.out[:0]
@@ -94,6 +106,10 @@
 		w.abandon(ev.Request)
 	case OwnersChanged:
 		w.setOwners(now, ev.Owners)
+	case Configured:
+		w.cfg = ev.Config
+	case HostsCounted:
+		w.hosts.note(now, ev.Hosts)
 	case Tick:
 		w.tick(now)
 	}
@@ -103,7 +119,7 @@
 func (w *Wallet) purse(now model.Instant, ws model.WorkspaceID) *purse {
 	p, ok := w.purses[ws]
 	if !ok {
-		p = &purse{workspace: ws, shard: model.WorkspaceShard(ws)}
+		p = &purse{workspace: ws, shard: model.WorkspaceShard(ws), chance: chanceOf(w.first, ws)}
 		w.purses[ws] = p
 		w.order = append(w.order, p)
 	}
@@ -128,6 +144,10 @@
 	w.waiting[ev.Request] = p
 	w.activate(p)
 	w.draw(now, p)
+	if w.orphaned(now, p) {
+		w.serveShare(now, p)
+		return
+	}
 	if drawing {
 		w.out = append(w.out, Drawing{Request: ev.Request})
 	}
@@ -165,6 +185,9 @@
 	w.nonce++
 	d := draw{nonce: w.nonce, tokens: n, sent: now, last: now}
 	p.draws = append(p.draws, d)
+	if p.silentSince == 0 {
+		p.silentSince = now
+	}
 	w.activate(p)
 	w.ask(owner, p, d)
 }
@@ -213,6 +236,7 @@
 		p.outageEnd = now.Add(outageMemory)
 	}
 	p.answered, p.answeredAt = true, now
+	p.silentSince = 0
 	p.retryAfter = m.RetryAfter
 	if m.ValidFor > 0 {
 		p.valid = m.ValidFor
@@ -271,6 +295,9 @@
 		if len(p.waiting) > 0 && p.waiting[0].drawing && now.Sub(p.waiting[0].arrived) >= resendAfter {
 			w.scarce(now, p)
 		}
+		if w.orphaned(now, p) {
+			w.serveShare(now, p)
+		}
 		w.expire(now, p)
 		w.draw(now, p)
 	}
@@ -298,7 +325,16 @@
 // expire refuses requests that waited long enough.
 func (w *Wallet) expire(now model.Instant, p *purse) {
 	p.noteOutage(now)
+	orphaned := w.orphaned(now, p)
 	p.waiting = slices.DeleteFunc(p.waiting, func(x waiter) bool {
+		if orphaned {
+			if !shareTooLate(now, x) {
+				return false
+			}
+			delete(w.waiting, x.request)
+			w.refuseShare(p, x.request)
+			return true
+		}
 		if !p.tooLate(now, w.settled[p.shard], x) {
 			return false
 		}
--- a/internal/entry/forward.go
+++ b/internal/entry/forward.go
@@ -82,7 +82,7 @@
 func (c *call) wanted(tried []model.TargetID) pool.Wanted {
 	return pool.Wanted{
 		Request: c.id, Service: c.route.Service, Workspace: c.workspace,
-		Fingerprint: c.identity().fingerprint(c.workspace), Exclude: tried,
+		Fingerprint: c.identity().fingerprint(c.workspace), Exclude: tried, Once: !c.route.Idempotent,
 	}
 }
 
--- a/internal/lease/api.go
+++ b/internal/lease/api.go
@@ -24,6 +24,10 @@
 	// Handover asks an owner to give up all shards before shutdown, and the
 	// freshness client to announce this host as draining.
 	Handover struct{}
+	// Located names the control hosts and seats that the log of this host knows, in
+	// addition to those of the settings: after all hosts of a fleet have
+	// restarted, its leader may be none of the hosts that the settings name.
+	Located struct{ Seats, Controls []model.HostID }
 	// Heard is a heartbeat of a member that was answered without the seat.
 	Heard struct{ Member proto.Member }
 	// ConfigEncoded ends an EncodeConfig.
@@ -71,6 +75,8 @@
 	SeatsLocated struct{ Seats []proto.Member }
 	// OwnersChanged publishes the owners of all shards as seats report them.
 	OwnersChanged struct{ Owners []proto.Owner }
+	// HostsCounted publishes how many entry hosts there are, as a relay tells it.
+	HostsCounted struct{ Hosts int }
 	// QuorumsChanged publishes the lists of seats of which an owner needs a
 	// majority each. It is one list in the steady state, several while a change
 	// of the seats comes into force, and none while this host cannot know them.
@@ -146,6 +152,7 @@
 func (Received) isEvent() {}
 func (Handover) isEvent() {}
 func (Heard) isEvent()    {}
+func (Located) isEvent()  {}
 
 func (ConfigEncoded) isEvent()   {}
 func (SnapshotDecoded) isEvent() {}
@@ -164,6 +171,7 @@
 func (SeatsLocated) isEffect()   {}
 func (OwnersChanged) isEffect()  {}
 func (QuorumsChanged) isEffect() {}
+func (HostsCounted) isEffect()   {}
 func (Gained) isEffect()         {}
 func (Renewed) isEffect()        {}
 func (Lost) isEffect()           {}
--- a/internal/lease/fresh.go
+++ b/internal/lease/fresh.go
@@ -93,6 +93,8 @@
 		case proto.Part:
 			return f.part(now, ev.From, m)
 		}
+	case Located:
+		f.seats, f.controls = addHosts(f.seats, ev.Seats), addHosts(f.controls, ev.Controls)
 	case SnapshotDecoded:
 		return f.decoded(ev)
 	}
@@ -226,6 +228,9 @@
 		out = append(out, f.listed(now, from, m)...)
 	}
 	f.evidence(now, from, control, m)
+	if f.settings.relay && m.Hosts > 0 {
+		out = append(out, HostsCounted{Hosts: m.Hosts})
+	}
 	return append(out, f.settle(now)...)
 }
 
--- a/internal/lease/relay.go
+++ b/internal/lease/relay.go
@@ -118,7 +118,16 @@
 	} else {
 		reply.Snapshot = f.hist.snapshot()
 	}
-	controls := slices.DeleteFunc(slices.Clone(f.members), func(m proto.Member) bool { return m.Role != proto.RoleControl })
+	var controls []proto.Member
+	for _, m := range f.members {
+		switch m.Role {
+		case proto.RoleControl:
+			controls = append(controls, m)
+		case proto.RoleEntry:
+			reply.Hosts++
+		default:
+		}
+	}
 	if reply.MembersDigest = Digest(controls); reply.MembersDigest != ask.MembersDigest {
 		reply.Members = controls
 	}
--- a/internal/lease/seat.go
+++ b/internal/lease/seat.go
@@ -66,6 +66,8 @@
 		s.settledAt, s.settled = ev.Version, len(ev.Lists) == 1
 	case Received:
 		return s.receive(now, ev)
+	case Located:
+		s.seats, s.controls = addHosts(s.seats, ev.Seats), addHosts(s.controls, ev.Controls)
 	case Heard:
 		s.members.heard(now, ev.Member)
 	case ConfigEncoded:
--- a/internal/node/control.go
+++ b/internal/node/control.go
@@ -43,6 +43,8 @@
 	send   func(model.HostID, proto.Message)
 	learn  func([]proto.Member)
 	run    func(task func())
+	// follow takes each applied configuration; it may be nil.
+	follow func(model.Config)
 
 	node *ctrl.Node
 	core *runner[ctrl.Event, ctrl.Effect]
@@ -166,6 +168,9 @@
 		c.run(func() { c.encode(f) })
 	case ctrl.Applied:
 		c.log.Info("applied configuration", "version", f.Config.Version)
+		if c.follow != nil {
+			c.follow(f.Config)
+		}
 	case ctrl.Reply:
 		c.proposals.answer(f.Nonce, f.Result)
 	case ctrl.LeaderChanged:
--- a/internal/node/effects.go
+++ b/internal/node/effects.go
@@ -38,6 +38,8 @@
 	case lease.QuorumsChanged:
 		h.claimer.post(f)
 		h.seat.post(f)
+	case lease.HostsCounted:
+		h.wallet.post(admit.HostsCounted{Hosts: f.Hosts})
 	case lease.OwnersChanged:
 		h.wallet.post(admit.OwnersChanged{Owners: f.Owners})
 		h.picker.post(pool.OwnersChanged{Owners: f.Owners})
--- a/internal/node/run_control.go
+++ b/internal/node/run_control.go
@@ -148,6 +148,8 @@
 	p.stops = append(p.stops, stopOwner)
 	d.owner = owner
 	d.seat = newSeatHost(p, c.Fleet, p.log, owner.follow)
+	control.follow = d.seat.locate
+	d.seat.locate(control.applied())
 	d.membership = newMembership(control, hostsOf(c.Fleet.Controls), c.Join.Size)
 }
 
@@ -158,6 +160,10 @@
 	// doubtTime is below the 2 s in which every sound target must get a request
 	// while many of a service fail.
 	doubtTime = 1800 * time.Millisecond
+	// retryDoubtTime keeps the attempts that find out within the budget of retries.
+	retryDoubtTime = time.Second
+	// localWait leaves callers with the shortest deadlines time to come back.
+	localWait = 700 * time.Millisecond
 	// relayedViewEvery is the interval of lists of targets, which are used only
 	// while the owner is lost.
 	relayedViewEvery = 2 * time.Second
@@ -169,7 +175,8 @@
 	if f.OwnersAtControl {
 		t.ZonePenalty = ownZonePenalty
 		t.ViewEvery = relayedViewEvery
-		t.Doubt = doubtTime
+		t.Doubt, t.RetryDoubt = doubtTime, retryDoubtTime
+		t.LocalWait = localWait
 	}
 	if f.StaleAfter > 0 {
 		t.StaleAfter = f.StaleAfter
--- a/internal/node/seat_part.go
+++ b/internal/node/seat_part.go
@@ -49,3 +49,10 @@
 	confirmed := model.Instant(h.freshUntil.Load()).Add(-lease.DefaultTiming().Fresh)
 	return h.clock.now().Sub(confirmed) <= age
 }
+
+// locate tells the seat and the freshness client which hosts the log knows.
+func (h *seatHost) locate(cfg model.Config) {
+	at := lease.Located{Seats: cfg.Seats, Controls: cfg.Controls}
+	h.fresh.post(at)
+	h.seat.post(at)
+}
--- a/internal/pool/api.go
+++ b/internal/pool/api.go
@@ -50,6 +50,8 @@
 		Fingerprint model.Fingerprint
 		Deadline    model.Instant
 		Exclude     []model.TargetID
+		// Once is set if the request must not run on another target after it may have run.
+		Once bool
 	}
 	// Abandoned withdraws a waiting request.
 	Abandoned struct{ Request model.RequestID }
--- a/internal/pool/assign.go
+++ b/internal/pool/assign.go
@@ -46,7 +46,7 @@
 	}
 	w := s.workspace(m.Workspace)
 	if s.waiting == 0 {
-		if t := o.pick(now, s, m.Zone, host, m.Exclude); t != nil {
+		if t := o.pick(now, s, pickFor{zone: m.Zone, host: host, exclude: m.Exclude, once: m.Once}); t != nil {
 			o.assign(now, s, t, key, w, now.Add(m.Budget))
 			return
 		}
@@ -93,7 +93,7 @@
 	o.serial++
 	*a = ask{
 		askKey: key, service: s, workspace: w, fingerprint: m.Fingerprint, zone: m.Zone,
-		exclude: m.Exclude, deadline: now.Add(m.Budget), serial: o.serial,
+		exclude: m.Exclude, once: m.Once, deadline: now.Add(m.Budget), serial: o.serial,
 	}
 	w.queue.push(a)
 	w.waiting++
@@ -133,7 +133,7 @@
 			return
 		}
 		a := w.queue.peek()
-		t := o.pick(now, s, a.zone, a.host, a.exclude)
+		t := o.pick(now, s, pickFor{zone: a.zone, host: a.host, exclude: a.exclude, once: a.once})
 		if t == nil && len(a.exclude) == 0 && !s.limitedByHosts() {
 			return
 		}
@@ -200,10 +200,19 @@
 	deniedPenalty = 20.0
 )
 
+// pickFor is what a target is picked for.
+type pickFor struct {
+	zone    model.ZoneName
+	host    int32
+	exclude []model.TargetID
+	// once is set for a request that is lost if the target fails it.
+	once bool
+}
+
 // pick returns the target for a request, or nil when none has a free slot.
 // The least loaded one wins, with a penalty for other zones, then the one
 // given longest ago. The last rule spreads evidence evenly.
-func (o *Owner) pick(now model.Instant, s *service, zone model.ZoneName, host int32, exclude []model.TargetID) *target {
+func (o *Owner) pick(now model.Instant, s *service, r pickFor) *target {
 	var best *target
 	bestScore := 0.0
 	for _, t := range s.targets {
@@ -213,11 +222,11 @@
 		if t.cold && len(t.busy) >= t.limit(now, &o.tune) {
 			continue
 		}
-		score := o.load(now, s, t, zone)
+		score := o.load(now, s, t, r)
 		if best != nil && (score > bestScore || score == bestScore && t.lastPick > best.lastPick) {
 			continue
 		}
-		if !t.mayGiveTo(host, s.hostBudget(t)) || slices.Contains(exclude, t.id) {
+		if !t.mayGiveTo(r.host, s.hostBudget(t)) || slices.Contains(r.exclude, t.id) {
 			continue
 		}
 		best, bestScore = t, score
@@ -226,12 +235,12 @@
 }
 
 // load returns the share of slots in use with the penalties.
-func (o *Owner) load(now model.Instant, s *service, t *target, zone model.ZoneName) float64 {
+func (o *Owner) load(now model.Instant, s *service, t *target, r pickFor) float64 {
 	score := float64(len(t.busy)) / float64(t.slots)
-	if t.zone != zone {
+	if t.zone != r.zone {
 		score += o.tune.ZonePenalty
 	}
-	if t.doubted(now, &o.tune) {
+	if t.doubted(now, &o.tune, r.once) {
 		score += doubtPenalty
 	}
 	switch {
--- a/internal/pool/local.go
+++ b/internal/pool/local.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"time"
 
 	"tarragongauge.example/tarragongauge/internal/proto"
 	"tarragongauge.example/tarragongauge/pkg/model"
@@ -27,6 +28,7 @@
 			p.refuseQuarantined(now, s, r)
 		}
 	}
+	p.refuseLate(now, s)
 	usable := p.localTargets(now, s)
 	if len(usable) == 0 {
 		p.sweep(s)
@@ -59,6 +61,23 @@
 	p.sweep(s)
 }
 
+// localRetryAfter is told to callers that found no target without the owner:
+// a new owner decides within about two seconds.
+const localRetryAfter = time.Second
+
+// refuseLate refuses the requests that have waited too long without the owner,
+// so that their callers learn it before their deadlines. A limit of 0 leaves them.
+func (p *Picker) refuseLate(now model.Instant, s *access) {
+	if p.tune.LocalWait == 0 {
+		return
+	}
+	for _, r := range s.waiting.items[s.waiting.head:] {
+		if !r.gone && now.Sub(r.since) >= p.tune.LocalWait {
+			p.refuseFor(now, r, proto.SlotNoTarget, localRetryAfter)
+		}
+	}
+}
+
 // payRetry takes a retry from the local budget, once for each request.
 func (p *Picker) payRetry(s *access, r *request) bool {
 	if len(r.exclude) == 0 || r.paidRetry {
--- a/internal/pool/picker.go
+++ b/internal/pool/picker.go
@@ -54,7 +54,10 @@
 	fingerprint model.Fingerprint
 	deadline    model.Instant
 	exclude     []model.TargetID
+	once        bool
 	nonce       uint64
+	// since is when the target was wanted.
+	since model.Instant
 	// asked is when the query was last sent, tries how often it was sent.
 	asked    model.Instant
 	tries    int
@@ -224,7 +227,7 @@
 	r := p.newRequest()
 	*r = request{
 		id: ev.Request, access: s, workspace: ev.Workspace, fingerprint: ev.Fingerprint,
-		deadline: ev.Deadline, exclude: ev.Exclude, nonce: p.nonce, linked: true,
+		deadline: ev.Deadline, exclude: ev.Exclude, once: ev.Once, nonce: p.nonce, since: now, linked: true,
 	}
 	if len(ev.Exclude) == 0 {
 		s.retryTokens = min(p.tune.RetryBurst, s.retryTokens+p.cfg.Defaults.RetryShare)
@@ -264,6 +267,7 @@
 		Zone:        p.zone,
 		Budget:      r.deadline.Sub(now),
 		Exclude:     r.exclude,
+		Once:        r.once,
 	})
 }
 
--- a/internal/pool/service.go
+++ b/internal/pool/service.go
@@ -21,6 +21,7 @@
 	fingerprint model.Fingerprint
 	zone        model.ZoneName
 	exclude     []model.TargetID
+	once        bool
 	deadline    model.Instant
 	serial      uint64
 	// gone marks an ask that was withdrawn and is dropped when its turn comes.
--- a/internal/pool/target.go
+++ b/internal/pool/target.go
@@ -77,11 +77,15 @@
 
 // doubted reports whether the target is to be avoided: it failed lately, or is
 // being tried by an attempt.
-func (t *target) doubted(now model.Instant, tune *Tuning) bool {
+func (t *target) doubted(now model.Instant, tune *Tuning, once bool) bool {
 	if t.doubtedAt == 0 || tune.Doubt == 0 {
 		return false
 	}
-	return now.Sub(t.doubtedAt) < tune.Doubt || len(t.busy) > 0
+	wait := tune.Doubt
+	if !once {
+		wait = tune.RetryDoubt
+	}
+	return now.Sub(t.doubtedAt) < wait || len(t.busy) > 0
 }
 
 const noHost = int32(-1)
--- a/internal/pool/tuning.go
+++ b/internal/pool/tuning.go
@@ -25,6 +25,12 @@
 	// other one has room. Then one attempt at a time tries it, until one succeeds.
 	// 0 turns it off.
 	Doubt time.Duration
+	// RetryDoubt is the same for requests that another target may run after a
+	// failure. They find out sooner whether the target has recovered.
+	RetryDoubt time.Duration
+	// LocalWait bounds the wait for a target without the owner, or is 0 to wait
+	// until the deadline.
+	LocalWait time.Duration
 	// DoneGrace is how long after a request's deadline its slot waits for SlotDone.
 	// Without it the reports of timeouts would arrive after their slots were freed.
 	DoneGrace time.Duration
--- a/internal/proto/message.go
+++ b/internal/proto/message.go
@@ -177,6 +177,8 @@
 		// SeatsSettled is set when the answerer knows that no host with another list of seats
 		// than that of Newest can still have the right to serve.
 		SeatsSettled bool
+		// Hosts is the number of live entry hosts, or 0 if the answerer does not tell it.
+		Hosts int
 	}
 	// SeatStage hands a committed change to a seat. A change is accepted once a majority of seats hold it.
 	SeatStage struct {
@@ -293,6 +295,8 @@
 		Budget time.Duration
 		// Exclude lists targets already tried; a non-empty list makes this a retry.
 		Exclude []model.TargetID
+		// Once is set if the request must not run on another target after it may have run.
+		Once bool
 	}
 	// SlotReply answers SlotAsk.
 	SlotReply struct {
--- a/internal/wire/fresh.go
+++ b/internal/wire/fresh.go
@@ -46,6 +46,7 @@
 	MembersBase   uint64         `cbor:"12,keyasint,omitempty"`
 	Gone          []model.HostID `cbor:"13,keyasint,omitempty"`
 	Offer         *snapshotOffer `cbor:"14,keyasint,omitempty"`
+	Hosts         int            `cbor:"15,keyasint,omitempty"`
 }
 
 type seatStage struct {
@@ -137,6 +138,7 @@
 		MembersBase:   m.MembersBase,
 		Gone:          m.Gone,
 		Offer:         toOffer(m.Offer),
+		Hosts:         m.Hosts,
 	}, err
 }
 
@@ -165,6 +167,7 @@
 		MembersBase:   d.MembersBase,
 		Gone:          d.Gone,
 		Offer:         offer,
+		Hosts:         d.Hosts,
 	}, err
 }
 
--- a/internal/wire/pool.go
+++ b/internal/wire/pool.go
@@ -16,6 +16,7 @@
 	Zone        model.ZoneName    `cbor:"6,keyasint"`
 	Budget      time.Duration     `cbor:"7,keyasint"`
 	Exclude     []model.TargetID  `cbor:"8,keyasint"`
+	Once        bool              `cbor:"9,keyasint,omitempty"`
 }
 
 type slotReply struct {
