--- a/internal/admit/wallet.go
+++ b/internal/admit/wallet.go
@@ -335,7 +335,7 @@
 			w.refuseShare(p, x.request)
 			return true
 		}
-		if !p.tooLate(now, w.settled[p.shard], x) {
+		if !w.tooLate(now, p, x) {
 			return false
 		}
 		delete(w.waiting, x.request)
@@ -360,6 +360,21 @@
 	return p.answered && p.answeredAt >= arrived
 }
 
+// tooLate reports whether a request that an owner answers has waited long
+// enough. With shares no request waits for an owner that does not answer, so
+// only the bucket of a new owner, which starts empty, is worth a longer wait.
+func (w *Wallet) tooLate(now model.Instant, p *purse, x waiter) bool {
+	settled := w.settled[p.shard]
+	if !w.shares {
+		return p.tooLate(now, settled, x)
+	}
+	wait := rateWait
+	if now < settled {
+		wait = shareWait
+	}
+	return now >= x.deadline || now.Sub(x.arrived) >= wait
+}
+
 func (p *purse) tooLate(now, settled model.Instant, x waiter) bool {
 	waited := now.Sub(x.arrived)
 	if now >= x.deadline || waited >= ownerWait && now >= settled {
