Tell entry hosts through relays which targets leave

Change: the control host that acknowledges tells the other control hosts, and relays list the targets that leave in their answers; pickers pass them over and give them back.

--- a/internal/lease/api.go
+++ b/internal/lease/api.go
@@ -77,6 +77,8 @@
 	OwnersChanged struct{ Owners []proto.Owner }
 	// HostsCounted publishes how many entry hosts there are, as a relay tells it.
 	HostsCounted struct{ Hosts int }
+	// LeavingChanged publishes the targets that get no new work, as a relay tells it.
+	LeavingChanged struct{ Targets []proto.LeavingTarget }
 	// QuorumsChanged publishes the lists of seats of which an owner needs a
 	// majority each. It is one list in the steady state, several while a change
 	// of the seats comes into force, and none while this host cannot know them.
@@ -172,6 +174,7 @@
 func (OwnersChanged) isEffect()  {}
 func (QuorumsChanged) isEffect() {}
 func (HostsCounted) isEffect()   {}
+func (LeavingChanged) isEffect() {}
 func (Gained) isEffect()         {}
 func (Renewed) isEffect()        {}
 func (Lost) isEffect()           {}
--- a/internal/lease/fresh.go
+++ b/internal/lease/fresh.go
@@ -53,6 +53,8 @@
 	// decoding is set while the runtime decodes a snapshot.
 	decoding bool
 	relays   relayChoice
+	// leavingDigest is that of the list of targets that leave, published last.
+	leavingDigest uint64
 }
 
 // peer is what one seat said last.
@@ -138,7 +140,7 @@
 func (f *Fresh) ask(now model.Instant, host model.HostID, nonce uint64) proto.FreshAsk {
 	m := f.self
 	m.Draining = f.draining || !f.canOwn(now)
-	ask := proto.FreshAsk{Nonce: nonce, Have: f.hist.version(), Member: m}
+	ask := proto.FreshAsk{Nonce: nonce, Have: f.hist.version(), Member: m, LeavingDigest: f.leavingDigest}
 	if p, ok := f.peers[host]; ok {
 		ask.MembersDigest, ask.OwnersDigest = p.lists.membersDigest, p.lists.ownersDigest
 	}
@@ -228,6 +230,9 @@
 		out = append(out, f.listed(now, from, m)...)
 	}
 	f.evidence(now, from, control, m)
+	if f.settings.relay {
+		out = append(out, f.takeLeaving(m)...)
+	}
 	if f.settings.relay && m.Hosts > 0 {
 		out = append(out, HostsCounted{Hosts: m.Hosts})
 	}
--- a/internal/lease/relay.go
+++ b/internal/lease/relay.go
@@ -105,8 +105,9 @@
 // Relay answers the ask of an entry host on behalf of all control hosts, from
 // what this host was confirmed last. The age of that confirmation is part of
 // the answer, so the asker's right to serve ends as if it had asked itself.
+// Leaving lists the targets that this host knows to get no new work.
 // The second result is false while this host knows nothing that it could tell.
-func (f *Fresh) Relay(now model.Instant, ask proto.FreshAsk) (proto.FreshReply, bool) {
+func (f *Fresh) Relay(now model.Instant, ask proto.FreshAsk, leaving []proto.LeavingTarget) (proto.FreshReply, bool) {
 	if !f.hist.known || f.until == 0 {
 		return proto.FreshReply{}, false
 	}
@@ -134,6 +135,9 @@
 	if reply.OwnersDigest = ownersDigest(f.owners); reply.OwnersDigest != ask.OwnersDigest {
 		reply.Owners = f.owners
 	}
+	if reply.LeavingDigest = LeavingDigest(leaving); reply.LeavingDigest != ask.LeavingDigest {
+		reply.Leaving = leaving
+	}
 	return reply, true
 }
 
--- a/internal/node/owner_part.go
+++ b/internal/node/owner_part.go
@@ -23,6 +23,9 @@
 	cfg    atomic.Pointer[model.Config]
 	hosts  hostSet
 	prober *prober
+	clock  clock
+	// leaving holds the targets that get no new work.
+	leaving *leavings
 
 	claimer *runner[lease.Event, lease.Effect]
 	buckets *runner[admit.Event, admit.Effect]
@@ -33,7 +36,7 @@
 
 // newOwnerPart returns the owner side of a control host and its clean-up function.
 func newOwnerPart(self proto.Member, timing lease.Timing, tune pool.Tuning, log logr.Logger, send func(model.HostID, proto.Message)) (*ownerPart, func()) {
-	p := &ownerPart{log: log, self: self, send: send}
+	p := &ownerPart{log: log, self: self, send: send, clock: newClock(), leaving: newLeavings()}
 	cfg := model.NewConfig(nil, nil)
 	p.cfg.Store(&cfg)
 	c := newClock()
@@ -88,7 +91,10 @@
 		p.claimer.post(lease.Received{From: from, Msg: m})
 	case proto.DrawAsk, proto.StandbyNote, proto.StandbyAck:
 		p.buckets.post(admit.Received{From: from, Msg: m})
-	case proto.SlotAsk, proto.SlotDone, proto.SlotCancel, proto.TargetNews, proto.ProbeResult, proto.ViewAsk, proto.RestoreReport, proto.QuarantineClear:
+	case proto.TargetNews:
+		p.leaving.add(p.clock.now(), m.Announcement, false)
+		p.targets.post(pool.Received{From: from, Msg: m})
+	case proto.SlotAsk, proto.SlotDone, proto.SlotCancel, proto.ProbeResult, proto.ViewAsk, proto.RestoreReport, proto.QuarantineClear:
 		p.targets.post(pool.Received{From: from, Msg: m})
 	case proto.SlotReply, proto.ViewReply, proto.RestoreAck:
 		p.news.post(pool.Received{From: from, Msg: m})
@@ -103,6 +109,9 @@
 	p.buckets.post(admit.Tick{})
 	p.targets.post(pool.Tick{})
 	p.news.post(pool.Tick{})
+	for _, a := range p.leaving.due(p.clock.now()) {
+		p.tellControls(a)
+	}
 }
 
 func (p *ownerPart) applyClaimer(f lease.Effect) {
@@ -145,6 +154,20 @@
 // announce takes an announcement.
 func (p *ownerPart) announce(a model.Announcement) {
 	p.news.post(pool.Announced{Announcement: a})
+	if p.leaving.add(p.clock.now(), a, true) {
+		p.tellControls(a)
+	}
+}
+
+// tellControls tells the other control hosts that a target leaves. Whichever of
+// them owns its service, now or later, gives it no new work, and neither does
+// an entry host that asks one of them.
+func (p *ownerPart) tellControls(a model.Announcement) {
+	for _, host := range p.cfg.Load().Controls {
+		if host != p.self.Host {
+			p.send(host, proto.TargetNews{Announcement: a})
+		}
+	}
 }
 
 func (p *ownerPart) healthPath(name model.ServiceName) string {
--- a/internal/node/run_control.go
+++ b/internal/node/run_control.go
@@ -50,7 +50,7 @@
 		return
 	}
 	if ask, ok := m.(proto.FreshAsk); ok && d.seat != nil && ask.Member.Role == proto.RoleEntry {
-		d.seat.relay(from, ask)
+		d.seat.relay(from, ask, d.owner.leaving.list())
 		d.control.see(ask)
 		return
 	}
--- a/internal/node/seat_part.go
+++ b/internal/node/seat_part.go
@@ -33,10 +33,10 @@
 const joinTick = 100 * time.Millisecond
 
 // relay answers an entry host on behalf of all control hosts.
-func (h *seatHost) relay(from model.HostID, ask proto.FreshAsk) {
+func (h *seatHost) relay(from model.HostID, ask proto.FreshAsk, leaving []proto.LeavingTarget) {
 	var reply proto.FreshReply
 	var ok bool
-	h.fresh.read(func(now model.Instant) { reply, ok = h.freshCore.Relay(now, ask) })
+	h.fresh.read(func(now model.Instant) { reply, ok = h.freshCore.Relay(now, ask, leaving) })
 	h.seat.post(lease.Heard{Member: ask.Member})
 	if ok {
 		h.mesh.Send(from, reply)
--- a/internal/pool/api.go
+++ b/internal/pool/api.go
@@ -53,6 +53,9 @@
 		// Once is set if the request must not run on another target after it may have run.
 		Once bool
 	}
+	// TargetsLeaving replaces the list of targets that get no new work, for the
+	// picker of a host that control tells of them.
+	TargetsLeaving struct{ Targets []proto.LeavingTarget }
 	// Abandoned withdraws a waiting request.
 	Abandoned struct{ Request model.RequestID }
 	// Ended returns the target of a request with what became of the attempt.
@@ -149,8 +152,10 @@
 func (Announced) isEvent()     {}
 func (Wanted) isEvent()        {}
 func (Abandoned) isEvent()     {}
-func (Ended) isEvent()         {}
-func (Probed) isEvent()        {}
+
+func (TargetsLeaving) isEvent() {}
+func (Ended) isEvent()          {}
+func (Probed) isEvent()         {}
 
 func (Send) isEffect()        {}
 func (Assigned) isEffect()    {}
--- a/internal/pool/assign.go
+++ b/internal/pool/assign.go
@@ -46,7 +46,7 @@
 	}
 	w := s.workspace(m.Workspace)
 	if s.waiting == 0 {
-		if t := o.pick(now, s, pickFor{zone: m.Zone, host: host, exclude: m.Exclude, once: m.Once}); t != nil {
+		if t := o.pick(now, s, pickFor{zone: m.Zone, host: host, exclude: m.Exclude, pass: m.Pass, once: m.Once}); t != nil {
 			o.assign(now, s, t, key, w, now.Add(m.Budget))
 			return
 		}
@@ -93,7 +93,7 @@
 	o.serial++
 	*a = ask{
 		askKey: key, service: s, workspace: w, fingerprint: m.Fingerprint, zone: m.Zone,
-		exclude: m.Exclude, once: m.Once, deadline: now.Add(m.Budget), serial: o.serial,
+		exclude: m.Exclude, pass: m.Pass, once: m.Once, deadline: now.Add(m.Budget), serial: o.serial,
 	}
 	w.queue.push(a)
 	w.waiting++
@@ -133,7 +133,7 @@
 			return
 		}
 		a := w.queue.peek()
-		t := o.pick(now, s, pickFor{zone: a.zone, host: a.host, exclude: a.exclude, once: a.once})
+		t := o.pick(now, s, pickFor{zone: a.zone, host: a.host, exclude: a.exclude, pass: a.pass, once: a.once})
 		if t == nil && len(a.exclude) == 0 && !s.limitedByHosts() {
 			return
 		}
@@ -205,6 +205,8 @@
 	zone    model.ZoneName
 	host    int32
 	exclude []model.TargetID
+	// pass lists targets that the asker gave back untried.
+	pass []model.TargetID
 	// once is set for a request that is lost if the target fails it.
 	once bool
 }
@@ -226,7 +228,7 @@
 		if best != nil && (score > bestScore || score == bestScore && t.lastPick > best.lastPick) {
 			continue
 		}
-		if !t.mayGiveTo(r.host, s.hostBudget(t)) || slices.Contains(r.exclude, t.id) {
+		if !t.mayGiveTo(r.host, s.hostBudget(t)) || slices.Contains(r.exclude, t.id) || slices.Contains(r.pass, t.id) {
 			continue
 		}
 		best, bestScore = t, score
--- a/internal/pool/doubt_test.go
+++ b/internal/pool/doubt_test.go
@@ -220,3 +220,38 @@
 	}
 	return found
 }
+
+// Guards against an assignment to a target that leaves, of which the owner has
+// not heard, and against a host without an owner that uses the target from its
+// last list.
+func TestPickerGivesBackTargetsThatLeave(t *testing.T) {
+	p := NewPicker("e1", "z", WithTuning(CautiousTuning()))
+	now := model.Instant(time.Second)
+	p.Step(now, Configured{Config: model.NewConfig(nil, nil)})
+	p.Step(now, OwnersChanged{Owners: []proto.Owner{{Shard: testShard(), Host: "o", Epoch: 1}}})
+	p.Step(now, Received{From: "o", Msg: proto.RestoreAck{Shard: testShard(), Epoch: 1}})
+	p.Step(now, TargetsLeaving{Targets: []proto.LeavingTarget{{Target: "t0", Incarnation: 4}}})
+	askOf := func(out []Effect) proto.SlotAsk {
+		for _, f := range out {
+			if send, ok := f.(Send); ok {
+				if ask, ok := send.Msg.(proto.SlotAsk); ok {
+					return ask
+				}
+			}
+		}
+		return proto.SlotAsk{}
+	}
+	p.Step(now, Wanted{Request: "r", Service: testService, Workspace: "w", Deadline: now.Add(4 * time.Second)})
+	now = now.Add(time.Second)
+	ask := askOf(p.Step(now, Tick{}))
+	if ask.Nonce == 0 {
+		ask = proto.SlotAsk{Nonce: p.nonce}
+	}
+	out := p.Step(now, Received{From: "o", Msg: proto.SlotReply{Nonce: ask.Nonce, Status: proto.SlotAssigned, Slot: 1, Target: "t0", Incarnation: 4, Epoch: 1}})
+	require.Contains(t, out, Effect(Send{To: "o", Msg: proto.SlotCancel{Service: testService, Nonce: ask.Nonce}}))
+	again := askOf(out)
+	require.Equal(t, []model.TargetID{"t0"}, again.Pass)
+	require.NotEqual(t, ask.Nonce, again.Nonce)
+	out = append([]Effect(nil), p.Step(now, Received{From: "o", Msg: proto.SlotReply{Nonce: again.Nonce, Status: proto.SlotAssigned, Slot: 2, Target: "t0", Incarnation: 5, Epoch: 1}})...)
+	require.Contains(t, out, Effect(Assigned{Request: "r", Target: "t0", Incarnation: 5}), "a later run of the target takes work")
+}
--- a/internal/pool/local.go
+++ b/internal/pool/local.go
@@ -117,7 +117,7 @@
 	recent := s.viewAt != 0 && now.Sub(s.viewAt) <= p.tune.StaleAfter
 	if recent {
 		for _, v := range s.view {
-			if !v.Ejected && !s.superseded(v) {
+			if !v.Ejected && !s.superseded(v) && !p.leaves(v.Target, v.Incarnation) {
 				list = append(list, v)
 			}
 		}
--- a/internal/pool/picker.go
+++ b/internal/pool/picker.go
@@ -29,6 +29,8 @@
 	// serial numbers restore reports.
 	serial   uint64
 	services map[model.ServiceName]*access
+	// leaving holds the incarnations of the targets that get no new work.
+	leaving map[model.TargetID]model.Incarnation
 	// ordered lists services by name, so that ticks are deterministic.
 	ordered  []*access
 	requests map[model.RequestID]*request
@@ -55,7 +57,9 @@
 	deadline    model.Instant
 	exclude     []model.TargetID
 	once        bool
-	nonce       uint64
+	// passed lists targets that were given back untried.
+	passed []model.TargetID
+	nonce  uint64
 	// since is when the target was wanted.
 	since model.Instant
 	// asked is when the query was last sent, tries how often it was sent.
@@ -171,6 +175,8 @@
 		p.setOwners(now, ev.Owners)
 	case Probed:
 		p.probed(now, ev)
+	case TargetsLeaving:
+		p.setLeaving(ev.Targets)
 	case Configured:
 		if ev.Config.Version >= p.cfg.Version {
 			p.cfg = ev.Config
@@ -267,6 +273,7 @@
 		Zone:        p.zone,
 		Budget:      r.deadline.Sub(now),
 		Exclude:     r.exclude,
+		Pass:        r.passed,
 		Once:        r.once,
 	})
 }
@@ -310,6 +317,10 @@
 	}
 	switch m.Status {
 	case proto.SlotAssigned:
+		if p.leaves(m.Target, m.Incarnation) {
+			p.askAgain(now, from, r, m.Target)
+			return
+		}
 		p.leaveQueue(r)
 		p.dropGone(s)
 		r.slot = m.Slot
@@ -327,6 +338,31 @@
 	}
 }
 
+func (p *Picker) setLeaving(list []proto.LeavingTarget) {
+	p.leaving = make(map[model.TargetID]model.Incarnation, len(list))
+	for _, l := range list {
+		p.leaving[l.Target] = l.Incarnation
+	}
+}
+
+// leaves reports whether this run of a target gets no new work.
+func (p *Picker) leaves(id model.TargetID, inc model.Incarnation) bool {
+	last, ok := p.leaving[id]
+	return ok && inc <= last
+}
+
+// askAgain gives back a target that leaves, of which the owner has not heard
+// yet, and asks for another one.
+func (p *Picker) askAgain(now model.Instant, from model.HostID, r *request, id model.TargetID) {
+	p.send(from, proto.SlotCancel{Service: r.access.name, Nonce: r.nonce})
+	delete(p.byNonce, r.nonce)
+	p.nonce++
+	r.nonce = p.nonce
+	p.byNonce[r.nonce] = r
+	r.passed = append(slices.Clone(r.passed), id)
+	p.ask(now, r)
+}
+
 func (p *Picker) assign(r *request, id model.TargetID, addr string, inc model.Incarnation, local bool) {
 	r.assigned = true
 	r.target = id
--- a/internal/pool/service.go
+++ b/internal/pool/service.go
@@ -21,6 +21,7 @@
 	fingerprint model.Fingerprint
 	zone        model.ZoneName
 	exclude     []model.TargetID
+	pass        []model.TargetID
 	once        bool
 	deadline    model.Instant
 	serial      uint64
--- a/internal/proto/message.go
+++ b/internal/proto/message.go
@@ -147,6 +147,7 @@
 		// MembersDigest and OwnersDigest identify the lists the asker holds; a reply carries a list only when it differs.
 		MembersDigest uint64
 		OwnersDigest  uint64
+		LeavingDigest uint64
 	}
 	// FreshReply answers FreshAsk.
 	FreshReply struct {
@@ -179,6 +180,9 @@
 		SeatsSettled bool
 		// Hosts is the number of live entry hosts, or 0 if the answerer does not tell it.
 		Hosts int
+		// Leaving lists the targets that get no new work, as a relay tells it. It is nil when the digests agree.
+		Leaving       []LeavingTarget
+		LeavingDigest uint64
 	}
 	// SeatStage hands a committed change to a seat. A change is accepted once a majority of seats hold it.
 	SeatStage struct {
@@ -219,6 +223,12 @@
 	}
 )
 
+// LeavingTarget is a run of a target that drains or has left.
+type LeavingTarget struct {
+	Target      model.TargetID
+	Incarnation model.Incarnation
+}
+
 // Owner says who owns a shard.
 type Owner struct {
 	Shard model.ShardID
@@ -297,6 +307,8 @@
 		Exclude []model.TargetID
 		// Once is set if the request must not run on another target after it may have run.
 		Once bool
+		// Pass lists targets that the asker does not want and has not tried.
+		Pass []model.TargetID
 	}
 	// SlotReply answers SlotAsk.
 	SlotReply struct {
--- a/internal/wire/fresh.go
+++ b/internal/wire/fresh.go
@@ -29,6 +29,12 @@
 	Member        member        `cbor:"3,keyasint"`
 	MembersDigest uint64        `cbor:"4,keyasint"`
 	OwnersDigest  uint64        `cbor:"5,keyasint"`
+	LeavingDigest uint64        `cbor:"6,keyasint,omitempty"`
+}
+
+type leavingTarget struct {
+	Target      model.TargetID    `cbor:"1,keyasint"`
+	Incarnation model.Incarnation `cbor:"2,keyasint"`
 }
 
 type freshReply struct {
@@ -47,6 +53,9 @@
 	Gone          []model.HostID `cbor:"13,keyasint,omitempty"`
 	Offer         *snapshotOffer `cbor:"14,keyasint,omitempty"`
 	Hosts         int            `cbor:"15,keyasint,omitempty"`
+
+	Leaving       []leavingTarget `cbor:"16,keyasint,omitempty"`
+	LeavingDigest uint64          `cbor:"17,keyasint,omitempty"`
 }
 
 type seatStage struct {
@@ -113,12 +122,12 @@
 }
 
 func toFreshAsk(m proto.FreshAsk) (freshAsk, error) {
-	return freshAsk{Nonce: m.Nonce, Have: m.Have, Member: toMember(m.Member), MembersDigest: m.MembersDigest, OwnersDigest: m.OwnersDigest}, nil
+	return freshAsk{Nonce: m.Nonce, Have: m.Have, Member: toMember(m.Member), MembersDigest: m.MembersDigest, OwnersDigest: m.OwnersDigest, LeavingDigest: m.LeavingDigest}, nil
 }
 
 func fromFreshAsk(d freshAsk) (proto.FreshAsk, error) {
 	m, err := fromMember(d.Member)
-	return proto.FreshAsk{Nonce: d.Nonce, Have: d.Have, Member: m, MembersDigest: d.MembersDigest, OwnersDigest: d.OwnersDigest}, err
+	return proto.FreshAsk{Nonce: d.Nonce, Have: d.Have, Member: m, MembersDigest: d.MembersDigest, OwnersDigest: d.OwnersDigest, LeavingDigest: d.LeavingDigest}, err
 }
 
 func toFreshReply(m proto.FreshReply) (freshReply, error) {
@@ -139,6 +148,8 @@
 		Gone:          m.Gone,
 		Offer:         toOffer(m.Offer),
 		Hosts:         m.Hosts,
+		Leaving:       convert(m.Leaving, func(l proto.LeavingTarget) leavingTarget { return leavingTarget(l) }),
+		LeavingDigest: m.LeavingDigest,
 	}, err
 }
 
@@ -168,6 +179,8 @@
 		Gone:          d.Gone,
 		Offer:         offer,
 		Hosts:         d.Hosts,
+		Leaving:       convert(d.Leaving, func(l leavingTarget) proto.LeavingTarget { return proto.LeavingTarget(l) }),
+		LeavingDigest: d.LeavingDigest,
 	}, err
 }
 
--- a/internal/wire/pool.go
+++ b/internal/wire/pool.go
@@ -17,6 +17,7 @@
 	Budget      time.Duration     `cbor:"7,keyasint"`
 	Exclude     []model.TargetID  `cbor:"8,keyasint"`
 	Once        bool              `cbor:"9,keyasint,omitempty"`
+	Pass        []model.TargetID  `cbor:"10,keyasint,omitempty"`
 }
 
 type slotReply struct {
