--- a/internal/conf/types.go
+++ b/internal/conf/types.go
@@ -50,6 +50,9 @@
 	// OwnersAtControl lets control hosts own all shards. Entry hosts then ask one
 	// control host, of their own zone if there is one, on behalf of all.
 	OwnersAtControl bool
+	// Compress compresses the links, and PingEvery replaces the interval of their pings unless it is 0.
+	Compress  bool
+	PingEvery time.Duration
 	// StaleAfter ends new work for a target that has not announced itself, or is 0 for the default.
 	StaleAfter time.Duration
 }
--- a/internal/link/options.go
+++ b/internal/link/options.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/coder/websocket"
 	"github.com/go-logr/logr"
 
 	"tarragongauge.example/tarragongauge/internal/trust"
@@ -47,6 +48,8 @@
 	maxBatchBytes = 64 << 10
 	// maxHandshakes bounds connections that have not authenticated yet.
 	maxHandshakes = 128
+	// compressFrom is the length in bytes from which a frame is compressed.
+	compressFrom = 48
 	// flushTimeout bounds the last write of a stopping process.
 	flushTimeout = 500 * time.Millisecond
 )
@@ -59,6 +62,8 @@
 	faults  *Faults
 	tls     *trust.Source
 	resolve func(model.HostID) string
+	// compress is set if frames are compressed.
+	compress bool
 	// optional is set while links without TLS are taken too.
 	optional bool
 }
@@ -87,6 +92,21 @@
 	return func(o *options) { o.resolve = resolve }
 }
 
+// WithCompression compresses frames against the earlier ones of their link: most
+// messages repeat names and lists. It costs some 300 KB of memory for each link,
+// and is used where both sides ask for it.
+func WithCompression() Option {
+	return func(o *options) { o.compress = true }
+}
+
+// compression returns the mode of a new connection and the least length of a compressed frame.
+func (o options) compression() (websocket.CompressionMode, int) {
+	if !o.compress {
+		return websocket.CompressionDisabled, 0
+	}
+	return websocket.CompressionContextTakeover, compressFrom
+}
+
 // WithTiming replaces the time limits.
 func WithTiming(t Timing) Option {
 	return func(o *options) { o.timing = t }
--- a/internal/node/process.go
+++ b/internal/node/process.go
@@ -117,6 +117,7 @@
 	tree, stopTree := super.New(string(s.host.Name), super.WithLogger(s.log))
 	p.tree = tree
 	p.stops = append(p.stops, stopTree)
+	extra = append(extra, linkOptions(s.fleet)...)
 	if s.fleet.AddressNames {
 		extra = append(extra, link.WithResolver(addressHost))
 	}
@@ -145,6 +146,20 @@
 	return p, p.stop, nil
 }
 
+// linkOptions returns the options of the links that the settings change.
+func linkOptions(f conf.Fleet) []link.Option {
+	var opts []link.Option
+	if f.Compress {
+		opts = append(opts, link.WithCompression())
+	}
+	if f.PingEvery > 0 {
+		timing := link.DefaultTiming()
+		timing.PingEvery = f.PingEvery
+		opts = append(opts, link.WithTiming(timing))
+	}
+	return opts
+}
+
 func (p *process) stop() {
 	for i := len(p.stops) - 1; i >= 0; i-- {
 		p.stops[i]()
