--- a/internal/conf/types.go
+++ b/internal/conf/types.go
@@ -53,10 +53,20 @@
 	// Compress compresses the links, and PingEvery replaces the interval of their pings unless it is 0.
 	Compress  bool
 	PingEvery time.Duration
+	// Retries is the budget that replaces that of the defaults, unless Burst is 0.
+	Retries Retries
 	// StaleAfter ends new work for a target that has not announced itself, or is 0 for the default.
 	StaleAfter time.Duration
 }
 
+// Retries bounds the attempts beyond the first of a service's requests, as pool.Retries does.
+type Retries struct {
+	Share     float64
+	PerSecond float64
+	Burst     float64
+	Alone     float64
+}
+
 // Join says how a control host joins the others by itself. Without Size the
 // operators choose the control hosts and seats.
 type Join struct {
--- a/internal/node/run_control.go
+++ b/internal/node/run_control.go
@@ -159,6 +159,9 @@
 	if f.OwnersAtControl {
 		t = pool.CautiousTuning()
 	}
+	if f.Retries.Burst > 0 {
+		t.Retries = pool.Retries(f.Retries)
+	}
 	if f.StaleAfter > 0 {
 		t.StaleAfter = f.StaleAfter
 		t.NewsFresh = f.StaleAfter
--- a/internal/pool/assign.go
+++ b/internal/pool/assign.go
@@ -60,7 +60,7 @@
 		return proto.SlotQuarantined
 	}
 	if len(m.Exclude) == 0 {
-		s.retryTokens = min(o.tune.RetryBurst, s.retryTokens+s.retryShare)
+		s.retryTokens = min(o.tune.Retries.Burst, s.retryTokens+s.retryShare)
 	} else if s.retryTokens < 1 || s.mayCrash(m.Workspace, m.Fingerprint, o.tune.CrashLimit) {
 		return proto.SlotNoRetry
 	}
@@ -211,6 +211,9 @@
 	once bool
 }
 
+// lastChance reports whether the request fails if the target fails it.
+func (r pickFor) lastChance() bool { return r.once || len(r.exclude) > 0 }
+
 // pick returns the target for a request, or nil when none has a free slot.
 // The least loaded one wins, with a penalty for other zones, then the one
 // given longest ago. The last rule spreads evidence evenly.
@@ -242,9 +245,12 @@
 	if t.zone != r.zone {
 		score += o.tune.ZonePenalty
 	}
-	if t.doubted(now, &o.tune, r.once) {
+	if t.doubted(now, &o.tune, r) {
 		score += doubtPenalty
 	}
+	if r.lastChance() {
+		score += o.tune.UnprovenPenalty * t.unproven(now)
+	}
 	switch {
 	case t.denied && !s.due(t, o.tune.StartShare):
 		score += deniedPenalty
--- a/internal/pool/owner.go
+++ b/internal/pool/owner.go
@@ -179,8 +179,8 @@
 		return nil
 	}
 	s := newService(name, shard, t)
-	s.configure(o.cfg)
-	s.retryTokens = o.tune.RetryBurst / 2
+	s.configure(o.cfg, o.tune.Retries)
+	s.retryTokens = first(o.tune.Retries.Burst)
 	o.services[name] = s
 	at, _ := slices.BinarySearchFunc(o.ordered, s, compareServices)
 	o.ordered = slices.Insert(o.ordered, at, s)
@@ -195,7 +195,7 @@
 	}
 	o.cfg = cfg
 	for _, s := range o.ordered {
-		s.configure(cfg)
+		s.configure(cfg, o.tune.Retries)
 		o.keepFloor(s)
 	}
 }
@@ -208,6 +208,7 @@
 		if now >= o.tenures[s.shard].until {
 			continue
 		}
+		o.refillRetries(now, s)
 		o.ageTargets(now, s)
 		o.expireSlots(now, s)
 		o.expireBroken(now, s)
--- a/internal/pool/picker.go
+++ b/internal/pool/picker.go
@@ -29,6 +29,8 @@
 	// serial numbers restore reports.
 	serial   uint64
 	services map[model.ServiceName]*access
+	// shards holds the shards that have a service.
+	shards map[model.ShardID]bool
 	// leaving holds the incarnations of the targets that get no new work.
 	leaving map[model.TargetID]model.Incarnation
 	// ordered lists services by name, so that ticks are deterministic.
@@ -180,6 +182,7 @@
 	case Configured:
 		if ev.Config.Version >= p.cfg.Version {
 			p.cfg = ev.Config
+			p.noteShards()
 		}
 	}
 	return p.out
@@ -208,13 +211,14 @@
 	shard := model.ServiceShard(name)
 	s = &access{
 		name: name, shard: shard, owner: p.owners[shard], report: p.report(shard),
-		running: map[model.TargetID]int{}, retryTokens: p.tune.RetryBurst / 2,
+		running: map[model.TargetID]int{}, retryTokens: first(p.tune.Retries.Alone),
 	}
 	p.services[name] = s
 	at, _ := slices.BinarySearchFunc(p.ordered, s, func(a, b *access) int {
 		return strings.Compare(string(a.name), string(b.name))
 	})
 	p.ordered = slices.Insert(p.ordered, at, s)
+	p.noteShards()
 	return s
 }
 
@@ -236,7 +240,7 @@
 		deadline: ev.Deadline, exclude: ev.Exclude, once: ev.Once, nonce: p.nonce, since: now, linked: true,
 	}
 	if len(ev.Exclude) == 0 {
-		s.retryTokens = min(p.tune.RetryBurst, s.retryTokens+p.cfg.Defaults.RetryShare)
+		s.retryTokens = min(p.tune.Retries.Alone, s.retryTokens+p.tune.Retries.share(p.cfg.Defaults))
 	}
 	p.requests[r.id] = r
 	p.byNonce[r.nonce] = r
--- a/internal/pool/report.go
+++ b/internal/pool/report.go
@@ -60,7 +60,9 @@
 		r := p.report(o.Shard)
 		if r == nil || r.owner != o {
 			r = &report{shard: o.Shard, owner: o, due: true, since: now}
-			p.sendReport(now, r)
+			if p.serves(o.Shard) {
+				p.sendReport(now, r)
+			}
 		}
 		kept = append(kept, r)
 	}
@@ -92,10 +94,27 @@
 	p.send(r.owner.Host, m)
 }
 
+// serves reports whether a shard has a service. The owner of a shard without
+// one has no state to reconstruct.
+func (p *Picker) serves(shard model.ShardID) bool {
+	return p.shards[shard]
+}
+
+// noteShards notes the shards of the services that are configured or in use.
+func (p *Picker) noteShards() {
+	p.shards = map[model.ShardID]bool{}
+	for s := range p.cfg.Services.All() {
+		p.shards[model.ServiceShard(s.Name)] = true
+	}
+	for _, s := range p.ordered {
+		p.shards[s.shard] = true
+	}
+}
+
 // repeatReports sends the reports that were not acknowledged again.
 func (p *Picker) repeatReports(now model.Instant) {
 	for _, r := range p.reports {
-		if r.due && now.Sub(r.sent) >= p.tune.Repeat<<min(max(0, r.tries-1), repeatLimit) {
+		if r.due && p.serves(r.shard) && now.Sub(r.sent) >= p.tune.Repeat<<min(max(0, r.tries-1), repeatLimit) {
 			p.sendReport(now, r)
 		}
 	}
--- a/internal/pool/service.go
+++ b/internal/pool/service.go
@@ -99,9 +99,11 @@
 	picks uint64
 
 	retryTokens float64
-	broken      []brokenAttempt
-	suspects    []suspect
-	quarantine  []quarantined
+	// refilled is when retries of the time were last added, or 0.
+	refilled   model.Instant
+	broken     []brokenAttempt
+	suspects   []suspect
+	quarantine []quarantined
 
 	base baseline
 	// tail is the sum over the usable targets as of the last evaluation.
@@ -129,9 +131,9 @@
 	}
 }
 
-func (s *service) configure(cfg model.Config) {
+func (s *service) configure(cfg model.Config, retries Retries) {
 	s.floor = cfg.FloorFor(s.name)
-	s.retryShare = cfg.Defaults.RetryShare
+	s.retryShare = retries.share(cfg.Defaults)
 	s.slots = max(1, cfg.Defaults.Slots)
 	s.connections = max(1, cfg.Defaults.Connections)
 	s.queueLimit = max(1, cfg.Defaults.QueueLimit)
--- a/internal/pool/target.go
+++ b/internal/pool/target.go
@@ -77,17 +77,40 @@
 
 // doubted reports whether the target is to be avoided: it failed lately, or is
 // being tried by an attempt.
-func (t *target) doubted(now model.Instant, tune *Tuning, once bool) bool {
+func (t *target) doubted(now model.Instant, tune *Tuning, r pickFor) bool {
 	if t.doubtedAt == 0 || tune.Doubt == 0 {
 		return false
 	}
 	wait := tune.Doubt
-	if !once {
+	switch {
+	case len(r.exclude) > 0:
+		// Others find out whether the target has recovered.
+		wait = retriedDoubts * tune.Doubt
+	case !r.once:
 		wait = tune.RetryDoubt
 	}
 	return now.Sub(t.doubtedAt) < wait || len(t.busy) > 0
 }
 
+// retriedDoubts is how many times longer a target is doubted for a request that
+// has failed once.
+const retriedDoubts = 2
+
+// provenFor is the age of a success at which it says nothing about the present any more.
+const provenFor = 3 * time.Second
+
+// unproven returns the share of provenFor that has passed since the last success.
+// It is 0 for a target whose doubt has ended and that is to be tried again.
+func (t *target) unproven(now model.Instant) float64 {
+	if t.doubtedAt != 0 {
+		return 0
+	}
+	if t.okAt == 0 {
+		return 1
+	}
+	return min(1, float64(now.Sub(t.okAt))/float64(provenFor))
+}
+
 const noHost = int32(-1)
 
 const neverGiven = model.Instant(-1 << 63)
--- a/internal/pool/tuning.go
+++ b/internal/pool/tuning.go
@@ -31,6 +31,10 @@
 	// LocalWait bounds the wait for a target without the owner, or is 0 to wait
 	// until the deadline.
 	LocalWait time.Duration
+	// UnprovenPenalty is how much more loaded, as a share of its slots, a target
+	// that succeeded just now may be than one that has not for 3 s before the
+	// latter gets a request that fails with its attempt.
+	UnprovenPenalty float64
 	// DoneGrace is how long after a request's deadline its slot waits for SlotDone.
 	// Without it the reports of timeouts would arrive after their slots were freed.
 	DoneGrace time.Duration
@@ -78,8 +82,7 @@
 	// ProbeEvery is the interval of probes of one target by one host.
 	ProbeEvery time.Duration
 
-	// RetryBurst bounds the saved-up retries of a service.
-	RetryBurst float64
+	Retries Retries
 	// CrashWindow is the time within which a refused connection or a new
 	// incarnation turns a broken attempt into a crash.
 	CrashWindow time.Duration
@@ -137,7 +140,7 @@
 		Forgive:     60 * time.Second,
 		ProbeEvery:  5 * time.Second,
 
-		RetryBurst:     20,
+		Retries:        DefaultRetries(),
 		CrashWindow:    5 * time.Second,
 		Quarantine:     10 * time.Minute,
 		CrashLimit:     2,
@@ -162,13 +165,15 @@
 	t.Doubt = 1800 * time.Millisecond
 	// The attempts that find out whether a target has recovered draw on the budget of retries.
 	t.RetryDoubt = time.Second
+	t.UnprovenPenalty = 0.5
 	// An episode is no reason to eject a target, whose return takes seconds:
 	// ten failures in a row are.
 	t.ErrorLimit = 40
 	// Bytes between zones cost more than the latency of a busier target.
 	t.ZonePenalty = 1
-	// Lists of targets are used only while the owner is lost.
-	t.ViewEvery = 2 * time.Second
+	// Lists of targets are used only while the owner is lost, and relays tell
+	// which targets leave.
+	t.ViewEvery = 5 * time.Second
 	// Callers with the shortest deadlines have time to come back.
 	t.LocalWait = 700 * time.Millisecond
 	return t
