Keep the targets at control, on disk and at entry hosts

Cause: after all hosts lost power, requests found no target for two seconds after the configuration was back: targets announce themselves every 1.5 s, to one control host each, and only owners knew them. Change: package known is the list that control hosts tell each other, keep on their disks and tell entry hosts through relays; it replaces the list of targets that leave.

--- /dev/null
+++ b/internal/codec/targets.go
@@ -0,0 +1,81 @@
+package codec
+
+import (
+	"hash/fnv"
+
+	"tarragongauge.example/tarragongauge/pkg/model"
+)
+
+// KnownTargets is what a control host keeps on its disk about the fleet it
+// last knew, so that requests are served before all targets have announced
+// themselves again.
+type KnownTargets struct {
+	Targets []model.Announcement
+	// Hosts is the number of entry hosts.
+	Hosts int
+}
+
+type announcementDTO struct {
+	Service     model.ServiceName `cbor:"1,keyasint"`
+	Target      model.TargetID    `cbor:"2,keyasint"`
+	Addr        string            `cbor:"3,keyasint"`
+	Zone        model.ZoneName    `cbor:"4,keyasint"`
+	Slots       int               `cbor:"5,keyasint"`
+	Incarnation model.Incarnation `cbor:"6,keyasint"`
+	State       model.TargetState `cbor:"7,keyasint"`
+	Load        float64           `cbor:"8,keyasint,omitempty"`
+}
+
+type knownDTO struct {
+	Targets []announcementDTO `cbor:"1,keyasint"`
+	Hosts   int               `cbor:"2,keyasint"`
+}
+
+// EncodeKnown encodes the known targets.
+func EncodeKnown(k KnownTargets) ([]byte, error) {
+	dto := knownDTO{Hosts: k.Hosts}
+	for _, a := range k.Targets {
+		if err := checkFinite("announcement", a.Load); err != nil {
+			return nil, err
+		}
+		dto.Targets = append(dto.Targets, announcementDTO(a))
+	}
+	return encode("known targets", dto)
+}
+
+// DecodeKnown decodes the known targets.
+func DecodeKnown(data []byte) (KnownTargets, error) {
+	var dto knownDTO
+	if err := decode("known targets", data, &dto); err != nil {
+		return KnownTargets{}, err
+	}
+	k := KnownTargets{Hosts: dto.Hosts}
+	for _, a := range dto.Targets {
+		if a.State < model.TargetReady || a.State > model.TargetLeaving {
+			return KnownTargets{}, malformed("known targets", "unknown state %d", a.State)
+		}
+		k.Targets = append(k.Targets, model.Announcement(a))
+	}
+	return k, nil
+}
+
+// TargetsDigest identifies a list of targets in any order; that of an empty list is 0.
+func TargetsDigest(list []model.Announcement) uint64 {
+	var sum uint64
+	for _, a := range list {
+		h := fnv.New64a()
+		for _, part := range []string{string(a.Service), string(a.Target), a.Addr, string(a.Zone)} {
+			_, _ = h.Write([]byte(part))
+			_, _ = h.Write([]byte{0})
+		}
+		for _, n := range []uint64{uint64(a.Slots), uint64(a.Incarnation), uint64(a.State)} {
+			var b [8]byte
+			for i := range b {
+				b[i] = byte(n >> (8 * i))
+			}
+			_, _ = h.Write(b[:])
+		}
+		sum += h.Sum64()
+	}
+	return sum
+}
--- /dev/null
+++ b/internal/known/known_test.go
@@ -0,0 +1,93 @@
+package known
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"tarragongauge.example/tarragongauge/pkg/model"
+)
+
+func target(id, addr string, born model.Incarnation, state model.TargetState) model.Announcement {
+	return model.Announcement{Service: "s", Target: model.TargetID(id), Addr: addr, Zone: "z", Slots: 3, Incarnation: born, State: state}
+}
+
+// Guards against a change of which only one control host knows, and against
+// heartbeats that are told although nothing changed.
+func TestOnlyChangesAreTold(t *testing.T) {
+	l := NewList(20 * time.Second)
+	now := model.Instant(time.Second)
+	ready := target("a", "10.0.0.1:1", 1, model.TargetReady)
+	require.Equal(t, []model.Announcement{ready}, l.Hear(now, ready, true))
+	require.Empty(t, l.Hear(now, ready, true))
+	loaded := ready
+	loaded.Load = 0.5
+	require.Empty(t, l.Hear(now, loaded, true), "its load is no change")
+	require.Equal(t, []model.Announcement{ready}, l.Due(now.Add(repeatEvery)), "the message may have been lost")
+	require.Empty(t, l.Due(now.Add(repeatEvery)))
+
+	draining := target("a", "10.0.0.1:1", 1, model.TargetDraining)
+	require.Equal(t, []model.Announcement{draining}, l.Hear(now, draining, true))
+	require.Empty(t, l.Hear(now, ready, true), "a late heartbeat")
+	list, digest := l.Targets()
+	require.Equal(t, []model.Announcement{draining}, list)
+	require.NotZero(t, digest)
+}
+
+// Guards against control hosts that tell each other the same news without end.
+func TestNewsOfOthersIsNotTold(t *testing.T) {
+	l := NewList(20 * time.Second)
+	now := model.Instant(time.Second)
+	require.Empty(t, l.Hear(now, target("a", "10.0.0.1:1", 1, model.TargetReady), false))
+	for range 20 {
+		now = now.Add(repeatEvery)
+		require.Empty(t, l.Due(now))
+	}
+}
+
+// Guards against a target that crashed and stays on the list, and against one
+// that is taken for gone since it sends its heartbeats to another host now.
+func TestSilentTargetsAreTold(t *testing.T) {
+	l := NewList(20 * time.Second)
+	start := model.Instant(time.Second)
+	l.Hear(start, target("crashed", "10.0.0.1:1", 1, model.TargetReady), true)
+	moved := target("moved", "10.0.0.2:1", 1, model.TargetReady)
+	l.Hear(start, moved, true)
+	for at := time.Duration(0); at <= 10*time.Second; at += repeatEvery {
+		l.Due(start.Add(at))
+	}
+	l.Hear(start.Add(10*time.Second), moved, false)
+	gone := target("crashed", "10.0.0.1:1", 1, model.TargetLeaving)
+	require.Equal(t, []model.Announcement{gone}, l.Due(start.Add(21*time.Second)))
+	list, _ := l.Targets()
+	require.Equal(t, []model.Announcement{gone, moved}, list)
+}
+
+// Guards against one address with two targets: requests for the one that ended
+// would reach a target of another service.
+func TestLaterIncarnationTakesTheAddress(t *testing.T) {
+	l := NewList(20 * time.Second)
+	now := model.Instant(time.Second)
+	l.Hear(now, target("a", "10.0.0.1:1", 5, model.TargetReady), false)
+	heir := target("b", "10.0.0.1:1", 9, model.TargetReady)
+	require.Equal(t, []model.Announcement{heir, target("a", "10.0.0.1:1", 5, model.TargetLeaving)}, l.Hear(now, heir, true))
+	require.Empty(t, l.Hear(now, target("c", "10.0.0.1:1", 7, model.TargetReady), false))
+	list, _ := l.Targets()
+	require.Len(t, list, 3)
+}
+
+// Guards against a list that grows for ever.
+func TestOldEntriesAreForgotten(t *testing.T) {
+	l := NewList(20 * time.Second)
+	now := model.Instant(time.Second)
+	l.Hear(now, target("left", "10.0.0.1:1", 1, model.TargetLeaving), true)
+	l.Hear(now, target("foreign", "10.0.0.2:1", 1, model.TargetReady), false)
+	l.Restore(now, []model.Announcement{target("restored", "10.0.0.3:1", 1, model.TargetReady)})
+	list, _ := l.Targets()
+	require.Len(t, list, 3)
+	l.Due(now.Add(keepForeign + time.Second))
+	list, digest := l.Targets()
+	require.Empty(t, list)
+	require.Zero(t, digest)
+}
--- a/internal/lease/api.go
+++ b/internal/lease/api.go
@@ -77,8 +77,9 @@
 	OwnersChanged struct{ Owners []proto.Owner }
 	// HostsCounted publishes how many entry hosts there are, as a relay tells it.
 	HostsCounted struct{ Hosts int }
-	// LeavingChanged publishes the targets that get no new work, as a relay tells it.
-	LeavingChanged struct{ Targets []proto.LeavingTarget }
+	// TargetsListed publishes all targets, as a relay tells it. Targets is nil
+	// when the relay confirmed the list published last.
+	TargetsListed struct{ Targets []model.Announcement }
 	// QuorumsChanged publishes the lists of seats of which an owner needs a
 	// majority each. It is one list in the steady state, several while a change
 	// of the seats comes into force, and none while this host cannot know them.
@@ -174,7 +175,7 @@
 func (OwnersChanged) isEffect()  {}
 func (QuorumsChanged) isEffect() {}
 func (HostsCounted) isEffect()   {}
-func (LeavingChanged) isEffect() {}
+func (TargetsListed) isEffect()  {}
 func (Gained) isEffect()         {}
 func (Renewed) isEffect()        {}
 func (Lost) isEffect()           {}
--- a/internal/lease/fresh.go
+++ b/internal/lease/fresh.go
@@ -53,8 +53,8 @@
 	// decoding is set while the runtime decodes a snapshot.
 	decoding bool
 	relays   relayChoice
-	// leavingDigest is that of the list of targets that leave, published last.
-	leavingDigest uint64
+	// targetsDigest is that of the list of targets published last.
+	targetsDigest uint64
 }
 
 // peer is what one seat said last.
@@ -140,7 +140,7 @@
 func (f *Fresh) ask(now model.Instant, host model.HostID, nonce uint64) proto.FreshAsk {
 	m := f.self
 	m.Draining = f.draining || !f.canOwn(now)
-	ask := proto.FreshAsk{Nonce: nonce, Have: f.hist.version(), Member: m, LeavingDigest: f.leavingDigest}
+	ask := proto.FreshAsk{Nonce: nonce, Have: f.hist.version(), Member: m, TargetsDigest: f.targetsDigest}
 	if p, ok := f.peers[host]; ok {
 		ask.MembersDigest, ask.OwnersDigest = p.lists.membersDigest, p.lists.ownersDigest
 	}
@@ -231,7 +231,7 @@
 	}
 	f.evidence(now, from, control, m)
 	if f.settings.relay {
-		out = append(out, f.takeLeaving(m)...)
+		out = append(out, f.takeTargets(m)...)
 	}
 	if f.settings.relay && m.Hosts > 0 {
 		out = append(out, HostsCounted{Hosts: m.Hosts})
--- a/internal/lease/relay.go
+++ b/internal/lease/relay.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"tarragongauge.example/tarragongauge/internal/codec"
 	"tarragongauge.example/tarragongauge/internal/proto"
 	"tarragongauge.example/tarragongauge/pkg/model"
 )
@@ -105,9 +106,8 @@
 // Relay answers the ask of an entry host on behalf of all control hosts, from
 // what this host was confirmed last. The age of that confirmation is part of
 // the answer, so the asker's right to serve ends as if it had asked itself.
-// Leaving lists the targets that this host knows to get no new work.
 // The second result is false while this host knows nothing that it could tell.
-func (f *Fresh) Relay(now model.Instant, ask proto.FreshAsk, leaving []proto.LeavingTarget) (proto.FreshReply, bool) {
+func (f *Fresh) Relay(now model.Instant, ask proto.FreshAsk) (proto.FreshReply, bool) {
 	if !f.hist.known || f.until == 0 {
 		return proto.FreshReply{}, false
 	}
@@ -135,9 +135,6 @@
 	if reply.OwnersDigest = ownersDigest(f.owners); reply.OwnersDigest != ask.OwnersDigest {
 		reply.Owners = f.owners
 	}
-	if reply.LeavingDigest = LeavingDigest(leaving); reply.LeavingDigest != ask.LeavingDigest {
-		reply.Leaving = leaving
-	}
 	return reply, true
 }
 
@@ -148,3 +145,18 @@
 	}
 	return digest(sum)
 }
+
+// takeTargets takes the list of targets from the reply of a relay.
+func (f *Fresh) takeTargets(m proto.FreshReply) []Effect {
+	switch {
+	case m.TargetsDigest == 0:
+		return nil
+	case m.TargetsDigest == f.targetsDigest:
+		return []Effect{TargetsListed{}}
+	case codec.TargetsDigest(m.Targets) != m.TargetsDigest:
+		// An answer to an ask with a digest that this host had before.
+		return nil
+	}
+	f.targetsDigest = m.TargetsDigest
+	return []Effect{TargetsListed{Targets: slices.Clone(m.Targets)}}
+}
--- a/internal/lease/relay_test.go
+++ b/internal/lease/relay_test.go
@@ -116,7 +116,7 @@
 func TestRelayTellsTheAgeOfItsConfirmation(t *testing.T) {
 	self := proto.Member{Host: "c", Role: proto.RoleControl, Zone: "z2", Incarnation: 1}
 	f := NewFresh(self, WithOwners(proto.RoleControl), WithBootstrap([]model.HostID{"a"}, []model.HostID{"a"}))
-	_, ok := f.Relay(1, proto.FreshAsk{}, nil)
+	_, ok := f.Relay(1, proto.FreshAsk{})
 	require.False(t, ok, "nothing is known yet")
 
 	cfg := model.NewConfig([]model.HostID{"a"}, []model.HostID{"a"}).WithVersion(3)
@@ -128,7 +128,7 @@
 	}
 	at := model.Instant(time.Second).Add(10 * time.Millisecond)
 	f.Step(at, Received{From: "a", Msg: proto.FreshReply{Nonce: nonce, Newest: 3, FromControl: true, Snapshot: data, Age: 100 * time.Millisecond}})
-	reply, ok := f.Relay(at.Add(2*time.Second), proto.FreshAsk{Nonce: 9, Have: 3}, nil)
+	reply, ok := f.Relay(at.Add(2*time.Second), proto.FreshAsk{Nonce: 9, Have: 3})
 	require.True(t, ok)
 	require.True(t, reply.FromControl)
 	require.EqualValues(t, 9, reply.Nonce)
@@ -188,24 +188,21 @@
 }
 
 // Guards against an acknowledged drain that hosts without an owner do not hear
-// of, and against a list that is sent again with every answer.
-func TestRelayTellsWhichTargetsLeave(t *testing.T) {
+// of, and against a list that is taken from an answer to an earlier ask.
+func TestRelayTellsTheTargets(t *testing.T) {
 	f := newRelayFleet(t)
 	f.run(5 * time.Second)
-	relay := NewFresh(controlMember("c", "z2"), WithOwners(proto.RoleControl))
-	relay.hist.known, relay.hist.cfg, relay.until = true, f.cfg, f.now.Add(time.Second)
-	list := []proto.LeavingTarget{{Target: "t1", Incarnation: 4}}
-	tell := func(list []proto.LeavingTarget) ([]proto.LeavingTarget, []Effect) {
+	list := []model.Announcement{{Service: "s", Target: "t1", Incarnation: 4, State: model.TargetDraining}}
+	tell := func(targets []model.Announcement, digest uint64) []Effect {
 		f.now = f.now.Add(time.Second)
-		ask := f.fresh.Step(f.now, Tick{})[0].(Send)
-		reply, ok := relay.Relay(f.now, ask.Msg.(proto.FreshAsk), list)
-		require.True(t, ok)
-		return reply.Leaving, f.fresh.Step(f.now, Received{From: ask.To, Msg: reply})
+		send := f.fresh.Step(f.now, Tick{})[0].(Send)
+		reply := f.reply(send.To, send.Msg.(proto.FreshAsk))
+		reply.Targets, reply.TargetsDigest = targets, digest
+		return f.fresh.Step(f.now, Received{From: send.To, Msg: reply})
 	}
-	sent, out := tell(list)
-	require.Equal(t, list, sent)
-	require.Contains(t, out, LeavingChanged{Targets: list})
-	sent, out = tell(list)
-	require.Empty(t, sent)
-	require.NotContains(t, out, LeavingChanged{Targets: list})
+	digest := codec.TargetsDigest(list)
+	require.NotContains(t, tell(nil, digest), TargetsListed{}, "nothing was listed yet")
+	require.Contains(t, tell(list, digest), TargetsListed{Targets: list})
+	require.Contains(t, tell(nil, digest), TargetsListed{}, "the list is confirmed")
+	require.NotContains(t, tell(nil, digest+1), TargetsListed{}, "another list, which is missing")
 }
--- a/internal/node/effects.go
+++ b/internal/node/effects.go
@@ -38,8 +38,8 @@
 	case lease.QuorumsChanged:
 		h.claimer.post(f)
 		h.seat.post(f)
-	case lease.LeavingChanged:
-		h.picker.post(pool.TargetsLeaving{Targets: f.Targets})
+	case lease.TargetsListed:
+		h.picker.post(pool.TargetsListed{Targets: f.Targets})
 	case lease.HostsCounted:
 		h.wallet.post(admit.HostsCounted{Hosts: f.Hosts})
 	case lease.OwnersChanged:
--- /dev/null
+++ b/internal/node/known.go
@@ -0,0 +1,130 @@
+package node
+
+import (
+	"path/filepath"
+	"sync"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/rotisserie/eris"
+
+	"tarragongauge.example/tarragongauge/internal/codec"
+	"tarragongauge.example/tarragongauge/internal/known"
+	"tarragongauge.example/tarragongauge/internal/store"
+	"tarragongauge.example/tarragongauge/pkg/model"
+)
+
+const (
+	// knownFolder is the folder of the known targets below the data folder.
+	knownFolder = "targets"
+	// saveEvery is the least interval between two writes of the known targets.
+	saveEvery = time.Second
+	// hostsFor is how long the number of entry hosts that the disk told holds:
+	// until all of them have asked again.
+	hostsFor = 10 * time.Second
+)
+
+// knownTargets is the list of targets of a control host, kept on its disk. It
+// is safe for concurrent use.
+type knownTargets struct {
+	log  logr.Logger
+	file store.Store
+	run  func(task func())
+
+	mu sync.Mutex
+	// list is guarded by mu, as is all below.
+	list   *known.List
+	hosts  int
+	saved  codec.KnownTargets
+	digest uint64
+	saveAt model.Instant
+	saving bool
+	// restored is the number of entry hosts that the disk told, until restoredTo.
+	restored   int
+	restoredTo model.Instant
+	failed     bool
+}
+
+// openKnown opens the known targets and returns the clean-up function. What
+// cannot be read is left out: targets announce themselves again.
+func openKnown(now model.Instant, dataDir string, staleAfter time.Duration, log logr.Logger, run func(func())) (*knownTargets, func() error, error) {
+	file, contents, closeFile, err := store.Open(filepath.Join(dataDir, knownFolder))
+	if err != nil {
+		return nil, nil, eris.Wrap(err, "open the known targets")
+	}
+	k := &knownTargets{log: log, file: file, run: run, list: known.NewList(staleAfter)}
+	if len(contents.Snapshot) == 0 {
+		return k, closeFile, nil
+	}
+	before, err := codec.DecodeKnown(contents.Snapshot)
+	if err != nil {
+		log.Error(err, "the known targets of the disk are not used")
+		return k, closeFile, nil
+	}
+	k.list.Restore(now, before.Targets)
+	k.restored, k.restoredTo = before.Hosts, now.Add(hostsFor)
+	log.Info("targets known from the disk", "targets", len(before.Targets), "hosts", before.Hosts)
+	return k, closeFile, nil
+}
+
+// hear takes an announcement and returns what the other control hosts must be told.
+func (k *knownTargets) hear(now model.Instant, a model.Announcement, own bool) []model.Announcement {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.list.Hear(now, a, own)
+}
+
+// due returns what the other control hosts must be told now, and saves what changed.
+func (k *knownTargets) due(now model.Instant) []model.Announcement {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	tell := k.list.Due(now)
+	k.save(now)
+	return tell
+}
+
+// setHosts notes the number of live entry hosts.
+func (k *knownTargets) setHosts(n int) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.hosts = n
+}
+
+// targets returns all targets with the digest of the list, and the number of
+// entry hosts: at least as many as before a restart while they return.
+func (k *knownTargets) targets(now model.Instant, hosts int) ([]model.Announcement, uint64, int) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	list, digest := k.list.Targets()
+	if now < k.restoredTo {
+		hosts = max(hosts, k.restored)
+	}
+	return list, digest, hosts
+}
+
+// save writes the list in the background if it changed. After an error nothing
+// is written any more: the file only shortens a restart.
+func (k *knownTargets) save(now model.Instant) {
+	list, digest := k.list.Targets()
+	if k.failed || k.saving || now < k.saveAt || now < k.restoredTo || digest == k.digest && k.hosts == k.saved.Hosts {
+		return
+	}
+	k.saved = codec.KnownTargets{Targets: list, Hosts: k.hosts}
+	k.digest, k.saveAt, k.saving = digest, now.Add(saveEvery), true
+	state := k.saved
+	k.run(func() { k.write(state) })
+}
+
+func (k *knownTargets) write(state codec.KnownTargets) {
+	data, err := codec.EncodeKnown(state)
+	if err == nil {
+		err = k.file.Snapshot(data)
+	}
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.saving = false
+	if err != nil {
+		k.failed = true
+		k.log.Error(err, "cannot save the known targets; after a restart the host waits for their announcements")
+	}
+}
--- a/internal/node/owner_part.go
+++ b/internal/node/owner_part.go
@@ -24,8 +24,8 @@
 	hosts  hostSet
 	prober *prober
 	clock  clock
-	// leaving holds the targets that get no new work.
-	leaving *leavings
+	// known holds all targets.
+	known *knownTargets
 
 	claimer *runner[lease.Event, lease.Effect]
 	buckets *runner[admit.Event, admit.Effect]
@@ -35,8 +35,8 @@
 }
 
 // newOwnerPart returns the owner side of a control host and its clean-up function.
-func newOwnerPart(self proto.Member, timing lease.Timing, tune pool.Tuning, log logr.Logger, send func(model.HostID, proto.Message)) (*ownerPart, func()) {
-	p := &ownerPart{log: log, self: self, send: send, clock: newClock(), leaving: newLeavings()}
+func newOwnerPart(self proto.Member, timing lease.Timing, tune pool.Tuning, known *knownTargets, log logr.Logger, send func(model.HostID, proto.Message)) (*ownerPart, func()) {
+	p := &ownerPart{log: log, self: self, send: send, clock: newClock(), known: known}
 	cfg := model.NewConfig(nil, nil)
 	p.cfg.Store(&cfg)
 	c := newClock()
@@ -77,6 +77,7 @@
 func (p *ownerPart) joinMembers(members []proto.Member) {
 	gone := p.hosts.replace(members)
 	p.targets.post(pool.HostsChanged{Hosts: p.hosts.hosts})
+	p.known.setHosts(len(p.hosts.hosts))
 	for _, id := range gone {
 		p.log.Info("entry host lost", "host", id)
 		p.targets.post(pool.HostGone{Host: id})
@@ -92,7 +93,7 @@
 	case proto.DrawAsk, proto.StandbyNote, proto.StandbyAck:
 		p.buckets.post(admit.Received{From: from, Msg: m})
 	case proto.TargetNews:
-		p.leaving.add(p.clock.now(), m.Announcement, false)
+		p.known.hear(p.clock.now(), m.Announcement, false)
 		p.targets.post(pool.Received{From: from, Msg: m})
 	case proto.SlotAsk, proto.SlotDone, proto.SlotCancel, proto.ProbeResult, proto.ViewAsk, proto.RestoreReport, proto.QuarantineClear:
 		p.targets.post(pool.Received{From: from, Msg: m})
@@ -109,7 +110,7 @@
 	p.buckets.post(admit.Tick{})
 	p.targets.post(pool.Tick{})
 	p.news.post(pool.Tick{})
-	for _, a := range p.leaving.due(p.clock.now()) {
+	for _, a := range p.known.due(p.clock.now()) {
 		p.tellControls(a)
 	}
 }
@@ -120,6 +121,20 @@
 		return
 	}
 	handOver(f, p.log, p.buckets, p.targets)
+	if f, ok := f.(lease.Gained); ok && !isWorkspaceShard(f.Shard) {
+		p.introduce(f.Shard)
+	}
+}
+
+// introduce tells the owner core of the targets of a shard that it has just
+// gained: their announcements went to the earlier owner.
+func (p *ownerPart) introduce(shard model.ShardID) {
+	list, _, _ := p.known.targets(p.clock.now(), 0)
+	for _, a := range list {
+		if model.ServiceShard(a.Service) == shard {
+			p.targets.post(pool.Received{From: p.self.Host, Msg: proto.TargetNews{Announcement: a}})
+		}
+	}
 }
 
 func (p *ownerPart) applyAdmit(f admit.Effect) {
@@ -154,14 +169,14 @@
 // announce takes an announcement.
 func (p *ownerPart) announce(a model.Announcement) {
 	p.news.post(pool.Announced{Announcement: a})
-	if p.leaving.add(p.clock.now(), a, true) {
-		p.tellControls(a)
+	for _, changed := range p.known.hear(p.clock.now(), a, true) {
+		p.tellControls(changed)
 	}
 }
 
-// tellControls tells the other control hosts that a target leaves. Whichever of
-// them owns its service, now or later, gives it no new work, and neither does
-// an entry host that asks one of them.
+// tellControls tells the other control hosts of a change. Whichever of them
+// owns the service, now or later, gives a target that leaves no new work, and
+// neither does an entry host that asks one of them.
 func (p *ownerPart) tellControls(a model.Announcement) {
 	for _, host := range p.cfg.Load().Controls {
 		if host != p.self.Host {
--- a/internal/node/run_control.go
+++ b/internal/node/run_control.go
@@ -50,7 +50,7 @@
 		return
 	}
 	if ask, ok := m.(proto.FreshAsk); ok && d.seat != nil && ask.Member.Role == proto.RoleEntry {
-		d.seat.relay(from, ask, d.owner.leaving.list())
+		d.seat.relay(from, ask, d.owner.known)
 		d.control.see(ask)
 		return
 	}
@@ -107,7 +107,9 @@
 	}
 	p.files = append(p.files, closeLog)
 	if c.Join.Size > 0 {
-		d.joinFleet(p, c, control)
+		if err := d.joinFleet(p, c, control); err != nil {
+			return nil, nil, errors.Join(err, stop())
+		}
 	}
 	d.control = control
 	p.tree.Go("log", control.disk.run)
@@ -142,15 +144,22 @@
 
 // joinFleet adds what a control host needs that joins by itself: it is a seat
 // too, takes announcements and asks to become a control host.
-func (d *diskHost) joinFleet(p *process, c conf.Control, control *controlHost) {
+func (d *diskHost) joinFleet(p *process, c conf.Control, control *controlHost) error {
 	send := func(to model.HostID, m proto.Message) { p.mesh.Send(to, m) }
-	owner, stopOwner := newOwnerPart(p.self, lease.DefaultTiming(), tuning(c.Fleet), p.log, send)
+	tune := tuning(c.Fleet)
+	known, closeKnown, err := openKnown(newClock().now(), c.Host.DataDir, tune.StaleAfter, p.log, p.background)
+	if err != nil {
+		return err
+	}
+	p.files = append(p.files, closeKnown)
+	owner, stopOwner := newOwnerPart(p.self, lease.DefaultTiming(), tune, known, p.log, send)
 	p.stops = append(p.stops, stopOwner)
 	d.owner = owner
 	d.seat = newSeatHost(p, c.Fleet, p.log, owner.follow)
 	control.follow = d.seat.locate
 	d.seat.locate(control.applied())
 	d.membership = newMembership(control, hostsOf(c.Fleet.Controls), c.Join.Size)
+	return nil
 }
 
 // tuning returns the target policy of a fleet.
--- a/internal/node/seat_part.go
+++ b/internal/node/seat_part.go
@@ -33,12 +33,17 @@
 const joinTick = 100 * time.Millisecond
 
 // relay answers an entry host on behalf of all control hosts.
-func (h *seatHost) relay(from model.HostID, ask proto.FreshAsk, leaving []proto.LeavingTarget) {
+func (h *seatHost) relay(from model.HostID, ask proto.FreshAsk, known *knownTargets) {
 	var reply proto.FreshReply
 	var ok bool
-	h.fresh.read(func(now model.Instant) { reply, ok = h.freshCore.Relay(now, ask, leaving) })
+	h.fresh.read(func(now model.Instant) { reply, ok = h.freshCore.Relay(now, ask) })
 	h.seat.post(lease.Heard{Member: ask.Member})
 	if ok {
+		var list []model.Announcement
+		list, reply.TargetsDigest, reply.Hosts = known.targets(h.clock.now(), reply.Hosts)
+		if reply.TargetsDigest != ask.TargetsDigest {
+			reply.Targets = list
+		}
 		h.mesh.Send(from, reply)
 	}
 }
--- a/internal/pool/api.go
+++ b/internal/pool/api.go
@@ -53,9 +53,9 @@
 		// Once is set if the request must not run on another target after it may have run.
 		Once bool
 	}
-	// TargetsLeaving replaces the list of targets that get no new work, for the
-	// picker of a host that control tells of them.
-	TargetsLeaving struct{ Targets []proto.LeavingTarget }
+	// TargetsListed replaces the list of all targets, for the picker of a host
+	// that control tells of them. Without targets it confirms the last list.
+	TargetsListed struct{ Targets []model.Announcement }
 	// Abandoned withdraws a waiting request.
 	Abandoned struct{ Request model.RequestID }
 	// Ended returns the target of a request with what became of the attempt.
@@ -153,9 +153,9 @@
 func (Wanted) isEvent()        {}
 func (Abandoned) isEvent()     {}
 
-func (TargetsLeaving) isEvent() {}
-func (Ended) isEvent()          {}
-func (Probed) isEvent()         {}
+func (TargetsListed) isEvent() {}
+func (Ended) isEvent()         {}
+func (Probed) isEvent()        {}
 
 func (Send) isEffect()        {}
 func (Assigned) isEffect()    {}
--- a/internal/pool/doubt_test.go
+++ b/internal/pool/doubt_test.go
@@ -230,7 +230,7 @@
 	p.Step(now, Configured{Config: model.NewConfig(nil, nil)})
 	p.Step(now, OwnersChanged{Owners: []proto.Owner{{Shard: testShard(), Host: "o", Epoch: 1}}})
 	p.Step(now, Received{From: "o", Msg: proto.RestoreAck{Shard: testShard(), Epoch: 1}})
-	p.Step(now, TargetsLeaving{Targets: []proto.LeavingTarget{{Target: "t0", Incarnation: 4}}})
+	p.Step(now, TargetsListed{Targets: []model.Announcement{{Service: testService, Target: "t0", Incarnation: 4, State: model.TargetDraining}}})
 	askOf := func(out []Effect) proto.SlotAsk {
 		for _, f := range out {
 			if send, ok := f.(Send); ok {
@@ -255,3 +255,38 @@
 	out = append([]Effect(nil), p.Step(now, Received{From: "o", Msg: proto.SlotReply{Nonce: again.Nonce, Status: proto.SlotAssigned, Slot: 2, Target: "t0", Incarnation: 5, Epoch: 1}})...)
 	require.Contains(t, out, Effect(Assigned{Request: "r", Target: "t0", Incarnation: 5}), "a later run of the target takes work")
 }
+
+// Guards against a service without an owner and without a view whose requests
+// find no target although control knows them, as after a restart of the whole
+// fleet; and against targets of other zones, doubted ones and leaving ones.
+func TestListedTargetsServeWithoutOwner(t *testing.T) {
+	p := NewPicker("e1", "z", WithTuning(CautiousTuning()))
+	now := model.Instant(time.Second)
+	p.Step(now, Configured{Config: model.NewConfig(nil, nil)})
+	list := []model.Announcement{
+		{Service: testService, Target: "far", Addr: "10.0.0.1:1", Zone: "y", Slots: 3, Incarnation: 1, State: model.TargetReady},
+		{Service: testService, Target: "gone", Addr: "10.0.0.2:1", Zone: "z", Slots: 3, Incarnation: 1, State: model.TargetLeaving},
+		{Service: testService, Target: "near", Addr: "10.0.0.3:1", Zone: "z", Slots: 3, Incarnation: 1, State: model.TargetReady},
+	}
+	p.Step(now, TargetsListed{Targets: list})
+	next := 0
+	want := func(end model.AttemptEnd) model.TargetID {
+		next++
+		id := model.RequestID(fmt.Sprint("r", next))
+		for _, f := range p.Step(now, Wanted{Request: id, Service: testService, Workspace: "w", Deadline: now.Add(time.Second)}) {
+			if a, ok := f.(Assigned); ok {
+				p.Step(now, Ended{Request: id, Attempt: model.Attempt{End: end}})
+				return a.Target
+			}
+		}
+		return ""
+	}
+	require.Equal(t, model.TargetID("near"), want(model.AttemptError))
+	require.Equal(t, model.TargetID("far"), want(model.AttemptOK), "the near one has just failed")
+	now = now.Add(CautiousTuning().Doubt)
+	require.Equal(t, model.TargetID("near"), want(model.AttemptOK))
+	now = now.Add(CautiousTuning().StaleAfter + time.Second)
+	require.Empty(t, want(model.AttemptOK), "a list that is not confirmed any more")
+	p.Step(now, TargetsListed{})
+	require.Equal(t, model.TargetID("near"), want(model.AttemptOK))
+}
--- a/internal/pool/local.go
+++ b/internal/pool/local.go
@@ -49,7 +49,7 @@
 		if float64(s.inFlight) >= 1+localGrowth*s.usual {
 			break
 		}
-		v, ok := p.chooseLocally(s, usable, r.exclude)
+		v, ok := p.chooseLocally(now, s, usable, r.exclude)
 		if !ok {
 			continue
 		}
@@ -91,7 +91,7 @@
 	return true
 }
 
-func (p *Picker) chooseLocally(s *access, usable []proto.TargetView, exclude []model.TargetID) (proto.TargetView, bool) {
+func (p *Picker) chooseLocally(now model.Instant, s *access, usable []proto.TargetView, exclude []model.TargetID) (proto.TargetView, bool) {
 	free := s.scratch[:0]
 	for _, v := range usable {
 		if s.running[v.Target] < max(1, v.Slots/localShare) && !slices.Contains(exclude, v.Target) {
@@ -102,6 +102,7 @@
 	if len(free) == 0 {
 		return proto.TargetView{}, false
 	}
+	free = p.preferred(now, s, free)
 	a := free[p.rng.IntN(len(free))]
 	b := free[p.rng.IntN(len(free))]
 	if s.running[b.Target] < s.running[a.Target] {
@@ -113,11 +114,14 @@
 // localTargets joins the last view, while it is recent, with the announcements
 // that this host took itself.
 func (p *Picker) localTargets(now model.Instant, s *access) []proto.TargetView {
+	if p.listed.recent(now, p.tune.StaleAfter) {
+		return p.listedTargets(s)
+	}
 	var list []proto.TargetView
 	recent := s.viewAt != 0 && now.Sub(s.viewAt) <= p.tune.StaleAfter
 	if recent {
 		for _, v := range s.view {
-			if !v.Ejected && !s.superseded(v) && !p.leaves(v.Target, v.Incarnation) {
+			if !v.Ejected && !s.superseded(v) && !p.listed.leaves(v.Target, v.Incarnation) {
 				list = append(list, v)
 			}
 		}
--- a/internal/pool/picker.go
+++ b/internal/pool/picker.go
@@ -31,8 +31,7 @@
 	services map[model.ServiceName]*access
 	// shards holds the shards that have a service.
 	shards map[model.ShardID]bool
-	// leaving holds the incarnations of the targets that get no new work.
-	leaving map[model.TargetID]model.Incarnation
+	listed listed
 	// ordered lists services by name, so that ticks are deterministic.
 	ordered  []*access
 	requests map[model.RequestID]*request
@@ -114,6 +113,8 @@
 	broken []brokenReport
 	// running counts this host's own attempts by target.
 	running map[model.TargetID]int
+	// doubts holds the targets at which attempts of this host failed lately.
+	doubts doubts
 	// inFlight is the sum of running, usual its decayed mean while the service had an owner.
 	inFlight int
 	usual    float64
@@ -177,8 +178,8 @@
 		p.setOwners(now, ev.Owners)
 	case Probed:
 		p.probed(now, ev)
-	case TargetsLeaving:
-		p.setLeaving(ev.Targets)
+	case TargetsListed:
+		p.listed.take(now, ev.Targets)
 	case Configured:
 		if ev.Config.Version >= p.cfg.Version {
 			p.cfg = ev.Config
@@ -211,7 +212,7 @@
 	shard := model.ServiceShard(name)
 	s = &access{
 		name: name, shard: shard, owner: p.owners[shard], report: p.report(shard),
-		running: map[model.TargetID]int{}, retryTokens: first(p.tune.Retries.Alone),
+		running: map[model.TargetID]int{}, doubts: doubts{}, retryTokens: first(p.tune.Retries.Alone),
 	}
 	p.services[name] = s
 	at, _ := slices.BinarySearchFunc(p.ordered, s, func(a, b *access) int {
@@ -321,7 +322,7 @@
 	}
 	switch m.Status {
 	case proto.SlotAssigned:
-		if p.leaves(m.Target, m.Incarnation) {
+		if p.listed.leaves(m.Target, m.Incarnation) {
 			p.askAgain(now, from, r, m.Target)
 			return
 		}
@@ -342,19 +343,6 @@
 	}
 }
 
-func (p *Picker) setLeaving(list []proto.LeavingTarget) {
-	p.leaving = make(map[model.TargetID]model.Incarnation, len(list))
-	for _, l := range list {
-		p.leaving[l.Target] = l.Incarnation
-	}
-}
-
-// leaves reports whether this run of a target gets no new work.
-func (p *Picker) leaves(id model.TargetID, inc model.Incarnation) bool {
-	last, ok := p.leaving[id]
-	return ok && inc <= last
-}
-
 // askAgain gives back a target that leaves, of which the owner has not heard
 // yet, and asks for another one.
 func (p *Picker) askAgain(now model.Instant, from model.HostID, r *request, id model.TargetID) {
@@ -396,6 +384,7 @@
 	if a.End == model.AttemptBroken {
 		s.noteBroken(now, r)
 	}
+	s.doubts.note(now, a)
 	if s.owner.Host != "" {
 		p.send(s.owner.Host, proto.SlotDone{
 			Service: s.name, Slot: r.slot, Workspace: r.workspace, Fingerprint: r.fingerprint, Attempt: a,
--- a/internal/proto/message.go
+++ b/internal/proto/message.go
@@ -147,7 +147,8 @@
 		// MembersDigest and OwnersDigest identify the lists the asker holds; a reply carries a list only when it differs.
 		MembersDigest uint64
 		OwnersDigest  uint64
-		LeavingDigest uint64
+		// TargetsDigest identifies the list of targets that the asker holds.
+		TargetsDigest uint64
 	}
 	// FreshReply answers FreshAsk.
 	FreshReply struct {
@@ -180,9 +181,9 @@
 		SeatsSettled bool
 		// Hosts is the number of live entry hosts, or 0 if the answerer does not tell it.
 		Hosts int
-		// Leaving lists the targets that get no new work, as a relay tells it. It is nil when the digests agree.
-		Leaving       []LeavingTarget
-		LeavingDigest uint64
+		// Targets lists all targets, as a relay tells it. It is nil when the digests agree.
+		Targets       []model.Announcement
+		TargetsDigest uint64
 	}
 	// SeatStage hands a committed change to a seat. A change is accepted once a majority of seats hold it.
 	SeatStage struct {
@@ -223,12 +224,6 @@
 	}
 )
 
-// LeavingTarget is a run of a target that drains or has left.
-type LeavingTarget struct {
-	Target      model.TargetID
-	Incarnation model.Incarnation
-}
-
 // Owner says who owns a shard.
 type Owner struct {
 	Shard model.ShardID
--- a/internal/wire/fresh.go
+++ b/internal/wire/fresh.go
@@ -29,12 +29,7 @@
 	Member        member        `cbor:"3,keyasint"`
 	MembersDigest uint64        `cbor:"4,keyasint"`
 	OwnersDigest  uint64        `cbor:"5,keyasint"`
-	LeavingDigest uint64        `cbor:"6,keyasint,omitempty"`
-}
-
-type leavingTarget struct {
-	Target      model.TargetID    `cbor:"1,keyasint"`
-	Incarnation model.Incarnation `cbor:"2,keyasint"`
+	TargetsDigest uint64        `cbor:"6,keyasint,omitempty"`
 }
 
 type freshReply struct {
@@ -54,8 +49,8 @@
 	Offer         *snapshotOffer `cbor:"14,keyasint,omitempty"`
 	Hosts         int            `cbor:"15,keyasint,omitempty"`
 
-	Leaving       []leavingTarget `cbor:"16,keyasint,omitempty"`
-	LeavingDigest uint64          `cbor:"17,keyasint,omitempty"`
+	Targets       []announcement `cbor:"16,keyasint,omitempty"`
+	TargetsDigest uint64         `cbor:"17,keyasint,omitempty"`
 }
 
 type seatStage struct {
@@ -122,12 +117,12 @@
 }
 
 func toFreshAsk(m proto.FreshAsk) (freshAsk, error) {
-	return freshAsk{Nonce: m.Nonce, Have: m.Have, Member: toMember(m.Member), MembersDigest: m.MembersDigest, OwnersDigest: m.OwnersDigest, LeavingDigest: m.LeavingDigest}, nil
+	return freshAsk{Nonce: m.Nonce, Have: m.Have, Member: toMember(m.Member), MembersDigest: m.MembersDigest, OwnersDigest: m.OwnersDigest, TargetsDigest: m.TargetsDigest}, nil
 }
 
 func fromFreshAsk(d freshAsk) (proto.FreshAsk, error) {
 	m, err := fromMember(d.Member)
-	return proto.FreshAsk{Nonce: d.Nonce, Have: d.Have, Member: m, MembersDigest: d.MembersDigest, OwnersDigest: d.OwnersDigest, LeavingDigest: d.LeavingDigest}, err
+	return proto.FreshAsk{Nonce: d.Nonce, Have: d.Have, Member: m, MembersDigest: d.MembersDigest, OwnersDigest: d.OwnersDigest, TargetsDigest: d.TargetsDigest}, err
 }
 
 func toFreshReply(m proto.FreshReply) (freshReply, error) {
@@ -148,8 +143,8 @@
 		Gone:          m.Gone,
 		Offer:         toOffer(m.Offer),
 		Hosts:         m.Hosts,
-		Leaving:       convert(m.Leaving, func(l proto.LeavingTarget) leavingTarget { return leavingTarget(l) }),
-		LeavingDigest: m.LeavingDigest,
+		Targets:       convert(m.Targets, func(a model.Announcement) announcement { return announcement(a) }),
+		TargetsDigest: m.TargetsDigest,
 	}, err
 }
 
@@ -162,6 +157,10 @@
 	if err != nil {
 		return proto.FreshReply{}, err
 	}
+	targets, err := mapSlice(d.Targets, fromAnnouncement)
+	if err != nil {
+		return proto.FreshReply{}, err
+	}
 	members, err := mapSlice(d.Members, fromMember)
 	return proto.FreshReply{
 		Nonce:         d.Nonce,
@@ -179,8 +178,8 @@
 		Gone:          d.Gone,
 		Offer:         offer,
 		Hosts:         d.Hosts,
-		Leaving:       convert(d.Leaving, func(l leavingTarget) proto.LeavingTarget { return proto.LeavingTarget(l) }),
-		LeavingDigest: d.LeavingDigest,
+		Targets:       targets,
+		TargetsDigest: d.TargetsDigest,
 	}, err
 }
 
--- a/internal/wire/pool.go
+++ b/internal/wire/pool.go
@@ -131,7 +131,12 @@
 }
 
 func fromTargetNews(d targetNews) (proto.TargetNews, error) {
-	return proto.TargetNews{Announcement: model.Announcement(d.Announcement)}, checkEnum("target state", d.Announcement.State, model.TargetLeaving)
+	a, err := fromAnnouncement(d.Announcement)
+	return proto.TargetNews{Announcement: a}, err
+}
+
+func fromAnnouncement(d announcement) (model.Announcement, error) {
+	return model.Announcement(d), checkEnum("target state", d.State, model.TargetLeaving)
 }
 
 func toViewReply(m proto.ViewReply) viewReply {
