--- a/internal/admit/share.go
+++ b/internal/admit/share.go
@@ -17,7 +17,7 @@
 	hostsMemory = 10 * time.Second
 	// shareBurst is the part of the burst that all shares together hold at any
 	// time. The rest covers hosts whose tokens happen to become due together.
-	shareBurst = 0.5
+	shareBurst = 0.8
 )
 
 // share is a host's own part of a workspace's rate and burst, used while no
