Make joining, owners at control and header names settings of the product

The adapter set them in code only. The defaults keep today's promises: hosts that nothing confirms refuse, entry hosts own shards, operators choose hosts.

--- /dev/null
+++ b/internal/conf/adapt.go
@@ -0,0 +1,96 @@
+package conf
+
+import "time"
+
+// Values of [fleet] unconfirmed and [fleet] owners.
+const (
+	refuseUnconfirmed = "refuse"
+	serveUnconfirmed  = "serve"
+	ownersAtEntry     = "entry"
+	ownersAtControl   = "control"
+)
+
+// joinSettings are those of fleets whose control hosts join by themselves, and
+// of those whose control hosts own the shards.
+func joinSettings() []setting {
+	control := []Role{RoleControl}
+	both := []Role{RoleControl, RoleEntry}
+	return []setting{
+		{
+			Setting{Section: "fleet", Key: "address_names", Roles: both, Default: "false", Allowed: "true or false", Help: "true if each host is named by its fleet address as IP_PORT, so that hosts that no settings file names are reached"},
+			func(v *values, _ files, s string) []problem { return parseBool(&v.fleet.AddressNames, s) },
+		},
+		{
+			Setting{Section: "fleet", Key: "unconfirmed", Roles: both, Default: refuseUnconfirmed, Allowed: "refuse or serve", Help: "what an entry host does with keyed requests while nothing confirms its configuration; with serve a withdrawn key may go on working on a host that is cut off"},
+			func(v *values, _ files, s string) []problem {
+				var choice string
+				found := parseChoice(&choice, s, refuseUnconfirmed, serveUnconfirmed)
+				v.fleet.ServeUnconfirmed = choice == serveUnconfirmed
+				return found
+			},
+		},
+		{
+			Setting{Section: "fleet", Key: "owners", Roles: both, Default: ownersAtEntry, Allowed: "entry or control", Help: "which hosts own shards; with control, control hosts are seats too, take announcements, and entry hosts ask the one of their zone; all hosts need the same"},
+			func(v *values, _ files, s string) []problem {
+				var choice string
+				found := parseChoice(&choice, s, ownersAtEntry, ownersAtControl)
+				v.fleet.OwnersAtControl = choice == ownersAtControl
+				return found
+			},
+		},
+		{
+			Setting{Section: "fleet", Key: "compress", Roles: both, Default: "false", Allowed: "true or false", Help: "whether links are compressed, at 300 KB of memory for each; used where both hosts ask for it"},
+			func(v *values, _ files, s string) []problem { return parseBool(&v.fleet.Compress, s) },
+		},
+		{
+			Setting{Section: "control", Key: "join_size", Roles: control, Default: "0", Allowed: "0, 1, 3 or 5", Help: "number of control hosts and seats that the fleet keeps by itself; 0 leaves the lists to the operators"},
+			func(v *values, _ files, s string) []problem { return parseSize(&v.join.Size, s) },
+		},
+		{
+			Setting{Section: "control", Key: "min_copies", Roles: control, Default: "1", Allowed: "a number from 1 to 3", Help: "synced copies that a whole configuration needs before it is accepted: one more than the disks that may be lost at once"},
+			func(v *values, _ files, s string) []problem { return parseInt(&v.join.MinCopies, s, 1, 3) },
+		},
+		durationSetting("leave_time", []Role{RoleEntry}, "1s", "time for which a host that stops goes on taking requests while the balancer learns of it", func(v *values) *time.Duration { return &v.limits.LeaveTime }),
+	}
+}
+
+func parseSize(to *int, s string) []problem {
+	var n int
+	if found := parseInt(&n, s, 0, 5); found != nil {
+		return found
+	}
+	if n != 0 && n%2 == 0 {
+		return wrong(s, "an even number tolerates no more losses than one host fewer")
+	}
+	*to = n
+	return nil
+}
+
+// headerSettings name the headers between callers, entry hosts and targets.
+func headerSettings() []setting {
+	entry := []Role{RoleEntry}
+	const allowHeader = "a header name in canonical case, such as X-Request-Id"
+	name := func(key, def, help string, to func(*values) *string) setting {
+		return setting{
+			Setting{Section: "headers", Key: key, Roles: entry, Default: def, Allowed: allowHeader, Help: help},
+			func(v *values, _ files, s string) []problem { return parseName(to(v), s) },
+		}
+	}
+	flag := func(key, help string, to func(*values) *bool) setting {
+		return setting{
+			Setting{Section: "headers", Key: key, Roles: entry, Default: "false", Allowed: "true or false", Help: help},
+			func(v *values, _ files, s string) []problem { return parseBool(to(v), s) },
+		}
+	}
+	return []setting{
+		name("request_id", "X-Request-Id", "identifies a request to its target, which sends it back", func(v *values) *string { return &v.headers.RequestID }),
+		name("deadline", "X-Deadline-Ms", "time left in milliseconds, of callers and to targets", func(v *values) *string { return &v.headers.Deadline }),
+		name("workspace", "X-Workspace", "tells a target whose request it runs", func(v *values) *string { return &v.headers.Workspace }),
+		name("not_run", "X-Shed", "marks a target's answer that says that the request was not run", func(v *values) *string { return &v.headers.NotRun }),
+		name("instance", "", "tells a target which one is meant; without a name targets are not told", func(v *values) *string { return &v.headers.Instance }),
+		name("key_scheme", "Bearer", "scheme of the Authorization header before a key", func(v *values) *string { return &v.headers.KeyScheme }),
+		flag("caller_ids", "whether the request ids of callers are passed on", func(v *values) *bool { return &v.headers.CallerIDs }),
+		flag("status_promise", "whether the status alone tells the outcome: 408, 421, 429 and 503 mean not run", func(v *values) *bool { return &v.headers.StatusPromise }),
+		flag("endless_answers", "whether answers that end with their connection are taken", func(v *values) *bool { return &v.headers.EndlessAnswers }),
+	}
+}
--- a/internal/conf/load.go
+++ b/internal/conf/load.go
@@ -26,13 +26,13 @@
 // LoadControl loads the settings of a control host.
 func LoadControl(path string, opts ...Option) (Control, error) {
 	v, err := load(path, RoleControl, opts)
-	return Control{Host: v.host, Listen: v.listen, Fleet: v.fleet, Operators: v.operators, Limits: v.limits, Log: v.log, TLS: v.tls, Journal: v.journal, CreateFleet: v.create}, err
+	return Control{Host: v.host, Listen: v.listen, Fleet: v.fleet, Operators: v.operators, Limits: v.limits, Log: v.log, TLS: v.tls, Journal: v.journal, CreateFleet: v.create, Join: v.join}, err
 }
 
 // LoadEntry loads the settings of an entry host.
 func LoadEntry(path string, opts ...Option) (Entry, error) {
 	v, err := load(path, RoleEntry, opts)
-	return Entry{Host: v.host, Listen: v.listen, Fleet: v.fleet, Operators: v.operators, Limits: v.limits, Log: v.log, TLS: v.tls}, err
+	return Entry{Host: v.host, Listen: v.listen, Fleet: v.fleet, Operators: v.operators, Limits: v.limits, Headers: v.headers, Log: v.log, TLS: v.tls}, err
 }
 
 // LoadJournal loads the settings of a journal host.
--- a/internal/conf/load_test.go
+++ b/internal/conf/load_test.go
@@ -91,6 +91,10 @@
 		{"no tokens", "tokens = mair:%HASH%", "tokens =", []string{":19: [operators] tokens is missing or empty"}},
 		{"line without a value", "zone = cymru-1", "zone = cymru-1\nnonsense", []string{":5: [host] is \"nonsense\""}},
 		{"value over several lines", "zone = cymru-1", "zone = `cymru\n1`", []string{":4: [host] zone is \"`cymru\""}},
+		{"joining without owners", "tokens = mair:%HASH%", "tokens = mair:%HASH%\n[control]\njoin_size = 5", []string{"join_size is \"5\"", "address_names is \"false\""}},
+		{"even join size", "tokens = mair:%HASH%", "tokens = mair:%HASH%\n[control]\njoin_size = 4", []string{"join_size is \"4\""}},
+		{"more copies than a majority", "tokens = mair:%HASH%", "tokens = mair:%HASH%\n[control]\njoin_size = 3\nmin_copies = 3", []string{"min_copies is \"3\""}},
+		{"unknown policy", "name = tatws", "name = tatws\nunconfirmed = maybe", []string{":13: [fleet] unconfirmed is \"maybe\"; allowed: refuse or serve"}},
 		{"several faults", "name = c1\nzone = cymru-1", "name = c 1\nzone = ?", []string{"[host] name", "[host] zone"}},
 	}
 	for _, tt := range tests {
@@ -158,3 +162,36 @@
 		}
 	})
 }
+
+// Guards against a fleet that joins by itself whose settings are not carried
+// over, and against a default that changes the product's promise.
+func TestJoiningFleetSettings(t *testing.T) {
+	path, _ := render(t, controlFile)
+	c, err := LoadControl(path)
+	require.NoError(t, err)
+	require.Zero(t, c.Join.Size)
+	require.False(t, c.Fleet.ServeUnconfirmed, "a host that is not confirmed refuses")
+	require.False(t, c.Fleet.OwnersAtControl)
+
+	text := strings.Replace(controlFile, "name = tatws", "name = tatws\naddress_names = true\nowners = control\nunconfirmed = serve\ncompress = true", 1)
+	text = strings.ReplaceAll(text, "c1=10.0.0.1:9400, c2=10.0.0.2:9400", "10.0.0.1_9400=10.0.0.1:9400, c2=10.0.0.2:9400")
+	text = strings.Replace(text, "name = c1\n", "name = 10.0.0.1_9400\n", 1) + "[control]\njoin_size = 5\nmin_copies = 3\n"
+	path, _ = render(t, text)
+	c, err = LoadControl(path)
+	require.NoError(t, err)
+	require.Equal(t, Join{Size: 5, MinCopies: 3}, c.Join)
+	require.True(t, c.Fleet.AddressNames && c.Fleet.OwnersAtControl && c.Fleet.ServeUnconfirmed && c.Fleet.Compress)
+}
+
+// Guards against header names that reach callers under other names.
+func TestHeaderSettings(t *testing.T) {
+	text := strings.NewReplacer("data_dir = %DIR%\n", "", "[listen]", "[listen]\ncallers = 10.0.0.1:80\nannounce = 10.0.0.1:81", "name = c1\n", "name = e9\n").Replace(controlFile)
+	text = strings.Replace(text, "[operators]", "[headers]\nrequest_id = Site-Id\ninstance = Site-Instance\nkey_scheme = Token\nstatus_promise = true\n[operators]", 1)
+	path, _ := render(t, text)
+	e, err := LoadEntry(path)
+	require.NoError(t, err)
+	require.Equal(t, Headers{
+		RequestID: "Site-Id", Deadline: "X-Deadline-Ms", Workspace: "X-Workspace", NotRun: "X-Shed",
+		Instance: "Site-Instance", KeyScheme: "Token", StatusPromise: true,
+	}, e.Headers)
+}
--- a/internal/conf/setting.go
+++ b/internal/conf/setting.go
@@ -55,6 +55,8 @@
 	operators Operators
 	journal   bool
 	create    bool
+	join      Join
+	headers   Headers
 	target    Target
 	client    Client
 }
@@ -75,6 +77,8 @@
 	all = append(all, hostSettings()...)
 	all = append(all, listenSettings()...)
 	all = append(all, fleetSettings()...)
+	all = append(all, joinSettings()...)
+	all = append(all, headerSettings()...)
 	all = append(all, tlsSettings()...)
 	all = append(all, limitSettings()...)
 	all = append(all, logSettings()...)
--- a/internal/conf/together.go
+++ b/internal/conf/together.go
@@ -15,6 +15,7 @@
 	r.checkOneAddress(v.fleet)
 	r.checkSelf(v)
 	r.checkCreation(v)
+	r.checkJoin(v)
 	r.checkTLS(v, f)
 }
 
@@ -73,10 +74,26 @@
 	}
 }
 
+// checkJoin finds settings of joining that do not fit together.
+func (r *reader) checkJoin(v values) {
+	if r.role != RoleControl {
+		return
+	}
+	if (v.join.Size > 0) != v.fleet.OwnersAtControl {
+		r.fault("control", "join_size", problem{got: fmt.Sprint(v.join.Size), detail: "[fleet] owners does not fit"}, "more than 0 exactly if [fleet] owners is control")
+	}
+	if v.join.Size > 0 && v.join.MinCopies > v.join.Size/2+1 {
+		r.fault("control", "min_copies", problem{got: fmt.Sprint(v.join.MinCopies), detail: "more than a majority of join_size"}, "at most a majority of [control] join_size")
+	}
+	if v.join.Size > 0 && !v.fleet.AddressNames {
+		r.fault("fleet", "address_names", problem{got: "false", detail: "[control] join_size is not 0"}, "true where hosts join by themselves")
+	}
+}
+
 // checkSelf checks that the host stands in the lists of its role with its own fleet address.
 func (r *reader) checkSelf(v values) {
 	needed := map[string]bool{
-		"controls": r.role == RoleControl,
+		"controls": r.role == RoleControl && v.join.Size == 0,
 		"journals": r.role == RoleJournal || (r.role == RoleControl && v.journal),
 	}
 	for _, list := range v.fleet.lists() {
