--- a/internal/lease/relay_test.go
+++ b/internal/lease/relay_test.go
@@ -69,8 +69,8 @@
 		require.NoError(f.t, err)
 		m.Snapshot = data
 	}
-	for host, zone := range f.zones {
-		m.Members = append(m.Members, controlMember(host, zone))
+	for _, host := range f.cfg.Controls {
+		m.Members = append(m.Members, controlMember(host, f.zones[host]))
 	}
 	m.MembersDigest = Digest(m.Members)
 	return m
@@ -195,7 +195,8 @@
 	list := []model.Announcement{{Service: "s", Target: "t1", Incarnation: 4, State: model.TargetDraining}}
 	tell := func(targets []model.Announcement, digest uint64) []Effect {
 		f.now = f.now.Add(time.Second)
-		send := f.fresh.Step(f.now, Tick{})[0].(Send)
+		out := f.fresh.Step(f.now, Tick{})
+		send := out[len(out)-1].(Send)
 		reply := f.reply(send.To, send.Msg.(proto.FreshAsk))
 		reply.Targets, reply.TargetsDigest = targets, digest
 		return f.fresh.Step(f.now, Received{From: send.To, Msg: reply})
