Tell the hosts behind a relay which targets failed

Cause: while no owner decides, each of 48 entry hosts learns by its own requests that a target fails. After a restart of all hosts a leader stood 0.7-1.0 s after the first host, and hosts asked for the configuration too rarely to get it at once.

Ruled out: a shorter ejection limit without an owner; it ejects targets that failed once and leaves small services with none.

Change: an entry host names the targets that failed in its ask, the relay hands the names to its other hosts, and those prefer other targets for the same time as after an own failure. The first election after a start waits half the usual timeout. A host without a configuration asks four times as often.

--- a/internal/ctrl/node.go
+++ b/internal/ctrl/node.go
@@ -236,7 +236,7 @@
 		return
 	}
 	if n.electionDue == 0 {
-		n.resetElection()
+		n.firstElection()
 	}
 	if n.now < n.electionDue {
 		return
@@ -257,6 +257,14 @@
 	return slices.Contains(n.tip.cfg.Controls, n.self) || slices.Contains(n.state.cfg.Controls, n.self)
 }
 
+// firstElection sets the first election timeout after a start to half of the
+// usual one. A leader that lives sends several heartbeats by then, and its
+// followers refuse the pre-vote; without one, all hosts have just started.
+func (n *Node) firstElection() {
+	n.resetElection()
+	n.electionDue = n.now.Add(n.electionDue.Sub(n.now) / 2)
+}
+
 func (n *Node) resetElection() {
 	t := n.opt.timing
 	spread := int64(t.ElectionMax - t.ElectionMin)
--- a/internal/lease/api.go
+++ b/internal/lease/api.go
@@ -80,6 +80,8 @@
 	// TargetsListed publishes all targets, as a relay tells it. Targets is nil
 	// when the relay confirmed the list published last.
 	TargetsListed struct{ Targets []model.Announcement }
+	// TargetsDoubted publishes the targets at which attempts of other hosts failed lately.
+	TargetsDoubted struct{ Targets []model.TargetID }
 	// QuorumsChanged publishes the lists of seats of which an owner needs a
 	// majority each. It is one list in the steady state, several while a change
 	// of the seats comes into force, and none while this host cannot know them.
@@ -176,6 +178,7 @@
 func (QuorumsChanged) isEffect() {}
 func (HostsCounted) isEffect()   {}
 func (TargetsListed) isEffect()  {}
+func (TargetsDoubted) isEffect() {}
 func (Gained) isEffect()         {}
 func (Renewed) isEffect()        {}
 func (Lost) isEffect()           {}
--- a/internal/lease/fresh.go
+++ b/internal/lease/fresh.go
@@ -11,7 +11,8 @@
 
 const (
 	// hurryShare divides the ask interval while a shard has no owner, so that the
-	// next candidate and the new owner are known sooner.
+	// next candidate and the new owner are known sooner, and while no
+	// configuration is known.
 	hurryShare = 4
 	// hurryFor bounds that time: a shard may stay without an owner.
 	hurryFor = 3 * time.Second
@@ -118,7 +119,7 @@
 }
 
 func (f *Fresh) interval(now model.Instant) time.Duration {
-	if now < f.hurryUntil {
+	if now < f.hurryUntil || !f.hist.known {
 		return f.timing.Ask / hurryShare
 	}
 	return f.timing.Ask
@@ -232,6 +233,9 @@
 	f.evidence(now, from, control, m)
 	if f.settings.relay {
 		out = append(out, f.takeTargets(m)...)
+		if len(m.Doubted) > 0 {
+			out = append(out, TargetsDoubted{Targets: m.Doubted})
+		}
 	}
 	if f.settings.relay && m.Hosts > 0 {
 		out = append(out, HostsCounted{Hosts: m.Hosts})
--- a/internal/lease/relay.go
+++ b/internal/lease/relay.go
@@ -39,7 +39,9 @@
 	if len(hosts) == 0 {
 		return ""
 	}
-	patience := relayPatience*f.timing.Ask + f.timing.Ask/2
+	// An ask without an answer is noticed when the next but one is due, early
+	// enough for the new relay to hear of this host before it counts as lost.
+	patience := relayPatience*f.timing.Ask - f.timing.Ask/4
 	waited := now.Sub(max(r.since, r.goodAt))
 	switch {
 	case r.host == "":
--- a/internal/node/decider.go
+++ b/internal/node/decider.go
@@ -57,7 +57,12 @@
 func (h *entryHost) Finish(end order.Finished) { h.reserver.post(end) }
 
 // End returns the target of a request with what became of the attempt.
-func (h *entryHost) End(end pool.Ended) { h.picker.post(end) }
+func (h *entryHost) End(end pool.Ended) {
+	if h.relay && end.Attempt.End.Failed() {
+		h.failed.note(h.clock.now(), end.Attempt.Target)
+	}
+	h.picker.post(end)
+}
 
 // Announce delivers a target's announcement that this host has checked.
 func (h *entryHost) Announce(a model.Announcement) {
--- a/internal/node/effects.go
+++ b/internal/node/effects.go
@@ -18,7 +18,7 @@
 func (h *entryHost) applyFresh(f lease.Effect) {
 	switch f := f.(type) {
 	case lease.Send:
-		h.send(f.To, f.Msg)
+		h.send(f.To, h.withFailed(f.Msg))
 	case lease.DecodeSnapshot:
 		h.process.background(func() { h.decode(h.fresh, f) })
 	case lease.ConfigChanged:
@@ -40,6 +40,8 @@
 		h.seat.post(f)
 	case lease.TargetsListed:
 		h.picker.post(pool.TargetsListed{Targets: f.Targets})
+	case lease.TargetsDoubted:
+		h.picker.post(pool.TargetsDoubted{Targets: f.Targets})
 	case lease.HostsCounted:
 		h.wallet.post(admit.HostsCounted{Hosts: f.Hosts})
 	case lease.OwnersChanged:
@@ -49,6 +51,16 @@
 	}
 }
 
+// withFailed adds to an ask the targets at which attempts of this host failed.
+func (h *entryHost) withFailed(m proto.Message) proto.Message {
+	ask, ok := m.(proto.FreshAsk)
+	if !ok || !h.relay {
+		return m
+	}
+	ask.Failed = h.failed.take()
+	return ask
+}
+
 // configure puts a newer configuration in force on this host. The order
 // matters: requests that arrive from now on are judged by the new
 // configuration before those of withdrawn keys are ended.
--- a/internal/node/entry.go
+++ b/internal/node/entry.go
@@ -54,6 +54,8 @@
 	reserver *runner[order.Event, order.Effect]
 
 	poolOwner *pool.Owner
+	// failed holds the targets to tell the relay of.
+	failed *failedTargets
 
 	admissions   *waiters[requestKey, admission]
 	assignments  *waiters[requestKey, entry.Assignment]
@@ -84,6 +86,7 @@
 
 		serveUnconfirmed: s.serve,
 		relay:            s.relay,
+		failed:           newFailedTargets(),
 
 		admissions:   newWaiters[requestKey, admission](),
 		assignments:  newWaiters[requestKey, entry.Assignment](),
--- a/internal/node/known.go
+++ b/internal/node/known.go
@@ -30,6 +30,8 @@
 	log  logr.Logger
 	file store.Store
 	run  func(task func())
+	// failed holds what entry hosts tell.
+	failed *failedTargets
 
 	mu sync.Mutex
 	// list is guarded by mu, as is all below.
@@ -42,7 +44,7 @@
 	// restored is the number of entry hosts that the disk told, until restoredTo.
 	restored   int
 	restoredTo model.Instant
-	failed     bool
+	unsaved    bool
 }
 
 // openKnown opens the known targets and returns the clean-up function. What
@@ -52,7 +54,7 @@
 	if err != nil {
 		return nil, nil, eris.Wrap(err, "open the known targets")
 	}
-	k := &knownTargets{log: log, file: file, run: run, list: known.NewList(staleAfter)}
+	k := &knownTargets{log: log, file: file, run: run, list: known.NewList(staleAfter), failed: newFailedTargets()}
 	if len(contents.Snapshot) == 0 {
 		return k, closeFile, nil
 	}
@@ -106,7 +108,7 @@
 // is written any more: the file only shortens a restart.
 func (k *knownTargets) save(now model.Instant) {
 	list, digest := k.list.Targets()
-	if k.failed || k.saving || now < k.saveAt || now < k.restoredTo || digest == k.digest && k.hosts == k.saved.Hosts {
+	if k.unsaved || k.saving || now < k.saveAt || now < k.restoredTo || digest == k.digest && k.hosts == k.saved.Hosts {
 		return
 	}
 	k.saved = codec.KnownTargets{Targets: list, Hosts: k.hosts}
@@ -124,7 +126,7 @@
 	defer k.mu.Unlock()
 	k.saving = false
 	if err != nil {
-		k.failed = true
+		k.unsaved = true
 		k.log.Error(err, "cannot save the known targets; after a restart the host waits for their announcements")
 	}
 }
--- a/internal/node/seat_part.go
+++ b/internal/node/seat_part.go
@@ -44,6 +44,8 @@
 		if reply.TargetsDigest != ask.TargetsDigest {
 			reply.Targets = list
 		}
+		reply.Doubted = known.failed.recent(h.clock.now())
+		known.failed.note(h.clock.now(), ask.Failed...)
 		h.mesh.Send(from, reply)
 	}
 }
--- a/internal/pool/api.go
+++ b/internal/pool/api.go
@@ -56,6 +56,8 @@
 	// TargetsListed replaces the list of all targets, for the picker of a host
 	// that control tells of them. Without targets it confirms the last list.
 	TargetsListed struct{ Targets []model.Announcement }
+	// TargetsDoubted tells the picker that attempts of other hosts failed at targets lately.
+	TargetsDoubted struct{ Targets []model.TargetID }
 	// Abandoned withdraws a waiting request.
 	Abandoned struct{ Request model.RequestID }
 	// Ended returns the target of a request with what became of the attempt.
@@ -153,9 +155,10 @@
 func (Wanted) isEvent()        {}
 func (Abandoned) isEvent()     {}
 
-func (TargetsListed) isEvent() {}
-func (Ended) isEvent()         {}
-func (Probed) isEvent()        {}
+func (TargetsListed) isEvent()  {}
+func (TargetsDoubted) isEvent() {}
+func (Ended) isEvent()          {}
+func (Probed) isEvent()         {}
 
 func (Send) isEffect()        {}
 func (Assigned) isEffect()    {}
--- a/internal/pool/done.go
+++ b/internal/pool/done.go
@@ -62,14 +62,11 @@
 	if a.Incarnation != t.incarnation {
 		return
 	}
-	switch a.End {
-	case model.AttemptOK:
-		if began > t.doubtedAt {
-			t.doubtedAt = 0
-		}
-	case model.AttemptError, model.AttemptInvalid, model.AttemptBroken, model.AttemptNotSent, model.AttemptTimeout:
+	switch {
+	case a.End == model.AttemptOK && began > t.doubtedAt:
+		t.doubtedAt = 0
+	case a.End.Failed():
 		t.doubtedAt = now
-	default:
 	}
 }
 
--- a/internal/pool/doubt_test.go
+++ b/internal/pool/doubt_test.go
@@ -290,3 +290,28 @@
 	p.Step(now, TargetsListed{})
 	require.Equal(t, model.TargetID("near"), want(model.AttemptOK))
 }
+
+// Guards against hosts without an owner that each send a request to a target
+// at which others have just failed.
+func TestPickerDoubtsWhatOthersFoundWithoutOwner(t *testing.T) {
+	p := NewPicker("e1", "z", WithTuning(CautiousTuning()))
+	now := model.Instant(time.Second)
+	p.Step(now, Configured{Config: model.NewConfig(nil, nil)})
+	var list []model.Announcement
+	for _, id := range []model.TargetID{"bad", "good"} {
+		list = append(list, model.Announcement{Service: testService, Target: id, Addr: "10.0.0.1:1", Zone: "z", Slots: 3, Incarnation: 1, State: model.TargetReady})
+	}
+	p.Step(now, TargetsListed{Targets: list})
+	p.Step(now, Wanted{Request: "first", Service: testService, Workspace: "w", Deadline: now.Add(time.Second)})
+	p.Step(now, Ended{Request: "first", Attempt: model.Attempt{End: model.AttemptOK}})
+	p.Step(now, TargetsDoubted{Targets: []model.TargetID{"bad"}})
+	for i := range 8 {
+		id := model.RequestID(fmt.Sprint("r", i))
+		for _, f := range p.Step(now, Wanted{Request: id, Service: testService, Workspace: "w", Deadline: now.Add(time.Second)}) {
+			if a, ok := f.(Assigned); ok {
+				require.Equal(t, model.TargetID("good"), a.Target)
+				p.Step(now, Ended{Request: id, Attempt: model.Attempt{End: model.AttemptOK}})
+			}
+		}
+	}
+}
--- a/internal/pool/listed.go
+++ b/internal/pool/listed.go
@@ -62,12 +62,20 @@
 type doubts map[model.TargetID]model.Instant
 
 func (d doubts) note(now model.Instant, a model.Attempt) {
-	switch a.End {
-	case model.AttemptOK:
+	switch {
+	case a.End == model.AttemptOK:
 		delete(d, a.Target)
-	case model.AttemptError, model.AttemptInvalid, model.AttemptBroken, model.AttemptNotSent, model.AttemptTimeout:
+	case a.End.Failed():
 		d[a.Target] = now
-	default:
+	}
+}
+
+// doubt notes targets at which attempts of other hosts failed lately.
+func (p *Picker) doubt(now model.Instant, targets []model.TargetID) {
+	for _, s := range p.ordered {
+		for _, id := range targets {
+			s.doubts[id] = now
+		}
 	}
 }
 
--- a/internal/pool/picker.go
+++ b/internal/pool/picker.go
@@ -178,6 +178,8 @@
 		p.setOwners(now, ev.Owners)
 	case Probed:
 		p.probed(now, ev)
+	case TargetsDoubted:
+		p.doubt(now, ev.Targets)
 	case TargetsListed:
 		p.listed.take(now, ev.Targets)
 	case Configured:
--- a/internal/proto/message.go
+++ b/internal/proto/message.go
@@ -149,6 +149,8 @@
 		OwnersDigest  uint64
 		// TargetsDigest identifies the list of targets that the asker holds.
 		TargetsDigest uint64
+		// Failed lists the targets at which attempts of the asker failed since its last ask.
+		Failed []model.TargetID
 	}
 	// FreshReply answers FreshAsk.
 	FreshReply struct {
@@ -184,6 +186,8 @@
 		// Targets lists all targets, as a relay tells it. It is nil when the digests agree.
 		Targets       []model.Announcement
 		TargetsDigest uint64
+		// Doubted lists the targets at which attempts of the answerer's hosts failed lately.
+		Doubted []model.TargetID
 	}
 	// SeatStage hands a committed change to a seat. A change is accepted once a majority of seats hold it.
 	SeatStage struct {
--- a/internal/wire/fresh.go
+++ b/internal/wire/fresh.go
@@ -30,6 +30,8 @@
 	MembersDigest uint64        `cbor:"4,keyasint"`
 	OwnersDigest  uint64        `cbor:"5,keyasint"`
 	TargetsDigest uint64        `cbor:"6,keyasint,omitempty"`
+
+	Failed []model.TargetID `cbor:"7,keyasint,omitempty"`
 }
 
 type freshReply struct {
@@ -51,6 +53,8 @@
 
 	Targets       []announcement `cbor:"16,keyasint,omitempty"`
 	TargetsDigest uint64         `cbor:"17,keyasint,omitempty"`
+
+	Doubted []model.TargetID `cbor:"18,keyasint,omitempty"`
 }
 
 type seatStage struct {
@@ -117,12 +121,12 @@
 }
 
 func toFreshAsk(m proto.FreshAsk) (freshAsk, error) {
-	return freshAsk{Nonce: m.Nonce, Have: m.Have, Member: toMember(m.Member), MembersDigest: m.MembersDigest, OwnersDigest: m.OwnersDigest, TargetsDigest: m.TargetsDigest}, nil
+	return freshAsk{Nonce: m.Nonce, Have: m.Have, Member: toMember(m.Member), MembersDigest: m.MembersDigest, OwnersDigest: m.OwnersDigest, TargetsDigest: m.TargetsDigest, Failed: m.Failed}, nil
 }
 
 func fromFreshAsk(d freshAsk) (proto.FreshAsk, error) {
 	m, err := fromMember(d.Member)
-	return proto.FreshAsk{Nonce: d.Nonce, Have: d.Have, Member: m, MembersDigest: d.MembersDigest, OwnersDigest: d.OwnersDigest, TargetsDigest: d.TargetsDigest}, err
+	return proto.FreshAsk{Nonce: d.Nonce, Have: d.Have, Member: m, MembersDigest: d.MembersDigest, OwnersDigest: d.OwnersDigest, TargetsDigest: d.TargetsDigest, Failed: d.Failed}, err
 }
 
 func toFreshReply(m proto.FreshReply) (freshReply, error) {
@@ -145,6 +149,7 @@
 		Hosts:         m.Hosts,
 		Targets:       convert(m.Targets, func(a model.Announcement) announcement { return announcement(a) }),
 		TargetsDigest: m.TargetsDigest,
+		Doubted:       m.Doubted,
 	}, err
 }
 
@@ -180,6 +185,7 @@
 		Hosts:         d.Hosts,
 		Targets:       targets,
 		TargetsDigest: d.TargetsDigest,
+		Doubted:       d.Doubted,
 	}, err
 }
 
--- a/pkg/model/target.go
+++ b/pkg/model/target.go
@@ -107,6 +107,16 @@
 	}
 }
 
+// Failed reports whether an attempt that ended so speaks against its target.
+func (e AttemptEnd) Failed() bool {
+	switch e {
+	case AttemptError, AttemptInvalid, AttemptBroken, AttemptNotSent, AttemptTimeout:
+		return true
+	default:
+		return false
+	}
+}
+
 // ProvablyNotRun reports whether an attempt that ended so cannot have run.
 func (e AttemptEnd) ProvablyNotRun() bool {
 	return e == AttemptShed || e == AttemptNotSent
