Try idle targets before those with recent successes take all requests

Cause: for a request that is lost if its target fails, targets without a success in the last 3 s are ranked behind others. At low load those with a success have free slots at all times, so that a target which once had a pause gets nothing for good: one of 83 targets had no request for a minute.

Ruled out: doubt and ejection; the log of the owner has neither for the targets, and doubt ends after 1.8 s.

Change: a target without a request for 1.5 s is ranked like one that has proved itself. It gets one request then.

The test that plays 172 requests/s on 83 targets has no target idle for 2.5 s; before, 60 s.

--- a/internal/pool/assign.go
+++ b/internal/pool/assign.go
@@ -280,6 +280,7 @@
 	t.busy = append(t.busy, l)
 	s.picks++
 	t.lastPick = s.picks
+	t.givenAt = now
 	t.giveTo(now, key.host)
 	w.inUse++
 	s.trust(key.host).inUse++
--- a/internal/pool/doubt_test.go
+++ b/internal/pool/doubt_test.go
@@ -162,6 +162,20 @@
 	require.Less(t, l.longestIdle, 2500*time.Millisecond)
 }
 
+// Guards against sound targets that get nothing since those with recent
+// successes are preferred: at low load these take all requests.
+func TestEachTargetIsTriedWithinTwoSecondsAtLowLoad(t *testing.T) {
+	l := newGrayLoad(t, 83, CautiousTuning())
+	l.play(172, time.Minute)
+	for i, at := range l.given {
+		if !l.gray(i) {
+			l.longestIdle = max(l.longestIdle, l.b.now.Sub(at))
+		}
+	}
+	require.Less(t, l.longestIdle, 2500*time.Millisecond)
+	t.Logf("served %.4f", float64(l.played-l.failed)/float64(l.offered))
+}
+
 // Guards against a target that is doubted for good, against one that a success
 // of an earlier attempt clears, and against several attempts that try it.
 func TestDoubtEndsWithALaterSuccess(t *testing.T) {
--- a/internal/pool/target.go
+++ b/internal/pool/target.go
@@ -37,6 +37,8 @@
 	errorHost int32
 	// okAt is when a complete run was last reported, or 0.
 	okAt model.Instant
+	// givenAt is when the target was last assigned, or 0.
+	givenAt model.Instant
 	// refusedAt is when a connection was last refused, or 0.
 	refusedAt model.Instant
 	// refusedBy is the host that was refused then.
@@ -99,10 +101,17 @@
 // provenFor is the age of a success at which it says nothing about the present any more.
 const provenFor = 3 * time.Second
 
+// idleFor is the time without a request after which a target is tried like one
+// that has proved itself. It lies below the 2 s in which each sound target must
+// get a request while many requests of its service fail.
+const idleFor = 1500 * time.Millisecond
+
 // unproven returns the share of provenFor that has passed since the last success.
-// It is 0 for a target whose doubt has ended and that is to be tried again.
+// It is 0 for a target whose doubt has ended and that is to be tried again, and
+// for one that has got nothing for idleFor: without a request nothing is learned
+// of it, and its capacity would be lost.
 func (t *target) unproven(now model.Instant) float64 {
-	if t.doubtedAt != 0 {
+	if t.doubtedAt != 0 || len(t.busy) == 0 && now.Sub(t.givenAt) >= idleFor {
 		return 0
 	}
 	if t.okAt == 0 {
