Serve counters and latency histograms as text

Cause: figures of a process were JSON of the expvar kind only, without a count of requests by outcome or a histogram, so common tools could not read them.

Ruled out: series by service, target or workspace; their number grows with the fleet. The text form of expvar values; maps by host would become metric names.

Change: /metrics of the operators' port serves requests by outcome and code, attempts by end, latency and token wait, and the figures of the runtime, with the Prometheus library.

--- a/internal/admin/server.go
+++ b/internal/admin/server.go
@@ -80,6 +80,7 @@
 	mux.HandleFunc("GET "+opsapi.PathReady, s.serveReady)
 	if s.vars != nil {
 		mux.Handle("GET "+opsapi.PathVars, s.vars)
+		mux.Handle("GET "+opsapi.PathMetrics, s.vars.Text())
 	}
 	if s.backend != nil {
 		s.addOperators(mux)
--- a/internal/admin/server_test.go
+++ b/internal/admin/server_test.go
@@ -179,4 +179,8 @@
 	require.Contains(t, vars["runtime"], "goroutines")
 	_, body = ask(t, New(&fakeBackend{}, WithVars(second)), "GET", opsapi.PathVars, "", "")
 	require.NotContains(t, body, "requests")
+
+	resp, body = ask(t, s, "GET", opsapi.PathMetrics, "", "")
+	require.Contains(t, resp.Header.Get("Content-Type"), "text/plain")
+	require.Contains(t, body, "go_goroutines ")
 }
--- a/internal/admin/vars.go
+++ b/internal/admin/vars.go
@@ -6,18 +6,26 @@
 	"net/http"
 	"runtime"
 	"strings"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
 )
 
 // Vars holds the metrics of one process. It does not use the registry of
 // package expvar, since several processes of the fleet may live in one binary.
 // It is safe for concurrent use.
-type Vars struct{ all expvar.Map }
+type Vars struct {
+	all  expvar.Map
+	text *prometheus.Registry
+}
 
 // NewVars returns metrics with the figures of the Go runtime.
 func NewVars() *Vars {
-	v := &Vars{}
+	v := &Vars{text: prometheus.NewRegistry()}
 	v.all.Init()
 	v.Func("runtime", func() any { return readRuntime() })
+	v.text.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	return v
 }
 
@@ -34,6 +42,17 @@
 	return n
 }
 
+// Registry holds the counters and histograms that are served as text.
+func (v *Vars) Registry() prometheus.Registerer { return v.text }
+
+// Text serves the counters and histograms in the text format of Prometheus.
+func (v *Vars) Text() http.Handler {
+	return promhttp.HandlerFor(v.text, promhttp.HandlerOpts{MaxRequestsInFlight: maxScrapes, DisableCompression: true})
+}
+
+// maxScrapes bounds the scrapes at the same time; further ones get status 503.
+const maxScrapes = 2
+
 // ServeHTTP writes all variables as one JSON object.
 func (v *Vars) ServeHTTP(w http.ResponseWriter, _ *http.Request) {
 	var parts []string
--- a/internal/entry/call.go
+++ b/internal/entry/call.go
@@ -461,17 +461,15 @@
 	}
 }
 
-// tell writes one line on how the request ended and what decided it. It names
+// tell counts the request and writes one line on how the request ended and what decided it. It names
 // the configuration that it was judged by, every attempt, and never a key.
 func (c *call) tell() {
-	outcome := c.outcome.String()
-	if c.outcome == model.OutcomeRan && c.status < http.StatusInternalServerError {
-		outcome = logs.OutcomeServed
-	}
+	outcome, latency := c.shownOutcome(), time.Since(c.start)
+	c.s.metrics.ended(outcome, c.code, latency, c.tokenWait)
 	c.s.requests.Info("request ended",
 		"request_id", c.shownID(), logs.FieldOutcome, outcome, "status", c.status, "code", string(c.code),
 		"route", c.route.Name, "service", c.route.Service, "workspace", c.workspace, "version", c.cfg.Version,
-		"ms", time.Since(c.start).Milliseconds(), "token_ms", c.tokenWait.Milliseconds(), "attempts", c.history)
+		"ms", latency.Milliseconds(), "token_ms", c.tokenWait.Milliseconds(), "attempts", c.history)
 }
 
 func (c *call) record() {
--- a/internal/entry/forward.go
+++ b/internal/entry/forward.go
@@ -151,6 +151,7 @@
 			c.mayHaveRun = before || a.mayHaveRun()
 			c.returnTarget(a.record())
 			c.history = append(c.history, a.describe())
+			c.s.metrics.attempted(a.end)
 		}
 	}
 	defer report()
--- /dev/null
+++ b/internal/entry/metrics.go
@@ -0,0 +1,76 @@
+package entry
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+
+	"tarragongauge.example/tarragongauge/internal/logs"
+	"tarragongauge.example/tarragongauge/pkg/model"
+)
+
+// latencyBuckets returns the upper bounds in seconds of the histograms: from the
+// added latency of a request to the longest timeout of a route.
+func latencyBuckets() []float64 {
+	return []float64{.001, .002, .005, .01, .025, .05, .1, .25, .5, 1, 2.5, 5, 10, 30}
+}
+
+// Metrics counts requests and their attempts. Its labels have few values and
+// never name a workspace, so the number of series does not grow with the fleet.
+// It is safe for concurrent use.
+type Metrics struct {
+	requests *prometheus.CounterVec
+	attempts *prometheus.CounterVec
+	latency  *prometheus.HistogramVec
+	token    prometheus.Histogram
+}
+
+// NewMetrics returns metrics that are registered with reg. It panics if reg has them already.
+func NewMetrics(reg prometheus.Registerer) *Metrics {
+	m := &Metrics{
+		requests: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "tarragongauge_requests_total", Help: "Requests that ended, by outcome and error code; the code is empty for answers of targets.",
+		}, []string{"outcome", "code"}),
+		attempts: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "tarragongauge_attempts_total", Help: "Attempts at targets that ended, by how they ended.",
+		}, []string{"end"}),
+		latency: prometheus.NewHistogramVec(prometheus.HistogramOpts{
+			Name: "tarragongauge_request_seconds", Help: "Time from the header of a request to the end of its answer.", Buckets: latencyBuckets(),
+		}, []string{"outcome"}),
+		token: prometheus.NewHistogram(prometheus.HistogramOpts{
+			Name: "tarragongauge_token_wait_seconds", Help: "Time that requests waited for a token of their workspace.", Buckets: latencyBuckets(),
+		}),
+	}
+	reg.MustRegister(m.requests, m.attempts, m.latency, m.token)
+	return m
+}
+
+// WithMetrics counts requests. Without it they are not counted.
+func WithMetrics(m *Metrics) Option {
+	return func(s *settings) { s.metrics = m }
+}
+
+func (m *Metrics) ended(outcome string, code Code, latency, tokenWait time.Duration) {
+	if m == nil {
+		return
+	}
+	m.requests.WithLabelValues(outcome, string(code)).Inc()
+	m.latency.WithLabelValues(outcome).Observe(latency.Seconds())
+	m.token.Observe(tokenWait.Seconds())
+}
+
+func (m *Metrics) attempted(end model.AttemptEnd) {
+	if m != nil {
+		m.attempts.WithLabelValues(end.String()).Inc()
+	}
+}
+
+// shownOutcome returns the outcome as logs and metrics name it: an answer that
+// is no server error is told apart from other requests that ran.
+func (c *call) shownOutcome() string {
+	if c.outcome == model.OutcomeRan && c.status < http.StatusInternalServerError {
+		return logs.OutcomeServed
+	}
+	return c.outcome.String()
+}
--- a/internal/entry/options.go
+++ b/internal/entry/options.go
@@ -63,6 +63,7 @@
 	peerChecks bool
 	log        logr.Logger
 	requests   logr.Logger
+	metrics    *Metrics
 	names      Names
 	promise    bool
 	endless    bool
--- a/internal/node/run_entry.go
+++ b/internal/node/run_entry.go
@@ -88,7 +88,8 @@
 // open starts the listeners and the ticks of an entry host.
 func (h *entryHost) open(c conf.Entry) (func(context.Context) error, error) {
 	p := h.process
-	server, drain, err := entry.NewServer(h, h.burn, append(headerOptions(c.Headers), entry.WithHost(c.Host.Name), entry.WithLog(h.log), entry.WithRequestLog(h.log.WithName(logs.Requests)), entry.WithLimits(entryLimits(c.Limits)))...)
+	h.vars = admin.NewVars()
+	server, drain, err := entry.NewServer(h, h.burn, append(headerOptions(c.Headers), entry.WithMetrics(entry.NewMetrics(h.vars.Registry())), entry.WithHost(c.Host.Name), entry.WithLog(h.log), entry.WithRequestLog(h.log.WithName(logs.Requests)), entry.WithLimits(entryLimits(c.Limits)))...)
 	if err != nil {
 		return nil, err
 	}
@@ -156,7 +157,6 @@
 
 // publish makes the figures of this host available to the operators' port.
 func (h *entryHost) publish() {
-	h.vars = admin.NewVars()
 	h.vars.Func("entry", func() any { return h.status() })
 	h.vars.Func("links", func() any { return h.process.mesh.Stats() })
 }
--- a/pkg/opsapi/opsapi.go
+++ b/pkg/opsapi/opsapi.go
@@ -21,6 +21,7 @@
 	PathHealth     = "/healthz"
 	PathReady      = "/readyz"
 	PathVars       = "/debug/vars"
+	PathMetrics    = "/metrics"
 )
 
 // Bounds of the audit list in one answer.
