--- a/internal/node/known.go
+++ b/internal/node/known.go
@@ -44,7 +44,8 @@
 	// restored is the number of entry hosts that the disk told, until restoredTo.
 	restored   int
 	restoredTo model.Instant
-	unsaved    bool
+	// unsaved is set after a failed write; nothing is written from then on.
+	unsaved bool
 }
 
 // openKnown opens the known targets and returns the clean-up function. What
