--- a/internal/entry/call.go
+++ b/internal/entry/call.go
@@ -461,8 +461,9 @@
 	}
 }
 
-// tell counts the request and writes one line on how the request ended and what decided it. It names
-// the configuration that it was judged by, every attempt, and never a key.
+// tell counts the request and writes one line on how it ended and what decided
+// it. The line names the configuration that it was judged by, every attempt, and
+// never a key.
 func (c *call) tell() {
 	outcome, latency := c.shownOutcome(), time.Since(c.start)
 	c.s.metrics.ended(outcome, c.code, latency, c.tokenWait)
