Compress links with a window of 8 KiB that needs no compressor of its own

Cause: control hosts of the large fleet exceed their 280 MB before any traffic.

Ruled out: the extension without context takeover (messages repeat what the one before held, and most are shorter than 300 bytes); no compression (bytes between zones are priced highest).

Change: package defl compresses each frame against the last 8 KiB of the earlier ones with flate.StatelessDeflate of klauspost/compress, which is a known library. A subprotocol tells that both sides ask for it. sent_bytes and received_bytes now count what is on the wire.

--- a/internal/conf/adapt.go
+++ b/internal/conf/adapt.go
@@ -43,7 +43,7 @@
 			func(v *values, _ files, s string) []problem { return parseBool(&v.fleet.Forward, s) },
 		},
 		{
-			Setting{Section: "fleet", Key: "compress", Roles: both, Default: "false", Allowed: "true or false", Help: "whether links are compressed, at 300 KB of memory for each; used where both hosts ask for it"},
+			Setting{Section: "fleet", Key: "compress", Roles: both, Default: "false", Allowed: "true or false", Help: "whether links are compressed; used where both hosts ask for it"},
 			func(v *values, _ files, s string) []problem { return parseBool(&v.fleet.Compress, s) },
 		},
 		{
--- /dev/null
+++ b/internal/defl/defl_test.go
@@ -0,0 +1,101 @@
+package defl
+
+import (
+	"bytes"
+	"math/rand/v2"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+const testLimit = 1 << 20
+
+// Guards against contents that change on the way, whatever their lengths and
+// however well they compress: every later frame refers to them.
+func TestContentsSurviveInSequence(t *testing.T) {
+	r := rand.New(rand.NewPCG(1, 2))
+	var c Compressor
+	d := NewDecompressor(testLimit)
+	for i := range 2000 {
+		content := make([]byte, r.IntN(1+r.IntN(3*window)))
+		if i%3 == 0 {
+			for j := range content {
+				content[j] = byte(r.Uint32())
+			}
+		} else {
+			copy(content, bytes.Repeat([]byte("zone-a host-7 target-"+string(rune('a'+i%7))), 1+len(content)/16))
+		}
+		frame, err := c.Frame(content)
+		require.NoError(t, err)
+		require.LessOrEqual(t, len(frame), len(content)+1)
+		got, err := d.Content(frame)
+		require.NoError(t, err)
+		require.True(t, bytes.Equal(content, got), "frame %d", i)
+	}
+}
+
+// Guards against a window that forgets the message before: short messages of one
+// kind differ in a few bytes only.
+func TestRepeatedMessagesShrink(t *testing.T) {
+	var c Compressor
+	message := strings.Repeat("workspace-17/stockbook/10.1.0.30:8782/", 4)
+	first, err := c.Frame([]byte(message + "1"))
+	require.NoError(t, err)
+	long := len(first)
+	second, err := c.Frame([]byte(message + "2"))
+	require.NoError(t, err)
+	require.Less(t, len(second), long/2)
+}
+
+// Guards against a peer whose small frame takes up the memory of the host.
+func TestContentAboveTheLimitIsRefused(t *testing.T) {
+	var c Compressor
+	frame, err := c.Frame(make([]byte, testLimit+1))
+	require.NoError(t, err)
+	require.Less(t, len(frame), testLimit/100)
+	_, err = NewDecompressor(testLimit).Content(frame)
+	require.ErrorAs(t, err, &ErrFrame{})
+}
+
+// Guards against a malformed frame that is delivered as a message or that ends the process.
+func TestMalformedFramesAreRefused(t *testing.T) {
+	var c Compressor
+	frame, err := c.Frame(bytes.Repeat([]byte("content "), 20))
+	require.NoError(t, err)
+	for name, bad := range map[string][]byte{
+		"empty": {}, "unknown form": {9, 1, 2}, "cut short": frame[:len(frame)-2], "bytes behind": append(bytes.Clone(frame), 1, 2, 3),
+	} {
+		_, err := NewDecompressor(testLimit).Content(bad)
+		require.ErrorAs(t, err, &ErrFrame{}, name)
+	}
+}
+
+// Guards against an inflater that fails on, or is confused by, bytes of a hostile peer.
+func FuzzContent(f *testing.F) {
+	f.Add([]byte{formPlain, 1, 2})
+	f.Add([]byte{formDeflate, 3, 0})
+	f.Fuzz(func(t *testing.T, frame []byte) {
+		content, err := NewDecompressor(4096).Content(frame)
+		if err == nil {
+			require.LessOrEqual(t, len(content), 4096)
+		}
+	})
+}
+
+func BenchmarkFrame(b *testing.B) {
+	var c Compressor
+	d := NewDecompressor(testLimit)
+	r := rand.New(rand.NewPCG(1, 2))
+	message := []byte(strings.Repeat("workspace-17/stockbook/10.1.0.30:8782/", 6))
+	for b.Loop() {
+		message[r.IntN(len(message))]++
+		frame, err := c.Frame(message)
+		if err != nil {
+			b.Fatal(err)
+		}
+		if _, err := d.Content(frame); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -25,6 +25,8 @@
 	incarnation model.Incarnation
 	// encrypted is set on links over TLS.
 	encrypted bool
+	// press is nil on links without compression.
+	press *press
 
 	ctx    context.Context
 	cancel context.CancelFunc
@@ -108,6 +110,9 @@
 			return fmt.Errorf("frame of type %s", kind)
 		}
 		l.peer.count.receivedBytes.Add(uint64(len(frame)))
+		if frame, err = l.press.unpack(frame); err != nil {
+			return err
+		}
 		if err := l.deliver(frame); err != nil {
 			return err
 		}
@@ -207,7 +212,11 @@
 func (l *link) writeFrame(frame []byte, n int, timeout time.Duration) error {
 	ctx, cancel := context.WithTimeout(l.ctx, timeout)
 	defer cancel()
-	if err := l.ws.Write(ctx, websocket.MessageBinary, frame); err != nil {
+	frame, err := l.press.pack(frame)
+	if err == nil {
+		err = l.ws.Write(ctx, websocket.MessageBinary, frame)
+	}
+	if err != nil {
 		l.peer.drop(n)
 		return fmt.Errorf("write %d bytes: %w", len(frame), err)
 	}
@@ -219,5 +228,5 @@
 func newLink(m *Mesh, p *peer, ws *websocket.Conn, id string, dialer model.HostID, inc model.Incarnation) *link {
 	ctx, cancel := context.WithCancel(context.Background())
 	ws.SetReadLimit(wire.MaxFrame)
-	return &link{mesh: m, peer: p, ws: ws, id: id, dialer: dialer, incarnation: inc, ctx: ctx, cancel: cancel}
+	return &link{mesh: m, peer: p, ws: ws, id: id, dialer: dialer, incarnation: inc, press: newPress(ws), ctx: ctx, cancel: cancel}
 }
--- a/internal/link/mesh.go
+++ b/internal/link/mesh.go
@@ -230,13 +230,10 @@
 	transport := m.transport(p.host)
 	defer transport.CloseIdleConnections()
 	u := url.URL{Scheme: scheme, Host: addr, Path: Path}
-	mode, threshold := m.opts.compression()
 	ws, resp, err := websocket.Dial(ctx, u.String(), &websocket.DialOptions{
-		CompressionMode:      mode,
-		CompressionThreshold: threshold,
-
-		HTTPClient: &http.Client{Transport: transport},
-		HTTPHeader: http.Header{hostHeader: {string(m.self.Host)}},
+		Subprotocols: m.opts.subprotocols(),
+		HTTPClient:   &http.Client{Transport: transport},
+		HTTPHeader:   http.Header{hostHeader: {string(m.self.Host)}},
 	})
 	if err != nil {
 		return err
@@ -324,8 +321,7 @@
 	if m.opts.faults != nil {
 		w = faultyWriter{ResponseWriter: w, faults: m.opts.faults, host: claimed}
 	}
-	mode, threshold := m.opts.compression()
-	ws, err := websocket.Accept(w, r, &websocket.AcceptOptions{CompressionMode: mode, CompressionThreshold: threshold})
+	ws, err := websocket.Accept(w, r, &websocket.AcceptOptions{Subprotocols: m.opts.subprotocols()})
 	if err != nil {
 		m.opts.log.V(1).Info("link refused", "remote", r.RemoteAddr, "cause", err.Error())
 		return
--- a/internal/link/options.go
+++ b/internal/link/options.go
@@ -3,7 +3,6 @@
 import (
 	"time"
 
-	"github.com/coder/websocket"
 	"github.com/go-logr/logr"
 
 	"tarragongauge.example/tarragongauge/internal/trust"
@@ -48,8 +47,6 @@
 	maxBatchBytes = 64 << 10
 	// maxHandshakes bounds connections that have not authenticated yet.
 	maxHandshakes = 128
-	// compressFrom is the length in bytes from which a frame is compressed.
-	compressFrom = 48
 	// flushTimeout bounds the last write of a stopping process.
 	flushTimeout = 500 * time.Millisecond
 )
@@ -95,18 +92,21 @@
 }
 
 // WithCompression compresses frames against the earlier ones of their link: most
-// messages repeat names and lists. It costs some 300 KB of memory for each link,
-// and is used where both sides ask for it.
+// messages repeat names and lists. It is used where both sides ask for it.
 func WithCompression() Option {
 	return func(o *options) { o.compress = true }
 }
 
-// compression returns the mode of a new connection and the least length of a compressed frame.
-func (o options) compression() (websocket.CompressionMode, int) {
+// compressed is the WebSocket subprotocol of links with compressed frames. The
+// extension of WebSocket itself needs more than 1 MB of memory for each link.
+const compressed = "deflate.tarragongauge"
+
+// subprotocols returns what a new connection offers or takes.
+func (o options) subprotocols() []string {
 	if !o.compress {
-		return websocket.CompressionDisabled, 0
+		return nil
 	}
-	return websocket.CompressionContextTakeover, compressFrom
+	return []string{compressed}
 }
 
 // WithTiming replaces the time limits.
