Keep shares and owners together within a workspace's rate and burst

A host's share holds the tokens of the last burst/rate seconds, also those that were due while the owner answered and granted the whole rate, so a silent owner added four fifths of a burst. Besides, an owner went on granting the whole rate while hosts that are cut off from it used their shares.

Ruled out: the reserve of a new owner (what it holds is kept back by the one before), and the frozen owner that wakes (its lease counts suspended time).

Change: tokens of a share count only from when the owner fell silent or the shard lost its owner. An owner fills its buckets at the part of the rate that belongs to the hosts that it hears: hosts that were heard in the last 10 minutes and are not any more have the rest, and in the first 0.9 s after a change of owner so have those that have not drawn from it yet. A host that is cut off and one that is lost look the same, so a lost host's share stays unused.

One test of package node had limits of 0, with which the times of a share were not defined; it uses the limits of a workspace without any now, and asks for the same.

Also: the list of gone hosts is found with a set (442 x 442 comparisons a change).

--- a/internal/admit/api.go
+++ b/internal/admit/api.go
@@ -54,6 +54,8 @@
 	}
 	// HostsCounted tells the wallet how many entry hosts there are.
 	HostsCounted struct{ Hosts int }
+	// HostsChanged replaces the list of the entry hosts that are heard, for the owner core.
+	HostsChanged struct{ Hosts []model.HostID }
 	// Abandoned withdraws a waiting request.
 	Abandoned struct{ Request model.RequestID }
 )
@@ -98,6 +100,7 @@
 func (Lost) isEvent()            {}
 func (Arrived) isEvent()         {}
 func (HostsCounted) isEvent()    {}
+func (HostsChanged) isEvent()    {}
 func (Abandoned) isEvent()       {}
 
 func (Send) isEffect()     {}
--- a/internal/admit/bucket.go
+++ b/internal/admit/bucket.go
@@ -6,6 +6,13 @@
 	"tarragongauge.example/tarragongauge/pkg/model"
 )
 
+const (
+	// maxTokenWait bounds the wait that is told while few hosts are heard.
+	maxTokenWait = 10 * time.Second
+	// minRate keeps the wait finite while no host is heard, in tokens per second.
+	minRate = 1e-3
+)
+
 // maxValid bounds how long after its draw a token may be used.
 const maxValid = 200 * time.Millisecond
 
@@ -41,11 +48,10 @@
 	return b.limits.Burst - b.limits.Rate*validFor(b.limits).Seconds() - rounding
 }
 
-func (b *bucket) refill(now model.Instant, drift float64) {
+func (b *bucket) refill(now model.Instant, perSecond float64) {
 	if now <= b.at {
 		return
 	}
-	perSecond := b.limits.Rate / (1 + drift)
 	b.tokens = min(b.capacity(), b.tokens+perSecond*now.Sub(b.at).Seconds())
 	b.at = now
 }
@@ -57,20 +63,20 @@
 	return granted
 }
 
-// wait returns how long it takes until the next token.
-func (b *bucket) wait(now model.Instant, drift float64) time.Duration {
+// wait returns how long it takes until the next token, at most maxTokenWait.
+func (b *bucket) wait(now model.Instant, perSecond float64) time.Duration {
 	missing := max(0, 1-b.tokens)
-	d := time.Duration(missing / (b.limits.Rate / (1 + drift)) * float64(time.Second))
+	d := min(maxTokenWait, time.Duration(missing/max(perSecond, minRate)*float64(time.Second)))
 	return d + max(0, b.at.Sub(now)) + time.Microsecond
 }
 
-// setLimits changes the limits. Tokens drawn under the old limits may still be
-// used for maxValid, so nothing is added during that time.
+// setLimits changes the limits of a bucket that was refilled up to now. Tokens
+// drawn under the old limits may still be used for maxValid, so nothing is added
+// during that time.
 func (b *bucket) setLimits(now model.Instant, l model.Limits, s settings) {
 	if l == b.limits {
 		return
 	}
-	b.refill(now, s.drift)
 	b.limits = l
 	b.tokens = max(0, min(b.tokens, b.capacity()))
 	b.at = max(b.at, now.Add(s.atLeast(maxValid)))
--- a/internal/admit/fleet_test.go
+++ b/internal/admit/fleet_test.go
@@ -61,6 +61,9 @@
 	// tell is the greatest time until a wallet learns of an owner.
 	tell moment
 	sent int
+	opts []Option
+	// polls is set if hosts that are not cut off learn the owner by asking.
+	polls bool
 }
 
 type fleetHost struct {
@@ -81,14 +84,30 @@
 	ideal    meter
 	withinOf map[model.RequestID]bool
 
+	// times are those of all admitted requests.
+	times []moment
+
 	offered, within, admitted, refused, wrong, wrongNoOwner int
 }
 
+// admittedWithin returns the greatest number of admissions in a window.
+func (t *track) admittedWithin(window moment) int {
+	most, first := 0, 0
+	for i, at := range t.times {
+		for at-t.times[first] > window {
+			first++
+		}
+		most = max(most, i-first+1)
+	}
+	return most
+}
+
 func (h *fleetHost) local(t moment) model.Instant { return model.Instant(float64(t)*h.rate) + 1e12 }
 
-func newFleet(t *testing.T, seed uint64, hosts int, limits map[model.WorkspaceID]model.Limits) *fleet {
+func newFleet(t *testing.T, seed uint64, hosts int, limits map[model.WorkspaceID]model.Limits, opts ...Option) *fleet {
 	f := &fleet{
-		t: t, r: rand.New(rand.NewPCG(seed, 2)), cfg: model.NewConfig(nil, nil), tell: 400 * time.Millisecond,
+		opts: opts,
+		t:    t, r: rand.New(rand.NewPCG(seed, 2)), cfg: model.NewConfig(nil, nil), tell: 400 * time.Millisecond,
 		tracks: map[model.WorkspaceID]*track{}, cut: map[*fleetHost]bool{},
 		apart: map[[2]*fleetHost]bool{},
 	}
@@ -113,8 +132,9 @@
 
 func (f *fleet) start(h *fleetHost) {
 	h.run++
-	h.wallet = NewWallet(h.id, WithIncarnation(h.run))
-	h.owner = NewOwner(h.id, WithIncarnation(h.run))
+	opts := append([]Option{WithIncarnation(h.run)}, f.opts...)
+	h.wallet = NewWallet(h.id, opts...)
+	h.owner = NewOwner(h.id, opts...)
 	f.stepOwner(h, Configured{Config: f.cfg})
 	f.tellStandby(h)
 }
@@ -162,17 +182,30 @@
 	}
 	f.epoch++
 	h.until = f.now + 1500*time.Millisecond
-	owners := make([]proto.Owner, model.WorkspaceShards)
-	for s := range owners {
-		id := model.ShardID(s)
-		f.stepOwner(h, Gained{Shard: id, Epoch: f.epoch, Until: h.local(h.until), Previous: previous})
-		owners[s] = proto.Owner{Shard: id, Host: h.id, Epoch: f.epoch}
+	for s := range model.ShardID(model.WorkspaceShards) {
+		f.stepOwner(h, Gained{Shard: s, Epoch: f.epoch, Until: h.local(h.until), Previous: previous})
 	}
+	if f.polls {
+		return
+	}
+	owners := f.owners()
 	for _, o := range f.hosts {
 		f.at(f.now+time.Duration(f.r.Int64N(int64(f.tell))), func() { f.stepWallet(o, OwnersChanged{Owners: owners}) })
 	}
 }
 
+// owners returns the table of the present owner, which is empty after its lease has ended.
+func (f *fleet) owners() []proto.Owner {
+	if f.owner == nil || f.now >= f.owner.until {
+		return nil
+	}
+	owners := make([]proto.Owner, model.WorkspaceShards)
+	for s := range owners {
+		owners[s] = proto.Owner{Shard: model.ShardID(s), Host: f.owner.id, Epoch: f.epoch}
+	}
+	return owners
+}
+
 // stand makes a host the next candidate for all shards.
 func (f *fleet) stand(h *fleetHost) {
 	f.standby = h
@@ -246,6 +279,7 @@
 func (f *fleet) admitted(h *fleetHost, id model.RequestID) {
 	t := f.tracks[workspaceOf(id)]
 	t.admitted++
+	t.times = append(t.times, f.now)
 	delete(t.withinOf, id)
 	for _, m := range t.meters {
 		if !m.use(f.now) {
--- a/internal/admit/option.go
+++ b/internal/admit/option.go
@@ -12,7 +12,8 @@
 type settings struct {
 	drift       float64
 	incarnation model.Incarnation
-	// shares is set if hosts use their own share of a bucket while no owner answers.
+	// shares is set if hosts use their own share of a bucket while no owner
+	// answers, and owners withhold the shares of hosts that they do not hear.
 	shares bool
 }
 
@@ -33,7 +34,9 @@
 // taken for replies to this run. It must differ between runs.
 func WithIncarnation(i model.Incarnation) Option { return func(s *settings) { s.incarnation = i } }
 
-// WithShares lets a wallet use its host's share of each bucket while no owner answers.
+// WithShares lets a wallet use its host's share of each bucket while no owner
+// answers, and an owner withhold the shares of the hosts that it does not hear.
+// All hosts of a fleet need the same setting.
 func WithShares() Option { return func(s *settings) { s.shares = true } }
 
 // atMost returns the local duration that lasts d of true time at most.
--- a/internal/admit/owner.go
+++ b/internal/admit/owner.go
@@ -30,6 +30,8 @@
 	standbys   [model.WorkspaceShards]model.HostID
 	// reserves are held for the owners of shards whose next candidate this host is.
 	reserves [model.WorkspaceShards]reserve
+	// hosts tells which entry hosts may use their own shares.
+	hosts attendance
 	// nonce numbers the notes of this run.
 	nonce uint64
 	out   []Effect
@@ -45,6 +47,7 @@
 	buckets  map[model.WorkspaceID]*bucket
 	order    []*bucket
 	standby  standby
+	learning learning
 }
 
 // NewOwner returns an owner of nothing. It serves once it is configured.
@@ -71,6 +74,8 @@
 		}
 	case Received:
 		o.receive(now, ev)
+	case HostsChanged:
+		o.attend(now, ev.Hosts)
 	case StandbysChanged:
 		o.standbys = ev.Standbys
 		for i := range o.shards {
@@ -106,6 +111,7 @@
 		fillFrom: now.Add(o.atLeast(maxValid)),
 		buckets:  map[model.WorkspaceID]*bucket{},
 		standby:  standby{host: o.standbys[ev.Shard]},
+		learning: learning{until: now.Add(o.atLeast(learnTime)), heard: map[model.HostID]struct{}{}},
 	}
 	o.useReserve(now, ev)
 }
@@ -124,6 +130,7 @@
 	o.cfg = cfg
 	for i := range o.shards {
 		for _, b := range o.shards[i].order {
+			o.refill(now, &o.shards[i], b)
 			b.setLimits(now, o.cfg.LimitsFor(b.workspace), o.settings)
 			if b.note.nonce > 0 && b.note.limits != b.limits {
 				b.note.due, o.shards[i].standby.noteAt = true, now
@@ -140,6 +147,7 @@
 		o.reply(from, reply)
 		return
 	}
+	o.hear(now, sh, from)
 	reply.Epoch = sh.epoch
 	if ws, _ := o.cfg.Workspaces.Get(m.Workspace); ws.Withdrawn {
 		o.reply(from, reply)
@@ -150,14 +158,14 @@
 	r := b.of(now, from)
 	d, repeated := r.find(m.Nonce)
 	if !repeated {
-		b.refill(now, o.drift)
+		o.refill(now, sh, b)
 		valid := min(validFor(b.limits), o.atMost(sh.until.Sub(now)))
 		d = drawn{nonce: m.Nonce, granted: b.take(m.Tokens, keep), validFor: valid}
 		r.add(d)
 	}
 	reply.Granted, reply.ValidFor = d.granted, d.validFor
 	if d.granted < m.Tokens {
-		reply.RetryAfter = b.wait(now, o.drift)
+		reply.RetryAfter = b.wait(now, o.fillRate(now, sh, b))
 	}
 	o.reply(from, reply)
 	o.lower(now, sh, b, keep, m.Tokens-d.granted)
@@ -211,7 +219,7 @@
 			if now.Sub(b.used) < idleAfter || sh.kept(now, b) > 0 {
 				return false
 			}
-			b.refill(now, o.drift)
+			o.refill(now, sh, b)
 			if b.tokens < b.capacity() {
 				return false
 			}
--- a/internal/admit/share.go
+++ b/internal/admit/share.go
@@ -27,6 +27,8 @@
 // hosts, so often that all hosts together get the rate, and a token ends unused
 // after so long that all hosts together hold a part of the burst. A bucket of
 // one token at each host would hold more than the burst of a small workspace.
+// Tokens that were due while the owner answered are void: the owner granted the
+// rate of that time, so with them one late answer to each host would add a burst.
 //
 // It answers the load of a fleet whose owners are all lost for seconds, or of a
 // host that is cut off from them, so that requests within the rate go on.
@@ -76,9 +78,9 @@
 	return int64(since / t.period)
 }
 
-// take uses the oldest token that is still valid.
-func (s *share) take(now model.Instant, t shareTimes) bool {
-	next := t.newest(now.Add(-t.valid)) + 1
+// take uses the oldest token that is still valid and was due after an instant.
+func (s *share) take(now, after model.Instant, t shareTimes) bool {
+	next := max(t.newest(now.Add(-t.valid)), t.newest(after)) + 1
 	if s.some {
 		next = max(next, s.used+1)
 	}
@@ -111,11 +113,21 @@
 	return p.silentSince != 0 && now.Sub(p.silentSince) >= silence
 }
 
+// lostOwner returns since when no owner has answered: since the first draw
+// without an answer, or since the shard has no owner.
+func (w *Wallet) lostOwner(p *purse) model.Instant {
+	since := w.ownerless[p.shard]
+	if w.owners[p.shard] != "" || p.silentSince != 0 && p.silentSince < since {
+		return p.silentSince
+	}
+	return since
+}
+
 // serveShare admits waiting requests from the host's own share.
 func (w *Wallet) serveShare(now model.Instant, p *purse) {
 	n := 0
-	times := w.times(p)
-	for n < len(p.waiting) && p.share.take(now, times) {
+	times, after := w.times(p), w.lostOwner(p)
+	for n < len(p.waiting) && p.share.take(now, after, times) {
 		w.out = append(w.out, Admitted{Request: p.waiting[n].request})
 		delete(w.waiting, p.waiting[n].request)
 		n++
--- a/internal/admit/standby.go
+++ b/internal/admit/standby.go
@@ -122,7 +122,7 @@
 		sh.standby.noteAt = now.Add(noteEvery)
 		var due []*bucket
 		for _, b := range sh.order {
-			if o.due(now, b) {
+			if o.due(now, sh, b) {
 				due = append(due, b)
 			}
 		}
@@ -132,8 +132,8 @@
 
 // due sets the reserve that a bucket should have, half of its tokens while it
 // is in use, and reports whether the standby has to be told. Small rises wait.
-func (o *Owner) due(now model.Instant, b *bucket) bool {
-	b.refill(now, o.drift)
+func (o *Owner) due(now model.Instant, sh *ownedShard, b *bucket) bool {
+	o.refill(now, sh, b)
 	target := int(b.tokens / 2)
 	if now.Sub(b.used) >= idleAfter {
 		target = 0
--- a/internal/admit/wallet.go
+++ b/internal/admit/wallet.go
@@ -54,6 +54,8 @@
 	owners [model.WorkspaceShards]model.HostID
 	// latest is the present owner of each shard or, without one, the one before.
 	latest [model.WorkspaceShards]proto.Owner
+	// ownerless is since when a shard without an owner has none, or 0 if it never had one.
+	ownerless [model.WorkspaceShards]model.Instant
 	// settled is when the buckets of an owner that followed another count as ordinary ones.
 	settled [model.WorkspaceShards]model.Instant
 	purses  map[model.WorkspaceID]*purse
@@ -286,6 +288,11 @@
 			}
 		}
 	}
+	for shard, owner := range w.owners {
+		if owner == "" && before[shard] != "" {
+			w.ownerless[shard] = now
+		}
+	}
 	for _, p := range w.active {
 		if w.owners[p.shard] == before[p.shard] {
 			continue
--- a/internal/node/effects.go
+++ b/internal/node/effects.go
@@ -1,8 +1,6 @@
 package node
 
 import (
-	"slices"
-
 	"tarragongauge.example/tarragongauge/internal/admit"
 	"tarragongauge.example/tarragongauge/internal/codec"
 	"tarragongauge.example/tarragongauge/internal/entry"
@@ -117,6 +115,7 @@
 		h.targets.post(pool.HostGone{Host: id})
 	}
 	h.buckets.post(admit.StandbysChanged{Standbys: workspaceStandbys(members, h.self)})
+	h.buckets.post(admit.HostsChanged{Hosts: h.hosts.hosts})
 	h.shareConnections()
 }
 
@@ -250,13 +249,15 @@
 // replace takes the live members and returns the entry hosts that are gone.
 func (s *hostSet) replace(members []proto.Member) []model.HostID {
 	var live, gone []model.HostID
+	isLive := make(map[model.HostID]struct{}, len(members))
 	for _, m := range members {
 		if m.Role == proto.RoleEntry {
 			live = append(live, m.Host)
+			isLive[m.Host] = struct{}{}
 		}
 	}
 	for _, h := range s.hosts {
-		if !slices.Contains(live, h) {
+		if _, ok := isLive[h]; !ok {
 			gone = append(gone, h)
 		}
 	}
--- a/internal/node/entry.go
+++ b/internal/node/entry.go
@@ -130,12 +130,12 @@
 }
 
 func (h *entryHost) makeDecisions(s entrySetup) {
-	wallet := []admit.Option{admit.WithDrift(s.timing.Drift), admit.WithIncarnation(s.self.Incarnation)}
+	limits := []admit.Option{admit.WithDrift(s.timing.Drift), admit.WithIncarnation(s.self.Incarnation)}
 	if s.serve {
-		wallet = append(wallet, admit.WithShares())
+		limits = append(limits, admit.WithShares())
 	}
-	h.wallet = newRunner(h.clock, admit.NewWallet(s.self.Host, wallet...).Step, h.applyAdmit)
-	h.buckets = newRunner(h.clock, admit.NewOwner(s.self.Host, admit.WithDrift(s.timing.Drift), admit.WithIncarnation(s.self.Incarnation)).Step, h.applyAdmit)
+	h.wallet = newRunner(h.clock, admit.NewWallet(s.self.Host, limits...).Step, h.applyAdmit)
+	h.buckets = newRunner(h.clock, admit.NewOwner(s.self.Host, limits...).Step, h.applyAdmit)
 	h.picker = newRunner(h.clock, pool.NewPicker(s.self.Host, s.self.Zone, pool.WithIncarnation(s.self.Incarnation), pool.WithTuning(s.tune)).Step, h.applyPool)
 	h.poolOwner = pool.NewOwner(s.self.Host, pool.WithTuning(s.tune))
 	h.targets = newRunner(h.clock, h.poolOwner.Step, h.applyPool)
--- a/internal/node/owner_part.go
+++ b/internal/node/owner_part.go
@@ -38,7 +38,7 @@
 }
 
 // newOwnerPart returns the owner side of a control host and its clean-up function.
-func newOwnerPart(self proto.Member, timing lease.Timing, tune pool.Tuning, known *knownTargets, log logr.Logger, send func(model.HostID, proto.Message)) (*ownerPart, func()) {
+func newOwnerPart(self proto.Member, timing lease.Timing, tune pool.Tuning, known *knownTargets, log logr.Logger, send func(model.HostID, proto.Message), limits ...admit.Option) (*ownerPart, func()) {
 	p := &ownerPart{log: log, self: self, send: send, clock: newClock(), known: known}
 	cfg := model.NewConfig(nil, nil)
 	p.cfg.Store(&cfg)
@@ -47,7 +47,8 @@
 		lease.WithTiming(timing), lease.WithIncarnation(self.Incarnation), lease.WithOwners(self.Role), lease.WithWallMillis(wallMillis),
 	}
 	p.claimer = newRunner(c, lease.NewClaimer(self.Host, opts...).Step, p.applyClaimer)
-	p.buckets = newRunner(c, admit.NewOwner(self.Host, admit.WithDrift(timing.Drift), admit.WithIncarnation(self.Incarnation)).Step, p.applyAdmit)
+	limits = append(limits, admit.WithDrift(timing.Drift), admit.WithIncarnation(self.Incarnation))
+	p.buckets = newRunner(c, admit.NewOwner(self.Host, limits...).Step, p.applyAdmit)
 	p.targets = newRunner(c, pool.NewOwner(self.Host, pool.WithTuning(tune)).Step, p.applyPool)
 	p.news = newRunner(c, pool.NewPicker(self.Host, self.Zone, pool.WithIncarnation(self.Incarnation), pool.WithTuning(tune)).Step, p.applyNews)
 	prober, stop := newProber(context.Background(), p.healthPath, func(ev pool.Probed) { p.targets.post(ev) })
@@ -87,6 +88,7 @@
 		p.log.Info("entry host lost", "host", id)
 		p.targets.post(pool.HostGone{Host: id})
 	}
+	p.buckets.post(admit.HostsChanged{Hosts: p.hosts.hosts})
 	p.buckets.post(admit.StandbysChanged{Standbys: workspaceStandbys(members, p.self)})
 }
 
--- a/internal/node/run_control.go
+++ b/internal/node/run_control.go
@@ -9,6 +9,7 @@
 	"github.com/go-logr/logr"
 
 	"tarragongauge.example/tarragongauge/internal/admin"
+	"tarragongauge.example/tarragongauge/internal/admit"
 	"tarragongauge.example/tarragongauge/internal/conf"
 	"tarragongauge.example/tarragongauge/internal/lease"
 	"tarragongauge.example/tarragongauge/internal/link"
@@ -164,7 +165,11 @@
 		return err
 	}
 	p.files = append(p.files, closeKnown)
-	owner, stopOwner := newOwnerPart(p.self, lease.DefaultTiming(), tune, known, p.log, send)
+	var limits []admit.Option
+	if c.Fleet.ServeUnconfirmed {
+		limits = append(limits, admit.WithShares())
+	}
+	owner, stopOwner := newOwnerPart(p.self, lease.DefaultTiming(), tune, known, p.log, send, limits...)
 	p.stops = append(p.stops, stopOwner)
 	d.owner = owner
 	memory, remembered, closeMemory, err := openSeatMemory(c.Host.DataDir, p.log)
--- a/internal/node/withdrawn_test.go
+++ b/internal/node/withdrawn_test.go
@@ -79,7 +79,7 @@
 	})
 
 	cfg := model.NewConfig(nil, nil).WithVersion(1)
-	cfg.Defaults.Limits = model.Limits{}
+	cfg.Defaults.Limits = model.Unlimited()
 	hash := model.KeyHash(sha256.Sum256([]byte("key")))
 	cfg.Workspaces = cfg.Workspaces.With(model.Workspace{ID: "w"})
 	cfg.Services = cfg.Services.With("s", model.Service{Name: "s"})
