Use disks again that refused writes

Cause: a seat whose disk refused one write granted no shard until its process was restarted, also when there was room again; three of five so left shards without owners (docs/proofs.md). A control host took no part in control in the same way, and the list of known targets was not saved any more, so that a restart would have brought back targets that had left.

Ruled out: writing on to the same files.

Change: store.WithRewrite opens a folder again and writes all that it holds to new files. A seat then writes all its grants, a control host starts a new core from its log as a restart of the process does, and both say so in the log.

Also: after a start of all hosts an owner takes the hosts that started with it for ones that use no shares.

--- a/internal/admit/api.go
+++ b/internal/admit/api.go
@@ -55,7 +55,12 @@
 	// HostsCounted tells the wallet how many entry hosts there are.
 	HostsCounted struct{ Hosts int }
 	// HostsChanged replaces the list of the entry hosts that are heard, for the owner core.
-	HostsChanged struct{ Hosts []model.HostID }
+	HostsChanged struct {
+		Hosts []model.HostID
+		// New are those of them that started together with the owner's process, and
+		// so have used no shares.
+		New []model.HostID
+	}
 	// Abandoned withdraws a waiting request.
 	Abandoned struct{ Request model.RequestID }
 )
--- a/internal/admit/attend.go
+++ b/internal/admit/attend.go
@@ -24,14 +24,16 @@
 // It answers the load of a partition between some of the entry hosts and
 // control, in which the owner's rate and the shares would add up.
 type attendance struct {
-	// heard are the hosts of the newest list.
+	// heard are the hosts of the newest list, and fresh those of them that started
+	// together with this process.
 	heard map[model.HostID]struct{}
+	fresh []model.HostID
 	// absent holds since when a host is not heard.
 	absent map[model.HostID]model.Instant
 }
 
 // note takes a new list.
-func (a *attendance) note(now model.Instant, hosts []model.HostID) {
+func (a *attendance) note(now model.Instant, hosts, fresh []model.HostID) {
 	if a.absent == nil {
 		a.absent = map[model.HostID]model.Instant{}
 	}
@@ -45,7 +47,7 @@
 			a.absent[h] = now
 		}
 	}
-	a.heard = heard
+	a.heard, a.fresh = heard, fresh
 	a.forget(now)
 }
 
@@ -69,6 +71,18 @@
 	heard map[model.HostID]struct{}
 }
 
+// known returns how many hosts use no shares: those that have drawn, and those
+// of the fresh ones that have not.
+func (l *learning) known(fresh []model.HostID) int {
+	n := len(l.heard)
+	for _, h := range fresh {
+		if _, ok := l.heard[h]; !ok {
+			n++
+		}
+	}
+	return n
+}
+
 // part returns the part of the rate that the owner of a shard may grant. The
 // hosts that do not know it or are cut off from it use the rest.
 func (o *Owner) part(now model.Instant, sh *ownedShard) float64 {
@@ -76,7 +90,7 @@
 	case !o.shares:
 		return 1
 	case now < sh.learning.until:
-		return o.hosts.share(len(sh.learning.heard))
+		return o.hosts.share(sh.learning.known(o.hosts.fresh))
 	default:
 		return o.hosts.share(len(o.hosts.heard))
 	}
@@ -97,11 +111,11 @@
 
 // attend takes a new list of hosts. Buckets are filled first, since the part of
 // the rate changes.
-func (o *Owner) attend(now model.Instant, hosts []model.HostID) {
+func (o *Owner) attend(now model.Instant, ev HostsChanged) {
 	for i := range o.shards {
 		o.refillAll(now, &o.shards[i])
 	}
-	o.hosts.note(now, hosts)
+	o.hosts.note(now, ev.Hosts, ev.New)
 }
 
 // hear notes that a host draws from the owner, and so uses its share no more.
--- a/internal/admit/mixed_test.go
+++ b/internal/admit/mixed_test.go
@@ -122,6 +122,32 @@
 	require.Greater(t, m.tracks["w"].admitted, int(0.8*mixedQuota.rate*20), "what is withheld is used by the others")
 }
 
+// Guards against an owner that withholds the rate from a fleet whose hosts have
+// all restarted: none of them has used a share, and the second after such a
+// restart is the one with the most refusals.
+func TestOwnerServesAtOnceAfterARestartOfAll(t *testing.T) {
+	limits := model.Limits{Rate: 100, Burst: 100}
+	for _, fresh := range []bool{true, false} {
+		o := NewOwner("o", WithShares())
+		cfg := model.NewConfig(nil, nil)
+		cfg.Defaults.Limits = limits
+		o.Step(0, Configured{Config: cfg})
+		hosts := HostsChanged{Hosts: []model.HostID{"e", "f", "g", "h"}}
+		if fresh {
+			hosts.New = hosts.Hosts
+		}
+		o.Step(0, hosts)
+		o.Step(0, Gained{Shard: model.WorkspaceShard("w"), Epoch: 1, Until: 1 << 60})
+		drawFrom(o, 300*time.Millisecond, 1, 1)
+		granted := drawFrom(o, 700*time.Millisecond, 2, 1000).Granted
+		if fresh {
+			require.Greater(t, granted, 35, "half a second of the rate")
+		} else {
+			require.Less(t, granted, 15, "three hosts of four may use their shares")
+		}
+	}
+}
+
 // Guards against more than the quota in any window, whatever the combination of
 // owners that live, move, freeze and wake, hosts that are cut off or restart, and
 // lost messages.
--- a/internal/admit/owner.go
+++ b/internal/admit/owner.go
@@ -75,7 +75,7 @@
 	case Received:
 		o.receive(now, ev)
 	case HostsChanged:
-		o.attend(now, ev.Hosts)
+		o.attend(now, ev)
 	case StandbysChanged:
 		o.standbys = ev.Standbys
 		for i := range o.shards {
--- a/internal/node/control.go
+++ b/internal/node/control.go
@@ -7,6 +7,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-logr/logr"
@@ -49,7 +50,11 @@
 	node *ctrl.Node
 	core *runner[ctrl.Event, ctrl.Effect]
 	disk *persister[ctrl.Persist]
-	file store.Store
+	file *diskFile
+	// opts are those of the consensus core, also of the one after a failure of the disk.
+	opts []ctrl.Option
+	// opened counts how often the log was opened; results for an earlier core are dropped.
+	opened atomic.Int64
 
 	nonces    nonces
 	proposals *waiters[uint64, model.Result]
@@ -79,11 +84,13 @@
 	learn    func([]proto.Member)
 	// run starts a task in the background.
 	run func(task func())
+	// disk are options of the log's folder, for tests.
+	disk []store.Option
 }
 
 // openControl opens the configuration log below the data folder and returns the clean-up function.
 func openControl(s controlSetup) (*controlHost, func() error, error) {
-	file, contents, closeFile, err := store.Open(filepath.Join(s.dataDir, logFolder))
+	file, contents, err := openDiskFile(filepath.Join(s.dataDir, logFolder), "the configuration log", s.log, s.disk...)
 	if err != nil {
 		return nil, nil, err
 	}
@@ -101,31 +108,56 @@
 		s.log.Info("cut an unfinished append off the configuration log", "bytes", contents.TornBytes)
 	}
 	if err := c.start(s, contents); err != nil {
-		_ = closeFile()
-		return nil, nil, err
+		return nil, nil, errors.Join(err, file.close())
 	}
-	return c, closeFile, nil
+	return c, file.close, nil
 }
 
 func (c *controlHost) start(s controlSetup, contents store.Contents) error {
-	recovered, err := ctrl.Recover(contents.Snapshot, contents.Records)
-	if err != nil {
-		return eris.Wrap(err, "read the configuration log")
-	}
-	opts := []ctrl.Option{ctrl.WithSeed(uint64(s.self.Incarnation))}
+	c.opts = []ctrl.Option{ctrl.WithSeed(uint64(s.self.Incarnation))}
 	if s.create {
-		opts = append(opts, ctrl.WithBootstrap(s.controls, s.seats))
+		c.opts = append(c.opts, ctrl.WithBootstrap(s.controls, s.seats))
 	}
-	c.node, err = ctrl.New(s.self.Host, recovered, opts...)
+	var err error
+	c.node, err = c.coreOf(contents)
 	if err != nil {
 		return err
 	}
 	c.core = newRunner(c.clock, c.node.Step, c.apply)
 	c.disk = newPersister(
-		func(batch []ctrl.Persist) error { return writeLog(c.file, batch) },
+		func(batch []ctrl.Persist) error { return writeLog(c.file.store(), batch) },
 		func(p ctrl.Persist) { c.core.post(ctrl.Persisted{Seq: p.Seq}) },
 		c.fail,
 	)
+	c.disk.reopen = c.reopen
+	return nil
+}
+
+// coreOf returns a consensus core that starts from what the log holds.
+func (c *controlHost) coreOf(contents store.Contents) (*ctrl.Node, error) {
+	recovered, err := ctrl.Recover(contents.Snapshot, contents.Records)
+	if err != nil {
+		return nil, eris.Wrap(err, "read the configuration log")
+	}
+	return ctrl.New(c.self.Host, recovered, c.opts...)
+}
+
+// reopen opens the log again after its disk failed and starts a new core from
+// it, as a restart of the process does. The failed core asks for no writes.
+func (c *controlHost) reopen() error {
+	c.disk.take()
+	contents, err := c.file.reopen()
+	if err != nil {
+		return err
+	}
+	node, err := c.coreOf(contents)
+	if err != nil {
+		c.log.Error(err, "the configuration log cannot be used after its disk failed")
+		return err
+	}
+	c.opened.Add(1)
+	c.core.replace(node.Step, func() { c.node = node })
+	c.log.Info("this host takes part in control again", "version", c.applied().Version)
 	return nil
 }
 
@@ -154,7 +186,7 @@
 }
 
 func (c *controlHost) fail(err error) {
-	c.log.Error(err, "the configuration log's disk failed; this host takes no part in control until it is restarted on a sound disk")
+	c.log.Error(err, "the configuration log's disk failed; this host takes no part in control until the disk takes writes again")
 	c.core.post(ctrl.DiskFailed{})
 }
 
@@ -165,7 +197,8 @@
 	case ctrl.Persist:
 		c.disk.add(f)
 	case ctrl.Encode:
-		c.run(func() { c.encode(f) })
+		opened := c.opened.Load()
+		c.run(func() { c.encode(f, opened) })
 	case ctrl.Applied:
 		c.log.Info("applied configuration", "version", f.Config.Version)
 		if c.follow != nil {
@@ -178,8 +211,8 @@
 	}
 }
 
-// encode encodes a large state outside the core.
-func (c *controlHost) encode(f ctrl.Encode) {
+// encode encodes a large state outside the core that was opened as the given number.
+func (c *controlHost) encode(f ctrl.Encode, opened int64) {
 	var data []byte
 	var err error
 	if f.ConfigOnly {
@@ -190,7 +223,9 @@
 	if err != nil {
 		c.log.Error(err, "cannot encode the configuration", "version", f.State.Config.Version)
 	}
-	c.core.post(ctrl.Encoded{Number: f.Number, Data: data})
+	if c.opened.Load() == opened {
+		c.core.post(ctrl.Encoded{Number: f.Number, Data: data})
+	}
 }
 
 func (c *controlHost) setLeader(f ctrl.LeaderChanged) {
--- /dev/null
+++ b/internal/node/disk_full_test.go
@@ -0,0 +1,191 @@
+package node
+
+import (
+	"context"
+	"path/filepath"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/stretchr/testify/require"
+
+	"tarragongauge.example/tarragongauge/internal/lease"
+	"tarragongauge.example/tarragongauge/internal/proto"
+	"tarragongauge.example/tarragongauge/internal/store"
+	"tarragongauge.example/tarragongauge/internal/super"
+	"tarragongauge.example/tarragongauge/pkg/model"
+)
+
+// fullDisk is a folder that refuses every write while it is full.
+type fullDisk struct {
+	store.Folder
+	full *atomic.Bool
+}
+
+func newFullDisk(t *testing.T, dir string) (fullDisk, store.Option) {
+	t.Helper()
+	folder, err := store.NewFolder(dir)
+	require.NoError(t, err)
+	d := fullDisk{Folder: folder, full: &atomic.Bool{}}
+	return d, store.WithFolder(d)
+}
+
+func (d fullDisk) Create(name string) (store.File, error) {
+	if d.full.Load() {
+		return nil, syscall.ENOSPC
+	}
+	f, err := d.Folder.Create(name)
+	return fullFile{File: f, full: d.full}, err
+}
+
+func (d fullDisk) Open(name string) (store.File, error) {
+	f, err := d.Folder.Open(name)
+	return fullFile{File: f, full: d.full}, err
+}
+
+type fullFile struct {
+	store.File
+	full *atomic.Bool
+}
+
+func (f fullFile) Write(p []byte) (int, error) {
+	if f.full.Load() {
+		return 0, syscall.ENOSPC
+	}
+	return f.File.Write(p)
+}
+
+// Guards against a seat that grants no shard until its process is restarted,
+// once its disk was full: three of five such seats left shards without owners.
+func TestSeatKeepsGrantsAgainAfterAFullDisk(t *testing.T) {
+	dir := t.TempDir()
+	disk, opt := newFullDisk(t, filepath.Join(dir, seatFolder))
+	m, _, closeFile, err := openSeatMemory(dir, logr.Discard(), opt)
+	require.NoError(t, err)
+	var kept atomic.Uint64
+	m.disk = newPersister(m.write, func(s seatSave) { kept.Store(s.keep.Number) }, m.fail)
+	m.disk.reopen = m.reopen
+	tree, stop := super.New("test")
+	t.Cleanup(stop)
+	tree.Go("seat", m.disk.run)
+	keep := func(number uint64, shard model.ShardID, epoch model.Epoch) {
+		m.disk.add(seatSave{keep: lease.Keep{Number: number, Grants: []proto.Owner{{Shard: shard, Host: "a", Epoch: epoch}}}})
+	}
+
+	keep(1, 1, 10)
+	require.Eventually(t, func() bool { return kept.Load() == 1 }, 5*time.Second, time.Millisecond)
+	disk.full.Store(true)
+	keep(2, 2, 20)
+	time.Sleep(2 * reopenEvery)
+	keep(3, 3, 30)
+	require.Equal(t, uint64(1), kept.Load(), "nothing is answered that is not on the disk")
+	disk.full.Store(false)
+	require.Eventually(t, func() bool {
+		keep(4, 4, 40)
+		return kept.Load() == 4
+	}, 5*time.Second, 50*time.Millisecond)
+	stop()
+	require.NoError(t, closeFile())
+
+	_, memory, closeFile, err := openSeatMemory(dir, logr.Discard())
+	require.NoError(t, err)
+	defer func() { require.NoError(t, closeFile()) }()
+	require.Equal(t, []proto.Owner{
+		{Shard: 1, Host: "a", Epoch: 10}, {Shard: 2, Host: "a", Epoch: 20}, {Shard: 3, Host: "a", Epoch: 30}, {Shard: 4, Host: "a", Epoch: 40},
+	}, memory.Grants, "also grants that were made while the disk was full")
+}
+
+// Guards against a control host that takes no part in control until its process
+// is restarted, once its disk was full, and against an accepted change that it loses.
+func TestControlTakesPartAgainAfterAFullDisk(t *testing.T) {
+	dir := t.TempDir()
+	disk, opt := newFullDisk(t, filepath.Join(dir, logFolder))
+	hosts := []model.HostID{"c1"}
+	setup := controlSetup{
+		self: proto.Member{Host: "c1", Incarnation: 1}, dataDir: dir, timing: lease.DefaultTiming(), controls: hosts, seats: hosts, create: true,
+		log: logr.Discard(), send: func(model.HostID, proto.Message) {}, learn: func([]proto.Member) {}, run: func(task func()) { task() },
+		disk: []store.Option{opt},
+	}
+	c, stopLog, err := openControl(setup)
+	require.NoError(t, err)
+	tree, stop := super.New("test")
+	t.Cleanup(stop)
+	tree.Go("log", c.disk.run)
+	tree.Go("ticks", func(ctx context.Context) error {
+		for ctx.Err() == nil {
+			c.tick()
+			time.Sleep(5 * time.Millisecond)
+		}
+		return nil
+	})
+	committed := func() uint64 { return c.figures().Commit }
+	propose := func(id model.ChangeID, ws model.WorkspaceID) {
+		ctx, cancel := context.WithCancel(t.Context())
+		cancel()
+		_, err := c.propose(ctx, model.Proposal{ID: id, Base: c.applied().Version, Change: model.CreateWorkspace{Workspace: ws}})
+		require.NoError(t, err)
+	}
+	require.Eventually(t, func() bool { return c.Ready() == nil }, 10*time.Second, 5*time.Millisecond)
+	before := committed()
+	propose("a", "w1")
+	require.Eventually(t, func() bool { return committed() > before }, 10*time.Second, 5*time.Millisecond)
+
+	disk.full.Store(true)
+	propose("b", "w2")
+	require.Eventually(t, func() bool { return c.Ready() != nil }, 10*time.Second, 5*time.Millisecond)
+	time.Sleep(2 * reopenEvery)
+	require.Error(t, c.Ready(), "the disk is full still")
+	disk.full.Store(false)
+	require.Eventually(t, func() bool { return c.Ready() == nil }, 10*time.Second, 5*time.Millisecond)
+	before = committed()
+	propose("c", "w3")
+	require.Eventually(t, func() bool { return committed() > before }, 10*time.Second, 5*time.Millisecond)
+	cfg := c.applied()
+	_, ok := cfg.Workspaces.Get("w1")
+	require.True(t, ok)
+	_, ok = cfg.Workspaces.Get("w3")
+	require.True(t, ok)
+	stop()
+	require.NoError(t, stopLog())
+}
+
+// Guards against targets that have left and are in use again after a restart,
+// because the list of the disk was not written any more once the disk was full.
+func TestKnownTargetsAreSavedAgainAfterAFullDisk(t *testing.T) {
+	dir := t.TempDir()
+	disk, opt := newFullDisk(t, filepath.Join(dir, knownFolder))
+	var tasks []func()
+	later := func(task func()) { tasks = append(tasks, task) }
+	open := func(opts ...store.Option) (*knownTargets, func() error) {
+		k, closeFile, err := openKnown(0, dir, time.Minute, logr.Discard(), later, opts...)
+		require.NoError(t, err)
+		return k, closeFile
+	}
+	k, closeFile := open(opt)
+	a := model.Announcement{Service: "s", Target: "t", Addr: "127.0.0.1:1", Slots: 3, Incarnation: 1, State: model.TargetReady}
+	at := func(d time.Duration) model.Instant { return model.Instant(hostsFor + d) }
+	due := func(d time.Duration) {
+		k.due(at(d))
+		for _, task := range tasks {
+			task()
+		}
+		tasks = nil
+	}
+	k.hear(at(0), a, true)
+	due(2 * time.Second)
+	disk.full.Store(true)
+	a.State = model.TargetLeaving
+	k.hear(at(3*time.Second), a, true)
+	due(4 * time.Second)
+	disk.full.Store(false)
+	due(6 * time.Second)
+	require.NoError(t, closeFile())
+
+	k, closeFile = open()
+	defer func() { require.NoError(t, closeFile()) }()
+	list, _, _ := k.targets(0, 0)
+	require.Len(t, list, 1)
+	require.Equal(t, model.TargetLeaving, list[0].State)
+}
--- a/internal/node/known.go
+++ b/internal/node/known.go
@@ -28,7 +28,7 @@
 // is safe for concurrent use.
 type knownTargets struct {
 	log  logr.Logger
-	file store.Store
+	file *diskFile
 	run  func(task func())
 	// failed holds what entry hosts tell.
 	failed *failedTargets
@@ -44,30 +44,30 @@
 	// restored is the number of entry hosts that the disk told, until restoredTo.
 	restored   int
 	restoredTo model.Instant
-	// unsaved is set after a failed write; nothing is written from then on.
+	// unsaved is set after a failed write; the next one opens the file again.
 	unsaved bool
 }
 
 // openKnown opens the known targets and returns the clean-up function. What
 // cannot be read is left out: targets announce themselves again.
-func openKnown(now model.Instant, dataDir string, staleAfter time.Duration, log logr.Logger, run func(func())) (*knownTargets, func() error, error) {
-	file, contents, closeFile, err := store.Open(filepath.Join(dataDir, knownFolder))
+func openKnown(now model.Instant, dataDir string, staleAfter time.Duration, log logr.Logger, run func(func()), opts ...store.Option) (*knownTargets, func() error, error) {
+	file, contents, err := openDiskFile(filepath.Join(dataDir, knownFolder), "the known targets", log, opts...)
 	if err != nil {
 		return nil, nil, eris.Wrap(err, "open the known targets")
 	}
 	k := &knownTargets{log: log, file: file, run: run, list: known.NewList(staleAfter), failed: newFailedTargets()}
 	if len(contents.Snapshot) == 0 {
-		return k, closeFile, nil
+		return k, file.close, nil
 	}
 	before, err := codec.DecodeKnown(contents.Snapshot)
 	if err != nil {
 		log.Error(err, "the known targets of the disk are not used")
-		return k, closeFile, nil
+		return k, file.close, nil
 	}
 	k.list.Restore(now, before.Targets)
 	k.restored, k.restoredTo = before.Hosts, now.Add(hostsFor)
 	log.Info("targets known from the disk", "targets", len(before.Targets), "hosts", before.Hosts)
-	return k, closeFile, nil
+	return k, file.close, nil
 }
 
 // hear takes an announcement and returns what the other control hosts must be told.
@@ -105,29 +105,41 @@
 	return list, digest, hosts
 }
 
-// save writes the list in the background if it changed. After an error nothing
-// is written any more: the file only shortens a restart.
+// save writes the list in the background if it changed. After an error it is
+// tried again: a restart would bring back targets that have left since.
 func (k *knownTargets) save(now model.Instant) {
 	list, digest := k.list.Targets()
-	if k.unsaved || k.saving || now < k.saveAt || now < k.restoredTo || digest == k.digest && k.hosts == k.saved.Hosts {
+	if k.saving || now < k.saveAt || now < k.restoredTo || digest == k.digest && k.hosts == k.saved.Hosts {
 		return
 	}
 	k.saved = codec.KnownTargets{Targets: list, Hosts: k.hosts}
 	k.digest, k.saveAt, k.saving = digest, now.Add(saveEvery), true
-	state := k.saved
-	k.run(func() { k.write(state) })
+	state, reopen := k.saved, k.unsaved
+	k.run(func() { k.write(state, reopen) })
 }
 
-func (k *knownTargets) write(state codec.KnownTargets) {
-	data, err := codec.EncodeKnown(state)
-	if err == nil {
-		err = k.file.Snapshot(data)
-	}
+func (k *knownTargets) write(state codec.KnownTargets, reopen bool) {
+	err := k.writeFile(state, reopen)
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	k.saving = false
+	if err != nil && !k.unsaved {
+		k.log.Error(err, "cannot save the known targets; it is tried again")
+	}
+	if k.unsaved = err != nil; k.unsaved {
+		k.digest = 0
+	}
+}
+
+func (k *knownTargets) writeFile(state codec.KnownTargets, reopen bool) error {
+	data, err := codec.EncodeKnown(state)
 	if err != nil {
-		k.unsaved = true
-		k.log.Error(err, "cannot save the known targets; after a restart the host waits for their announcements")
+		return err
+	}
+	if reopen {
+		if _, err := k.file.reopen(); err != nil {
+			return err
+		}
 	}
+	return k.file.store().Snapshot(data)
 }
--- a/internal/node/owner_part.go
+++ b/internal/node/owner_part.go
@@ -4,6 +4,7 @@
 	"context"
 	"slices"
 	"sync/atomic"
+	"time"
 
 	"github.com/go-logr/logr"
 
@@ -14,6 +15,14 @@
 	"tarragongauge.example/tarragongauge/pkg/model"
 )
 
+const (
+	// togetherWithin is how much earlier than this process a host may have started
+	// that counts as started with it; clocks differ a little.
+	togetherWithin = 5 * time.Second
+	// togetherFor is how long a process counts as new.
+	togetherFor = 15 * time.Second
+)
+
 // ownerPart drives the cores that own shards on a control host, in a fleet
 // whose entry hosts own none. It also passes on the announcements that the host
 // takes, and holds them, so that a new owner learns of the targets at once.
@@ -25,6 +34,8 @@
 	hosts  hostSet
 	prober *prober
 	clock  clock
+	// startedAt is when this process started.
+	startedAt model.Instant
 	// known holds all targets.
 	known *knownTargets
 	// controls are the live control hosts, sorted by host.
@@ -40,6 +51,7 @@
 // newOwnerPart returns the owner side of a control host and its clean-up function.
 func newOwnerPart(self proto.Member, timing lease.Timing, tune pool.Tuning, known *knownTargets, log logr.Logger, send func(model.HostID, proto.Message), limits ...admit.Option) (*ownerPart, func()) {
 	p := &ownerPart{log: log, self: self, send: send, clock: newClock(), known: known}
+	p.startedAt = p.clock.now()
 	cfg := model.NewConfig(nil, nil)
 	p.cfg.Store(&cfg)
 	c := newClock()
@@ -88,10 +100,26 @@
 		p.log.Info("entry host lost", "host", id)
 		p.targets.post(pool.HostGone{Host: id})
 	}
-	p.buckets.post(admit.HostsChanged{Hosts: p.hosts.hosts})
+	p.buckets.post(admit.HostsChanged{Hosts: p.hosts.hosts, New: p.startedTogether(members)})
 	p.buckets.post(admit.StandbysChanged{Standbys: workspaceStandbys(members, p.self)})
 }
 
+// startedTogether returns the entry hosts that started with this process, as
+// after a loss of power of all hosts, while it is new.
+func (p *ownerPart) startedTogether(members []proto.Member) []model.HostID {
+	if p.clock.now().Sub(p.startedAt) > togetherFor {
+		return nil
+	}
+	var list []model.HostID
+	since := p.self.Incarnation - model.Incarnation(togetherWithin.Microseconds())
+	for _, m := range members {
+		if m.Role == proto.RoleEntry && m.Incarnation >= since {
+			list = append(list, m.Host)
+		}
+	}
+	return list
+}
+
 // nearControl returns this host if it lies in the zone, else the first live control host there.
 func (p *ownerPart) nearControl(zone model.ZoneName) model.HostID {
 	controls := p.controls.Load()
--- a/internal/node/run_seat.go
+++ b/internal/node/run_seat.go
@@ -91,6 +91,7 @@
 // remember keeps what the seat needs after a restart.
 func (h *seatHost) remember(m *seatMemory) {
 	m.disk = newPersister(m.write, h.kept, m.fail)
+	m.disk.reopen = m.reopen
 	h.memory = m
 }
 
--- a/internal/node/runner.go
+++ b/internal/node/runner.go
@@ -2,10 +2,14 @@
 
 import (
 	"sync"
+	"time"
 
 	"tarragongauge.example/tarragongauge/pkg/model"
 )
 
+// replaceWait is the interval of looking whether all effects are carried out.
+const replaceWait = time.Millisecond
+
 // runner drives one decision core. Events may be posted from any goroutine,
 // also while an effect of the same core is carried out. Effects are carried
 // out one at a time, in the order in which the core returned them.
@@ -54,3 +58,19 @@
 	defer r.mu.Unlock()
 	fn(r.clock.now())
 }
+
+// replace lets another core take the events from now on. It waits until the
+// effects of the earlier one are carried out; then swap runs.
+func (r *runner[E, F]) replace(step func(model.Instant, E) []F, swap func()) {
+	for {
+		r.mu.Lock()
+		if !r.busy && len(r.queue) == 0 {
+			r.step = step
+			swap()
+			r.mu.Unlock()
+			return
+		}
+		r.mu.Unlock()
+		time.Sleep(replaceWait)
+	}
+}
--- a/internal/node/seat_memory.go
+++ b/internal/node/seat_memory.go
@@ -31,9 +31,10 @@
 // written by the persister only.
 type seatMemory struct {
 	log  logr.Logger
-	file store.Store
+	file *diskFile
 	disk *persister[seatSave]
-	// grants, config and records are used by the persister only.
+	// grants, config and records are used by the persister only. They include what
+	// a failed write held.
 	grants  [model.Shards]proto.Owner
 	config  []byte
 	records int
@@ -52,8 +53,8 @@
 }
 
 // openSeatMemory opens the memory of a seat. The first function is the clean-up.
-func openSeatMemory(dataDir string, log logr.Logger) (*seatMemory, lease.Memory, func() error, error) {
-	file, contents, closeFile, err := store.Open(filepath.Join(dataDir, seatFolder))
+func openSeatMemory(dataDir string, log logr.Logger, opts ...store.Option) (*seatMemory, lease.Memory, func() error, error) {
+	file, contents, err := openDiskFile(filepath.Join(dataDir, seatFolder), "the seat's grants", log, opts...)
 	if err != nil {
 		return nil, lease.Memory{}, nil, eris.Wrap(err, "open what the seat remembers")
 	}
@@ -63,7 +64,7 @@
 		return nil, lease.Memory{}, nil, eris.Wrap(err, "read what the seat remembers")
 	}
 	log.Info("seat remembers from the disk", "grants", len(memory.Grants), "settled", memory.Settled, "version", memory.Config.Version)
-	return m, memory, closeFile, nil
+	return m, memory, file.close, nil
 }
 
 func (m *seatMemory) restore(contents store.Contents) (lease.Memory, error) {
@@ -110,6 +111,20 @@
 
 // write syncs a batch with one append, or with a new snapshot from time to time.
 func (m *seatMemory) write(batch []seatSave) error {
+	r := recordOf(batch)
+	m.take(r)
+	m.records++
+	if r.Config != nil || m.records >= seatRecords {
+		return m.rewrite()
+	}
+	data, err := codec.EncodeSeat(r)
+	if err != nil {
+		return err
+	}
+	return m.file.store().Append(data)
+}
+
+func recordOf(batch []seatSave) codec.SeatRecord {
 	var r codec.SeatRecord
 	for _, s := range batch {
 		r.Grants = append(r.Grants, s.keep.Grants...)
@@ -117,25 +132,31 @@
 			r.Config = s.config
 		}
 	}
-	m.take(r)
-	m.records++
-	if r.Config == nil && m.records < seatRecords {
-		data, err := codec.EncodeSeat(r)
-		if err != nil {
-			return err
-		}
-		return m.file.Append(data)
-	}
+	return r
+}
+
+// rewrite replaces all records by one snapshot.
+func (m *seatMemory) rewrite() error {
 	data, err := codec.EncodeSeat(codec.SeatRecord{Config: m.config, Grants: m.known()})
 	if err != nil {
 		return err
 	}
 	m.records = 0
-	return m.file.Snapshot(data)
+	return m.file.store().Snapshot(data)
 }
 
 func (m *seatMemory) fail(err error) {
-	m.log.Error(err, "the seat's disk failed; it grants no shard until it is restarted on a sound disk")
+	m.log.Error(err, "the seat's disk failed; it grants no shard until the disk takes writes again")
+}
+
+// reopen opens the file again and writes all grants, also those that the seat
+// made meanwhile. Their answers are dropped: the claimers ask again.
+func (m *seatMemory) reopen() error {
+	m.take(recordOf(m.disk.take()))
+	if _, err := m.file.reopen(); err != nil {
+		return err
+	}
+	return m.rewrite()
 }
 
 // note takes what the freshness client publishes.
--- a/internal/store/folder.go
+++ b/internal/store/folder.go
@@ -53,6 +53,9 @@
 // diskFolder is a Folder of the operating system.
 type diskFolder struct{ dir string }
 
+// NewFolder returns a folder of the operating system and creates it if it is missing.
+func NewFolder(dir string) (Folder, error) { return openFolder(dir) }
+
 func openFolder(dir string) (diskFolder, error) {
 	return diskFolder{dir: dir}, os.MkdirAll(dir, folderMode)
 }
--- a/internal/store/log.go
+++ b/internal/store/log.go
@@ -20,11 +20,20 @@
 // Option changes how a data folder is opened.
 type Option func(*options)
 
-type options struct{ folder Folder }
+type options struct {
+	folder  Folder
+	rewrite bool
+}
 
 // WithFolder replaces the folder of the operating system.
 func WithFolder(f Folder) Option { return func(o *options) { o.folder = f } }
 
+// WithRewrite opens a folder again after a write or sync has failed. What was
+// read is written to new files and synced: after a failed sync the kernel may
+// have dropped pages that it still returns to readers, and a later sync of the
+// same file succeeds without them.
+func WithRewrite() Option { return func(o *options) { o.rewrite = true } }
+
 // request is one call of Append that waits for its sync.
 type request struct {
 	records [][]byte
@@ -36,6 +45,8 @@
 // Log is an open data folder. It implements Store.
 type Log struct {
 	folder Folder
+	// rewrite is set if the files are written anew while the log is opened.
+	rewrite bool
 
 	// writer is held by the caller that writes. Callers that wait for it find
 	// their records synced by the caller before them, or write all that wait.
@@ -66,7 +77,7 @@
 	if err != nil {
 		return nil, Contents{}, nil, fmt.Errorf("lock data folder %q: %w", dir, err)
 	}
-	l := &Log{folder: o.folder}
+	l := &Log{folder: o.folder, rewrite: o.rewrite}
 	contents, err := l.recover()
 	if err != nil {
 		return nil, Contents{}, nil, errors.Join(fmt.Errorf("recover data folder %q: %w", dir, err), l.closeFile(), unlock())
@@ -102,6 +113,11 @@
 		if err != nil {
 			return Contents{}, err
 		}
+		if l.rewrite {
+			if err := l.replaceSnapshot(contents.Snapshot, l.generation); err != nil {
+				return Contents{}, err
+			}
+		}
 	}
 	if err := l.readLog(&contents); err != nil {
 		return Contents{}, err
@@ -148,15 +164,9 @@
 
 // create writes the first log under another name, so that a crash leaves a folder that counts as empty.
 func (l *Log) create() error {
-	f, err := l.writeFile(logTemp, encodeFileHeader(0))
-	if err != nil {
-		return err
-	}
-	l.file = f
-	if err := l.folder.Rename(logTemp, logName(0)); err != nil {
-		return err
-	}
-	return l.folder.Sync()
+	var err error
+	l.file, err = l.replaceLog(logName(0), encodeFileHeader(0))
+	return err
 }
 
 // writeFile creates a synced file and leaves it open.
@@ -218,6 +228,10 @@
 	contents.Records = s.records
 	contents.TornBytes = int64(len(data)) - s.good
 	l.seq = s.seq
+	if l.rewrite {
+		l.file, err = l.replaceLog(name, data[:s.good])
+		return err
+	}
 	l.file, err = l.folder.Open(name)
 	if err != nil {
 		return err
@@ -230,6 +244,22 @@
 	return l.file.Sync()
 }
 
+// replaceLog atomically replaces a log by one with the same content and leaves it open.
+func (l *Log) replaceLog(name string, data []byte) (File, error) {
+	f, err := l.writeFile(logTemp, data)
+	if err != nil {
+		return nil, err
+	}
+	err = l.folder.Rename(logTemp, name)
+	if err == nil {
+		err = l.folder.Sync()
+	}
+	if err != nil {
+		return nil, errors.Join(err, f.Close())
+	}
+	return f, nil
+}
+
 // removeStale removes files of older generations and of interrupted calls.
 func (l *Log) removeStale(names []string) error {
 	for _, n := range names {
@@ -335,7 +365,7 @@
 	if err != nil {
 		return l.fail(err)
 	}
-	if err := l.replaceSnapshot(data); err != nil {
+	if err := l.replaceSnapshot(data, l.generation+1); err != nil {
 		return errors.Join(l.fail(err), next.Close())
 	}
 	old := l.file
@@ -346,11 +376,12 @@
 	return nil
 }
 
-func (l *Log) replaceSnapshot(data []byte) error {
+// replaceSnapshot atomically replaces the snapshot by one of a generation whose log exists.
+func (l *Log) replaceSnapshot(data []byte, generation uint64) error {
 	if err := l.folder.Sync(); err != nil {
 		return err
 	}
-	content := appendFrame(encodeFileHeader(l.generation+1), 0, [][]byte{data})
+	content := appendFrame(encodeFileHeader(generation), 0, [][]byte{data})
 	f, err := l.writeFile(snapshotTemp, content)
 	if err != nil {
 		return err
--- a/internal/store/store_test.go
+++ b/internal/store/store_test.go
@@ -22,6 +22,9 @@
 	folder *memFolder
 	data   []byte
 	synced []byte
+	// lost is set after a failed sync: the file reads as before, but what was not
+	// synced by then never reaches the disk.
+	lost bool
 }
 
 // memFolder is a Folder in memory whose calls start to fail after a number of them.
@@ -115,9 +118,12 @@
 func (f *memFile) Sync() error {
 	f.folder.syncs++
 	if err := f.folder.fault(); err != nil {
+		f.lost = true
 		return err
 	}
-	f.synced = bytes.Clone(f.data)
+	if !f.lost {
+		f.synced = bytes.Clone(f.data)
+	}
 	return nil
 }
 
