--- a/internal/conf/setting.go
+++ b/internal/conf/setting.go
@@ -172,6 +172,10 @@
 			Setting{Section: "limits", Key: "body_bytes", Roles: entryOrAll, Default: "1048576", Allowed: "a number from 1024 to 67108864", Help: "longest request body of a caller"},
 			func(v *values, _ files, s string) []problem { return parseInt(&v.limits.BodyBytes, s, 1<<10, 64<<20) },
 		},
+		{
+			Setting{Section: "limits", Key: "answer_bytes", Roles: entryOrAll, Default: "67108864", Allowed: "a number from 1024 to 1073741824", Help: "longest response body of a target; a longer one is broken off, since it may have no end"},
+			func(v *values, _ files, s string) []problem { return parseInt(&v.limits.AnswerBytes, s, 1<<10, 1<<30) },
+		},
 		durationSetting("header_timeout", entryOrAll, "5s", "time a caller has to send a header", func(v *values) *time.Duration { return &v.limits.HeaderTimeout }),
 		durationSetting("body_timeout", entryOrAll, "10s", "time a caller has to send a body", func(v *values) *time.Duration { return &v.limits.BodyTimeout }),
 		durationSetting("idle_timeout", entryOrAll, "60s", "time after which an idle connection of a caller is closed", func(v *values) *time.Duration { return &v.limits.IdleTimeout }),
--- a/internal/conf/types.go
+++ b/internal/conf/types.go
@@ -91,8 +91,10 @@
 
 // Limits bounds what a process accepts.
 type Limits struct {
-	HeaderBytes    int
-	BodyBytes      int
+	HeaderBytes int
+	BodyBytes   int
+	// AnswerBytes bounds the response body of a target.
+	AnswerBytes    int
 	HeaderTimeout  time.Duration
 	BodyTimeout    time.Duration
 	IdleTimeout    time.Duration
--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -178,6 +178,9 @@
 	case !c.echoed(a.res.Header) || a.res.StatusCode == http.StatusSwitchingProtocols:
 		a.err = errors.New("the answer does not carry the id of the request")
 		a.drop(model.AttemptInvalid)
+	case a.res.ContentLength > c.s.limits.AnswerBody:
+		a.err = errAnswerTooLarge
+		a.drop(model.AttemptInvalid)
 	case !c.s.endless && endless(c.r.Method, a.res):
 		a.err = errors.New("the answer has neither a length nor chunks, so that its end cannot be recognized")
 		a.drop(model.AttemptInvalid)
--- a/internal/entry/options.go
+++ b/internal/entry/options.go
@@ -19,6 +19,9 @@
 	Replay int
 	// Hold is the largest response body held back for a retry, in bytes.
 	Hold int
+	// AnswerBody bounds a response body in bytes. A longer one is broken off and
+	// counts against its target.
+	AnswerBody int64
 	// Answer is the largest response body stored for resends of an order, in bytes.
 	Answer int
 	// Announce bounds the body of an announcement in bytes.
@@ -45,6 +48,7 @@
 		Body:           32 << 20,
 		Replay:         64 << 10,
 		Hold:           64 << 10,
+		AnswerBody:     64 << 20,
 		Answer:         64 << 10,
 		Announce:       16 << 10,
 		HeaderTime:     5 * time.Second,
--- a/internal/entry/reply.go
+++ b/internal/entry/reply.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"errors"
 	"io"
 	"net/http"
 	"slices"
@@ -12,6 +13,9 @@
 	"tarragongauge.example/tarragongauge/pkg/model"
 )
 
+// errAnswerTooLarge ends an answer that may have no end.
+var errAnswerTooLarge = errors.New("the answer exceeds the bound on response bodies; raise answer_bytes in [limits] if it is valid")
+
 // copySize is the unit in which bodies are passed on.
 const copySize = 32 << 10
 
@@ -174,8 +178,12 @@
 		return nil, err
 	}
 	buf := make([]byte, copySize)
+	left := c.s.limits.AnswerBody - int64(len(head))
 	for {
 		n, err := body.Read(buf)
+		if left -= int64(n); left < 0 {
+			return errAnswerTooLarge, nil
+		}
 		if n > 0 {
 			saved.add(buf[:n])
 			if _, werr := c.w.Write(buf[:n]); werr != nil {
--- a/internal/node/run_entry.go
+++ b/internal/node/run_entry.go
@@ -154,6 +154,7 @@
 	l := entry.DefaultLimits()
 	l.Header = c.HeaderBytes
 	l.Body = int64(c.BodyBytes)
+	l.AnswerBody = int64(c.AnswerBytes)
 	l.HeaderTime = c.HeaderTimeout
 	l.IdleTime = c.IdleTimeout
 	return l
