Send starting hosts to a control host of their zone; refresh views less often

Ruled out: requests to targets of other zones.

Change: a host without a configuration that knows no control host of its zone says so, and a relay of another zone answers with the control hosts only if one of them is in the asker's zone. A host whose own zone's does not answer is served as before. Views are refreshed each 15 s: they are used only while an owner is lost, and relays tell which targets leave or fail.

--- a/internal/lease/fresh.go
+++ b/internal/lease/fresh.go
@@ -158,7 +158,7 @@
 func (f *Fresh) ask(now model.Instant, host model.HostID, nonce uint64) proto.FreshAsk {
 	m := f.self
 	m.Draining = f.draining || !f.canOwn(now)
-	ask := proto.FreshAsk{Nonce: nonce, Have: f.hist.version(), Member: m, TargetsDigest: f.targetList.digest, PeersDigest: f.peersDigest}
+	ask := proto.FreshAsk{Nonce: nonce, Have: f.hist.version(), Member: m, TargetsDigest: f.targetList.digest, PeersDigest: f.peersDigest, Starting: f.settings.relay && f.seeksZone()}
 	if p, ok := f.peers[host]; ok {
 		ask.MembersDigest, ask.OwnersDigest = p.lists.membersDigest, p.lists.ownersDigest
 	}
--- a/internal/lease/relay.go
+++ b/internal/lease/relay.go
@@ -110,9 +110,38 @@
 	}
 	for _, member := range m.Members {
 		r.zones[member.Host] = member.Zone
+		if !f.hist.known && member.Role == proto.RoleControl {
+			f.controls = addHosts(f.controls, []model.HostID{member.Host})
+		}
 	}
 }
 
+// seeksZone reports whether this host has no configuration yet and knows of no
+// control host of its zone.
+func (f *Fresh) seeksZone() bool {
+	return !f.hist.known && !slices.ContainsFunc(f.relayHosts(), f.inOwnZone)
+}
+
+// elsewhere returns the live control hosts if a starting host should ask one of
+// its own zone for the configuration and the lists, which are large.
+func (f *Fresh) elsewhere(ask proto.FreshAsk) []proto.Member {
+	if !ask.Starting || ask.Member.Zone == f.self.Zone {
+		return nil
+	}
+	var controls []proto.Member
+	near := false
+	for _, m := range f.members {
+		if m.Role == proto.RoleControl && !m.Draining {
+			controls = append(controls, m)
+			near = near || m.Zone == ask.Member.Zone
+		}
+	}
+	if !near {
+		return nil
+	}
+	return controls
+}
+
 // Relay answers the ask of an entry host on behalf of all control hosts, from
 // what this host was confirmed last. The age of that confirmation is part of
 // the answer, so the asker's right to serve ends as if it had asked itself.
@@ -121,6 +150,9 @@
 	if !f.hist.known || f.until == 0 {
 		return proto.FreshReply{}, false
 	}
+	if controls := f.elsewhere(ask); controls != nil {
+		return proto.FreshReply{Nonce: ask.Nonce, FromControl: true, Members: controls, MembersDigest: Digest(controls)}, true
+	}
 	confirmed := f.until.Add(-f.timing.atMost(f.timing.Fresh))
 	reply := proto.FreshReply{Nonce: ask.Nonce, Newest: f.hist.version(), FromControl: true, Age: max(0, now.Sub(confirmed)), SeatsSettled: f.settled}
 	changes, held := f.hist.update(ask.Have)
--- a/internal/lease/relay_test.go
+++ b/internal/lease/relay_test.go
@@ -237,3 +237,59 @@
 	require.Contains(t, e.takeLists(proto.FreshReply{Peers: []model.HostID{"e2"}, PeersDigest: 5}), PeersListed{Peers: []model.HostID{"e2"}})
 	require.Empty(t, e.takeLists(proto.FreshReply{PeersDigest: 5}))
 }
+
+// Guards against hosts that all start at once and get the configuration and all
+// lists from a control host of another zone, and against a host that is sent to
+// one of its own zone again and again while that one does not answer.
+func TestStartingHostIsSentToItsZone(t *testing.T) {
+	for _, silent := range []bool{false, true} {
+		f := newRelayFleet(t)
+		f.silent["c"] = silent
+		far := 0
+		for end := f.now.Add(4 * time.Second); f.now < end; f.now = f.now.Add(20 * time.Millisecond) {
+			for _, e := range f.fresh.Step(f.now, Tick{}) {
+				send, ok := e.(Send)
+				if !ok || f.silent[send.To] {
+					continue
+				}
+				ask := send.Msg.(proto.FreshAsk)
+				reply := f.reply(send.To, ask)
+				if ask.Starting && f.zones[send.To] != "z2" {
+					reply = proto.FreshReply{Nonce: ask.Nonce, FromControl: true, Members: reply.Members, MembersDigest: reply.MembersDigest}
+				} else if ask.Have == 0 && f.zones[send.To] != "z2" {
+					far++
+				}
+				f.fresh.Step(f.now.Add(time.Millisecond), Received{From: send.To, Msg: reply})
+			}
+			if !silent && f.now > model.Instant(500*time.Millisecond) {
+				require.NotZero(t, f.fresh.hist.version(), "it has a configuration after two round trips")
+			}
+		}
+		require.Equal(t, f.cfg.Version, f.fresh.hist.version())
+		if silent {
+			require.Positive(t, far, "another zone serves it instead")
+		} else {
+			require.Zero(t, far)
+		}
+	}
+}
+
+// Guards against a relay that keeps the configuration from a starting host whose
+// zone has no live control host.
+func TestRelayServesStartingHostsOfZonesWithoutControl(t *testing.T) {
+	f := NewFresh(controlMember("a", "z1"), WithRelay())
+	f.members = []proto.Member{controlMember("a", "z1"), controlMember("c", "z2")}
+	f.hist.replace(model.NewConfig(nil, nil).WithVersion(3))
+	f.until = model.Instant(time.Minute)
+	ask := func(zone model.ZoneName, starting bool) proto.FreshReply {
+		m := proto.Member{Host: "e", Role: proto.RoleEntry, Zone: zone, Incarnation: 1}
+		reply, ok := f.Relay(1, proto.FreshAsk{Nonce: 1, Member: m, Starting: starting})
+		require.True(t, ok)
+		return reply
+	}
+	require.Zero(t, ask("z2", true).Newest)
+	require.Len(t, ask("z2", true).Members, 2)
+	require.NotEmpty(t, ask("z2", false).Snapshot, "its own control host does not answer")
+	require.NotEmpty(t, ask("z3", true).Snapshot, "its zone has none")
+	require.NotEmpty(t, ask("z1", true).Snapshot)
+}
--- a/internal/node/seat_part.go
+++ b/internal/node/seat_part.go
@@ -38,6 +38,10 @@
 	var ok bool
 	h.fresh.read(func(now model.Instant) { reply, ok = h.freshCore.Relay(now, ask) })
 	h.seat.post(lease.Heard{Member: ask.Member})
+	if ok && reply.Newest == 0 {
+		h.mesh.Send(from, reply)
+		return
+	}
 	if ok {
 		known.tell(h.clock.now(), &reply, ask.TargetsDigest)
 		reply.Doubted = known.failed.recent(h.clock.now())
--- a/internal/pool/tuning.go
+++ b/internal/pool/tuning.go
@@ -174,7 +174,7 @@
 	t.ZonePenalty = 1 + t.UnprovenPenalty
 	// Lists of targets are used only while the owner is lost, and relays tell
 	// which targets leave.
-	t.ViewEvery = 5 * time.Second
+	t.ViewEvery = 15 * time.Second
 	// Callers with the shortest deadlines have time to come back.
 	t.LocalWait = 700 * time.Millisecond
 	return t
--- a/internal/proto/message.go
+++ b/internal/proto/message.go
@@ -153,6 +153,9 @@
 		Failed []model.TargetID
 		// PeersDigest identifies the other entry hosts that the asker knows.
 		PeersDigest uint64
+		// Starting is set while the asker knows no configuration and no control host
+		// of its zone. A relay of another zone then only tells it of that one.
+		Starting bool
 	}
 	// PeerAsk asks another host whether it reaches the owners.
 	PeerAsk struct{ Nonce uint64 }
