--- a/internal/pool/news.go
+++ b/internal/pool/news.go
@@ -78,7 +78,7 @@
 	s.owner = o
 	s.disowned = false
 	s.unanswered = 0
-	s.asked = 0
+	s.asked, s.listAsked = 0, 0
 	if o.Host == "" {
 		p.serveLocally(now, s)
 		return
--- a/internal/pool/status.go
+++ b/internal/pool/status.go
@@ -125,6 +125,11 @@
 		o.send(from, reply)
 		return
 	}
+	if m.Brief {
+		reply.Digest = m.Digest
+		o.send(from, reply)
+		return
+	}
 	reply.Digest = s.digest()
 	if m.Digest != reply.Digest {
 		reply.Targets = s.views(now)
--- a/internal/proto/message.go
+++ b/internal/proto/message.go
@@ -364,6 +364,8 @@
 	ViewAsk struct {
 		Service model.ServiceName
 		Digest  uint64
+		// Brief asks whether the owner responds, and for no list.
+		Brief bool
 	}
 	// ViewReply answers ViewAsk; Targets is nil when the digests agree. Digest
 	// is 0 while a new owner still reconstructs its state and has no view.
--- a/internal/wire/pool.go
+++ b/internal/wire/pool.go
@@ -77,6 +77,7 @@
 type viewAsk struct {
 	Service model.ServiceName `cbor:"1,keyasint"`
 	Digest  uint64            `cbor:"2,keyasint"`
+	Brief   bool              `cbor:"3,keyasint,omitempty"`
 }
 
 type targetView struct {
