Compress long frames against a window of 24 KiB

Change: a link keeps 24 KiB of each direction, and frames from 2 KiB on are compressed against all of it by pooled compressors. Shorter ones use the last 8 KiB as before.

Figures: of 18 KB of random bytes that are repeated with a few changed, less than a twentieth is sent (TestRepeatedConfigurationsShrink, failed before with the whole).

--- a/internal/defl/defl.go
+++ b/internal/defl/defl.go
@@ -1,10 +1,10 @@
 // Package defl compresses the frames of a link against the earlier ones with a
 // small window, so that a host can hold a link to each host of a large fleet: a
-// link keeps 16 KiB at most, and the compressors are shared by all links.
+// link keeps 56 KiB at most, and the compressors are shared by all links.
 //
 // A frame is a byte that tells its form, followed by the content as it is or in
-// the DEFLATE format of RFC 1951, with the last 8 KiB of the earlier contents
-// as the preset dictionary.
+// the DEFLATE format of RFC 1951, with the end of the earlier contents as the
+// preset dictionary.
 package defl
 
 import (
@@ -18,11 +18,19 @@
 )
 
 const (
-	// window is the length in bytes of the earlier contents that a frame refers
-	// to. It is the longest dictionary of flate.StatelessDeflate.
-	window = 8 << 10
-	// minLength is the length in bytes from which a frame is compressed.
-	minLength = 48
+	// window is the length in bytes of the earlier contents that a frame may refer
+	// to. It holds a whole configuration of some 80 workspaces, which changes
+	// repeat, and slack is what more is kept to copy less often.
+	window = 24 << 10
+	slack  = 4 << 10
+	// minLength is the length in bytes from which a frame is compressed, and
+	// longLength that from which it is compressed against the whole window: a
+	// compressor takes some 100 us to read that. Others use the last 8 KiB, the
+	// longest dictionary of flate.StatelessDeflate.
+	minLength  = 48
+	longLength = 2 << 10
+	// longLevel is the fastest level that finds all of a repeated configuration.
+	longLevel = 3
 )
 
 // Forms of a frame.
@@ -45,7 +53,7 @@
 
 // history holds the end of the contents of all frames in one direction.
 type history struct {
-	// data is at most 2 × window long; its last window bytes are the dictionary.
+	// data is at most window + slack long; its last window bytes are the dictionary.
 	data []byte
 }
 
@@ -58,25 +66,30 @@
 		h.data = append(h.data[:0], content[len(content)-window:]...)
 		return
 	}
-	if len(h.data)+len(content) > 2*window {
-		h.data = append(h.data[:0], h.dictionary()...)
+	if over := len(h.data) + len(content) - window - slack; over > 0 {
+		keep := window - len(content)
+		h.data = append(h.data[:0], h.data[len(h.data)-keep:]...)
 	}
 	h.data = append(h.data, content...)
 }
 
-// Compressor compresses the frames that one side of a link sends. The zero
-// value is ready. It is not safe for concurrent use.
+// Compressor compresses the frames that one side of a link sends. It is not safe
+// for concurrent use.
 type Compressor struct {
 	sent history
+	pool *Pool
 	buf  bytes.Buffer
 }
 
+// NewCompressor returns a compressor of a link.
+func NewCompressor(pool *Pool) *Compressor { return &Compressor{pool: pool} }
+
 // Frame returns the frame for a content. It is valid until the next call.
 func (c *Compressor) Frame(content []byte) ([]byte, error) {
 	c.buf.Reset()
 	if len(content) >= minLength {
 		c.buf.WriteByte(formDeflate)
-		if err := flate.StatelessDeflate(&c.buf, content, true, c.sent.dictionary()); err != nil {
+		if err := c.deflate(content); err != nil {
 			return nil, fmt.Errorf("compress a frame of %d bytes: %w", len(content), err)
 		}
 	}
@@ -89,6 +102,21 @@
 	return c.buf.Bytes(), nil
 }
 
+func (c *Compressor) deflate(content []byte) error {
+	if len(content) < longLength {
+		return flate.StatelessDeflate(&c.buf, content, true, c.sent.dictionary())
+	}
+	w, err := c.pool.deflater(&c.buf, c.sent.dictionary())
+	if err != nil {
+		return err
+	}
+	defer c.pool.deflaters.Put(w)
+	if _, err := w.Write(content); err != nil {
+		return err
+	}
+	return w.Close()
+}
+
 // Decompressor restores the frames that one side of a link receives. It is not
 // safe for concurrent use.
 type Decompressor struct {
@@ -129,10 +157,20 @@
 	}
 }
 
-// Pool holds inflaters, which need some 40 KiB each. The links of a host share
-// one. It is safe for concurrent use.
+// Pool holds inflaters, which need some 40 KiB each, and deflaters, which need
+// more. The links of a host share one. It is safe for concurrent use.
 type Pool struct {
 	inflaters sync.Pool
+	deflaters sync.Pool
+}
+
+// deflater returns a compressor that writes to w and refers to a dictionary.
+func (p *Pool) deflater(w io.Writer, dict []byte) (*flate.Writer, error) {
+	if d, ok := p.deflaters.Get().(*flate.Writer); ok {
+		d.ResetDict(w, dict)
+		return d, nil
+	}
+	return flate.NewWriterDict(w, longLevel, dict)
 }
 
 // NewPool returns a pool that creates inflaters as they are needed.
--- a/internal/defl/defl_test.go
+++ b/internal/defl/defl_test.go
@@ -15,7 +15,7 @@
 // however well they compress: every later frame refers to them.
 func TestContentsSurviveInSequence(t *testing.T) {
 	r := rand.New(rand.NewPCG(1, 2))
-	var c Compressor
+	c := NewCompressor(NewPool())
 	d := NewDecompressor(NewPool(), testLimit)
 	for i := range 2000 {
 		content := make([]byte, r.IntN(1+r.IntN(3*window)))
@@ -38,7 +38,7 @@
 // Guards against a window that forgets the message before: short messages of one
 // kind differ in a few bytes only.
 func TestRepeatedMessagesShrink(t *testing.T) {
-	var c Compressor
+	c := NewCompressor(NewPool())
 	message := strings.Repeat("workspace-17/stockbook/10.1.0.30:8782/", 4)
 	first, err := c.Frame([]byte(message + "1"))
 	require.NoError(t, err)
@@ -48,9 +48,40 @@
 	require.Less(t, len(second), long/2)
 }
 
+// Guards against configurations that are sent whole again and again: a series of
+// changes of 18 KB each, of which a few bytes differ, filled the links of 2
+// Mbit/s of entry hosts for seconds, so that a change was not in force in time
+// (grown egin, scale-1).
+func TestRepeatedConfigurationsShrink(t *testing.T) {
+	r := rand.New(rand.NewPCG(3, 4))
+	config := make([]byte, 18<<10)
+	for i := range config {
+		config[i] = byte(r.Uint32())
+	}
+	c := NewCompressor(NewPool())
+	d := NewDecompressor(NewPool(), testLimit)
+	for i := range 20 {
+		config[r.IntN(len(config))]++
+		frame, err := c.Frame(config)
+		require.NoError(t, err)
+		if i > 0 {
+			require.Less(t, len(frame), len(config)/20)
+		}
+		got, err := d.Content(frame)
+		require.NoError(t, err)
+		require.True(t, bytes.Equal(config, got))
+		small := bytes.Repeat([]byte{byte(i)}, 200)
+		frame, err = c.Frame(small)
+		require.NoError(t, err)
+		got, err = d.Content(frame)
+		require.NoError(t, err)
+		require.Equal(t, small, got)
+	}
+}
+
 // Guards against a peer whose small frame takes up the memory of the host.
 func TestContentAboveTheLimitIsRefused(t *testing.T) {
-	var c Compressor
+	c := NewCompressor(NewPool())
 	frame, err := c.Frame(make([]byte, testLimit+1))
 	require.NoError(t, err)
 	require.Less(t, len(frame), testLimit/100)
@@ -60,7 +91,7 @@
 
 // Guards against a malformed frame that is delivered as a message or that ends the process.
 func TestMalformedFramesAreRefused(t *testing.T) {
-	var c Compressor
+	c := NewCompressor(NewPool())
 	frame, err := c.Frame(bytes.Repeat([]byte("content "), 20))
 	require.NoError(t, err)
 	for name, bad := range map[string][]byte{
@@ -84,7 +115,7 @@
 }
 
 func BenchmarkFrame(b *testing.B) {
-	var c Compressor
+	c := NewCompressor(NewPool())
 	d := NewDecompressor(NewPool(), testLimit)
 	r := rand.New(rand.NewPCG(1, 2))
 	message := []byte(strings.Repeat("workspace-17/stockbook/10.1.0.30:8782/", 6))
@@ -99,3 +130,20 @@
 		}
 	}
 }
+
+func BenchmarkLongFrame(b *testing.B) {
+	c := NewCompressor(NewPool())
+	r := rand.New(rand.NewPCG(1, 2))
+	config := bytes.Repeat([]byte("workspace-17/stockbook/10.1.0.30:8782/"), 500)
+	for i := range config {
+		if r.IntN(4) == 0 {
+			config[i] = byte(r.Uint32())
+		}
+	}
+	for b.Loop() {
+		config[r.IntN(len(config))]++
+		if _, err := c.Frame(config); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
--- a/internal/link/press.go
+++ b/internal/link/press.go
@@ -10,7 +10,7 @@
 // press compresses the frames of one link in both directions. A nil press leaves
 // them as they are. The writer and the reader of the link use one side each.
 type press struct {
-	out defl.Compressor
+	out *defl.Compressor
 	in  *defl.Decompressor
 }
 
@@ -19,7 +19,7 @@
 	if ws.Subprotocol() != compressed {
 		return nil
 	}
-	return &press{in: defl.NewDecompressor(pool, wire.MaxFrame)}
+	return &press{out: defl.NewCompressor(pool), in: defl.NewDecompressor(pool, wire.MaxFrame)}
 }
 
 func (p *press) pack(frame []byte) ([]byte, error) {
