Give no answer to a request whose key was withdrawn at the same moment

Withdrawal cancels the request's context; net/http may still return an answer that arrives at that moment, and forward.go passed it on without a look at the context.

Ruled out: an error of the test (cancel returns before the target is allowed to answer) and an order of registration and withdrawal (registry.begin, covered by TestWithdrawalRace).

Change: after the answer's head (streamed) or whole answer (held) the cause of the context is read; a request of a withdrawn key gets 401 with outcome unknown. The answer of an order is stored all the same.

--- a/internal/entry/forward.go
+++ b/internal/entry/forward.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
 	"time"
 
@@ -167,15 +168,29 @@
 	if rep.whole {
 		a.done(a.answerEnd())
 		report()
+		if keyEnded(ctx) {
+			c.storeAnswer(rep)
+			return &failure{attempt: a, err: withdrawn()}, false
+		}
 		if a.end == model.AttemptError && c.route.Idempotent {
 			return &failure{attempt: a, reply: rep}, false
 		}
 		return nil, c.deliver(rep) == nil
 	}
+	if keyEnded(ctx) {
+		a.drop(model.AttemptCanceled)
+		return &failure{attempt: a, err: withdrawn()}, false
+	}
 	c.stream(ctx, rep)
 	return nil, true
 }
 
+// keyEnded reports whether the request's key was withdrawn. net/http may return
+// an answer although its context ended at the same moment.
+func keyEnded(ctx context.Context) bool {
+	return errors.Is(context.Cause(ctx), errKeyEnded)
+}
+
 // holds reports whether an answer is read whole before the caller gets any of
 // it: a small one, so that a truncated one can be retried and an order's answer
 // is stored first, and a server error.
--- a/internal/entry/reply.go
+++ b/internal/entry/reply.go
@@ -79,9 +79,7 @@
 
 // deliver sends a whole answer, after an order's answer was stored.
 func (c *call) deliver(r *reply) *ErrRefused {
-	if c.reserved {
-		c.finishOrder(r.stored(r.held, c.s.limits.Answer))
-	}
+	c.storeAnswer(r)
 	c.writeHeader(r)
 	if _, err := c.w.Write(r.held); err != nil && bodyAllowed(c.r.Method, r.status) {
 		panic(http.ErrAbortHandler)
@@ -90,6 +88,13 @@
 	return nil
 }
 
+// storeAnswer keeps the whole answer of an order for resends.
+func (c *call) storeAnswer(r *reply) {
+	if c.reserved {
+		c.finishOrder(r.stored(r.held, c.s.limits.Answer))
+	}
+}
+
 func bodyAllowed(method string, status int) bool {
 	return method != http.MethodHead && status != http.StatusNoContent && status != http.StatusNotModified
 }
--- a/internal/entry/withdraw_test.go
+++ b/internal/entry/withdraw_test.go
@@ -21,6 +21,7 @@
 
 	"tarragongauge.example/tarragongauge/internal/entry"
 	"tarragongauge.example/tarragongauge/internal/order"
+	"tarragongauge.example/tarragongauge/internal/pool"
 	"tarragongauge.example/tarragongauge/internal/proto"
 	"tarragongauge.example/tarragongauge/internal/stub"
 	"tarragongauge.example/tarragongauge/pkg/model"
@@ -82,6 +83,34 @@
 	}
 }
 
+// Guards against an answer that arrives together with the withdrawal of its key
+// and is delivered after it (CI of e94a708: 200 in place of 401).
+func TestWithdrawalBeatsAnswerOfTheSameMoment(t *testing.T) {
+	for _, body := range []string{"", strings.Repeat("x", 200<<10)} {
+		for range 300 {
+			h := newHost(t)
+			working, finish := make(chan struct{}), make(chan struct{})
+			srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				close(working)
+				<-finish
+				w.Header().Set("X-Request-Id", r.Header.Get("X-Request-Id"))
+				_, _ = io.WriteString(w, body)
+			}))
+			h.fake.targets = append(h.fake.targets, pool.Assigned{Target: "t", Addr: srv.Listener.Addr().String(), Incarnation: 1})
+			caller := pond.NewResultPool[answer](1)
+			inFlight := caller.SubmitErr(func() (answer, error) { return h.do(h.request(t, "GET", "/lookup/x", "")) })
+			<-working
+			require.Equal(t, 1, h.EndWorkspace("shop-a"))
+			close(finish)
+			got, err := inFlight.Wait()
+			require.NoError(t, err)
+			require.Equal(t, "401 unknown", fmt.Sprint(got.StatusCode, " ", got.outcome()))
+			caller.StopAndWait()
+			srv.Close()
+		}
+	}
+}
+
 // Guards against a caller that keeps an idle connection after its key was withdrawn, and against closing others.
 func TestWithdrawalClosesIdleConnections(t *testing.T) {
 	h := newHost(t)
