Tell hosts what a whole configuration changed instead of the whole

Ruled out: a larger compression window (memory for each link, and the second copy is out of any window once other frames lie between); a dictionary from the older configuration (needs both sides to keep its bytes).

Change: model.EditContent holds what a ReplaceContent changed. history keeps it in place of the whole change and hands it out like any other; control keeps and replicates whole configurations as before. The exceptions that limits make are named by workspace instead of by position, so that one workspace changes one.

--- a/internal/codec/change.go
+++ b/internal/codec/change.go
@@ -22,6 +22,7 @@
 	SetSeats          *hostsDTO          `cbor:"11,keyasint,omitempty"`
 	SetControls       *hostsDTO          `cbor:"12,keyasint,omitempty"`
 	ReplaceContent    *replaceContentDTO `cbor:"13,keyasint,omitempty"`
+	EditContent       *editContentDTO    `cbor:"14,keyasint,omitempty"`
 }
 
 type withdrawKeyDTO struct {
@@ -161,6 +162,10 @@
 		var replace replaceContentDTO
 		replace, err = replaceContentToDTO(ch)
 		dto.ReplaceContent = &replace
+	case model.EditContent:
+		var edit editContentDTO
+		edit, err = editContentToDTO(ch)
+		dto.EditContent = &edit
 	default:
 		err = fmt.Errorf("encode change: type %T has no encoding", ch)
 	}
@@ -247,5 +252,12 @@
 		}
 		changes = append(changes, replace)
 	}
+	if e := dto.EditContent; e != nil {
+		edit, err := editContentFromDTO(*e)
+		if err != nil {
+			return nil, err
+		}
+		changes = append(changes, edit)
+	}
 	return changes, nil
 }
--- a/internal/codec/codec_test.go
+++ b/internal/codec/codec_test.go
@@ -101,10 +101,23 @@
 		model.SetSeats{Seats: g.hosts()},
 		model.SetControls{Controls: g.hosts()},
 		g.replaceContent(),
+		g.editContent(),
 	}
 	return changes[g.choice(len(changes))]
 }
 
+func (g gen) editContent() model.EditContent {
+	e := model.EditContent{Revision: model.Revision(g.num())}
+	for range g.count() {
+		e.Services, e.ServicesGone = append(e.Services, g.service()), append(e.ServicesGone, model.ServiceName(g.text()))
+		e.Routes, e.RoutesGone = append(e.Routes, g.route()), append(e.RoutesGone, model.RouteName(g.text()))
+		e.Workspaces, e.WorkspacesGone = append(e.Workspaces, model.WorkspaceID(g.text())), append(e.WorkspacesGone, model.WorkspaceID(g.text()))
+		e.Keys, e.KeysGone = append(e.Keys, g.key()), append(e.KeysGone, g.hash())
+		e.Exceptions, e.ExceptionsGone = append(e.Exceptions, g.exception()), append(e.ExceptionsGone, g.text())
+	}
+	return e
+}
+
 func (g gen) replaceContent() model.ReplaceContent {
 	ch := model.ReplaceContent{Revision: model.Revision(g.num())}
 	if g.flag() {
--- /dev/null
+++ b/internal/codec/edit.go
@@ -0,0 +1,63 @@
+package codec
+
+import "tarragongauge.example/tarragongauge/pkg/model"
+
+type editContentDTO struct {
+	Revision       model.Revision      `cbor:"1,keyasint"`
+	Services       []serviceDTO        `cbor:"2,keyasint,omitempty"`
+	ServicesGone   []model.ServiceName `cbor:"3,keyasint,omitempty"`
+	Routes         []routeDTO          `cbor:"4,keyasint,omitempty"`
+	RoutesGone     []model.RouteName   `cbor:"5,keyasint,omitempty"`
+	Workspaces     []model.WorkspaceID `cbor:"6,keyasint,omitempty"`
+	WorkspacesGone []model.WorkspaceID `cbor:"7,keyasint,omitempty"`
+	Keys           []keyDTO            `cbor:"8,keyasint,omitempty"`
+	KeysGone       [][]byte            `cbor:"9,keyasint,omitempty"`
+	Exceptions     []exceptionDTO      `cbor:"10,keyasint,omitempty"`
+	ExceptionsGone []string            `cbor:"11,keyasint,omitempty"`
+}
+
+func editContentToDTO(e model.EditContent) (editContentDTO, error) {
+	dto := editContentDTO{
+		Revision: e.Revision, ServicesGone: e.ServicesGone, RoutesGone: e.RoutesGone,
+		Workspaces: e.Workspaces, WorkspacesGone: e.WorkspacesGone, ExceptionsGone: e.ExceptionsGone,
+	}
+	for _, s := range e.Services {
+		dto.Services = append(dto.Services, serviceToDTO(s))
+	}
+	for _, k := range e.Keys {
+		dto.Keys = append(dto.Keys, keyToDTO(k))
+	}
+	for _, hash := range e.KeysGone {
+		dto.KeysGone = append(dto.KeysGone, hash[:])
+	}
+	var err error
+	if dto.Routes, err = mapSlice(e.Routes, routeToDTO); err != nil {
+		return dto, err
+	}
+	dto.Exceptions, err = mapSlice(e.Exceptions, exceptionToDTO)
+	return dto, err
+}
+
+func editContentFromDTO(dto editContentDTO) (model.EditContent, error) {
+	e := model.EditContent{
+		Revision: dto.Revision, ServicesGone: dto.ServicesGone, RoutesGone: dto.RoutesGone,
+		Workspaces: dto.Workspaces, WorkspacesGone: dto.WorkspacesGone, ExceptionsGone: dto.ExceptionsGone,
+	}
+	for _, r := range dto.Routes {
+		e.Routes = append(e.Routes, routeFromDTO(r))
+	}
+	var err error
+	if e.Services, err = mapSlice(dto.Services, serviceFromDTO); err != nil {
+		return e, err
+	}
+	if e.Keys, err = mapSlice(dto.Keys, keyFromDTO); err != nil {
+		return e, err
+	}
+	if e.Exceptions, err = mapSlice(dto.Exceptions, exceptionFromDTO); err != nil {
+		return e, err
+	}
+	e.KeysGone, err = mapSlice(dto.KeysGone, func(hash []byte) (model.KeyHash, error) {
+		return decodeHash[model.KeyHash]("key", hash)
+	})
+	return e, err
+}
--- a/internal/lease/history.go
+++ b/internal/lease/history.go
@@ -15,7 +15,8 @@
 type history struct {
 	known bool
 	cfg   model.Config
-	// changes are consecutive and end at cfg.Version.
+	// changes are consecutive and end at cfg.Version. They hold no ReplaceContent:
+	// whoever has the version before needs only what that changed.
 	changes []model.Committed
 	// listSince is a version from which on the list of seats is that of cfg.
 	listSince model.Version
@@ -81,6 +82,9 @@
 			h.listSince = c.Version
 			h.listSteps++
 		}
+		if _, whole := c.Proposal.Change.(model.ReplaceContent); whole {
+			c.Proposal.Change = model.EditBetween(h.cfg, next)
+		}
 		h.cfg = next
 		h.changes = append(h.changes, c)
 	}
--- a/pkg/model/apply.go
+++ b/pkg/model/apply.go
@@ -78,6 +78,8 @@
 		return c.setControls(ch)
 	case ReplaceContent:
 		return c.replaceContent(ch)
+	case EditContent:
+		return c.editContent(ch)
 	default:
 		return c, ErrInvalid{Field: "change", Got: fmt.Sprintf("%T", ch), Want: "a change this version knows; upgrade this host"}
 	}
--- a/pkg/model/content.go
+++ b/pkg/model/content.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"strconv"
 	"time"
 )
 
@@ -58,7 +57,8 @@
 // IsErrSuperseded reports whether err is or wraps an ErrSuperseded.
 func IsErrSuperseded(err error) bool { return isA[ErrSuperseded](err) }
 
-// contentException is the prefix of the exceptions that content defines.
+// contentException is the prefix of the exceptions that content defines. The
+// name of the workspace follows, so that a change of one workspace changes one exception.
 const contentException = "content-limits-"
 
 // contentReason is the written reason of those exceptions.
@@ -205,13 +205,13 @@
 		}
 	}
 	out := ExceptionsOf(kept)
-	for i, w := range list {
+	for _, w := range list {
 		override := LimitsOverride{Workspace: w.Workspace, Limits: Unlimited()}
 		if w.Limits != nil {
 			override.Limits = *w.Limits
 		}
 		if _, ok := out.of(scopeOf(override)); !ok {
-			out = out.With(Exception{ID: contentException + strconv.Itoa(i), Reason: contentReason, Override: override})
+			out = out.With(Exception{ID: contentException + string(w.Workspace), Reason: contentReason, Override: override})
 		}
 	}
 	return out
