Take large configurations, send each entry and change once, show them in the audit list

Found while reading for it: a leader sent unacknowledged entries again at each heartbeat (100 ms) and staged changes again each 200 ms, also while they were on their way; messages had a bound on entries but none on bytes; the audit list failed once it held a whole configuration, which has no JSON.

Change: changes may have 4 MiB. A transit notes what was sent to a follower or seat; it is sent again when a reply to a later message lacks it, or after 1 s, doubling up to 8 s. Batches of entries, changes to seats and to hosts are bounded by their estimated length.

--- a/internal/ctrl/lead.go
+++ b/internal/ctrl/lead.go
@@ -9,9 +9,10 @@
 )
 
 const (
-	// maxAppend bounds the entries of one message; with maxProposal it keeps a
-	// message below the frame limit of 8 MiB.
-	maxAppend = 16
+	// maxAppend bounds the entries of one message, maxAppendBytes their estimated
+	// length. With maxProposal they keep a message below the frame limit of 8 MiB.
+	maxAppend      = 16
+	maxAppendBytes = 1 << 20
 	// probeEntries is the number of entries sent before it is known where the
 	// follower's log agrees; usually the entry that starts the term is all it lacks.
 	probeEntries = 1
@@ -21,8 +22,44 @@
 	// snapshotResend is the interval at which a snapshot is sent again to a
 	// follower that has not acknowledged it.
 	snapshotResend = time.Second
+	// resendFirst is how long entries or changes that were sent and not
+	// acknowledged are taken to be on their way; it doubles up to resendMost while
+	// nothing arrives. What was lost is noticed earlier, by the reply to a later message.
+	resendFirst = time.Second
+	resendMost  = 8 * time.Second
 )
 
+// transit is what was sent to a host and not acknowledged yet. A large entry
+// takes longer than an interval of heartbeats on a slow link; sent again each
+// time it would delay itself without end.
+type transit struct {
+	// to is the last index or version sent, round that of the message, at its time.
+	to    uint64
+	round uint64
+	at    model.Instant
+	wait  time.Duration
+}
+
+// underway reports whether what was sent beyond an acknowledged index may still arrive.
+func (t *transit) underway(now model.Instant, acked uint64) bool {
+	return t.to > acked && now.Sub(t.at) < t.wait
+}
+
+// sent notes a message. A repetition doubles the wait.
+func (t *transit) sent(now model.Instant, acked, to, round uint64) {
+	switch {
+	case t.to <= acked:
+		t.wait, t.at = resendFirst, now
+	case !t.underway(now, acked):
+		t.wait, t.at = min(2*t.wait, resendMost), now
+	}
+	t.to, t.round = max(t.to, to), round
+}
+
+// lost reports whether a reply to a message of a round, which does not
+// acknowledge what was sent, shows that it was lost: replies and messages keep their order.
+func (t *transit) lost(round uint64) bool { return round >= t.round }
+
 // peer is what a leader knows of another control host.
 type peer struct {
 	id model.HostID
@@ -44,6 +81,7 @@
 	markRound uint64
 	// admitted is the learner number of the last admission.
 	admitted uint64
+	transit  transit
 }
 
 // roundStart is when a heartbeat round began.
@@ -146,14 +184,11 @@
 	n.stageTick()
 }
 
-// heartbeat starts a round and sends it to all, with whatever is unacknowledged.
+// heartbeat starts a round and sends it to all, with what they lack and is not on its way to them.
 func (n *Node) heartbeat() {
 	n.lead.startRound(n.now)
 	n.lead.heartbeatDue = n.now.Add(n.opt.timing.Heartbeat)
 	for _, p := range n.lead.peers {
-		if p.known {
-			p.next = p.match + 1
-		}
 		n.replicate(p, true)
 	}
 }
@@ -161,6 +196,13 @@
 // replicate sends a follower what it misses. Without a heartbeat it sends
 // nothing to a follower that is up to date or being probed.
 func (n *Node) replicate(p *peer, heartbeat bool) {
+	acked := p.next - 1
+	if p.known {
+		acked = p.match
+		if !p.transit.underway(n.now, acked) {
+			p.next = p.match + 1
+		}
+	}
 	prevTerm, ok := n.log.term(p.next - 1)
 	if p.needSnapshot || !ok {
 		n.sendSnapshot(p, heartbeat)
@@ -170,10 +212,16 @@
 	if !p.known {
 		limit = probeEntries
 	}
-	entries := n.log.from(p.next, limit)
+	entries := n.log.batch(p.next, limit)
+	if !p.known && p.transit.underway(n.now, acked) {
+		entries = nil
+	}
 	if !heartbeat && len(entries) == 0 {
 		return
 	}
+	if len(entries) > 0 {
+		p.transit.sent(n.now, acked, entries[len(entries)-1].Index, n.lead.round)
+	}
 	n.sendAppend(p, p.next-1, prevTerm, entries)
 	if p.known {
 		p.next += uint64(len(entries))
@@ -231,6 +279,9 @@
 func (n *Node) noteMatch(p *peer, m proto.AppendReply) {
 	if m.OK {
 		p.known, p.needSnapshot = true, false
+		if m.Match > p.match {
+			p.transit.wait, p.transit.at = resendFirst, n.now
+		}
 		p.match = max(p.match, m.Match)
 		p.next = max(p.next, p.match+1)
 		return
@@ -238,6 +289,10 @@
 	if m.Learner != 0 && m.Match == 0 {
 		p.needSnapshot = !p.known
 	}
+	if p.transit.underway(n.now, p.match) && !p.transit.lost(m.Round) {
+		return
+	}
+	p.transit = transit{}
 	p.next = max(p.match, m.Match) + 1
 }
 
--- a/internal/ctrl/log.go
+++ b/internal/ctrl/log.go
@@ -48,6 +48,22 @@
 	return slices.Clone(rest[:min(n, len(rest))])
 }
 
+// batch returns at most n entries from an index on, and after the first one no
+// more than have maxAppendBytes together. The result is not shared with the log.
+func (l *entryLog) batch(index uint64, n int) []proto.LogEntry {
+	entries := l.from(index, n)
+	size := 0
+	for i, e := range entries {
+		if e.Proposal != nil {
+			size += e.Proposal.EstimatedSize()
+		}
+		if i > 0 && size > maxAppendBytes {
+			return entries[:i]
+		}
+	}
+	return entries
+}
+
 func (l *entryLog) at(index uint64) proto.LogEntry { return l.entries[index-l.first] }
 
 func (l *entryLog) append(e proto.LogEntry) { l.entries = append(l.entries, e) }
--- a/internal/ctrl/propose.go
+++ b/internal/ctrl/propose.go
@@ -10,8 +10,9 @@
 )
 
 const (
-	// maxProposal bounds an encoded change in bytes.
-	maxProposal = 256 << 10
+	// maxProposal bounds an encoded change in bytes. A whole configuration with
+	// 10,000 routes and its document has about 3 MB.
+	maxProposal = 4 << 20
 	// maxUncommitted bounds the entries that a leader appends ahead of the majority.
 	maxUncommitted = 256
 	// maxDeferred bounds the changes of control hosts that wait for a commit.
--- a/internal/ctrl/stage.go
+++ b/internal/ctrl/stage.go
@@ -35,6 +35,7 @@
 	sentAt      model.Instant
 	incarnation model.Incarnation
 	due         model.Instant
+	transit     transit
 }
 
 // staging hands committed versions to the seats.
@@ -120,13 +121,24 @@
 	n.send(s.id, m)
 }
 
-// fillStage adds what leads from the seat's version to the newest.
+// fillStage adds what leads from the seat's version to the newest, less what is on its way.
 func (n *Node) fillStage(s *seat, m *proto.SeatStage) {
 	if !s.known && len(n.history.outcomes) > 0 {
-		m.Changes = model.WithoutDocuments(n.newestChanges(probeChanges))
+		if !s.transit.underway(n.now, 0) {
+			m.Changes = model.WithoutDocuments(n.newestChanges(probeChanges))
+			s.transit.sent(n.now, 0, uint64(m.Newest), m.Round)
+		}
+		return
+	}
+	from := s.have
+	if s.known && s.transit.underway(n.now, uint64(s.have)) {
+		from = model.Version(s.transit.to)
+	}
+	if from == m.Newest {
 		return
 	}
-	changes, ok := n.history.changes(s.have, m.Newest)
+	s.transit.sent(n.now, uint64(s.have), uint64(m.Newest), m.Round)
+	changes, ok := n.history.changes(from, m.Newest)
 	if ok && s.known && len(changes) <= maxStageChanges {
 		m.Changes = model.WithoutDocuments(changes)
 		return
@@ -136,7 +148,11 @@
 
 func (n *Node) newestChanges(most int) []model.Committed {
 	var changes []model.Committed
+	size := 0
 	for i := len(n.history.outcomes) - 1; i >= 0 && len(changes) < most; i-- {
+		if size += n.history.outcomes[i].Committed.EstimatedSize(); size > maxChangeBytes {
+			break
+		}
 		if o := n.history.outcomes[i]; o.Result.Kind == model.ResultAccepted && o.Committed.Proposal.Change != nil {
 			changes = append(changes, o.Committed)
 		}
@@ -189,6 +205,9 @@
 		return
 	}
 	behind := m.Have < n.state.cfg.Version && (!s.known || m.Have != s.have)
+	if uint64(m.Have) < s.transit.to && s.transit.lost(m.Round) || m.Incarnation != s.incarnation {
+		s.transit = transit{}
+	}
 	s.known, s.have, s.incarnation = true, m.Have, m.Incarnation
 	s.round, s.sentAt = m.Round, st.rounds[i].at
 	if behind {
--- a/internal/ctrl/state.go
+++ b/internal/ctrl/state.go
@@ -14,10 +14,13 @@
 // version moved on from its base, so that it is never applied twice.
 const maxHistory = 2048
 
-// keptContents is how many outcomes back whole configurations are kept for
-// hosts that are behind. At 70 kB each they hold 2 MB.
+// keptContents is how many outcomes back the parts of configurations that
+// changed are kept for hosts that are behind.
 const keptContents = 32
 
+// maxChangeBytes is the estimated length of changes above which a host gets a snapshot.
+const maxChangeBytes = 2 << 20
+
 // state is what the log determines, without the history. It is immutable.
 type state struct {
 	cfg model.Config
@@ -110,24 +113,27 @@
 	h.outcomes = h.outcomes[1:]
 }
 
-// trim drops the content of the whole configuration that is keptContents places
-// before the newest outcome. Its result stays; hosts that need it get a snapshot.
+// trim drops what the whole configuration that is keptContents places before the
+// newest outcome changed. Its result stays; hosts that need it get a snapshot.
 func (h *history) trim() {
 	at := len(h.outcomes) - 1 - keptContents
 	if at < 0 {
 		return
 	}
-	if _, ok := h.outcomes[at].Committed.Proposal.Change.(model.ReplaceContent); ok {
+	switch h.outcomes[at].Committed.Proposal.Change.(type) {
+	case model.EditContent, model.ReplaceContent:
 		h.outcomes[at].Committed.Proposal.Change = nil
 	}
 }
 
-// changes returns the accepted changes after a version, and false if some are no longer held.
+// changes returns the accepted changes after a version, and false if some are
+// no longer held or they are longer than a message should be.
 func (h *history) changes(after, newest model.Version) ([]model.Committed, bool) {
 	if after == newest {
 		return nil, true
 	}
 	var changes []model.Committed
+	size := 0
 	for i := len(h.outcomes) - 1; i >= 0; i-- {
 		o := h.outcomes[i]
 		if o.Result.Kind != model.ResultAccepted {
@@ -139,6 +145,9 @@
 		if o.Committed.Proposal.Change == nil {
 			return nil, false
 		}
+		if size += o.Committed.EstimatedSize(); size > maxChangeBytes {
+			return nil, false
+		}
 		changes = append(changes, o.Committed)
 	}
 	slices.Reverse(changes)
--- a/internal/lease/history.go
+++ b/internal/lease/history.go
@@ -11,6 +11,9 @@
 // it covers a host that was away for an hour at 5,500 changes a day.
 const keptChanges = 256
 
+// maxUpdateBytes is the estimated length of changes above which a host gets a snapshot.
+const maxUpdateBytes = 2 << 20
+
 // history is the newest known configuration and the changes that led to it.
 type history struct {
 	known bool
@@ -95,7 +98,11 @@
 
 // since returns the changes after a version, or false if a snapshot is needed.
 func (h *history) since(v model.Version) ([]model.Committed, bool) {
+	size := 0
 	for i := len(h.changes) - 1; i >= 0; i-- {
+		if size += h.changes[i].EstimatedSize(); size > maxUpdateBytes {
+			return nil, false
+		}
 		if h.changes[i].Proposal.Base == v {
 			return slices.Clip(h.changes[i:]), true
 		}
--- a/pkg/opsapi/change.go
+++ b/pkg/opsapi/change.go
@@ -15,7 +15,8 @@
 	Change   Change `json:"change"`
 }
 
-// Change is the JSON of a model.Change: exactly one field is set.
+// Change is the JSON of a model.Change: exactly one field is set. ApplyContent
+// occurs in the audit list only.
 type Change struct {
 	CreateWorkspace   *WorkspaceName `json:"create_workspace,omitempty"`
 	WithdrawWorkspace *WorkspaceName `json:"withdraw_workspace,omitempty"`
@@ -29,6 +30,17 @@
 	RemoveRoute       *Named         `json:"remove_route,omitempty"`
 	SetSeats          *Hosts         `json:"set_seats,omitempty"`
 	SetControls       *Hosts         `json:"set_controls,omitempty"`
+	ApplyContent      *ContentChange `json:"apply_content,omitempty"`
+}
+
+// ContentChange counts what a whole configuration added, changed or removed.
+// Everything but the revision is 0 if it was refused.
+type ContentChange struct {
+	Revision   uint64 `json:"revision"`
+	Services   int    `json:"services,omitempty"`
+	Routes     int    `json:"routes,omitempty"`
+	Workspaces int    `json:"workspaces,omitempty"`
+	Keys       int    `json:"keys,omitempty"`
 }
 
 // WorkspaceName names a workspace.
@@ -106,6 +118,19 @@
 		out.SetSeats = &Hosts{Hosts: names(ch.Seats)}
 	case model.SetControls:
 		out.SetControls = &Hosts{Hosts: names(ch.Controls)}
+	case model.EditContent:
+		out.ApplyContent = &ContentChange{
+			Revision:   uint64(ch.Revision),
+			Services:   len(ch.Services) + len(ch.ServicesGone),
+			Routes:     len(ch.Routes) + len(ch.RoutesGone),
+			Workspaces: len(ch.Workspaces) + len(ch.WorkspacesGone),
+			Keys:       len(ch.Keys) + len(ch.KeysGone),
+		}
+	case model.ReplaceContent:
+		out.ApplyContent = &ContentChange{
+			Revision: uint64(ch.Revision), Services: len(ch.Content.Services),
+			Routes: len(ch.Content.Routes), Workspaces: len(ch.Content.Workspaces),
+		}
 	default:
 		return out, fmt.Errorf("change %T has no JSON; run the same version of tarragongauge everywhere", change)
 	}
--- a/pkg/opsapi/opsapi_test.go
+++ b/pkg/opsapi/opsapi_test.go
@@ -91,3 +91,23 @@
 		require.Equal(t, kind, FromResult(model.Result{Kind: kind}).Model().Kind)
 	}
 }
+
+// Guards against an audit list that cannot be shown once a whole configuration
+// was applied, also when what that changed is no longer kept.
+func TestAuditOfWholeConfigurations(t *testing.T) {
+	edit := model.EditContent{Revision: 7, Routes: []model.Route{{Name: "a"}}, RoutesGone: []model.RouteName{"b"}, KeysGone: []model.KeyHash{{1}}}
+	for _, ch := range []model.Change{edit, model.ReplaceContent{Revision: 7}, nil} {
+		entry, err := FromAudit(model.Committed{Version: 3, Proposal: model.Proposal{Change: ch}}, model.Result{Kind: model.ResultAccepted})
+		require.NoError(t, err)
+		if ch == nil {
+			require.Equal(t, Change{}, entry.Change)
+			continue
+		}
+		require.EqualValues(t, 7, entry.Change.ApplyContent.Revision)
+	}
+	got, err := FromChange(edit)
+	require.NoError(t, err)
+	require.Equal(t, ContentChange{Revision: 7, Routes: 2, Keys: 1}, *got.ApplyContent)
+	_, err = got.Model()
+	require.Error(t, err, "operators do not propose it")
+}
--- a/pkg/opsapi/report.go
+++ b/pkg/opsapi/report.go
@@ -20,7 +20,12 @@
 
 // FromAudit returns the JSON of an entry of the audit list.
 func FromAudit(c model.Committed, r model.Result) (AuditEntry, error) {
-	ch, err := FromChange(c.Proposal.Change)
+	var ch Change
+	var err error
+	// What a whole configuration changed is not kept forever.
+	if c.Proposal.Change != nil {
+		ch, err = FromChange(c.Proposal.Change)
+	}
 	return AuditEntry{
 		Version: uint64(c.Version),
 		Time:    time.UnixMilli(c.Proposal.UnixMilli).UTC(),
