Send each list and configuration once to a host that starts behind a slow link

Cause: an entry host that starts asks its relay at a quarter of the interval and got the whole configuration, members, owners and targets in each reply until the first one had reached it; 442 hosts that start at once filled the links of five control hosts (read in relay.go after the same fault in control's replication).

Ruled out: a longer interval while starting (a lost reply then costs it whole).

Change: an ask tells the newest reply heard from the relay. The relay keeps what it sent last to each host and takes it as held until the host has heard a later reply or 2 s have passed. Confirmations are judged by what the host holds, as before.

Lost and restarted hosts are sent it again (tests).

--- a/internal/lease/fresh.go
+++ b/internal/lease/fresh.go
@@ -60,6 +60,7 @@
 	peersDigest uint64
 	// peerLists are told to the entry hosts of each zone.
 	peerLists map[model.ZoneName]peerList
+	tellings  tellings
 	// resumed is set until the configuration of the disk was published.
 	resumed bool
 	// startedAt is when the first event arrived, or 0.
@@ -86,6 +87,7 @@
 		peers:    map[model.HostID]*peer{},
 
 		peerLists: map[model.ZoneName]peerList{},
+		tellings:  tellings{hosts: map[model.HostID]told{}},
 		relays:    relayChoice{failed: map[model.HostID]model.Instant{}, zones: map[model.HostID]model.ZoneName{}},
 	}
 	f.resume()
@@ -158,7 +160,7 @@
 func (f *Fresh) ask(now model.Instant, host model.HostID, nonce uint64) proto.FreshAsk {
 	m := f.self
 	m.Draining = f.draining || !f.canOwn(now)
-	ask := proto.FreshAsk{Nonce: nonce, Have: f.hist.version(), Member: m, TargetsDigest: f.targetList.digest, PeersDigest: f.peersDigest, Starting: f.settings.relay && f.seeksZone()}
+	ask := proto.FreshAsk{Nonce: nonce, Have: f.hist.version(), Member: m, TargetsDigest: f.targetList.digest, PeersDigest: f.peersDigest, Starting: f.settings.relay && f.seeksZone(), Heard: f.relays.heard}
 	if p, ok := f.peers[host]; ok {
 		ask.MembersDigest, ask.OwnersDigest = p.lists.membersDigest, p.lists.ownersDigest
 	}
--- a/internal/lease/relay.go
+++ b/internal/lease/relay.go
@@ -24,6 +24,8 @@
 	// since is when the host was chosen, goodAt when its last usable reply was asked for.
 	since  model.Instant
 	goodAt model.Instant
+	// heard is the nonce of its newest reply, or 0.
+	heard uint64
 	// failed holds when a host was last given up.
 	failed map[model.HostID]model.Instant
 	// zones holds the zones of control hosts as replies tell them.
@@ -50,7 +52,7 @@
 	default:
 		return r.host
 	}
-	r.host, r.since = f.bestRelay(now, hosts), now
+	r.host, r.since, r.heard = f.bestRelay(now, hosts), now, 0
 	return r.host
 }
 
@@ -105,6 +107,7 @@
 	if from != r.host {
 		return
 	}
+	r.heard = max(r.heard, m.Nonce)
 	if m.Age <= relayPatience*f.timing.Ask {
 		r.goodAt = max(r.goodAt, sent)
 	}
--- /dev/null
+++ b/internal/lease/told_test.go
@@ -0,0 +1,110 @@
+package lease
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"tarragongauge.example/tarragongauge/internal/proto"
+	"tarragongauge.example/tarragongauge/pkg/model"
+)
+
+// slowRelay is a relay and an entry host whose messages need a time each way.
+type slowRelay struct {
+	relay, entry *Fresh
+	now          model.Instant
+	delay        time.Duration
+	// lose is asked for each reply that carries something.
+	lose func(n int) bool
+	// carried counts the replies that carry a configuration, confirmed tells whether the entry host may serve.
+	carried int
+	queue   []slowMessage
+}
+
+type slowMessage struct {
+	at    model.Instant
+	ask   *proto.FreshAsk
+	reply *proto.FreshReply
+}
+
+func newSlowRelay(delay time.Duration) *slowRelay {
+	controls := []model.HostID{"a", "c"}
+	w := &slowRelay{
+		relay: NewFresh(controlMember("c", "z1"), WithBootstrap(controls, controls)),
+		entry: NewFresh(proto.Member{Host: "e", Role: proto.RoleEntry, Zone: "z1", Incarnation: 1}, WithOwners(proto.RoleControl), WithRelay(), WithBootstrap([]model.HostID{"c"}, []model.HostID{"c"})),
+		now:   model.Instant(time.Second), delay: delay,
+		lose: func(int) bool { return false },
+	}
+	w.relay.members = []proto.Member{controlMember("a", "z2"), controlMember("c", "z1")}
+	w.relay.hist.replace(model.NewConfig([]model.HostID{"c"}, controls).WithVersion(7))
+	return w
+}
+
+func (w *slowRelay) run(d time.Duration) {
+	for end := w.now.Add(d); w.now < end; w.now = w.now.Add(10 * time.Millisecond) {
+		// The relay is confirmed all the time.
+		w.relay.until = w.now.Add(w.relay.timing.atMost(w.relay.timing.Fresh))
+		for len(w.queue) > 0 && w.queue[0].at <= w.now {
+			m := w.queue[0]
+			w.queue = w.queue[1:]
+			if m.ask != nil {
+				w.answer(*m.ask)
+				continue
+			}
+			w.entry.Step(w.now, Received{From: "c", Msg: *m.reply})
+		}
+		for _, e := range w.entry.Step(w.now, Tick{}) {
+			if send, ok := e.(Send); ok && send.To == "c" {
+				ask := send.Msg.(proto.FreshAsk)
+				w.queue = append(w.queue, slowMessage{at: w.now.Add(w.delay), ask: &ask})
+			}
+		}
+	}
+}
+
+func (w *slowRelay) answer(ask proto.FreshAsk) {
+	ask = w.relay.Expected(w.now, ask)
+	reply, _ := w.relay.Relay(w.now, ask)
+	w.relay.Told(w.now, ask, reply)
+	if len(reply.Snapshot)+len(reply.Changes) > 0 {
+		w.carried++
+		if w.lose(w.carried) {
+			return
+		}
+	}
+	w.queue = append(w.queue, slowMessage{at: w.now.Add(w.delay), reply: &reply})
+}
+
+// Guards against a host that starts behind a slow link and is sent the whole
+// configuration for each of its asks: 442 hosts that start at once fill the links
+// of five relays for seconds.
+func TestStartingHostIsSentTheConfigurationOnce(t *testing.T) {
+	w := newSlowRelay(200 * time.Millisecond)
+	w.run(3 * time.Second)
+	require.EqualValues(t, 7, w.entry.hist.version())
+	require.Greater(t, w.entry.Until(), w.now, "it may serve")
+	require.Equal(t, 1, w.carried)
+}
+
+// Guards against a host that waits for a configuration that was lost on its way.
+func TestLostConfigurationIsSentAgain(t *testing.T) {
+	for _, lost := range []int{1, 3} {
+		w := newSlowRelay(50 * time.Millisecond)
+		w.lose = func(n int) bool { return n <= lost }
+		w.run(time.Duration(lost) * time.Second)
+		require.EqualValues(t, 7, w.entry.hist.version())
+		require.Equal(t, lost+1, w.carried)
+		require.Greater(t, w.entry.Until(), w.now, "it may serve")
+	}
+}
+
+// Guards against a restarted host that is taken to hold what its earlier run was sent.
+func TestRestartedHostIsSentTheConfiguration(t *testing.T) {
+	w := newSlowRelay(50 * time.Millisecond)
+	w.run(time.Second)
+	ask := proto.FreshAsk{Nonce: 1, Member: proto.Member{Host: "e", Role: proto.RoleEntry, Zone: "z1", Incarnation: 2}}
+	w.relay.Told(w.now, proto.FreshAsk{Nonce: 1, Member: proto.Member{Host: "e", Incarnation: 1}}, proto.FreshReply{Newest: 7, Snapshot: []byte{1}})
+	reply, _ := w.relay.Relay(w.now, w.relay.Expected(w.now, ask))
+	require.NotEmpty(t, reply.Snapshot)
+}
--- a/internal/node/seat_part.go
+++ b/internal/node/seat_part.go
@@ -36,7 +36,10 @@
 func (h *seatHost) relay(from model.HostID, ask proto.FreshAsk, known *knownTargets) {
 	var reply proto.FreshReply
 	var ok bool
-	h.fresh.read(func(now model.Instant) { reply, ok = h.freshCore.Relay(now, ask) })
+	h.fresh.read(func(now model.Instant) {
+		ask = h.freshCore.Expected(now, ask)
+		reply, ok = h.freshCore.Relay(now, ask)
+	})
 	h.seat.post(lease.Heard{Member: ask.Member})
 	if ok && reply.Newest == 0 {
 		h.mesh.Send(from, reply)
@@ -46,6 +49,7 @@
 		known.tell(h.clock.now(), &reply, ask.TargetsDigest)
 		reply.Doubted = known.failed.recent(h.clock.now())
 		known.failed.note(h.clock.now(), ask.Failed...)
+		h.fresh.read(func(now model.Instant) { h.freshCore.Told(now, ask, reply) })
 		h.mesh.Send(from, reply)
 	}
 }
--- a/internal/proto/message.go
+++ b/internal/proto/message.go
@@ -153,6 +153,8 @@
 		Failed []model.TargetID
 		// PeersDigest identifies the other entry hosts that the asker knows.
 		PeersDigest uint64
+		// Heard is the nonce of the newest reply that the asker had from this relay, or 0.
+		Heard uint64
 		// Starting is set while the asker knows no configuration and no control host
 		// of its zone. A relay of another zone then only tells it of that one.
 		Starting bool
--- a/internal/wire/fresh.go
+++ b/internal/wire/fresh.go
@@ -34,6 +34,7 @@
 	Failed      []model.TargetID `cbor:"7,keyasint,omitempty"`
 	PeersDigest uint64           `cbor:"8,keyasint,omitempty"`
 	Starting    bool             `cbor:"9,keyasint,omitempty"`
+	Heard       uint64           `cbor:"10,keyasint,omitempty"`
 }
 
 type freshReply struct {
@@ -139,12 +140,12 @@
 }
 
 func toFreshAsk(m proto.FreshAsk) (freshAsk, error) {
-	return freshAsk{Nonce: m.Nonce, Have: m.Have, Member: toMember(m.Member), MembersDigest: m.MembersDigest, OwnersDigest: m.OwnersDigest, TargetsDigest: m.TargetsDigest, Failed: m.Failed, PeersDigest: m.PeersDigest, Starting: m.Starting}, nil
+	return freshAsk{Nonce: m.Nonce, Have: m.Have, Member: toMember(m.Member), MembersDigest: m.MembersDigest, OwnersDigest: m.OwnersDigest, TargetsDigest: m.TargetsDigest, Failed: m.Failed, PeersDigest: m.PeersDigest, Starting: m.Starting, Heard: m.Heard}, nil
 }
 
 func fromFreshAsk(d freshAsk) (proto.FreshAsk, error) {
 	m, err := fromMember(d.Member)
-	return proto.FreshAsk{Nonce: d.Nonce, Have: d.Have, Member: m, MembersDigest: d.MembersDigest, OwnersDigest: d.OwnersDigest, TargetsDigest: d.TargetsDigest, Failed: d.Failed, PeersDigest: d.PeersDigest, Starting: d.Starting}, err
+	return proto.FreshAsk{Nonce: d.Nonce, Have: d.Have, Member: m, MembersDigest: d.MembersDigest, OwnersDigest: d.OwnersDigest, TargetsDigest: d.TargetsDigest, Failed: d.Failed, PeersDigest: d.PeersDigest, Starting: d.Starting, Heard: d.Heard}, err
 }
 
 func toFreshReply(m proto.FreshReply) (freshReply, error) {
