Draw election times that differ between hosts that start in the same microsecond

Cause: control hosts seeded their random source with their incarnation, the time of their start in microseconds.

Ruled out: links between control hosts (terms rise on all three, votes are granted and refused), the disks (all three hold version 19 or 20).

Change: the seed is mixed with the name of the host.

--- a/internal/ctrl/node.go
+++ b/internal/ctrl/node.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"hash/fnv"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -104,7 +105,7 @@
 	n := &Node{
 		self:     self,
 		opt:      o,
-		rng:      rand.New(rand.NewPCG(o.seed, 0)),
+		rng:      rand.New(rand.NewPCG(o.seed, seedOf(self))),
 		role:     RoleFollower,
 		term:     rec.Term,
 		votedFor: rec.VotedFor,
@@ -321,3 +322,11 @@
 	}
 	return s
 }
+
+// seedOf differs between hosts: those that start at the same moment may have the
+// same seed, and would split each vote with the same election times.
+func seedOf(self model.HostID) uint64 {
+	h := fnv.New64a()
+	_, _ = h.Write([]byte(self))
+	return h.Sum64()
+}
