Keep the floor of a service over its settled targets; count resting ones

While targets are replaced one after the other, those that have just started count for it, and the ejected ones may all be among the older targets, which carry the load: 4 of 15 may be out, which are 4 of 10 settled ones. Resting targets had a bound of their own, so that 0.3 + 0.2 of the targets could be without requests.

Ruled out: no other mechanism leaves a ready target without requests for 2 s but doubt (1.8 s) and ejection; zones only rank targets.

--- a/internal/pool/eject.go
+++ b/internal/pool/eject.go
@@ -15,9 +15,6 @@
 // the cause is taken to be common, such as a slow dependency, and none is ejected.
 const commonShare = 0.5
 
-// floorSlack absorbs rounding in the comparison with the floor.
-const floorSlack = 1e-9
-
 // finding is the strongest evidence on a target relative to its limit.
 type finding struct {
 	target *target
@@ -135,7 +132,7 @@
 	t := f.target
 	t.reason = reason
 	t.severity = f.excess
-	if !s.mayEject(t) {
+	if !s.mayEject(now, t) {
 		t.denied = true
 		return
 	}
@@ -156,12 +153,6 @@
 	}
 }
 
-// mayEject reports whether the floor allows to eject a target in service.
-func (s *service) mayEject(t *target) bool {
-	announced, healthy := s.capacity()
-	return float64(healthy-t.slots) >= s.floor*float64(announced)-floorSlack
-}
-
 func (t *target) takeOut(now, until model.Instant) {
 	t.ejected = true
 	// A slow start ends without a result: the target did not show that it is well.
@@ -233,28 +224,6 @@
 	t.changed = now
 }
 
-// keepFloor returns the least severe ejected targets early when the floor is
-// not met any more, because other targets left or came back.
-func (o *Owner) keepFloor(s *service) {
-	for {
-		announced, healthy := s.capacity()
-		if float64(healthy) >= s.floor*float64(announced)-floorSlack {
-			return
-		}
-		var mildest *target
-		for _, t := range s.targets {
-			if t.ejected && t.ready() && (mildest == nil || t.severity < mildest.severity) {
-				mildest = t
-			}
-		}
-		if mildest == nil {
-			return
-		}
-		o.restore(s, mildest)
-		mildest.denied = true
-	}
-}
-
 // forgive lowers the backoff of a target that stayed in service.
 func (o *Owner) forgive(now model.Instant, t *target) {
 	if t.ejected || t.ejections == 0 || now.Sub(t.changed) < o.tune.Forgive {
--- a/internal/pool/owner.go
+++ b/internal/pool/owner.go
@@ -67,7 +67,7 @@
 	case Tick:
 		o.tick(now)
 	case Configured:
-		o.configure(ev.Config)
+		o.configure(now, ev.Config)
 	case Gained:
 		o.gain(now, ev)
 	case Renewed:
@@ -178,7 +178,7 @@
 	if !ok || now >= t.until {
 		return nil
 	}
-	s := newService(name, shard, t)
+	s := newService(now, name, shard, t)
 	s.configure(o.cfg, o.tune.Retries)
 	s.retryTokens = first(o.tune.Retries.Burst)
 	o.services[name] = s
@@ -189,14 +189,14 @@
 
 func compareServices(a, b *service) int { return strings.Compare(string(a.name), string(b.name)) }
 
-func (o *Owner) configure(cfg model.Config) {
+func (o *Owner) configure(now model.Instant, cfg model.Config) {
 	if cfg.Version < o.cfg.Version {
 		return
 	}
 	o.cfg = cfg
 	for _, s := range o.ordered {
 		s.configure(cfg, o.tune.Retries)
-		o.keepFloor(s)
+		o.keepFloor(now, s)
 	}
 }
 
--- a/internal/pool/rest.go
+++ b/internal/pool/rest.go
@@ -102,7 +102,7 @@
 		}
 	}
 	s.restScratch = candidates
-	most := int(restShare * float64(ready))
+	most := min(int(restShare*float64(ready)), s.spare(now))
 	if s.lately.failing() {
 		most = 0
 	}
--- a/internal/pool/restore.go
+++ b/internal/pool/restore.go
@@ -335,7 +335,7 @@
 		if t.ejected {
 			return true
 		}
-		if !s.mayEject(t) {
+		if !s.mayEject(now, t) {
 			return false
 		}
 		t.takeOut(now, e.until)
--- a/internal/pool/service.go
+++ b/internal/pool/service.go
@@ -115,6 +115,8 @@
 	// tail is the sum over the usable targets as of the last evaluation.
 	tail      tail
 	evaluated model.Instant
+	// begun is when this owner first heard of the service.
+	begun model.Instant
 	// version numbers the list of targets for ViewAsk.
 	version uint64
 
@@ -123,11 +125,12 @@
 	scratch   []float64
 }
 
-func newService(name model.ServiceName, shard model.ShardID, t tenure) *service {
+func newService(now model.Instant, name model.ServiceName, shard model.ShardID, t tenure) *service {
 	return &service{
 		name:       name,
 		shard:      shard,
 		tenure:     t,
+		begun:      now,
 		byTarget:   map[model.TargetID]*target{},
 		bySlot:     map[uint64]*slot{},
 		byAsk:      map[askKey]*slot{},
@@ -223,21 +226,6 @@
 	delete(s.waitingAsk, a.askKey)
 }
 
-// capacity returns the slots of all targets that could take work and of those
-// that are not ejected.
-func (s *service) capacity() (announced, healthy int) {
-	for _, t := range s.targets {
-		if !t.ready() {
-			continue
-		}
-		announced += t.slots
-		if !t.ejected {
-			healthy += t.slots
-		}
-	}
-	return announced, healthy
-}
-
 // expectedWait estimates the time until a workspace's next ask gets a slot,
 // from its place in its own queue and its fair share of the slots.
 func (s *service) expectedWait(w *workspace) time.Duration {
--- a/internal/pool/target.go
+++ b/internal/pool/target.go
@@ -221,7 +221,7 @@
 	}
 	o.refresh(now, s, t, a)
 	o.adoptEjections(now, s)
-	o.keepFloor(s)
+	o.keepFloor(now, s)
 	o.dispatch(now, s)
 }
 
@@ -303,6 +303,6 @@
 	s.targets = kept
 	if changed {
 		s.version++
-		o.keepFloor(s)
+		o.keepFloor(now, s)
 	}
 }
