Break off health probes when a host stops

Cause: the clean-up of the prober waited for all queued probes, up to 64 of one second on 8 workers; a host whose targets hang exceeded its grace period.

Ruled out: requests in flight (the one host that had some at the end of stop_timeout ended them and stopped 0.5 s before the grace period ran out).

--- a/internal/node/probe.go
+++ b/internal/node/probe.go
@@ -39,8 +39,10 @@
 	return defaultHealthPath
 }
 
-// newProber returns a prober and its clean-up function.
+// newProber returns a prober and its clean-up function, which breaks off probes
+// under way: a host that stops has no time to wait for targets that hang.
 func newProber(ctx context.Context, path func(model.ServiceName) string, done func(pool.Probed)) (*prober, func()) {
+	ctx, cancel := context.WithCancel(ctx)
 	p := &prober{
 		ctx:    ctx,
 		client: resty.New().SetTimeout(probeTimeout).SetRedirectPolicy(resty.NoRedirectPolicy()),
@@ -48,7 +50,10 @@
 		path:   path,
 		done:   done,
 	}
-	return p, p.group.StopAndWait
+	return p, func() {
+		cancel()
+		p.group.StopAndWait()
+	}
 }
 
 // start queues a probe. A probe that finds the queue full is dropped; the owner asks again.
@@ -59,6 +64,9 @@
 func (p *prober) probe(f pool.Probe) {
 	begin := time.Now()
 	resp, err := p.client.R().SetContext(p.ctx).Get("http://" + f.Addr + p.path(f.Service))
+	if p.ctx.Err() != nil {
+		return // broken off, which says nothing about the target
+	}
 	p.done(pool.Probed{
 		Service:     f.Service,
 		Target:      f.Target,
--- /dev/null
+++ b/internal/node/probe_test.go
@@ -0,0 +1,36 @@
+package node
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"tarragongauge.example/tarragongauge/internal/pool"
+	"tarragongauge.example/tarragongauge/pkg/model"
+)
+
+// Guards against a host that waits for the probes of targets that hang, 64 of
+// them for 8 s, and is killed at the end of the grace period of its stop.
+func TestProberStopsAtOnce(t *testing.T) {
+	hang := make(chan struct{})
+	target := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		select {
+		case <-hang:
+		case <-r.Context().Done():
+		}
+	}))
+	t.Cleanup(target.Close)
+	t.Cleanup(func() { close(hang) })
+	p, stop := newProber(context.Background(), func(model.ServiceName) string { return "/" }, func(pool.Probed) {})
+	for range probeQueue {
+		p.start(pool.Probe{Service: "s", Target: "t", Addr: target.Listener.Addr().String()})
+	}
+	time.Sleep(50 * time.Millisecond)
+	began := time.Now()
+	stop()
+	require.Less(t, time.Since(began), probeTimeout/2)
+}
