Let an answer on its way to the caller finish when its key is withdrawn

EndKey cancels the request's context, and a streamed answer is then broken off.

Change: an answer of which the caller has a part goes on for a second after the withdrawal; then it is broken off as before.

--- a/internal/entry/forward.go
+++ b/internal/entry/forward.go
@@ -177,6 +177,7 @@
 		}
 		return nil, c.deliver(rep) == nil
 	}
+	c.s.registry.answers(c.flight)
 	if keyEnded(ctx) {
 		a.drop(model.AttemptCanceled)
 		return &failure{attempt: a, err: withdrawn()}, false
--- a/internal/entry/registry.go
+++ b/internal/entry/registry.go
@@ -28,8 +28,16 @@
 	workspace model.WorkspaceID
 	key       model.KeyHash
 	cancel    context.CancelCauseFunc
+	// answering is set once the caller gets a part of the answer. It is guarded by
+	// the registry.
+	answering bool
 }
 
+// answerGrace is how long an answer of which the caller has a part goes on after
+// the withdrawal of its key. With the 3 s within which a host learns of it, the
+// request ends within the bound of 5 s.
+const answerGrace = time.Second
+
 // registry knows the keyed requests in flight and the connections by the keys they presented.
 type registry struct {
 	mu       sync.Mutex
@@ -69,6 +77,18 @@
 	remove(r.flights, f.workspace, f)
 }
 
+// answers notes that the caller of a keyed request gets a part of the answer from
+// now on. The request's context is checked afterwards: a withdrawal before this
+// call has ended it.
+func (r *registry) answers(f *flight) {
+	if f == nil {
+		return
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	f.answering = true
+}
+
 func (r *registry) admit(ws model.WorkspaceID) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -106,17 +126,23 @@
 	return n
 }
 
-// cancel ends the requests that match and returns how many.
-func (r *registry) cancel(cause error, match func(*flight) bool) int {
+// cancel ends the requests that match and returns how many. Those whose answer
+// is on its way to the caller have a grace period before they are broken off.
+func (r *registry) cancel(cause error, grace time.Duration, match func(*flight) bool) int {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	n := 0
 	for _, flights := range r.flights {
 		for f := range flights {
-			if match(f) {
-				f.cancel(cause)
-				n++
+			if !match(f) {
+				continue
+			}
+			n++
+			if f.answering && grace > 0 {
+				time.AfterFunc(grace, func() { f.cancel(cause) })
+				continue
 			}
+			f.cancel(cause)
 		}
 	}
 	return n
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -141,18 +141,19 @@
 func (s *Server) Evidence(ws model.WorkspaceID) Evidence { return s.registry.evidence(ws) }
 
 // EndWorkspace ends the requests in flight of a withdrawn workspace and closes
-// the idle connections that presented one of its keys. It returns the number
-// of requests. The Decider's configuration must already be without the
+// the idle connections that presented one of its keys. Those of which the caller
+// has a part of the answer have a second to finish. It returns the number of
+// requests. The Decider's configuration must already be without the
 // workspace, so that requests that arrive meanwhile are refused.
 func (s *Server) EndWorkspace(ws model.WorkspaceID) int {
-	n := s.registry.cancel(errKeyEnded, func(f *flight) bool { return f.workspace == ws })
+	n := s.registry.cancel(errKeyEnded, answerGrace, func(f *flight) bool { return f.workspace == ws })
 	s.registry.closeConns(func(_ model.KeyHash, w model.WorkspaceID) bool { return w == ws })
 	return n
 }
 
 // EndKey is EndWorkspace for one key.
 func (s *Server) EndKey(hash model.KeyHash) int {
-	n := s.registry.cancel(errKeyEnded, func(f *flight) bool { return f.key == hash })
+	n := s.registry.cancel(errKeyEnded, answerGrace, func(f *flight) bool { return f.key == hash })
 	s.registry.closeConns(func(k model.KeyHash, _ model.WorkspaceID) bool { return k == hash })
 	return n
 }
@@ -160,5 +161,5 @@
 // EndAllKeyed ends all keyed requests in flight of a host that is not fresh. The
 // connections stay open: their keys may still be valid.
 func (s *Server) EndAllKeyed() int {
-	return s.registry.cancel(errFreshEnded, func(*flight) bool { return true })
+	return s.registry.cancel(errFreshEnded, 0, func(*flight) bool { return true })
 }
--- a/internal/entry/withdraw_test.go
+++ b/internal/entry/withdraw_test.go
@@ -111,6 +111,56 @@
 	}
 }
 
+// Guards against an answer that is cut in the middle because its key is withdrawn
+// while it is on its way (grown Rodopi, hunt-66e9-3: a download cut 0.4 s after a
+// configuration), and against one that goes on without end.
+func TestWithdrawalLetsAnswersOnTheirWayFinish(t *testing.T) {
+	const part, rest = 100 << 10, 64 << 10
+	for _, endless := range []bool{false, true} {
+		h := newHost(t)
+		begun, finish := make(chan struct{}), make(chan struct{})
+		srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			w.Header().Set("X-Request-Id", r.Header.Get("X-Request-Id"))
+			_, _ = io.WriteString(w, strings.Repeat("x", part))
+			_ = http.NewResponseController(w).Flush()
+			close(begun)
+			select {
+			case <-finish:
+			case <-r.Context().Done():
+				return
+			}
+			_, _ = io.WriteString(w, strings.Repeat("y", rest))
+		}))
+		h.fake.targets = append(h.fake.targets, pool.Assigned{Target: "t", Addr: srv.Listener.Addr().String(), Incarnation: 1})
+		conn := h.dial(t)
+		in := bufio.NewReader(conn)
+		_, err := io.WriteString(conn, "GET /lookup/x HTTP/1.1\r\nHost: h\r\nX-Api-Key: "+keyA+"\r\n\r\n")
+		require.NoError(t, err)
+		res, err := http.ReadResponse(in, nil)
+		require.NoError(t, err)
+		<-begun
+		require.Equal(t, 1, h.EndKey(sha256.Sum256([]byte(keyA))))
+		ended := time.Now()
+		if !endless {
+			time.Sleep(100 * time.Millisecond)
+			close(finish)
+		}
+		n, err := io.Copy(io.Discard, res.Body)
+		if endless {
+			require.Error(t, err, "it is broken off visibly")
+			require.Greater(t, time.Since(ended), 500*time.Millisecond)
+		} else {
+			require.NoError(t, err)
+			require.EqualValues(t, part+rest, n)
+		}
+		require.Less(t, time.Since(ended), 3*time.Second)
+		require.Eventually(t, func() bool { return h.Evidence("shop-a").InFlight == 0 }, time.Second, time.Millisecond)
+		_, err = in.ReadByte()
+		require.Error(t, err, "the connection of a withdrawn key ends")
+		srv.Close()
+	}
+}
+
 // Guards against a caller that keeps an idle connection after its key was withdrawn, and against closing others.
 func TestWithdrawalClosesIdleConnections(t *testing.T) {
 	h := newHost(t)
