Acknowledge that a target leaves only after a confirmation that is newer

A host took announcements while its last confirmation was at most 1.2 s old, so what it acknowledged in the first second after the cut reached no owner before the cut ended.

Ruled out: an owner that was told and went on (it was on the other side); load of the machine was not needed (the acknowledgement is within the rule of 1.2 s).

Change: a leave or drain is acknowledged once this host was confirmed by an ask that it sent after it had told the other control hosts, on the same links; without that within 700 ms it answers 503, and the target asks another host. Heartbeats of ready targets are taken as before.

Before: no such wait existed; the new test shows that a confirmation of the rule before is too old.

--- a/internal/node/port.go
+++ b/internal/node/port.go
@@ -71,6 +71,14 @@
 // announcements: three asks. Without a majority it could not tell the owners.
 const announceAge = 1200 * time.Millisecond
 
+const (
+	// leaveWait bounds the wait for the confirmation of a leave: less than the
+	// second after which a target asks another host, more than an ask and its reply.
+	leaveWait = 700 * time.Millisecond
+	// leavePoll is the interval at which the confirmation is looked for.
+	leavePoll = 10 * time.Millisecond
+)
+
 // controlPort implements ControlPort.
 type controlPort struct {
 	control *controlHost
@@ -130,6 +138,16 @@
 	if p.owner == nil || !p.seat.confirmedWithin(announceAge) {
 		return ErrUnsure{Cause: "it does not reach a majority of the fleet"}
 	}
+	heard := p.seat.clock.now()
 	p.owner.announce(a)
+	if a.State == model.TargetReady {
+		return nil
+	}
+	// The other control hosts were told on the links that the next confirmation
+	// comes from. A host that was just cut off would acknowledge what none of them
+	// learns before the targets must get no more work.
+	if !p.seat.confirmedSince(heard, leaveWait) {
+		return ErrUnsure{Cause: "it was not confirmed to reach a majority of the fleet since the target announced that it leaves"}
+	}
 	return nil
 }
--- /dev/null
+++ b/internal/node/port_test.go
@@ -0,0 +1,31 @@
+package node
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"tarragongauge.example/tarragongauge/internal/lease"
+	"tarragongauge.example/tarragongauge/pkg/model"
+)
+
+// Guards against a control host that was cut off a second ago and acknowledges
+// that a target leaves: no other host learns of it in time, and requests reach
+// the target after its bound (grown Rodopi, replay of hunt-66e9-3: 20 requests
+// later than 2 s after the acknowledgement).
+func TestLeaveNeedsAConfirmationSentAfterIt(t *testing.T) {
+	h := &seatHost{clock: newClock()}
+	fresh := lease.DefaultTiming().Fresh
+	confirm := func(at model.Instant) { h.freshUntil.Store(int64(at.Add(fresh))) }
+	time.Sleep(time.Millisecond)
+	now := h.clock.now()
+	confirm(now.Add(-500 * time.Millisecond))
+	require.True(t, h.confirmedWithin(announceAge), "it takes heartbeats")
+	began := time.Now()
+	require.False(t, h.confirmedSince(now, 100*time.Millisecond), "the confirmation is older than the leave")
+	require.Less(t, time.Since(began), time.Second)
+
+	time.AfterFunc(30*time.Millisecond, func() { confirm(now.Add(time.Millisecond)) })
+	require.True(t, h.confirmedSince(now, leaveWait))
+}
--- a/internal/node/seat_part.go
+++ b/internal/node/seat_part.go
@@ -60,6 +60,17 @@
 	return confirmedWithin(h.clock.now(), model.Instant(h.freshUntil.Load()), age)
 }
 
+// confirmedSince waits until this host was confirmed a version by an ask sent
+// after an instant, and reports whether it was within a time.
+func (h *seatHost) confirmedSince(instant model.Instant, within time.Duration) bool {
+	for end := time.Now().Add(within); time.Now().Before(end); time.Sleep(leavePoll) {
+		if until := model.Instant(h.freshUntil.Load()); until != 0 && until.Add(-lease.DefaultTiming().Fresh) >= instant {
+			return true
+		}
+	}
+	return false
+}
+
 // locate tells the seat and the freshness client which hosts the log knows.
 func (h *seatHost) locate(cfg model.Config) {
 	at := lease.Located{Seats: cfg.Seats, Controls: cfg.Controls}
