Answer pipelined requests before a connection ends

Cause: an answer with Connection: close drops the requests that have arrived behind it on the connection. Connections end so when a key that they presented was withdrawn and, at each answer, while the host stops; a connection between two requests was closed too.

Ruled out: refusals for bad framing or bodies, after which the rest of the input cannot be read; they close as before.

Change: a connection counts the requests whose header has arrived and those that have begun; it ends once there is none between.

--- a/internal/entry/call.go
+++ b/internal/entry/call.go
@@ -78,6 +78,9 @@
 		id: s.ids.id(), start: time.Now(), cfg: s.decider.Config(),
 		body: &requestBody{failed: &readError{}},
 	}
+	if conn := connOf(r.Context()); conn != nil {
+		conn.begun.Add(1)
+	}
 	s.active.Add(1)
 	defer s.active.Add(-1)
 	defer c.record()
@@ -115,7 +118,7 @@
 		return err
 	}
 	if c.s.draining.Load() {
-		return refuse(http.StatusServiceUnavailable, CodeDraining, "this host is shutting down; send the request again, to another host").after(otherHost).closing()
+		return refuse(http.StatusServiceUnavailable, CodeDraining, "this host is shutting down; send the request again, to another host").after(otherHost)
 	}
 	if err := c.match(); err != nil {
 		return err
@@ -229,7 +232,7 @@
 }
 
 func withdrawn() *ErrRefused {
-	return refuse(http.StatusUnauthorized, CodeKeyWithdrawn, "the key was withdrawn; ask the operators for a valid key").closing()
+	return refuse(http.StatusUnauthorized, CodeKeyWithdrawn, "the key was withdrawn; ask the operators for a valid key")
 }
 
 func notFresh() *ErrRefused {
@@ -433,13 +436,18 @@
 		err = err.promised(c.outcome)
 		c.status = err.Status
 	}
+	if conn := connOf(c.r.Context()); conn != nil && err.Code == CodeKeyWithdrawn {
+		conn.ending.Store(true)
+	}
 	c.closeIfEnding()
 	err.write(c.w, c.s.names.RequestID, c.shownID(), c.outcome, c.s.fractions)
 }
 
 // closeIfEnding ends a connection that presented a withdrawn key after this answer.
 func (c *call) closeIfEnding() {
-	if conn := connOf(c.r.Context()); c.s.draining.Load() || (conn != nil && conn.ending.Load()) {
+	conn := connOf(c.r.Context())
+	ending := c.s.draining.Load() || conn != nil && conn.ending.Load()
+	if ending && !conn.pipelined() {
 		c.w.Header().Set("Connection", "close")
 	}
 }
--- a/internal/entry/conn.go
+++ b/internal/entry/conn.go
@@ -65,6 +65,11 @@
 	// ending is set when a key that this connection presented was withdrawn.
 	ending atomic.Bool
 
+	// framed counts the requests whose header arrived, begun those that net/http
+	// has handed to the server.
+	framed atomic.Int64
+	begun  atomic.Int64
+
 	// presented holds the workspaces by the keys this connection presented; the registry guards it.
 	presented map[model.KeyHash]model.WorkspaceID
 }
@@ -126,6 +131,7 @@
 
 func (c *callerConn) check() {
 	for {
+		header := c.framer.part == partHeader
 		n, refused, err := c.framer.next(c.in[c.checked:])
 		if err != nil {
 			c.stop(malformedChunk)
@@ -138,6 +144,9 @@
 		if n == 0 {
 			return
 		}
+		if header {
+			c.framed.Add(1)
+		}
 		c.checked += n
 	}
 }
@@ -232,6 +241,11 @@
 	io.CopyN(io.Discard, c.Conn, lingerBytes) //nolint:errcheck // The connection is closed in any case.
 }
 
+// pipelined reports whether requests that have arrived wait behind the present
+// one. A connection that ends answers them first: their callers could not tell
+// whether they ran.
+func (c *callerConn) pipelined() bool { return c != nil && c.framed.Load() > c.begun.Load() }
+
 type connKey struct{}
 
 func withConn(ctx context.Context, conn net.Conn) context.Context {
--- a/internal/entry/registry.go
+++ b/internal/entry/registry.go
@@ -153,7 +153,7 @@
 func (r *registry) closeConns(match func(model.KeyHash, model.WorkspaceID) bool) {
 	for _, conn := range r.matching(match) {
 		conn.ending.Store(true)
-		if conn.idle.Load() {
+		if conn.idle.Load() && !conn.pipelined() {
 			conn.Close() //nolint:errcheck // A connection that is closed already is fine.
 		}
 	}
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -96,7 +96,7 @@
 	c.idle.Store(state == http.StateIdle)
 	switch state {
 	case http.StateIdle:
-		if c.ending.Load() {
+		if c.ending.Load() && !c.pipelined() {
 			c.Close() //nolint:errcheck // A connection that is closed already is fine.
 		}
 	case http.StateClosed, http.StateHijacked:
--- a/internal/entry/withdraw_test.go
+++ b/internal/entry/withdraw_test.go
@@ -161,6 +161,43 @@
 	}
 }
 
+// Guards against a connection that ends after the answer to a request whose key
+// was withdrawn, or while the host stops, and drops the requests behind it that
+// have arrived: their callers get neither an answer nor a refusal.
+func TestEndingConnectionAnswersPipelinedRequests(t *testing.T) {
+	for name, c := range map[string]struct {
+		end  func(*host)
+		want []int
+	}{
+		"withdrawn": {func(h *host) { h.EndKey(sha256.Sum256([]byte(keyA))) }, []int{401, 200}},
+		"draining":  {func(h *host) { h.Drain() }, []int{200, 503}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			h := newHost(t)
+			target := h.target(t, stub.Behavior{DelayMS: 300})
+			conn := h.dial(t)
+			request := func(path string) string {
+				return "GET " + path + " HTTP/1.1\r\nHost: h\r\nX-Api-Key: " + keyA + "\r\n\r\n"
+			}
+			_, err := io.WriteString(conn, request("/lookup/1")+request("/open/2"))
+			require.NoError(t, err)
+			require.Eventually(t, func() bool { return target.Running() == 1 }, time.Second, time.Millisecond)
+			time.Sleep(20 * time.Millisecond)
+			c.end(h)
+			in := bufio.NewReader(conn)
+			for _, want := range c.want {
+				res, err := http.ReadResponse(in, nil)
+				require.NoError(t, err)
+				_, err = io.Copy(io.Discard, res.Body)
+				require.NoError(t, err)
+				require.Equal(t, want, res.StatusCode)
+			}
+			_, err = in.ReadByte()
+			require.ErrorIs(t, err, io.EOF, "then it ends")
+		})
+	}
+}
+
 // Guards against a caller that keeps an idle connection after its key was withdrawn, and against closing others.
 func TestWithdrawalClosesIdleConnections(t *testing.T) {
 	h := newHost(t)
