Let the test of redirects use an ask that nothing has confirmed

Cause: found in the last read, on a scratch copy with the rule removed: TestRedirectConfirmsNothing passed, since the ask that the redirect answered had been confirmed by the relay before, so that a second confirmation changed nothing.

Change: the redirect answers a later ask. The assertions stand. Without the rule the test now fails: the right to serve is extended.

--- a/internal/lease/relay_test.go
+++ b/internal/lease/relay_test.go
@@ -362,8 +362,17 @@
 // Guards against a host that is only sent on to another relay and takes that as
 // a confirmation: it would serve a withdrawn key for longer than it may.
 func TestRedirectConfirmsNothing(t *testing.T) {
-	f, nonce := settledEntry(t)
+	f, _ := settledEntry(t)
 	until := f.fresh.Until()
+	// A later ask, which nothing has confirmed yet.
+	f.now = f.now.Add(f.fresh.timing.Ask)
+	var nonce uint64
+	for _, e := range f.fresh.Step(f.now, Tick{}) {
+		if send, ok := e.(Send); ok {
+			nonce = send.Msg.(proto.FreshAsk).Nonce
+		}
+	}
+	require.NotZero(t, nonce)
 	relay := NewFresh(controlMember("a", "z1"), WithRelay())
 	relay.members = []proto.Member{controlMember("a", "z1"), controlMember("c", "z2")}
 	relay.hist.replace(f.cfg)
