Let queries wait for working targets instead of failing ones

Cause: a failing target answers within milliseconds, so it always has a free slot, and queries that found no other slot were assigned to it. The queue behind the working targets was bounded by deadlines alone, and its expected wait by the median latency.

Extended cooldowns are bounded by the number of working targets: the test of the floor failed with 8 targets without it.

TestNoExtendedCooldownWhileManyRequestsFail sets up 3 failing targets for its bound of 2 and checks in addition that 5 failing ones give 1: stricter than before, since the bound is now a share of the working targets.

--- a/internal/entry/forward.go
+++ b/internal/entry/forward.go
@@ -89,11 +89,23 @@
 // targetRequest returns the query for a target other than those tried.
 func (c *call) targetRequest(tried []model.TargetID) pool.TargetRequested {
 	return pool.TargetRequested{
-		Request: c.id, Service: c.route.Service, Workspace: c.workspace,
+		Request: c.id, Service: c.route.Service, Workspace: c.workspace, Objective: c.timeToObjective(),
 		Fingerprint: c.identity().fingerprint(c.workspace), Exclude: tried, AtMostOnce: !c.route.Idempotent,
 	}
 }
 
+// timeToObjective returns the time left until the latency objective of the route,
+// negative once it has passed, or 0 if the route has none.
+func (c *call) timeToObjective() time.Duration {
+	if c.route.Objective == 0 {
+		return 0
+	}
+	if left := c.route.Objective - time.Since(c.startedAt); left != 0 {
+		return left
+	}
+	return -1
+}
+
 // assignmentRefused returns the error answer to a request that got no target.
 func (c *call) assignmentRefused(r pool.Refused) *ErrRefused {
 	const status = http.StatusServiceUnavailable
--- a/internal/pool/api.go
+++ b/internal/pool/api.go
@@ -50,7 +50,10 @@
 		Workspace   model.WorkspaceID
 		Fingerprint model.Fingerprint
 		Deadline    model.Instant
-		Exclude     []model.TargetID
+		// Objective is the time left until the latency objective of the request's
+		// route, negative once it has passed, or 0 without an objective.
+		Objective time.Duration
+		Exclude   []model.TargetID
 		// AtMostOnce is set if the request must not be retried on another target after it may have run.
 		AtMostOnce bool
 	}
--- a/internal/pool/assign.go
+++ b/internal/pool/assign.go
@@ -47,12 +47,17 @@
 		return
 	}
 	w := s.workspace(m.Workspace)
+	r := pickCriteria{zone: m.Zone, host: host, exclude: m.Exclude, declined: m.DeclinedTargets, once: m.AtMostOnce}
+	var t *target
 	if s.waitingCount == 0 {
-		r := pickCriteria{zone: m.Zone, host: host, exclude: m.Exclude, declined: m.DeclinedTargets, once: m.AtMostOnce}
-		if t := o.pick(now, s, r); t != nil {
-			o.assign(now, s, t, key, w, now.Add(m.Remaining), r.isLastAttempt())
-			return
-		}
+		t = o.pick(now, s, r)
+	}
+	if t == nil && s.mayTry(now, &m, &o.tune) {
+		t = s.trialTarget(now, r)
+	}
+	if t != nil {
+		o.assign(now, s, t, key, w, now.Add(m.Remaining), r.isLastAttempt())
+		return
 	}
 	o.enqueue(now, s, w, key, &m)
 }
@@ -63,6 +68,9 @@
 	if s.isQuarantined(now, m.Workspace, m.Fingerprint) || s.awaitsConfirmation(m.Workspace, m.Fingerprint, o.tune.CrashLimit) {
 		return proto.SlotQuarantined
 	}
+	if len(m.Exclude) == 0 && !m.AtMostOnce {
+		s.lastRepeatableAskAt = now
+	}
 	if len(m.Exclude) == 0 {
 		s.retryTokens = min(o.tune.Retries.Burst, s.retryTokens+s.retryShare)
 	} else if s.retryTokens < 1 || s.mayReachCrashLimit(m.Workspace, m.Fingerprint, o.tune.CrashLimit) {
@@ -84,13 +92,13 @@
 }
 
 // enqueue puts a query in the queue of its workspace, unless the queue is full or
-// the expected wait exceeds the deadline.
+// the expected wait is too long.
 func (o *Owner) enqueue(now model.Instant, s *service, w *workspace, key askKey, m *proto.SlotAsk) {
 	if w.waitingCount >= s.queueLimit {
 		o.refuse(s, key.host, key.nonce, proto.SlotQueueFull, s.expectedWait(w))
 		return
 	}
-	if wait := s.expectedWait(w); wait+s.base.medianLatency() > m.Remaining {
+	if wait := s.expectedWait(w); wait > s.maxWait(m) {
 		o.refuse(s, key.host, key.nonce, proto.SlotTooLate, wait)
 		return
 	}
@@ -140,7 +148,7 @@
 		a := w.queue.peek()
 		r := pickCriteria{zone: a.zone, host: a.host, exclude: a.exclude, declined: a.declined, once: a.once}
 		t := o.pick(now, s, r)
-		if t == nil && len(a.exclude) == 0 && !s.hasTargetAtMaxHosts() {
+		if t == nil && len(a.exclude) == 0 && !s.hasTargetAtMaxHosts() && !s.hasFailingTarget() {
 			return
 		}
 		if t == nil {
@@ -226,12 +234,13 @@
 // isLastAttempt reports whether the request fails if this attempt fails.
 func (r pickCriteria) isLastAttempt() bool { return r.once || len(r.exclude) > 0 }
 
-// pick returns the target for a query, or nil if none has a free slot. The target
-// with the lowest load score wins, then the one assigned longest ago, which spreads
-// the evidence evenly over the targets.
+// pick returns the target for a query, or nil if the query waits. The target with
+// the lowest load score wins, then the one assigned longest ago, which spreads the
+// evidence evenly over the targets.
 func (o *Owner) pick(now model.Instant, s *service, r pickCriteria) *target {
 	var best *target
 	bestScore := 0.0
+	canWait := s.hasWorkingTarget(r.exclude)
 	for _, t := range s.targets {
 		if !t.usable() || len(t.busySlots) >= t.slots || now < t.pausedUntil {
 			continue
@@ -246,6 +255,9 @@
 		if !t.acceptsHost(r.host, s.maxHosts(t)) || slices.Contains(r.exclude, t.id) || slices.Contains(r.declined, t.id) {
 			continue
 		}
+		if canWait && s.isAvoided(now, t, &o.tune, r) {
+			continue
+		}
 		best, bestScore = t, score
 	}
 	return best
@@ -294,6 +306,9 @@
 		expiresAt:     deadline.Add(o.tune.SlotExpiryGrace),
 		isLastAttempt: final,
 	}
+	if t.cooldownFrom != 0 {
+		l.failuresBefore = t.failedAttempts
+	}
 	t.busySlots = append(t.busySlots, l)
 	s.assignmentCount++
 	t.lastAssignment = s.assignmentCount
--- a/internal/pool/attempt_end.go
+++ b/internal/pool/attempt_end.go
@@ -22,9 +22,9 @@
 // its outcome to the evidence on the target. A repeated report has no effect.
 func (o *Owner) recordEnd(now model.Instant, s *service, host int32, m *proto.SlotDone, at model.Instant) {
 	l, own := s.slotByID[m.Slot]
-	began, final := now, true
+	began, final, failuresBefore := now, true, 0
 	if own {
-		began, final = l.startedAt, l.isLastAttempt
+		began, final, failuresBefore = l.startedAt, l.isLastAttempt, l.failuresBefore
 	}
 	switch {
 	case own && l.host != host:
@@ -44,6 +44,9 @@
 	}
 	if m.Attempt.End == model.AttemptOK || m.Attempt.End.Failed() {
 		s.recentOutcomes.record(now, final, m.Attempt.End.Failed())
+		if failuresBefore > 0 {
+			s.trialOutcomes.record(now, failuresBefore, !m.Attempt.End.Failed())
+		}
 	}
 	if t, ok := s.targetByID[m.Attempt.Target]; ok && t.announced() {
 		t.recordOutcome(now, began, m.Attempt)
@@ -92,6 +95,7 @@
 		// Attempts that an earlier owner or a local choice placed may have waited
 		// inside the target, so their latency is no evidence.
 		if own {
+			s.latency.add(m.Attempt.Latency)
 			s.addLatency(&t.stats, m.Attempt.Latency, o.tune.EvidenceCap)
 		}
 		s.discountCrash(m.Workspace, m.Fingerprint)
--- a/internal/pool/cooldown.go
+++ b/internal/pool/cooldown.go
@@ -21,9 +21,9 @@
 // while their health checks succeed.
 
 const (
-	// maxExtendedShare bounds the share of a service's ready targets with an
-	// extended cooldown. The users require that 0.7 of the healthy targets get
-	// requests within 2 s.
+	// maxExtendedShare bounds the targets with an extended cooldown to a share of
+	// those that work. The users require that 0.7 of the targets without a fault get
+	// requests within 2 s, and an extended cooldown may outlast the fault.
 	maxExtendedShare = 0.2
 	// maxFailedShare is the share of failed requests above which no cooldown is
 	// extended. The users' requirement on healthy targets applies while more than a
@@ -34,6 +34,9 @@
 	outcomeHalfLife = time.Second
 	// maxCooldownDoublings bounds the extension: a cooldown of 1.8 s grows to 7.2 s.
 	maxCooldownDoublings = 2
+	// maxFailedAttempts bounds the count of failed attempts, so that two successes
+	// in a row take it back.
+	maxFailedAttempts = 4
 	// failureMemory is the time after a target's last failure at which its earlier
 	// failures no longer count.
 	failureMemory = 20 * time.Second
@@ -78,7 +81,7 @@
 	case now.Sub(t.lastFailureAt) > failureMemory:
 		t.failedAttempts = 1
 	default:
-		t.failedAttempts++
+		t.failedAttempts = min(t.failedAttempts+1, maxFailedAttempts)
 	}
 	if failed {
 		t.lastFailureAt = now
@@ -97,12 +100,12 @@
 // extendCooldowns extends the cooldown of the targets with the most failed
 // attempts, as far as the shares and the floor allow.
 func (s *service) extendCooldowns(now model.Instant) {
-	ready := 0
+	working := 0
 	candidates := s.cooldownScratch[:0]
 	for _, t := range s.targets {
 		t.hasExtendedCooldown = false
-		if t.ready() {
-			ready++
+		if t.isWorking() {
+			working++
 		}
 		if now.Sub(t.lastFailureAt) > failureMemory {
 			t.failedAttempts = 0
@@ -112,7 +115,7 @@
 		}
 	}
 	s.cooldownScratch = candidates
-	maxTargets := min(int(maxExtendedShare*float64(ready)), s.spareTargets(now))
+	maxTargets := min(int(maxExtendedShare*float64(working)), s.spareTargets(now))
 	if s.recentOutcomes.tooManyFailed() {
 		maxTargets = 0
 	}
--- a/internal/pool/picker.go
+++ b/internal/pool/picker.go
@@ -62,6 +62,8 @@
 	workspace   model.WorkspaceID
 	fingerprint model.Fingerprint
 	deadline    model.Instant
+	// objectiveAt is the instant of the latency objective, or 0 without one.
+	objectiveAt model.Instant
 	exclude     []model.TargetID
 	once        bool
 	// declined lists targets that were given back without being tried.
@@ -259,6 +261,9 @@
 		id: ev.Request, service: s, workspace: ev.Workspace, fingerprint: ev.Fingerprint,
 		deadline: ev.Deadline, exclude: ev.Exclude, once: ev.AtMostOnce, nonce: p.nonce, requestedAt: now, inQueue: true,
 	}
+	if ev.Objective != 0 {
+		r.objectiveAt = now.Add(ev.Objective)
+	}
 	if len(ev.Exclude) == 0 {
 		s.retryTokens = min(p.tune.Retries.LocalBurst, s.retryTokens+p.tune.Retries.share(p.cfg.Defaults))
 	}
@@ -297,6 +302,7 @@
 		Fingerprint:     r.fingerprint,
 		Zone:            p.zone,
 		Remaining:       r.deadline.Sub(now),
+		Objective:       r.timeToObjective(now),
 		Exclude:         r.exclude,
 		DeclinedTargets: r.declined,
 		AtMostOnce:      r.once,
--- a/internal/pool/picker_request.go
+++ b/internal/pool/picker_request.go
@@ -1,6 +1,8 @@
 package pool
 
 import (
+	"time"
+
 	"tarragongauge.example/tarragongauge/internal/proto"
 	"tarragongauge.example/tarragongauge/pkg/model"
 )
@@ -42,6 +44,18 @@
 	p.withdrawals.push(withdrawal{nonce: r.nonce, until: max(r.deadline, now).Add(p.tune.SlotExpiryGrace)})
 }
 
+// timeToObjective returns the time left until the latency objective, negative once
+// it has passed, or 0 without one.
+func (r *request) timeToObjective(now model.Instant) time.Duration {
+	if r.objectiveAt == 0 {
+		return 0
+	}
+	if left := r.objectiveAt.Sub(now); left != 0 {
+		return left
+	}
+	return -1
+}
+
 // leaveQueue marks a request as no longer waiting.
 func (p *Picker) leaveQueue(r *request) {
 	if !r.isRemoved {
--- a/internal/pool/service.go
+++ b/internal/pool/service.go
@@ -45,6 +45,9 @@
 	expiresAt model.Instant
 	// isLastAttempt is set if the request fails with this attempt.
 	isLastAttempt bool
+	// failuresBefore is the target's number of failed attempts at the time of the
+	// assignment, if the target was in a cooldown.
+	failuresBefore int
 }
 
 // workspace is the use of one service by one workspace.
@@ -75,6 +78,11 @@
 	targets []*target
 	// recentOutcomes decides whether cooldowns may be extended.
 	recentOutcomes recentOutcomes
+	// trialOutcomes decides whether requests wait for targets that work.
+	trialOutcomes trialOutcomes
+	// lastRepeatableAskAt is when a query for a first attempt that may be repeated
+	// last arrived, or 0.
+	lastRepeatableAskAt model.Instant
 	// cooldownScratch is reused by extendCooldowns.
 	cooldownScratch []*target
 	// targetCount numbers the targets in the order in which they were first
@@ -117,7 +125,8 @@
 	suspects          []suspect
 	quarantine        []quarantined
 
-	base baseline
+	base    baseline
+	latency latencyMean
 	// tail is the sum of the tails of the usable targets as of the last evaluation.
 	tail             tail
 	lastEvaluationAt model.Instant
@@ -237,24 +246,6 @@
 	delete(s.waitingAsks, a.askKey)
 }
 
-// expectedWait estimates the time until the next query of a workspace gets a slot,
-// from the length of the workspace's queue and its fair share of the slots.
-func (s *service) expectedWait(w *workspace) time.Duration {
-	if s.waitingCount == 0 {
-		return 0
-	}
-	_, healthy := s.capacity()
-	active := 0
-	for _, other := range s.workspaces {
-		if other != w && (other.inUse > 0 || other.waitingCount > 0) {
-			active++
-		}
-	}
-	share := max(1, float64(healthy)/float64(active+1))
-	turns := float64(w.waitingCount+1) / share
-	return time.Duration(turns * float64(s.base.medianLatency()))
-}
-
 // refuse replies to a query that it gets no slot.
 func (o *Owner) refuse(s *service, host int32, nonce uint64, status proto.SlotStatus, after time.Duration) {
 	o.send(o.hostNames[host], proto.SlotReply{Nonce: nonce, Status: status, RetryAfter: after, Epoch: s.ownership.epoch})
--- a/internal/proto/message.go
+++ b/internal/proto/message.go
@@ -346,6 +346,9 @@
 		Zone        model.ZoneName
 		// Remaining is the time left until the caller's deadline.
 		Remaining time.Duration
+		// Objective is the time left until the latency objective of the request's route,
+		// negative once it has passed, or 0 without an objective.
+		Objective time.Duration
 		// Exclude lists the targets that the request was already sent to. A non-empty list makes this a retry.
 		Exclude []model.TargetID
 		// AtMostOnce is set if the request must not run on another target after it may have run.
--- a/internal/wire/pool.go
+++ b/internal/wire/pool.go
@@ -15,6 +15,7 @@
 	Fingerprint     model.Fingerprint `cbor:"5,keyasint"`
 	Zone            model.ZoneName    `cbor:"6,keyasint"`
 	Remaining       time.Duration     `cbor:"7,keyasint"`
+	Objective       time.Duration     `cbor:"11,keyasint,omitempty"`
 	Exclude         []model.TargetID  `cbor:"8,keyasint"`
 	AtMostOnce      bool              `cbor:"9,keyasint,omitempty"`
 	DeclinedTargets []model.TargetID  `cbor:"10,keyasint,omitempty"`
