Let hosts without an owner give each other unused tokens

Cause: while most entry hosts are cut off from the owners, each has a token of a small workspace every few seconds only.

The expected wait of a query follows the rate of assignments to its workspace.

--- a/internal/admit/api.go
+++ b/internal/admit/api.go
@@ -20,7 +20,8 @@
 type (
 	// Tick lets a core act on elapsed time. The runtime sends one every 20 ms.
 	Tick struct{}
-	// Received delivers a DrawAsk, StandbyNote or StandbyAck to an Owner, or a DrawReply to a Limiter.
+	// Received delivers a DrawAsk, StandbyNote or StandbyAck to an Owner, or a
+	// DrawReply, ShareAsk or ShareGift to a Limiter.
 	Received struct {
 		From model.HostID
 		Msg  proto.Message
@@ -59,6 +60,8 @@
 	}
 	// EntryHostCountChanged tells a Limiter how many entry hosts there are.
 	EntryHostCountChanged struct{ Count int }
+	// PeersListed tells a Limiter other entry hosts that it may ask for tokens.
+	PeersListed struct{ Peers []model.HostID }
 	// EntryHostsChanged replaces an Owner's list of the entry hosts that are present.
 	EntryHostsChanged struct {
 		Hosts []model.HostID
@@ -112,6 +115,7 @@
 func (Arrived) isEvent()               {}
 func (EntryHostCountChanged) isEvent() {}
 func (EntryHostsChanged) isEvent()     {}
+func (PeersListed) isEvent()           {}
 func (RequestAbandoned) isEvent()      {}
 
 func (Send) isEffect()          {}
--- a/internal/admit/fleet_test.go
+++ b/internal/admit/fleet_test.go
@@ -64,6 +64,9 @@
 	lossRate float64
 	// isolated holds the hosts that reach no other host.
 	isolated map[*fleetHost]bool
+	// cutFromOwner holds the hosts that reach each other but neither control nor the
+	// host that owns all shards.
+	cutFromOwner map[*fleetHost]bool
 	// brokenLinks holds pairs of hosts of which the first does not reach the second.
 	brokenLinks map[[2]*fleetHost]bool
 	// standby is the next candidate for all shards.
@@ -134,7 +137,7 @@
 	f := &fleet{
 		opts: opts,
 		t:    t, r: rand.New(rand.NewPCG(seed, 2)), cfg: model.NewConfig(nil, nil), maxOwnerDelay: 400 * time.Millisecond,
-		stats: map[model.WorkspaceID]*workspaceStats{}, isolated: map[*fleetHost]bool{},
+		stats: map[model.WorkspaceID]*workspaceStats{}, isolated: map[*fleetHost]bool{}, cutFromOwner: map[*fleetHost]bool{},
 		brokenLinks: map[[2]*fleetHost]bool{},
 	}
 	for ws, l := range limits {
@@ -352,6 +355,9 @@
 	if from != to && (f.isolated[from] || f.isolated[to] || f.brokenLinks[[2]*fleetHost{from, to}] || f.r.Float64() < f.lossRate) {
 		return
 	}
+	if from == f.owner && f.cutFromOwner[to] || to == f.owner && f.cutFromOwner[from] {
+		return
+	}
 	copies := 1
 	if f.networkFaults {
 		copies += f.r.IntN(17) / 16
@@ -372,11 +378,12 @@
 		return
 	}
 	ev := Received{From: from.id, Msg: m}
-	if _, ok := m.(proto.DrawReply); ok {
+	switch m.(type) {
+	case proto.DrawReply, proto.ShareAsk, proto.ShareGift:
 		f.stepLimiter(to, ev)
-		return
+	default:
+		f.stepOwner(to, ev)
 	}
-	f.stepOwner(to, ev)
 }
 
 // arrive offers one request of a workspace to a host and to the ideal bucket.
--- a/internal/admit/limiter.go
+++ b/internal/admit/limiter.go
@@ -74,6 +74,8 @@
 	nextSweepAt model.Instant
 	cfg         model.Config
 	entryHosts  hostCount
+	// peers holds the hosts that are asked for tokens of their local shares.
+	peers []model.HostID
 	// effects collects the effects of the current Step.
 	effects []Effect
 }
@@ -120,9 +122,9 @@
 	case Arrived:
 		l.arrive(now, ev)
 	case Received:
-		if m, ok := ev.Msg.(proto.DrawReply); ok {
-			l.handleReply(now, m)
-		}
+		l.receive(now, ev)
+	case PeersListed:
+		l.setPeers(ev.Peers)
 	case RequestAbandoned:
 		l.abandon(ev.Request)
 	case OwnersChanged:
@@ -137,6 +139,17 @@
 	return l.effects
 }
 
+func (l *Limiter) receive(now model.Instant, ev Received) {
+	switch m := ev.Msg.(type) {
+	case proto.DrawReply:
+		l.handleReply(now, m)
+	case proto.ShareAsk:
+		l.handleShareAsk(now, ev.From, m)
+	case proto.ShareGift:
+		l.handleShareGift(now, m)
+	}
+}
+
 // pool returns the token pool of a workspace and marks it as used.
 func (l *Limiter) pool(now model.Instant, ws model.WorkspaceID) *tokenPool {
 	p, ok := l.pools[ws]
@@ -205,13 +218,17 @@
 	if owner == "" || now < p.nextDrawAt || len(p.pendingDraws) >= maxPendingDraws {
 		return
 	}
-	n := p.tokensToDraw(now)
-	if n <= 0 {
-		return
+	if n := p.tokensToDraw(now); n > 0 {
+		l.draw(now, p, owner, n)
 	}
+}
+
+// draw starts a draw of n tokens.
+func (l *Limiter) draw(now model.Instant, p *tokenPool, owner model.HostID, n int) {
 	l.lastNonce++
 	d := pendingDraw{nonce: l.lastNonce, tokens: n, sentAt: now, lastSentAt: now}
 	p.pendingDraws = append(p.pendingDraws, d)
+	p.lastDrawAt = now
 	if p.unansweredSince == 0 {
 		p.unansweredSince = now
 	}
@@ -336,6 +353,7 @@
 		}
 		if l.usesShare(now, p) {
 			l.admitFromShare(now, p)
+			l.askPeers(now, p)
 		}
 		l.refuseExpired(now, p)
 		l.sendDraw(now, p)
--- a/internal/admit/share.go
+++ b/internal/admit/share.go
@@ -15,10 +15,10 @@
 	// maxShareRetryAfter bounds the Retry-After of a request for which the local
 	// share had no token.
 	maxShareRetryAfter = 500 * time.Millisecond
-	// hostCountHoldTime is how long a lower number of entry hosts is ignored. A
-	// host that is cut off together with some others sees fewer hosts, and would
-	// take too large a share.
-	hostCountHoldTime = 10 * time.Second
+	// hostCountHoldTime is how long a lower number of entry hosts is ignored. The
+	// hosts that left the list may be cut off and use their shares as long as
+	// owners withhold them.
+	hostCountHoldTime = absentHostTimeout
 	// shareBurstFraction is the fraction of the burst that all local shares together
 	// hold at any time. The rest covers hosts whose tokens become due together by chance.
 	shareBurstFraction = 0.8
@@ -93,10 +93,7 @@
 // take uses the oldest token that is valid and became due after an instant. It
 // reports whether there was one.
 func (s *share) take(now, after model.Instant, schedule shareSchedule) bool {
-	next := max(schedule.newestDue(now.Add(-schedule.validity)), schedule.newestDue(after)) + 1
-	if s.anyUsed {
-		next = max(next, s.lastUsed+1)
-	}
+	next := s.nextUsable(now, after, schedule)
 	if next > schedule.newestDue(now) {
 		return false
 	}
@@ -104,9 +101,24 @@
 	return true
 }
 
+// nextUsable returns the number of the first token that may be used now or later,
+// among those that became due after an instant.
+func (s *share) nextUsable(now, after model.Instant, schedule shareSchedule) int64 {
+	next := max(schedule.newestDue(now.Add(-schedule.validity)), schedule.newestDue(after)) + 1
+	if s.anyUsed {
+		next = max(next, s.lastUsed+1)
+	}
+	return next
+}
+
+// dueAt returns the instant at which a token is due.
+func (s shareSchedule) dueAt(token int64) model.Instant {
+	return s.firstAt.Add(time.Duration(token) * s.period)
+}
+
 // timeToNextToken returns the time until the next token is due.
 func (s shareSchedule) timeToNextToken(now model.Instant) time.Duration {
-	return s.firstAt.Add(time.Duration(s.newestDue(now)+1) * s.period).Sub(now)
+	return s.dueAt(s.newestDue(now) + 1).Sub(now)
 }
 
 // shareScheduleOf returns the schedule of this host's share of a workspace.
--- a/internal/admit/shares_with_owner_test.go
+++ b/internal/admit/shares_with_owner_test.go
@@ -59,12 +59,19 @@
 // poll lets a host learn the owner and the number of hosts, unless it is
 // isolated or frozen.
 func (m *mixedFleet) poll(h *fleetHost) {
-	if m.isolated[h] || m.now < h.frozenUntil {
+	if m.isolated[h] || m.cutFromOwner[h] || m.now < h.frozenUntil {
 		return
 	}
 	m.lastPollAt[h] = m.now
 	m.stepLimiter(h, EntryHostCountChanged{Count: len(m.presentHosts())})
 	m.stepLimiter(h, OwnersChanged{Owners: m.owners()})
+	var peers []model.HostID
+	for _, o := range m.hosts {
+		if o != h {
+			peers = append(peers, o.id)
+		}
+	}
+	m.stepLimiter(h, PeersListed{Peers: peers})
 }
 
 // presentHosts returns the hosts that polled within presentTimeout.
--- a/internal/admit/token_pool.go
+++ b/internal/admit/token_pool.go
@@ -57,7 +57,13 @@
 	isActive bool
 	// unansweredSince is when the first draw since the owner's last answer was sent, or 0.
 	unansweredSince model.Instant
-	share           share
+	// lastDrawAt is when the last draw was first sent, or 0.
+	lastDrawAt model.Instant
+	// shareAsks holds the latest asks for tokens of other hosts' local shares
+	// without an answer, and nextPeer the index of the peer to ask next.
+	shareAsks []shareAsk
+	nextPeer  int
+	share     share
 	// sharePhase, from 0 to 1, shifts the shareSchedule of this host and workspace
 	// against those of others.
 	sharePhase float64
--- a/internal/node/detour.go
+++ b/internal/node/detour.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"tarragongauge.example/tarragongauge/internal/admit"
 	"tarragongauge.example/tarragongauge/internal/lease"
 	"tarragongauge.example/tarragongauge/internal/proto"
 	"tarragongauge.example/tarragongauge/pkg/model"
@@ -57,6 +58,7 @@
 		h.detour.post(f)
 	case lease.PeersListed:
 		h.detour.post(f)
+		h.limiter.post(admit.PeersListed{Peers: f.Peers})
 	case lease.FreshnessExtended:
 		h.detour.post(lease.VersionConfirmed{})
 		h.answerPeers()
--- a/internal/node/entry.go
+++ b/internal/node/entry.go
@@ -224,7 +224,7 @@
 		h.claimer.post(lease.Received{From: from, Msg: m})
 	case proto.DrawAsk, proto.StandbyNote, proto.StandbyAck:
 		h.bucketOwner.post(admit.Received{From: from, Msg: m})
-	case proto.DrawReply:
+	case proto.DrawReply, proto.ShareAsk, proto.ShareGift:
 		h.limiter.post(admit.Received{From: from, Msg: m})
 	case proto.SlotAsk, proto.SlotDone, proto.SlotCancel, proto.TargetNews, proto.ProbeResult, proto.ViewAsk, proto.RestoreReport, proto.QuarantineClear:
 		h.poolOwner.post(pool.Received{From: from, Msg: m})
--- a/internal/pool/assign.go
+++ b/internal/pool/assign.go
@@ -95,10 +95,10 @@
 // the expected wait is too long.
 func (o *Owner) enqueue(now model.Instant, s *service, w *workspace, key askKey, m *proto.SlotAsk) {
 	if w.waitingCount >= s.queueLimit {
-		o.refuse(s, key.host, key.nonce, proto.SlotQueueFull, s.expectedWait(w))
+		o.refuse(s, key.host, key.nonce, proto.SlotQueueFull, s.expectedWait(now, w))
 		return
 	}
-	if wait := s.expectedWait(w); wait > s.maxWait(m) {
+	if wait := s.expectedWait(now, w); wait > s.maxWait(m) {
 		o.refuse(s, key.host, key.nonce, proto.SlotTooLate, wait)
 		return
 	}
@@ -315,6 +315,7 @@
 	t.lastAssignedAt = now
 	t.recordAssignment(now, key.host)
 	w.inUse++
+	w.assignments.add(now)
 	s.connectivity(key.host).slotsInUse++
 	s.slotByID[l.id] = l
 	s.slotByAsk[key] = l
--- a/internal/pool/queue_wait.go
+++ b/internal/pool/queue_wait.go
@@ -1,9 +1,11 @@
 package pool
 
 import (
+	"math"
 	"time"
 
 	"tarragongauge.example/tarragongauge/internal/proto"
+	"tarragongauge.example/tarragongauge/pkg/model"
 )
 
 // A query waits in the queue only if it is likely to be served in time. Under a
@@ -11,11 +13,11 @@
 // alone fills up until every request is served late; requests that are refused at
 // once leave the others within their objectives.
 
-// expectedWait estimates the time until the next query of a workspace gets a slot.
-// A query waits for no more than the queries before it in its workspace, at the
-// workspace's fair share of the slots, and for no more than all waiting queries, at
-// all slots. Targets that queries avoid are not counted.
-func (s *service) expectedWait(w *workspace) time.Duration {
+// expectedWait estimates the time until the next query of a workspace gets a slot:
+// the time in which the queries before it get theirs, at the workspace's fair share
+// of the slots or at its recent rate of assignments, which is higher while others
+// use less than their shares. Targets that queries avoid are not counted.
+func (s *service) expectedWait(now model.Instant, w *workspace) time.Duration {
 	if s.waitingCount == 0 {
 		return 0
 	}
@@ -26,9 +28,31 @@
 			active++
 		}
 	}
+	if s.latency.mean == 0 {
+		return 0
+	}
 	share := max(1, float64(slots)/float64(active))
-	turns := min(float64(w.waitingCount+1)/share, float64(s.waitingCount+1)/max(1, float64(slots)))
-	return time.Duration(turns * float64(s.latency.mean))
+	rate := max(share/s.latency.mean.Seconds(), w.assignments.perSecond(now))
+	return time.Duration(float64(w.waitingCount+1) / rate * float64(time.Second))
+}
+
+// assignmentRateMemory is the time constant of the moving rate of assignments.
+const assignmentRateMemory = time.Second
+
+// assignmentRate is the moving rate of assignments to a workspace.
+type assignmentRate struct {
+	rate      float64
+	updatedAt model.Instant
+}
+
+// add counts an assignment.
+func (r *assignmentRate) add(now model.Instant) {
+	r.rate, r.updatedAt = r.perSecond(now)+1/assignmentRateMemory.Seconds(), now
+}
+
+// perSecond returns the rate of assignments in requests per second.
+func (r *assignmentRate) perSecond(now model.Instant) float64 {
+	return r.rate * math.Exp(-now.Sub(r.updatedAt).Seconds()/assignmentRateMemory.Seconds())
 }
 
 // servingSlots returns the slots of the targets that queries do not avoid, or of all
--- a/internal/pool/service.go
+++ b/internal/pool/service.go
@@ -55,6 +55,8 @@
 	id model.WorkspaceID
 	// inUse counts the slots in use over all hosts.
 	inUse int
+	// assignments is the recent rate of assignments.
+	assignments assignmentRate
 	// waitingCount counts the queries in queue that are not withdrawn.
 	waitingCount int
 	queue        fifo[*ask]
--- a/internal/proto/message.go
+++ b/internal/proto/message.go
@@ -332,6 +332,18 @@
 		// NotOwner is set when the answerer does not own the shard.
 		NotOwner bool
 	}
+	// ShareAsk asks another entry host for an unused token of its local share.
+	ShareAsk struct {
+		Nonce     uint64
+		Workspace model.WorkspaceID
+	}
+	// ShareGift gives the asker of ShareAsk a token, which the sender no longer uses.
+	ShareGift struct {
+		Nonce     uint64
+		Workspace model.WorkspaceID
+		// ValidFor is how long the token may be used, counted from the sending of ShareAsk.
+		ValidFor time.Duration
+	}
 )
 
 // Messages of target assignment, between entry hosts and the owner of a service shard.
--- a/internal/proto/message_types.go
+++ b/internal/proto/message_types.go
@@ -18,6 +18,8 @@
 func (LeaseReply) isMessage()       {}
 func (DrawAsk) isMessage()          {}
 func (DrawReply) isMessage()        {}
+func (ShareAsk) isMessage()         {}
+func (ShareGift) isMessage()        {}
 func (SlotAsk) isMessage()          {}
 func (SlotReply) isMessage()        {}
 func (SlotDone) isMessage()         {}
--- a/internal/wire/lease.go
+++ b/internal/wire/lease.go
@@ -54,12 +54,25 @@
 	NotOwner      bool              `cbor:"7,keyasint,omitempty"`
 }
 
+type shareAsk struct {
+	Nonce     uint64            `cbor:"1,keyasint"`
+	Workspace model.WorkspaceID `cbor:"2,keyasint"`
+}
+
+type shareGift struct {
+	Nonce     uint64            `cbor:"1,keyasint"`
+	Workspace model.WorkspaceID `cbor:"2,keyasint"`
+	ValidFor  time.Duration     `cbor:"3,keyasint"`
+}
+
 func leaseBindings() []binding {
 	return []binding{
 		bindInfallible(40, toLeaseAsk, fromLeaseAsk),
 		bindInfallible(41, toLeaseReply, fromLeaseReply),
 		bindInfallible(42, func(m proto.DrawAsk) drawAsk { return drawAsk(m) }, func(d drawAsk) proto.DrawAsk { return proto.DrawAsk(d) }),
 		bindInfallible(43, func(m proto.DrawReply) drawReply { return drawReply(m) }, func(d drawReply) proto.DrawReply { return proto.DrawReply(d) }),
+		bindInfallible(46, func(m proto.ShareAsk) shareAsk { return shareAsk(m) }, func(d shareAsk) proto.ShareAsk { return proto.ShareAsk(d) }),
+		bindInfallible(47, func(m proto.ShareGift) shareGift { return shareGift(m) }, func(d shareGift) proto.ShareGift { return proto.ShareGift(d) }),
 	}
 }
 
