Hold the floor over the targets that do not fail

Cause: the users' floor is a share of the targets without a fault. Of 15 targets of which 2 fail in service, 4 may be ejected by a floor over all targets; once these have recovered, 9 of 13 sound targets are in use, which is below 0.7.

Change: a ready target that fails without being ejected counts for neither side of the floor. TestFloorHoldsOverTargetsThatDoNotFail failed before (4 ejected instead of 3).

--- a/internal/pool/floor.go
+++ b/internal/pool/floor.go
@@ -11,6 +11,10 @@
 // some time. Otherwise targets that were just replaced would count for the floor
 // while most of the targets that carry the load are out, as in a service whose
 // targets are replaced one after the other while some of them fail.
+//
+// A target that fails without being ejected counts for neither side. The users'
+// floor is a share of the targets without a fault, and an ejected target may have
+// recovered: of 15 targets with 2 failing and 4 ejected, 9 of 13 may be in use.
 
 const (
 	// floorSlack absorbs rounding in the comparison with the floor.
@@ -55,10 +59,11 @@
 	return now.Sub(t.startedAt) >= settledAfter || t.startedAt.Sub(s.firstSeenAt) < initialTargetsWithin
 }
 
-// slotSums returns the slots of all ready targets and of the settled ones.
+// slotSums returns the slots of all ready targets that count for the floor and of
+// the settled ones among them.
 func (s *service) slotSums(now model.Instant) (all, settled slotSum) {
 	for _, t := range s.targets {
-		if !t.ready() {
+		if !t.ready() || !t.ejected && t.failedAttempts > 1 {
 			continue
 		}
 		all.add(t)
--- a/internal/pool/floor_test.go
+++ b/internal/pool/floor_test.go
@@ -87,3 +87,32 @@
 	}
 	require.Equal(t, 1, extended)
 }
+
+// TestFloorHoldsOverTargetsThatDoNotFail guards against ejected targets that, once they
+// have recovered, are too large a share of the targets without a fault. In a fleet of 102
+// hosts, 4 of 13 such targets got nothing for 2 s while two others failed.
+func TestFloorHoldsOverTargetsThatDoNotFail(t *testing.T) {
+	l := newEpisodeLoad(t, 15, CautiousTuning())
+	h := l.harness
+	s := h.owner.service(h.now, testService)
+	for _, target := range s.targets[:4] {
+		target.ejected, target.ejectedUntil = true, h.now.Add(time.Minute)
+	}
+	h.owner.enforceFloor(h.now, s)
+	require.Equal(t, 4, ejectedTargets(s), "11 of 15 targets are in use")
+	for _, target := range s.targets[4:6] {
+		target.failedAttempts, target.lastFailureAt, target.cooldownFrom = 2, h.now, h.now
+	}
+	h.owner.enforceFloor(h.now, s)
+	require.Equal(t, 3, ejectedTargets(s), "10 of the 13 targets that do not fail are in use")
+}
+
+func ejectedTargets(s *service) int {
+	n := 0
+	for _, t := range s.targets {
+		if t.ejected {
+			n++
+		}
+	}
+	return n
+}
