Probe the owner without taking tokens before tokens are given away

Cause: a host that was asked for a token and did not know whether an owner answers drew one token to find out. While a part of the hosts is cut off, each of the others did so twice a second for each workspace, and the tokens expired unused unless a request arrived within 200 ms.

Change: the draw asks for no tokens. TestNoTokenIsGivenAwayWhileTheOwnerAnswers checks it.

--- a/internal/admit/share_gift.go
+++ b/internal/admit/share_gift.go
@@ -28,7 +28,7 @@
 	// ownerSilenceTimeout, since the host itself has no request to serve.
 	giftSilenceTimeout = 250 * time.Millisecond
 	// ownerProbeInterval is the time since the last draw after which a host that is
-	// asked for tokens draws one to find out whether an owner answers, and
+	// asked for tokens finds out whether an owner answers, by a draw of none, and
 	// silenceProbeInterval the same while draws are without an answer.
 	ownerProbeInterval   = 500 * time.Millisecond
 	silenceProbeInterval = drawTimeout
@@ -74,8 +74,7 @@
 }
 
 // handleShareAsk gives the asker a token of the local share if this host has no use
-// for it and no owner answers. A host that does not know whether an owner answers
-// finds out by a draw of one token.
+// for it and no owner answers.
 func (l *Limiter) handleShareAsk(now model.Instant, from model.HostID, m proto.ShareAsk) {
 	if ws, ok := l.cfg.Workspaces.Get(m.Workspace); !ok || ws.Withdrawn {
 		return
@@ -97,7 +96,8 @@
 	l.effects = append(l.effects, Send{To: from, Msg: proto.ShareGift{Nonce: m.Nonce, Workspace: m.Workspace, ValidFor: l.localAtMost(validFor)}})
 }
 
-// probeOwner draws one token if it is not known whether an owner answers.
+// probeOwner sends a draw of no tokens if it is not known whether an owner answers.
+// Tokens that it drew would expire unused.
 func (l *Limiter) probeOwner(now model.Instant, p *tokenPool) {
 	owner, sinceDraw := l.owners[p.shard], now.Sub(p.lastDrawAt)
 	interval := ownerProbeInterval
@@ -110,7 +110,7 @@
 	if p.lastDrawAt == 0 || sinceDraw >= silenceMemory {
 		p.unansweredSince = 0
 	}
-	l.draw(now, p, owner, 1)
+	l.draw(now, p, owner, 0)
 }
 
 // handleShareGift admits the first waiting request with a token of another host. A
--- a/internal/admit/share_gift_test.go
+++ b/internal/admit/share_gift_test.go
@@ -128,8 +128,9 @@
 				case proto.ShareGift:
 					gifts++
 				case proto.DrawAsk:
+					require.Zero(t, m.Tokens, "a probe takes no tokens from others")
 					if answers {
-						l.Step(now+1e6, Received{From: "owner", Msg: proto.DrawReply{Nonce: m.Nonce, Workspace: "w", GrantedTokens: 1, ValidFor: 100 * time.Millisecond}})
+						l.Step(now+1e6, Received{From: "owner", Msg: proto.DrawReply{Nonce: m.Nonce, Workspace: "w", ValidFor: 100 * time.Millisecond}})
 					}
 				}
 			}
