--- a/internal/pool/cooldown.go
+++ b/internal/pool/cooldown.go
@@ -10,7 +10,8 @@
 )
 
 // A target that failed an attempt is in a cooldown and gets work only if no other
-// target has room. When the cooldown ends, one request tries the target, and a
+// target has room or, while most tries of failing targets fail, only by the rules of
+// trial_request.go. When the cooldown ends, one request tries the target, and a
 // request that must not be repeated is lost if the target still fails. A target in
 // a long period of failures would lose one request per cooldown. Each failed try
 // therefore doubles its cooldown, for a bounded share of the targets of a service;
--- a/internal/pool/trial_request.go
+++ b/internal/pool/trial_request.go
@@ -84,8 +84,9 @@
 	return slices.ContainsFunc(s.targets, func(t *target) bool { return t.isWorking() && !slices.Contains(exclude, t.id) })
 }
 
-// hasFailingTarget reports whether a usable target is in a cooldown. Queries then
-// differ in the targets that they may be assigned to.
+// hasFailingTarget reports whether a usable target has failed more often than its
+// successes make up for. Queries then differ in the targets that they may be
+// assigned to.
 func (s *service) hasFailingTarget() bool {
 	return slices.ContainsFunc(s.targets, func(t *target) bool { return t.usable() && t.failedAttempts > 0 })
 }
--- a/internal/pool/tuning.go
+++ b/internal/pool/tuning.go
@@ -24,7 +24,8 @@
 	// caller's zone may be before one in another zone is preferred.
 	ZonePenalty float64
 	// Cooldown is the time after a failed attempt in which a target gets work only
-	// if no other one has room. After it, one attempt at a time tries the target
+	// if no other one has room, and not then while most tries of failing targets
+	// fail. After it, one attempt at a time tries the target
 	// until one succeeds. 0 turns cooldowns off.
 	Cooldown time.Duration
 	// RetryableCooldown is the cooldown for requests that another target may run
