Eject a failing target within the floor

Cause: since a target that fails in service counts for neither side of the floor, and the check before its own ejection still took its slots from the healthy ones: of three targets with a floor of 0.6 none could be ejected.

Change: the floor is checked as if the target were ejected.

--- a/internal/pool/floor.go
+++ b/internal/pool/floor.go
@@ -31,16 +31,16 @@
 type slotSum struct{ announced, healthy int }
 
 // add adds the slots of a ready target.
-func (c *slotSum) add(t *target) {
-	c.announced += t.slots
-	if !t.ejected {
-		c.healthy += t.slots
+func (c *slotSum) add(slots int, isOut bool) {
+	c.announced += slots
+	if !isOut {
+		c.healthy += slots
 	}
 }
 
-// holds reports whether the floor still holds after the given number of healthy slots is removed.
-func (c slotSum) holds(floor float64, removed int) bool {
-	return float64(c.healthy-removed) >= floor*float64(c.announced)-floorSlack
+// holds reports whether the floor holds.
+func (c slotSum) holds(floor float64) bool {
+	return float64(c.healthy) >= floor*float64(c.announced)-floorSlack
 }
 
 // capacity returns the slots of all ready targets and of those that are not ejected.
@@ -48,7 +48,7 @@
 	var all slotSum
 	for _, t := range s.targets {
 		if t.ready() {
-			all.add(t)
+			all.add(t.slots, t.ejected)
 		}
 	}
 	return all.announced, all.healthy
@@ -60,15 +60,16 @@
 }
 
 // slotSums returns the slots of all ready targets that count for the floor and of
-// the settled ones among them.
-func (s *service) slotSums(now model.Instant) (all, settled slotSum) {
+// the settled ones among them, as if the given target, which may be nil, were ejected.
+func (s *service) slotSums(now model.Instant, ejected *target) (all, settled slotSum) {
 	for _, t := range s.targets {
-		if !t.ready() || !t.ejected && t.failedAttempts > 1 {
+		isOut := t.ejected || t == ejected
+		if !t.ready() || !isOut && t.failedAttempts > 1 {
 			continue
 		}
-		all.add(t)
+		all.add(t.slots, isOut)
 		if s.isSettled(now, t) {
-			settled.add(t)
+			settled.add(t.slots, isOut)
 		}
 	}
 	return all, settled
@@ -76,19 +77,19 @@
 
 // mayEject reports whether the floor allows the ejection of a target that is in service.
 func (s *service) mayEject(now model.Instant, t *target) bool {
-	all, settled := s.slotSums(now)
-	if s.isSettled(now, t) && !settled.holds(s.floor, t.slots) {
+	all, settled := s.slotSums(now, t)
+	if s.isSettled(now, t) && !settled.holds(s.floor) {
 		return false
 	}
-	return all.holds(s.floor, t.slots)
+	return all.holds(s.floor)
 }
 
 // enforceFloor reinstates the least severe ejected targets early when the floor no
 // longer holds, because other targets left, returned or settled.
 func (o *Owner) enforceFloor(now model.Instant, s *service) {
 	for {
-		all, settled := s.slotSums(now)
-		met, settledMet := all.holds(s.floor, 0), settled.holds(s.floor, 0)
+		all, settled := s.slotSums(now, nil)
+		met, settledMet := all.holds(s.floor), settled.holds(s.floor)
 		if met && settledMet {
 			return
 		}
--- a/internal/pool/floor_test.go
+++ b/internal/pool/floor_test.go
@@ -107,6 +107,19 @@
 	require.Equal(t, 3, ejectedTargets(s), "10 of the 13 targets that do not fail are in use")
 }
 
+// TestFailingTargetIsEjectedWithinTheFloor guards against a floor that keeps the only
+// failing target in service because the target counts for neither side before it is
+// ejected: of three targets one may be ejected with a floor of 0.6.
+func TestFailingTargetIsEjectedWithinTheFloor(t *testing.T) {
+	l := newEpisodeLoad(t, 3, CautiousTuning())
+	s := l.harness.owner.service(l.harness.now, testService)
+	s.floor = 0.6
+	s.targets[0].failedAttempts = 3
+	require.True(t, s.mayEject(l.harness.now, s.targets[0]))
+	s.targets[0].ejected = true
+	require.False(t, s.mayEject(l.harness.now, s.targets[1]))
+}
+
 func ejectedTargets(s *service) int {
 	n := 0
 	for _, t := range s.targets {
