pool, entry: tell whose budget allowed a retry

The hypotheses on repeated attempts beyond the budget could not be told apart: lines of requests are sampled and no metric names the budget. Hosts now log what they chose without an owner once it answers again, owners log every 10 s how many requests and retries they counted while they refuse retries, and a counter tells retries at targets chosen by the owner from those chosen by the host.

--- a/internal/entry/forward.go
+++ b/internal/entry/forward.go
@@ -23,6 +23,9 @@
 		if refused != nil {
 			return c.answerFailure(last, refused)
 		}
+		if len(tried) > 0 {
+			c.s.metrics.countRetry(target.Local)
+		}
 		tried = append(tried, target.Target)
 		if err := c.checkKey(); err != nil {
 			c.returnTarget(model.Attempt{Target: target.Target, Incarnation: target.Incarnation, End: model.AttemptCanceled})
--- a/internal/entry/metrics.go
+++ b/internal/entry/metrics.go
@@ -23,6 +23,7 @@
 type Metrics struct {
 	requests  *prometheus.CounterVec
 	attempts  *prometheus.CounterVec
+	retries   *prometheus.CounterVec
 	latency   *prometheus.HistogramVec
 	tokenWait prometheus.Histogram
 }
@@ -36,6 +37,9 @@
 		attempts: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "tarragongauge_attempts_total", Help: "Attempts at targets that ended, by how they ended.",
 		}, []string{"end"}),
+		retries: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "tarragongauge_retries_total", Help: "Attempts beyond the first of a request that were allowed, by who chose the target: owner or host.",
+		}, []string{"chosen_by"}),
 		latency: prometheus.NewHistogramVec(prometheus.HistogramOpts{
 			Name: "tarragongauge_request_seconds", Help: "Time from the header of a request to the end of its answer.", Buckets: latencyBuckets(),
 		}, []string{"outcome"}),
@@ -43,7 +47,7 @@
 			Name: "tarragongauge_token_wait_seconds", Help: "Time that requests waited for a token of their workspace.", Buckets: latencyBuckets(),
 		}),
 	}
-	reg.MustRegister(m.requests, m.attempts, m.latency, m.tokenWait)
+	reg.MustRegister(m.requests, m.attempts, m.retries, m.latency, m.tokenWait)
 	return m
 }
 
@@ -70,6 +74,19 @@
 	}
 }
 
+// countRetry counts an attempt beyond the first of its request, at a target that
+// the owner of the service or, with local set, this host chose.
+func (m *Metrics) countRetry(local bool) {
+	if m == nil {
+		return
+	}
+	chosenBy := "owner"
+	if local {
+		chosenBy = "host"
+	}
+	m.retries.WithLabelValues(chosenBy).Inc()
+}
+
 // reportedOutcome returns the outcome as logs and metrics name it. They name a
 // request that ran and was answered without a server error "served".
 func (c *call) reportedOutcome() string {
--- a/internal/entry/metrics_test.go
+++ b/internal/entry/metrics_test.go
@@ -33,6 +33,23 @@
 	}, 5*time.Second, 10*time.Millisecond)
 }
 
+// TestMetricsTellWhoseBudgetARetryUsed guards against retries beyond the budget of
+// which nobody can tell whether the owner or the host allowed them.
+func TestMetricsTellWhoseBudgetARetryUsed(t *testing.T) {
+	reg := prometheus.NewRegistry()
+	h := newCustomHeaderHost(t, entry.WithMetrics(entry.NewMetrics(reg)))
+	for range 2 {
+		h.addTarget(t, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			w.Header().Set("Site-Request-Id", r.Header.Get("Site-Request-Id"))
+			w.WriteHeader(http.StatusInternalServerError)
+		}))
+	}
+	h.mustDoCustom(t, "GET", "/lookup/x", "r")
+	require.Eventually(t, func() bool {
+		return metricValues(t, reg)["tarragongauge_retries_total owner"] == 1
+	}, 5*time.Second, 10*time.Millisecond)
+}
+
 // metricValues returns the value of each counter and the number of observations of
 // each histogram, by name and label values.
 func metricValues(t *testing.T, reg *prometheus.Registry) map[string]float64 {
@@ -47,7 +64,7 @@
 			for _, l := range m.GetLabel() {
 				labels[l.GetName()] = l.GetValue()
 			}
-			for _, l := range []string{"outcome", "code", "end"} {
+			for _, l := range []string{"outcome", "code", "end", "chosen_by"} {
 				if v, ok := labels[l]; ok {
 					name += " " + v
 				}
--- a/internal/node/owner_host.go
+++ b/internal/node/owner_host.go
@@ -259,6 +259,10 @@
 		log.Info("target returned", "service", f.Service, "target", f.Target)
 	case pool.Quarantined:
 		log.Info("requests quarantined: they crashed targets twice", "service", f.Service, "workspace", f.Workspace, "fingerprint", f.Fingerprint, "for", f.Duration.String())
+	case pool.RetriesRefused:
+		log.Info("retry budget used up", "service", f.Service, "within", f.Interval.String(), "requests", f.Requests, "retries", f.Retries, "refused", f.Refused)
+	case pool.DecidedWithoutOwner:
+		log.Info("chose targets without the owner of the service", "service", f.Service, "for", f.Duration.String(), "requests", f.Requests, "retries", f.Retries)
 	default:
 	}
 }
--- a/internal/pool/api.go
+++ b/internal/pool/api.go
@@ -146,6 +146,24 @@
 		Fingerprint model.Fingerprint
 		Duration    time.Duration
 	}
+	// RetriesRefused reports that the retry budget of a service was used up within
+	// the last Interval.
+	RetriesRefused struct {
+		Service  model.ServiceName
+		Interval time.Duration
+		// Requests counts the queries that added to the budget, Retries those that
+		// used it and Refused those that found it empty.
+		Requests, Retries, Refused int
+	}
+	// DecidedWithoutOwner reports that a service's owner answers, after this host
+	// chose targets by itself for a time.
+	DecidedWithoutOwner struct {
+		Service model.ServiceName
+		// Duration is the time since the first choice.
+		Duration time.Duration
+		// Requests counts the choices, Retries those after a failed attempt.
+		Requests, Retries int
+	}
 )
 
 // Core is implemented by the Owner and the Picker.
@@ -180,3 +198,5 @@
 func (Reinstated) isEffect()          {}
 func (EjectionUnconfirmed) isEffect() {}
 func (Quarantined) isEffect()         {}
+func (RetriesRefused) isEffect()      {}
+func (DecidedWithoutOwner) isEffect() {}
--- a/internal/pool/assign.go
+++ b/internal/pool/assign.go
@@ -73,7 +73,11 @@
 	}
 	if len(m.Exclude) == 0 {
 		s.retryTokens = min(o.tune.Retries.Burst, s.retryTokens+s.retryShare)
-	} else if s.retryTokens < 1 || s.mayReachCrashLimit(m.Workspace, m.Fingerprint, o.tune.CrashLimit) {
+		s.retryReport.requests++
+	} else if s.retryTokens < 1 {
+		s.retryReport.refused++
+		return proto.SlotNoRetry
+	} else if s.mayReachCrashLimit(m.Workspace, m.Fingerprint, o.tune.CrashLimit) {
 		return proto.SlotNoRetry
 	}
 	if h := s.connectivity(host); h.slotsInUse >= maxCutOffSlots && h.isCutOff() {
@@ -87,6 +91,7 @@
 	}
 	if len(m.Exclude) > 0 {
 		s.retryTokens--
+		s.retryReport.retries++
 	}
 	return 0
 }
--- a/internal/pool/local.go
+++ b/internal/pool/local.go
@@ -74,6 +74,7 @@
 		p.withdraw(now, r)
 		r.slot = localSlot | r.nonce
 		p.assign(r, v.Target, v.Addr, v.Incarnation, true)
+		s.localPeriod.record(now, r)
 		p.reportAgain(s)
 	}
 	p.compactQueue(s)
--- a/internal/pool/owner.go
+++ b/internal/pool/owner.go
@@ -215,6 +215,7 @@
 			continue
 		}
 		o.refillRetries(now, s)
+		o.reportRetries(now, s)
 		o.expireTargets(now, s)
 		o.expireSlots(now, s)
 		o.expireBrokenAttempts(now, s)
--- a/internal/pool/owner_test.go
+++ b/internal/pool/owner_test.go
@@ -247,6 +247,23 @@
 	}
 }
 
+// TestOwnerReportsRefusedRetries guards against a retry budget that is used up
+// without a trace of how many requests and retries it counted.
+func TestOwnerReportsRefusedRetries(t *testing.T) {
+	h := newOwnerHarness(t, 2)
+	for h.ask("w", 1, "t0").Status != proto.SlotNoRetry {
+	}
+	h.ask("w", 1)
+	h.now = h.now.Add(retryReportInterval)
+	reports := effectsOf[RetriesRefused](h.step(Tick{}))
+	require.Len(t, reports, 1)
+	require.Equal(t, 1, reports[0].Requests)
+	require.Equal(t, 10, reports[0].Retries, "half of the burst")
+	require.Equal(t, 1, reports[0].Refused)
+	h.now = h.now.Add(retryReportInterval)
+	require.Empty(t, effectsOf[RetriesRefused](h.step(Tick{})))
+}
+
 // TestQueueIsFairByWorkspace guards against a workspace with many requests that
 // takes the slots of the others. A freed slot goes to the workspace with the fewest
 // slots in use.
--- a/internal/pool/picker.go
+++ b/internal/pool/picker.go
@@ -137,6 +137,7 @@
 	// waitingCount counts the requests in queue that are not removed.
 	waitingCount int
 	retryTokens  float64
+	localPeriod  localPeriod
 	scratch      []proto.TargetView
 }
 
@@ -437,6 +438,7 @@
 		p.expireRequests(now, s)
 		if s.hasResponsiveOwner(now, &p.tune) {
 			s.meanInFlight += meanInFlightWeight * (float64(s.inFlight) - s.meanInFlight)
+			p.endLocalPeriod(now, s)
 			p.repeatQueries(now, s)
 		} else {
 			p.serveLocally(now, s)
--- a/internal/pool/picker_test.go
+++ b/internal/pool/picker_test.go
@@ -175,6 +175,27 @@
 	require.Equal(t, []Refused{{Request: "t", Status: proto.SlotTooLate}}, refused)
 }
 
+// TestPickerReportsWhatItDecidedWithoutOwner guards against a time without an owner
+// that no log shows once it is over.
+func TestPickerReportsWhatItDecidedWithoutOwner(t *testing.T) {
+	h := newPickerHarness(t, "e0")
+	h.request("r")
+	h.receiveView(1, viewOf("a", false), viewOf("b", false))
+	first := effectsOf[Assigned](h.wait(400 * time.Millisecond))
+	require.Len(t, first, 1)
+	h.step(AttemptEnded{Request: "r", Attempt: model.Attempt{End: model.AttemptError}})
+	h.request("r", first[0].Target)
+	require.Len(t, effectsOf[Assigned](h.out), 1)
+
+	h.setOwner("e1", 2)
+	h.ackRestore("e1", 2)
+	reports := effectsOf[DecidedWithoutOwner](h.wait(100 * time.Millisecond))
+	require.Len(t, reports, 1)
+	require.Equal(t, 2, reports[0].Requests)
+	require.Equal(t, 1, reports[0].Retries)
+	require.Empty(t, effectsOf[DecidedWithoutOwner](h.wait(time.Second)))
+}
+
 // TestPickerLocalRetriesAreBounded guards against local retries that multiply the
 // load while a service fails.
 func TestPickerLocalRetriesAreBounded(t *testing.T) {
--- a/internal/pool/service.go
+++ b/internal/pool/service.go
@@ -121,6 +121,7 @@
 	assignmentCount uint64
 
 	retryTokens float64
+	retryReport retryReport
 	// retriesRefilledAt is when retries were last added for time passed, or 0.
 	retriesRefilledAt model.Instant
 	brokenAttempts    []brokenAttempt
