--- /dev/null
+++ b/internal/pool/retry_load_test.go
@@ -0,0 +1,238 @@
+package pool
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"tarragongauge.example/tarragongauge/internal/proto"
+	"tarragongauge.example/tarragongauge/pkg/model"
+)
+
+// The bound on the attempts of a service beyond the first of each request, over all
+// hosts: in each window at most the ratio of its requests plus the slack.
+const (
+	retryWindow = 10 * time.Second
+	retryRatio  = 0.2
+	retrySlack  = 170
+	retryTick   = 20 * time.Millisecond
+)
+
+// retryLoad runs requests on a fleet whose targets reject a part of the attempts.
+// Each rejected attempt is followed by one more, if the budget allows it.
+type retryLoad struct {
+	rng     *rand.Rand
+	tune    Tuning
+	now     model.Instant
+	hosts   []model.HostID
+	pickers map[model.HostID]*Picker
+	targets []model.Announcement
+	// owner is nil while the service has none.
+	owner     *Owner
+	ownerHost model.HostID
+	epoch     model.Epoch
+	// ownerStopped holds back the messages to the owner, as a process does that
+	// does not run.
+	ownerStopped bool
+	heldBack     []Received
+	// cutOff holds the hosts that do not reach the owner.
+	cutOff map[model.HostID]bool
+	// rejectedShare is the share of the attempts that targets reject.
+	rejectedShare float64
+	// withdrawnShare is the share of the requests whose first query is withdrawn
+	// and sent again, as for a token that comes late.
+	withdrawnShare float64
+	latency        time.Duration
+	requests      map[model.RequestID]*retriedRequest
+	running       map[model.Instant][]runningAttempt
+	serial        int
+	// offered and retried count the requests and the attempts beyond the first, by tick.
+	offered, retried []int
+}
+
+type retriedRequest struct {
+	host     model.HostID
+	attempts int
+}
+
+type runningAttempt struct {
+	id     model.RequestID
+	target model.TargetID
+	end    model.AttemptEnd
+}
+
+func newRetryLoad(hosts, targets int) *retryLoad {
+	l := &retryLoad{
+		rng: rand.New(rand.NewPCG(3, 4)), tune: CautiousTuning(), now: model.Instant(time.Second),
+		pickers: map[model.HostID]*Picker{}, cutOff: map[model.HostID]bool{}, latency: 240 * time.Millisecond,
+		requests: map[model.RequestID]*retriedRequest{}, running: map[model.Instant][]runningAttempt{},
+		offered: []int{0}, retried: []int{0},
+	}
+	l.tune.Retries = Retries{Share: retryRatio, Burst: 0.3 * retrySlack, PerSecond: 0.4 * retrySlack / retryWindow.Seconds(), LocalBurst: 1}
+	for i := range targets {
+		id := targetID(i)
+		l.targets = append(l.targets, model.Announcement{Service: testService, Target: id, Addr: string(id) + ":80", Zone: "z", Slots: 4, Incarnation: 1, State: model.TargetReady})
+	}
+	for i := range hosts {
+		id := model.HostID(fmt.Sprintf("e%02d", i))
+		l.hosts = append(l.hosts, id)
+		l.pickers[id] = NewPicker(id, "z", WithTuning(l.tune), WithIncarnation(7))
+		l.stepPicker(id, Configured{Config: model.NewConfig(nil, nil)})
+		l.stepPicker(id, EntryHostCountChanged{Count: hosts})
+	}
+	l.startOwner()
+	return l
+}
+
+// startOwner gives the service an owner with an empty state.
+func (l *retryLoad) startOwner() {
+	l.epoch++
+	l.ownerHost = model.HostID(fmt.Sprint("c", l.epoch))
+	l.owner, l.ownerStopped, l.heldBack = NewOwner(l.ownerHost, WithTuning(l.tune)), false, nil
+	l.stepOwner(Configured{Config: model.NewConfig(nil, nil)})
+	l.stepOwner(EntryHostsChanged{Hosts: l.hosts})
+	l.stepOwner(OwnershipGained{Shard: testShard(), Epoch: l.epoch, Until: 1 << 60})
+	l.announce()
+	for _, h := range l.hosts {
+		l.stepPicker(h, OwnersChanged{Owners: []proto.Owner{{Shard: testShard(), Host: l.ownerHost, Epoch: l.epoch}}})
+	}
+}
+
+func (l *retryLoad) announce() {
+	for _, h := range l.hosts {
+		l.stepPicker(h, TargetsListed{Targets: l.targets})
+	}
+	for _, a := range l.targets {
+		l.toOwner(l.hosts[0], proto.TargetNews{Announcement: a})
+	}
+}
+
+func (l *retryLoad) toOwner(from model.HostID, m proto.Message) {
+	switch {
+	case l.owner == nil || l.cutOff[from]:
+	case l.ownerStopped:
+		l.heldBack = append(l.heldBack, Received{From: from, Msg: m})
+	default:
+		l.stepOwner(Received{From: from, Msg: m})
+	}
+}
+
+func (l *retryLoad) resumeOwner() {
+	l.ownerStopped = false
+	for _, r := range l.heldBack {
+		l.stepOwner(r)
+	}
+	l.heldBack = nil
+}
+
+func (l *retryLoad) stepPicker(h model.HostID, ev Event) {
+	for _, e := range slices.Clone(l.pickers[h].Step(l.now, ev)) {
+		switch e := e.(type) {
+		case Send:
+			if e.To == l.ownerHost {
+				l.toOwner(h, e.Msg)
+			}
+		case Assigned:
+			l.start(e)
+		case Refused:
+			delete(l.requests, e.Request)
+		}
+	}
+}
+
+func (l *retryLoad) stepOwner(ev Event) {
+	for _, e := range slices.Clone(l.owner.Step(l.now, ev)) {
+		if s, ok := e.(Send); ok && l.pickers[s.To] != nil && !l.cutOff[s.To] {
+			l.stepPicker(s.To, Received{From: l.ownerHost, Msg: s.Msg})
+		}
+	}
+}
+
+// start counts an attempt and schedules its end.
+func (l *retryLoad) start(a Assigned) {
+	r := l.requests[a.Request]
+	if r.attempts++; r.attempts > 1 {
+		l.retried[len(l.retried)-1]++
+	}
+	end, at := model.AttemptOK, l.now.Add(l.latency)
+	if l.rng.Float64() < l.rejectedShare {
+		end, at = model.AttemptShed, l.now.Add(retryTick)
+	}
+	l.running[at] = append(l.running[at], runningAttempt{id: a.Request, target: a.Target, end: end})
+}
+
+func (l *retryLoad) finish(a runningAttempt) {
+	r := l.requests[a.id]
+	l.stepPicker(r.host, AttemptEnded{Request: a.id, Attempt: model.Attempt{End: a.end, Latency: l.latency}})
+	if a.end == model.AttemptOK || r.attempts > 1 {
+		delete(l.requests, a.id)
+		return
+	}
+	l.request(a.id, r.host, a.target)
+}
+
+func (l *retryLoad) request(id model.RequestID, host model.HostID, exclude ...model.TargetID) {
+	l.stepPicker(host, TargetRequested{Request: id, Service: testService, Workspace: "w", Deadline: l.now.Add(5 * time.Second), Exclude: exclude})
+}
+
+// withdraw abandons a request before its attempt begins.
+func (l *retryLoad) withdraw(id model.RequestID) {
+	for at, list := range l.running {
+		l.running[at] = slices.DeleteFunc(list, func(a runningAttempt) bool { return a.id == id })
+	}
+	if r := l.requests[id]; r != nil {
+		l.stepPicker(r.host, RequestAbandoned{Request: id})
+	}
+	delete(l.requests, id)
+}
+
+// run offers requests at random hosts.
+func (l *retryLoad) run(perSecond float64, d time.Duration) {
+	for end := l.now.Add(d); l.now < end; {
+		l.now = l.now.Add(retryTick)
+		l.offered, l.retried = append(l.offered, 0), append(l.retried, 0)
+		due := l.running[l.now]
+		delete(l.running, l.now)
+		for _, a := range due {
+			l.finish(a)
+		}
+		for range int(perSecond * retryTick.Seconds()) {
+			l.serial++
+			id, host := model.RequestID(fmt.Sprint(l.serial)), l.hosts[l.rng.IntN(len(l.hosts))]
+			l.requests[id] = &retriedRequest{host: host}
+			l.offered[len(l.offered)-1]++
+			if l.rng.Float64() < l.withdrawnShare {
+				early := id + "/early"
+				l.requests[early] = &retriedRequest{host: host}
+				l.request(early, host)
+				l.withdraw(early)
+			}
+			l.request(id, host)
+		}
+		if time.Duration(l.now)%time.Second == 0 {
+			l.announce()
+		}
+		if l.owner != nil && !l.ownerStopped {
+			l.stepOwner(Tick{})
+		}
+		for _, h := range l.hosts {
+			l.stepPicker(h, Tick{})
+		}
+	}
+}
+
+// mostRetried returns the highest number of attempts beyond the first in a window,
+// less the ratio of the window's requests.
+func (l *retryLoad) mostRetried() float64 {
+	ticks := int(retryWindow / retryTick)
+	most, sum := 0.0, 0.0
+	for i := range l.retried {
+		sum += float64(l.retried[i]) - retryRatio*float64(l.offered[i])
+		if i >= ticks {
+			sum -= float64(l.retried[i-ticks]) - retryRatio*float64(l.offered[i-ticks])
+		}
+		most = max(most, sum)
+	}
+	return most
+}
