pool: count each request towards one retry budget, once

Cause: the owner added the share of a retry for each query, not for each request. A slot is requested in parallel with the token and, if the token is late, withdrawn and requested again under another id; a query without a reply is repeated; a query refused for one reason is repeated. In addition each host added the same share to its own budget, from which it allowed retries whenever the owner was silent.

Change: the query says whether the request was counted before; a request that no owner has counted is counted by the host that chose its target without one.

--- a/internal/pool/assign.go
+++ b/internal/pool/assign.go
@@ -72,8 +72,7 @@
 		s.lastRepeatableAskAt = now
 	}
 	if len(m.Exclude) == 0 {
-		s.retryTokens = min(o.tune.Retries.Burst, s.retryTokens+s.retryShare)
-		s.retryReport.requests++
+		s.countRequest(m, o.tune.Retries.Burst)
 	} else if s.retryTokens < 1 {
 		s.retryReport.refused++
 		return proto.SlotNoRetry
--- a/internal/pool/local.go
+++ b/internal/pool/local.go
@@ -71,6 +71,7 @@
 		if !ok {
 			continue
 		}
+		p.countLocally(s, r)
 		p.withdraw(now, r)
 		r.slot = localSlot | r.nonce
 		p.assign(r, v.Target, v.Addr, v.Incarnation, true)
--- a/internal/pool/picker.go
+++ b/internal/pool/picker.go
@@ -75,6 +75,9 @@
 	lastAskedAt model.Instant
 	sendCount   int
 	assigned    bool
+	// isCounted is set once the request is counted towards a retry budget, that of
+	// the owner or that of this host.
+	isCounted bool
 	// retryTokenTaken is set when a retry was taken from the local budget.
 	retryTokenTaken bool
 	slot            uint64
@@ -136,9 +139,14 @@
 	queue        fifo[*request]
 	// waitingCount counts the requests in queue that are not removed.
 	waitingCount int
-	retryTokens  float64
-	localPeriod  localPeriod
-	scratch      []proto.TargetView
+	// retryTokens is the retry budget of this host for the time without an owner.
+	retryTokens float64
+	// withdrawnCounts counts the withdrawn requests that a retry budget has counted.
+	// As many further requests are not counted, since the callers' requests are the
+	// same ones.
+	withdrawnCounts int
+	localPeriod     localPeriod
+	scratch         []proto.TargetView
 }
 
 // receivedAnnouncement is the newest announcement of a target that this host took.
@@ -265,9 +273,6 @@
 	if ev.Objective != 0 {
 		r.objectiveAt = now.Add(ev.Objective)
 	}
-	if len(ev.Exclude) == 0 {
-		s.retryTokens = min(p.tune.Retries.LocalBurst, s.retryTokens+p.tune.Retries.share(p.cfg.Defaults))
-	}
 	p.requests[r.id] = r
 	p.byNonce[r.nonce] = r
 	s.queue.push(r)
@@ -307,6 +312,7 @@
 		Exclude:         r.exclude,
 		DeclinedTargets: r.declined,
 		AtMostOnce:      r.once,
+		Counted:         r.countAtOwner(),
 	})
 }
 
--- a/internal/pool/picker_request.go
+++ b/internal/pool/picker_request.go
@@ -13,6 +13,9 @@
 	if !ok {
 		return
 	}
+	if r.isCounted && len(r.exclude) == 0 {
+		r.service.withdrawnCounts++
+	}
 	if r.assigned {
 		p.handleAttemptEnd(now, AttemptEnded{Request: id, Attempt: model.Attempt{End: model.AttemptCanceled}})
 		return
--- a/internal/pool/retry.go
+++ b/internal/pool/retry.go
@@ -1,6 +1,9 @@
 package pool
 
-import "tarragongauge.example/tarragongauge/pkg/model"
+import (
+	"tarragongauge.example/tarragongauge/internal/proto"
+	"tarragongauge.example/tarragongauge/pkg/model"
+)
 
 // Retries bounds the attempts of a service's requests beyond the first, over all
 // hosts together. The budget is a token bucket.
@@ -38,3 +41,44 @@
 	}
 	s.retriesRefilledAt = now
 }
+
+// countRequest adds the share of a request to the budget, unless it was counted before.
+func (s *service) countRequest(m *proto.SlotAsk, burst float64) {
+	if m.Counted {
+		return
+	}
+	s.retryTokens = min(burst, s.retryTokens+s.retryShare)
+	s.retryReport.requests++
+}
+
+// countAtOwner counts a request in the query that is about to be sent, and reports
+// whether it was counted before. Each request counts in one budget and once: a
+// query may be lost, repeated, or withdrawn and sent again, and the owner may stop
+// answering after it has counted.
+func (r *request) countAtOwner() bool {
+	if len(r.exclude) > 0 {
+		return false
+	}
+	return !r.count()
+}
+
+// countLocally adds the share of a request to this host's budget, unless it was
+// counted before.
+func (p *Picker) countLocally(s *pickerService, r *request) {
+	if len(r.exclude) == 0 && r.count() {
+		s.retryTokens = min(p.tune.Retries.LocalBurst, s.retryTokens+p.tune.Retries.share(p.cfg.Defaults))
+	}
+}
+
+// count marks a request as counted and reports whether it is new to the budgets.
+func (r *request) count() bool {
+	if r.isCounted {
+		return false
+	}
+	r.isCounted = true
+	if r.service.withdrawnCounts > 0 {
+		r.service.withdrawnCounts--
+		return false
+	}
+	return true
+}
--- a/internal/pool/retry_load_test.go
+++ b/internal/pool/retry_load_test.go
@@ -44,9 +44,9 @@
 	// and sent again, as for a token that comes late.
 	withdrawnShare float64
 	latency        time.Duration
-	requests      map[model.RequestID]*retriedRequest
-	running       map[model.Instant][]runningAttempt
-	serial        int
+	requests       map[model.RequestID]*retriedRequest
+	running        map[model.Instant][]runningAttempt
+	serial         int
 	// offered and retried count the requests and the attempts beyond the first, by tick.
 	offered, retried []int
 }
--- a/internal/proto/message.go
+++ b/internal/proto/message.go
@@ -331,6 +331,9 @@
 		// DeclinedTargets lists targets whose slots the asker returned without an attempt.
 		// Unlike Exclude, they do not make this a retry.
 		DeclinedTargets []model.TargetID
+		// Counted is set if an earlier query, or the asker itself, has counted the
+		// request towards the retry budget.
+		Counted bool
 	}
 	// SlotReply answers SlotAsk.
 	SlotReply struct {
--- a/internal/wire/pool.go
+++ b/internal/wire/pool.go
@@ -19,6 +19,7 @@
 	Exclude         []model.TargetID  `cbor:"8,keyasint"`
 	AtMostOnce      bool              `cbor:"9,keyasint,omitempty"`
 	DeclinedTargets []model.TargetID  `cbor:"10,keyasint,omitempty"`
+	Counted         bool              `cbor:"12,keyasint,omitempty"`
 }
 
 type slotReply struct {
