pool: take the token of a retry when it gets its target

Cause: a retry took its token when its query was queued and reached a target up to seconds later. Retries that waited for the same slots arrived together, with those of the seconds after.

Change: the token is taken with the assignment; a retry is queued only if the budget has a token beside those of the retries that wait. A retry that is refused in the queue no longer uses a token. TestRetriesThatWaitForATargetDoNotArriveBeyondTheBudget (all slots held for 2.4 s) failed with 193 of 170 and passes; the random schedules of the owner check that the budget covers the retries that wait.

--- a/internal/pool/assign.go
+++ b/internal/pool/assign.go
@@ -56,6 +56,7 @@
 		t = s.trialTarget(now, r)
 	}
 	if t != nil {
+		s.takeRetry(r)
 		o.assign(now, s, t, key, w, now.Add(m.Remaining), r.isLastAttempt())
 		return
 	}
@@ -63,7 +64,8 @@
 }
 
 // admit returns the status with which a query is refused whether or not slots are
-// free, or 0. A retry that is admitted takes a token from the retry budget.
+// free, or 0. A retry is admitted if the budget has a token for it beside those of
+// the retries that wait.
 func (o *Owner) admit(now model.Instant, s *service, host int32, m *proto.SlotAsk) proto.SlotStatus {
 	if s.isQuarantined(now, m.Workspace, m.Fingerprint) || s.awaitsConfirmation(m.Workspace, m.Fingerprint, o.tune.CrashLimit) {
 		return proto.SlotQuarantined
@@ -73,7 +75,7 @@
 	}
 	if len(m.Exclude) == 0 {
 		s.countRequest(m, o.tune.Retries.Burst)
-	} else if s.retryTokens < 1 {
+	} else if s.retryTokens < float64(s.waitingRetries+1) {
 		s.retryReport.refused++
 		return proto.SlotNoRetry
 	} else if s.mayReachCrashLimit(m.Workspace, m.Fingerprint, o.tune.CrashLimit) {
@@ -88,10 +90,6 @@
 	if m.Remaining <= 0 || s.base.medianLatency() > m.Remaining {
 		return proto.SlotTooLate
 	}
-	if len(m.Exclude) > 0 {
-		s.retryTokens--
-		s.retryReport.retries++
-	}
 	return 0
 }
 
@@ -113,8 +111,7 @@
 		exclude: m.Exclude, declined: m.DeclinedTargets, once: m.AtMostOnce, deadline: now.Add(m.Remaining), serial: o.serial,
 	}
 	w.queue.push(a)
-	w.waitingCount++
-	s.waitingCount++
+	s.countWaiting(a, 1)
 	s.waitingAsks[key] = a
 	o.dispatch(now, s)
 }
@@ -160,9 +157,9 @@
 			continue
 		}
 		w.queue.pop()
-		w.waitingCount--
-		s.waitingCount--
+		s.countWaiting(a, -1)
 		delete(s.waitingAsks, a.askKey)
+		s.takeRetry(r)
 		o.assign(now, s, t, a.askKey, w, a.deadline, r.isLastAttempt())
 		s.recycleAsk(a)
 	}
--- a/internal/pool/owner_rapid_test.go
+++ b/internal/pool/owner_rapid_test.go
@@ -107,19 +107,23 @@
 // checkQueues checks the counts and the index of the waiting queries. inUse
 // holds the expected number of slots in use of each workspace.
 func (m *ownerMachine) checkQueues(s *service, inUse map[*workspace]int) {
-	waiting := 0
+	waiting, retries := 0, 0
 	for _, w := range s.workspaces {
 		m.requireInvariant(inUse[w] == w.inUse, "slots of a workspace miscounted")
 		n := 0
 		for _, a := range w.queue.items[w.queue.head:] {
 			if !a.isWithdrawn {
 				n++
+				if len(a.exclude) > 0 {
+					retries++
+				}
 				m.requireInvariant(a == s.waitingAsks[a.askKey], "a waiting query is not indexed")
 			}
 		}
 		m.requireInvariant(n == w.waitingCount && n <= s.queueLimit, "queue of a workspace miscounted or too long")
 		waiting += n
 	}
+	m.requireInvariant(retries == s.waitingRetries && float64(retries) <= s.retryTokens, "waiting retries miscounted or beyond the budget")
 	m.requireInvariant(waiting == s.waitingCount && waiting == len(s.waitingAsks), "waiting queries miscounted")
 }
 
--- a/internal/pool/retry.go
+++ b/internal/pool/retry.go
@@ -53,6 +53,16 @@
 	s.retryReport.requests++
 }
 
+// takeRetry takes a token from the budget if the query is a retry. The token is
+// taken with the assignment, so that retries that waited together reach the targets
+// within the budget of the time in which they do.
+func (s *service) takeRetry(r pickCriteria) {
+	if len(r.exclude) > 0 {
+		s.retryTokens--
+		s.retryReport.retries++
+	}
+}
+
 // countAtOwner counts a request in the query that is about to be sent, and reports
 // whether it was counted before. Each request counts in one budget and once: a
 // query may be lost, repeated, or withdrawn and sent again, and the owner may stop
--- a/internal/pool/retry_budget_test.go
+++ b/internal/pool/retry_budget_test.go
@@ -47,3 +47,18 @@
 	}
 	require.LessOrEqual(t, l.mostRetried(), float64(retrySlack))
 }
+
+func TestRetriesThatWaitForATargetDoNotArriveBeyondTheBudget(t *testing.T) {
+	l := newRetryLoad(97, 100)
+	l.run(fleetLoad, 3*time.Second)
+	l.rejectedShare = 0.55
+	l.run(fleetLoad, 3*time.Second)
+	// All slots are held until the same moment, and queries wait.
+	hold := 2400 * time.Millisecond
+	l.latency = hold
+	l.run(fleetLoad, hold)
+	l.latency = 240 * time.Millisecond
+	l.run(fleetLoad, 11*time.Second)
+	require.LessOrEqual(t, l.mostRetried(), float64(retrySlack))
+	require.Greater(t, l.mostRetried(), 0.0, "the load must use the budget")
+}
--- a/internal/pool/service.go
+++ b/internal/pool/service.go
@@ -112,14 +112,17 @@
 	waitingAsks   map[askKey]*ask
 	workspaces    []*workspace
 	workspaceByID map[model.WorkspaceID]*workspace
-	// waitingCount is the number of waitingAsks.
-	waitingCount int
+	// waitingCount is the number of waitingAsks, waitingRetries that of the retries
+	// among them.
+	waitingCount   int
+	waitingRetries int
 	// hosts holds the connectivity of the entry hosts, by host number.
 	hosts         []hostConnectivity
 	dispatchRound uint64
 	// assignmentCount numbers the assignments.
 	assignmentCount uint64
 
+	// retryTokens is at least waitingRetries.
 	retryTokens float64
 	retryReport retryReport
 	// retriesRefilledAt is when retries were last added for time passed, or 0.
@@ -244,11 +247,19 @@
 // withdraw removes a waiting query from the counts. The queue drops it later.
 func (s *service) withdraw(a *ask) {
 	a.isWithdrawn = true
-	a.workspace.waitingCount--
-	s.waitingCount--
+	s.countWaiting(a, -1)
 	delete(s.waitingAsks, a.askKey)
 }
 
+// countWaiting adds n to the counts of waiting queries like a.
+func (s *service) countWaiting(a *ask, n int) {
+	a.workspace.waitingCount += n
+	s.waitingCount += n
+	if len(a.exclude) > 0 {
+		s.waitingRetries += n
+	}
+}
+
 // refuse replies to a query that it gets no slot.
 func (o *Owner) refuse(s *service, host int32, nonce uint64, status proto.SlotStatus, after time.Duration) {
 	o.send(o.hostNames[host], proto.SlotReply{Nonce: nonce, Status: status, RetryAfter: after, Epoch: s.ownership.epoch})
