entry: read and log the rate that a target names in its answers

A target that was sent more than it takes could not be explained from the logs: the line of a request says nothing of what the target asked for. Nothing is decided by it yet.

--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -38,6 +38,8 @@
 	maybeSent bool
 	// latency is the time from the first byte sent to the end of the attempt.
 	latency time.Duration
+	// notice is what the answer says of the target.
+	notice model.TargetNotice
 	// err is why the attempt has no valid answer, or nil.
 	err error
 }
@@ -205,13 +207,24 @@
 	case !c.s.endlessAnswers && endsWithConnection(c.r.Method, a.res):
 		a.err = errors.New("the answer has neither a length nor chunks, so that its end cannot be recognized")
 		a.abort(model.AttemptInvalid)
+	case a.res.StatusCode == http.StatusMisdirectedRequest && c.s.headerNames.Instance != "":
+		// Another target at this address answered.
+		a.refuse()
 	case c.s.reportsNotRun(a.res):
-		io.CopyN(io.Discard, a.res.Body, maxShedBodyDrain) //nolint:errcheck // The header alone proves that the request did not run.
-		a.close()
-		a.finish(model.AttemptShed)
+		a.notice = c.s.readNotice(a.res)
+		a.refuse()
+	default:
+		a.notice = c.s.readNotice(a.res)
 	}
 }
 
+// refuse ends an attempt whose answer says that the request did not run.
+func (a *attempt) refuse() {
+	io.CopyN(io.Discard, a.res.Body, maxShedBodyDrain) //nolint:errcheck // The header alone proves that the request did not run.
+	a.close()
+	a.finish(model.AttemptShed)
+}
+
 // reportsNotRun reports whether a target states in its answer that it did not
 // run the request. Targets that check the instance header answer 421 to a
 // request for another instance, without running it.
@@ -287,6 +300,9 @@
 	if a.target.Local {
 		text += " chosen without owner"
 	}
+	if a.notice.Limited {
+		text += fmt.Sprintf(", limits the fleet to %g/s", a.notice.Rate)
+	}
 	if a.err != nil {
 		text += ": " + a.err.Error()
 	}
@@ -295,7 +311,9 @@
 
 // result returns the attempt in the form that the Decider takes.
 func (a *attempt) result() model.Attempt {
-	return model.Attempt{Target: a.target.Target, Incarnation: a.target.Incarnation, End: a.end, Latency: a.latency}
+	return model.Attempt{
+		Target: a.target.Target, Incarnation: a.target.Incarnation, End: a.end, Latency: a.latency, Notice: a.notice,
+	}
 }
 
 // newTargetRequest returns the request that is sent to a target.
--- a/internal/entry/header_names.go
+++ b/internal/entry/header_names.go
@@ -15,6 +15,9 @@
 	NotRun string
 	// Instance names the target that is meant. It is empty if targets do not check it.
 	Instance string
+	// TargetRate names in an answer the requests per second that the target takes
+	// from the whole fleet. It is empty if targets name none.
+	TargetRate string
 	// KeyScheme is the scheme that precedes a key in the header Authorization.
 	KeyScheme string
 	// PassCallerIDs is set to use the request ids that callers send instead of new ones.
@@ -28,7 +31,9 @@
 		Deadline:  headerDeadline,
 		Workspace: headerWorkspace,
 		NotRun:    headerShed,
-		KeyScheme: "Bearer",
+
+		TargetRate: headerTargetRate,
+		KeyScheme:  "Bearer",
 	}
 }
 
--- /dev/null
+++ b/internal/entry/notice_test.go
@@ -0,0 +1,49 @@
+package entry_test
+
+import (
+	"net/http"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"tarragongauge.example/tarragongauge/pkg/model"
+)
+
+// TestAttemptCarriesTheRateThatTheTargetNames guards against a target in need whose
+// rate nobody reads.
+func TestAttemptCarriesTheRateThatTheTargetNames(t *testing.T) {
+	for value, want := range map[string]model.TargetNotice{
+		"1.3": {Limited: true, Rate: 1.3}, "0": {Limited: true}, "": {}, "-1": {}, "NaN": {}, "+Inf": {}, "many": {},
+	} {
+		for _, status := range []int{http.StatusOK, http.StatusServiceUnavailable} {
+			h := newCustomHeaderHost(t)
+			h.addTarget(t, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				w.Header().Set("Site-Request-Id", r.Header.Get("Site-Request-Id"))
+				w.Header().Set("Site-Rate", value)
+				if status == http.StatusServiceUnavailable {
+					w.Header().Set("Site-Not-Run", "1")
+				}
+				w.WriteHeader(status)
+			}))
+			got := h.mustDoCustom(t, "GET", "/lookup/x", "r")
+			require.Equal(t, status, got.StatusCode)
+			require.Len(t, h.fake.endedAttempts, 1)
+			require.Equal(t, want, h.fake.endedAttempts[0].Attempt.Notice, "%s with status %d", value, status)
+		}
+	}
+}
+
+// TestAnswerOfAnotherTargetIsNoNotice guards against a target that is held to the
+// rate of another one, which has its former address.
+func TestAnswerOfAnotherTargetIsNoNotice(t *testing.T) {
+	h := newCustomHeaderHost(t)
+	h.addTarget(t, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("Site-Request-Id", r.Header.Get("Site-Request-Id"))
+		w.Header().Set("Site-Rate", "1")
+		w.WriteHeader(http.StatusMisdirectedRequest)
+	}))
+	h.mustDoCustom(t, "GET", "/lookup/x", "r")
+	require.Len(t, h.fake.endedAttempts, 1)
+	require.Equal(t, model.AttemptShed, h.fake.endedAttempts[0].Attempt.End)
+	require.Equal(t, model.TargetNotice{}, h.fake.endedAttempts[0].Attempt.Notice)
+}
--- a/internal/node/run_entry.go
+++ b/internal/node/run_entry.go
@@ -136,6 +136,7 @@
 		{&n.Workspace, h.Workspace},
 		{&n.NotRun, h.NotRun},
 		{&n.Instance, h.Instance},
+		{&n.TargetRate, h.TargetRate},
 		{&n.KeyScheme, h.KeyScheme},
 	} {
 		if name.from != "" {
--- a/internal/wire/pool.go
+++ b/internal/wire/pool.go
@@ -1,6 +1,8 @@
 package wire
 
 import (
+	"fmt"
+	"math"
 	"time"
 
 	"tarragongauge.example/tarragongauge/internal/proto"
@@ -38,6 +40,22 @@
 	Incarnation model.Incarnation `cbor:"2,keyasint"`
 	End         model.AttemptEnd  `cbor:"3,keyasint"`
 	Latency     time.Duration     `cbor:"4,keyasint"`
+	Limited     bool              `cbor:"5,keyasint,omitempty"`
+	Rate        float64           `cbor:"6,keyasint,omitempty"`
+}
+
+func encodeAttempt(m model.Attempt) attempt {
+	return attempt{
+		Target: m.Target, Incarnation: m.Incarnation, End: m.End, Latency: m.Latency,
+		Limited: m.Notice.Limited, Rate: m.Notice.Rate,
+	}
+}
+
+func decodeAttempt(d attempt) model.Attempt {
+	return model.Attempt{
+		Target: d.Target, Incarnation: d.Incarnation, End: d.End, Latency: d.Latency,
+		Notice: model.TargetNotice{Limited: d.Limited, Rate: d.Rate},
+	}
 }
 
 type slotDone struct {
@@ -121,14 +139,25 @@
 }
 
 func toSlotDone(m proto.SlotDone) (slotDone, error) {
-	return slotDone{Service: m.Service, Slot: m.Slot, Workspace: m.Workspace, Fingerprint: m.Fingerprint, Attempt: attempt(m.Attempt)}, nil
+	return slotDone{Service: m.Service, Slot: m.Slot, Workspace: m.Workspace, Fingerprint: m.Fingerprint, Attempt: encodeAttempt(m.Attempt)}, nil
 }
 
 func fromSlotDone(d slotDone) (proto.SlotDone, error) {
-	m := proto.SlotDone{Service: d.Service, Slot: d.Slot, Workspace: d.Workspace, Fingerprint: d.Fingerprint, Attempt: model.Attempt(d.Attempt)}
+	m := proto.SlotDone{Service: d.Service, Slot: d.Slot, Workspace: d.Workspace, Fingerprint: d.Fingerprint, Attempt: decodeAttempt(d.Attempt)}
+	if err := checkRate(d.Attempt.Rate); err != nil {
+		return m, err
+	}
 	return m, checkEnum("end of an attempt", d.Attempt.End, model.AttemptInvalid)
 }
 
+// checkRate refuses rates of targets that are negative or no finite number.
+func checkRate(v float64) error {
+	if math.IsNaN(v) || math.IsInf(v, 0) || v < 0 {
+		return fmt.Errorf("rate %g of a target is not a finite number of at least 0", v)
+	}
+	return nil
+}
+
 func toTargetNews(m proto.TargetNews) (targetNews, error) {
 	return targetNews{Announcement: announcement(m.Announcement)}, nil
 }
--- /dev/null
+++ b/pkg/model/notice.go
@@ -0,0 +1,10 @@
+package model
+
+// TargetNotice is what a target says of itself in the header of an answer. The zero
+// value is an answer that says nothing.
+type TargetNotice struct {
+	// Limited is set if the target names a rate. Rate is the number of requests per
+	// second that it takes from the whole fleet, for as long as its answers name it.
+	Limited bool
+	Rate    float64
+}
--- a/pkg/model/target.go
+++ b/pkg/model/target.go
@@ -137,6 +137,8 @@
 	End         AttemptEnd
 	// Latency is the time from the first byte sent to the end of the answer.
 	Latency time.Duration
+	// Notice is what the target's answer says of the target.
+	Notice TargetNotice
 }
 
 // Outcome tells a caller whether a target ran its request.
