--- a/internal/pool/retry_load_test.go
+++ b/internal/pool/fleet_load_test.go
@@ -13,16 +13,16 @@
 // The bound on the attempts of a service beyond the first of each request, over all
 // hosts: in each window at most the ratio of its requests plus the slack.
 const (
-	retryWindow     = 10 * time.Second
-	retryRatio      = 0.2
-	retrySlack      = 170
-	retryTick       = 20 * time.Millisecond
-	retryWorkspaces = 75
+	retryWindow    = 10 * time.Second
+	retryRatio     = 0.2
+	retrySlack     = 170
+	loadTick       = 20 * time.Millisecond
+	loadWorkspaces = 75
 )
 
-// retryLoad runs requests on a fleet whose targets reject a part of the attempts.
+// fleetLoad runs requests on a fleet whose targets reject a part of the attempts.
 // Each rejected attempt is followed by one more, if the budget allows it.
-type retryLoad struct {
+type fleetLoad struct {
 	rng     *rand.Rand
 	tune    Tuning
 	now     model.Instant
@@ -45,31 +45,54 @@
 	// and sent again, as for a token that comes late.
 	withdrawnShare float64
 	latency        time.Duration
-	requests       map[model.RequestID]*retriedRequest
+	requests       map[model.RequestID]*offeredRequest
 	running        map[model.Instant][]runningAttempt
 	serial         int
+	// objective is the latency objective of all requests, or 0.
+	objective time.Duration
+	// rates holds the rates that targets name in their answers.
+	rates map[model.TargetID]float64
+	// toldAt holds when each host first got an answer with the rate of a target.
+	// arrivals counts, by target and tick, the requests of the hosts that got one
+	// more than toldGrace ago.
+	toldAt   map[toldHost]model.Instant
+	arrivals map[model.TargetID][]int
+	// waits holds how long each refused request waited.
+	waits []time.Duration
+	// due is the part of a request that the offered load has left over.
+	due float64
 	// offered and retried count the requests and the attempts beyond the first, by tick.
 	offered, retried []int
 }
 
-type retriedRequest struct {
+type offeredRequest struct {
+	offeredAt model.Instant
 	workspace model.WorkspaceID
 	host      model.HostID
 	attempts  int
 }
 
+type toldHost struct {
+	host   model.HostID
+	target model.TargetID
+}
+
+// toldGrace is the time after which a host keeps to the rate that a target named to it.
+const toldGrace = 500 * time.Millisecond
+
 type runningAttempt struct {
 	id     model.RequestID
 	target model.TargetID
 	end    model.AttemptEnd
 }
 
-func newRetryLoad(hosts, targets int) *retryLoad {
-	l := &retryLoad{
+func newFleetLoad(hosts, targets int) *fleetLoad {
+	l := &fleetLoad{
 		rng: rand.New(rand.NewPCG(3, 4)), tune: CautiousTuning(), now: model.Instant(time.Second),
 		pickers: map[model.HostID]*Picker{}, cutOff: map[model.HostID]bool{}, latency: 240 * time.Millisecond,
-		requests: map[model.RequestID]*retriedRequest{}, running: map[model.Instant][]runningAttempt{},
+		requests: map[model.RequestID]*offeredRequest{}, running: map[model.Instant][]runningAttempt{},
 		offered: []int{0}, retried: []int{0},
+		rates: map[model.TargetID]float64{}, toldAt: map[toldHost]model.Instant{}, arrivals: map[model.TargetID][]int{},
 	}
 	l.tune.Retries = Retries{Share: retryRatio, Burst: 0.3 * retrySlack, PerSecond: 0.4 * retrySlack / retryWindow.Seconds(), LocalBurst: 1}
 	for i := range targets {
@@ -88,7 +111,7 @@
 }
 
 // startOwner gives the service an owner with an empty state.
-func (l *retryLoad) startOwner() {
+func (l *fleetLoad) startOwner() {
 	l.epoch++
 	l.ownerHost = model.HostID(fmt.Sprint("c", l.epoch))
 	l.owner, l.ownerStopped, l.heldBack = NewOwner(l.ownerHost, WithTuning(l.tune)), false, nil
@@ -101,7 +124,7 @@
 	}
 }
 
-func (l *retryLoad) announce() {
+func (l *fleetLoad) announce() {
 	for _, h := range l.hosts {
 		l.stepPicker(h, TargetsListed{Targets: l.targets})
 	}
@@ -110,7 +133,7 @@
 	}
 }
 
-func (l *retryLoad) toOwner(from model.HostID, m proto.Message) {
+func (l *fleetLoad) toOwner(from model.HostID, m proto.Message) {
 	switch {
 	case l.owner == nil || l.cutOff[from]:
 	case l.ownerStopped:
@@ -120,7 +143,7 @@
 	}
 }
 
-func (l *retryLoad) resumeOwner() {
+func (l *fleetLoad) resumeOwner() {
 	l.ownerStopped = false
 	for _, r := range l.heldBack {
 		l.stepOwner(r)
@@ -128,7 +151,7 @@
 	l.heldBack = nil
 }
 
-func (l *retryLoad) stepPicker(h model.HostID, ev Event) {
+func (l *fleetLoad) stepPicker(h model.HostID, ev Event) {
 	for _, e := range slices.Clone(l.pickers[h].Step(l.now, ev)) {
 		switch e := e.(type) {
 		case Send:
@@ -138,12 +161,13 @@
 		case Assigned:
 			l.start(e)
 		case Refused:
+			l.waits = append(l.waits, l.now.Sub(l.requests[e.Request].offeredAt))
 			delete(l.requests, e.Request)
 		}
 	}
 }
 
-func (l *retryLoad) stepOwner(ev Event) {
+func (l *fleetLoad) stepOwner(ev Event) {
 	for _, e := range slices.Clone(l.owner.Step(l.now, ev)) {
 		if s, ok := e.(Send); ok && l.pickers[s.To] != nil && !l.cutOff[s.To] {
 			l.stepPicker(s.To, Received{From: l.ownerHost, Msg: s.Msg})
@@ -152,21 +176,28 @@
 }
 
 // start counts an attempt and schedules its end.
-func (l *retryLoad) start(a Assigned) {
+func (l *fleetLoad) start(a Assigned) {
 	r := l.requests[a.Request]
+	l.countArrival(r.host, a.Target)
 	if r.attempts++; r.attempts > 1 {
 		l.retried[len(l.retried)-1]++
 	}
 	end, at := model.AttemptOK, l.now.Add(l.latency)
 	if l.rng.Float64() < l.rejectedShare {
-		end, at = model.AttemptShed, l.now.Add(retryTick)
+		end, at = model.AttemptShed, l.now.Add(loadTick)
 	}
 	l.running[at] = append(l.running[at], runningAttempt{id: a.Request, target: a.Target, end: end})
 }
 
-func (l *retryLoad) finish(a runningAttempt) {
+func (l *fleetLoad) finish(a runningAttempt) {
 	r := l.requests[a.id]
-	l.stepPicker(r.host, AttemptEnded{Request: a.id, Attempt: model.Attempt{End: a.end, Latency: l.latency}})
+	rate, limited := l.rates[a.target]
+	if told := (toldHost{r.host, a.target}); limited && l.toldAt[told] == 0 {
+		l.toldAt[told] = l.now
+	}
+	l.stepPicker(r.host, AttemptEnded{Request: a.id, Attempt: model.Attempt{
+		End: a.end, Latency: l.latency, Notice: model.TargetNotice{Limited: limited, Rate: rate},
+	}})
 	if a.end == model.AttemptOK || r.attempts > 1 {
 		delete(l.requests, a.id)
 		return
@@ -174,12 +205,12 @@
 	l.request(a.id, r.host, a.target)
 }
 
-func (l *retryLoad) request(id model.RequestID, host model.HostID, exclude ...model.TargetID) {
-	l.stepPicker(host, TargetRequested{Request: id, Service: testService, Workspace: l.requests[id].workspace, Deadline: l.now.Add(5 * time.Second), Exclude: exclude})
+func (l *fleetLoad) request(id model.RequestID, host model.HostID, exclude ...model.TargetID) {
+	l.stepPicker(host, TargetRequested{Request: id, Service: testService, Workspace: l.requests[id].workspace, Deadline: l.now.Add(5 * time.Second), Objective: l.objective, Exclude: exclude})
 }
 
 // withdraw abandons a request before its attempt begins.
-func (l *retryLoad) withdraw(id model.RequestID) {
+func (l *fleetLoad) withdraw(id model.RequestID) {
 	for at, list := range l.running {
 		l.running[at] = slices.DeleteFunc(list, func(a runningAttempt) bool { return a.id == id })
 	}
@@ -190,24 +221,25 @@
 }
 
 // run offers requests at random hosts.
-func (l *retryLoad) run(perSecond float64, d time.Duration) {
+func (l *fleetLoad) run(perSecond float64, d time.Duration) {
 	for end := l.now.Add(d); l.now < end; {
-		l.now = l.now.Add(retryTick)
+		l.now = l.now.Add(loadTick)
 		l.offered, l.retried = append(l.offered, 0), append(l.retried, 0)
 		due := l.running[l.now]
 		delete(l.running, l.now)
 		for _, a := range due {
 			l.finish(a)
 		}
-		for range int(perSecond * retryTick.Seconds()) {
+		l.due += perSecond * loadTick.Seconds()
+		for ; l.due >= 1; l.due-- {
 			l.serial++
-			workspace := model.WorkspaceID(fmt.Sprint("w", l.rng.IntN(retryWorkspaces)))
+			workspace := model.WorkspaceID(fmt.Sprint("w", l.rng.IntN(loadWorkspaces)))
 			id, host := model.RequestID(fmt.Sprint(l.serial)), l.hosts[l.rng.IntN(len(l.hosts))]
-			l.requests[id] = &retriedRequest{host: host, workspace: workspace}
+			l.requests[id] = &offeredRequest{host: host, workspace: workspace, offeredAt: l.now}
 			l.offered[len(l.offered)-1]++
 			if l.rng.Float64() < l.withdrawnShare {
 				early := id + "/early"
-				l.requests[early] = &retriedRequest{host: host, workspace: workspace}
+				l.requests[early] = &offeredRequest{host: host, workspace: workspace, offeredAt: l.now}
 				l.request(early, host)
 				l.withdraw(early)
 			}
@@ -225,10 +257,37 @@
 	}
 }
 
+// countArrival counts a request at a target, if its host knows the rate of the target.
+func (l *fleetLoad) countArrival(host model.HostID, target model.TargetID) {
+	at, told := l.toldAt[toldHost{host, target}]
+	if !told || l.now.Sub(at) < toldGrace {
+		return
+	}
+	list := l.arrivals[target]
+	for len(list) < len(l.offered) {
+		list = append(list, 0)
+	}
+	list[len(list)-1]++
+	l.arrivals[target] = list
+}
+
+// mostArrived returns the highest number of counted requests at a target within a window.
+func (l *fleetLoad) mostArrived(target model.TargetID, window time.Duration) int {
+	list, most, sum := l.arrivals[target], 0, 0
+	for i, n := range list {
+		sum += n
+		if before := i - int(window/loadTick); before >= 0 {
+			sum -= list[before]
+		}
+		most = max(most, sum)
+	}
+	return most
+}
+
 // mostRetried returns the highest number of attempts beyond the first in a window,
 // less the ratio of the window's requests.
-func (l *retryLoad) mostRetried() float64 {
-	ticks := int(retryWindow / retryTick)
+func (l *fleetLoad) mostRetried() float64 {
+	ticks := int(retryWindow / loadTick)
 	most, sum := 0.0, 0.0
 	for i := range l.retried {
 		sum += float64(l.retried[i]) - retryRatio*float64(l.offered[i])
