pool: keep to the rate that a target names, over the whole fleet

What a target says of itself reached the fleet through announcements and outcomes only.

Change: the end of an attempt carries the rate to the owner of the service, which holds a token bucket for each target that names one and assigns within 0.8 of the rate. Hosts that decide without an owner share the rest by turns that are drawn at random and expire unused. A new owner gets the rates with the hosts' restore reports. A query that all its targets' rates keep waiting beyond its objective is refused at once, as not run. A rate ends with an answer that names none, a target that names 0 is asked every ten seconds or so.

--- a/internal/pool/assign.go
+++ b/internal/pool/assign.go
@@ -100,7 +100,7 @@
 		o.refuse(s, key.host, key.nonce, proto.SlotQueueFull, s.expectedWait(now, w))
 		return
 	}
-	if wait := s.expectedWait(now, w); wait > s.maxWait(m) {
+	if wait := max(s.expectedWait(now, w), s.namedRateWait(now, m.Exclude)); wait > s.maxWait(m) {
 		o.refuse(s, key.host, key.nonce, proto.SlotTooLate, wait)
 		return
 	}
@@ -243,10 +243,7 @@
 	bestScore := 0.0
 	canWait := s.hasWorkingTarget(r.exclude)
 	for _, t := range s.targets {
-		if !t.usable() || len(t.busySlots) >= t.slots || now < t.pausedUntil {
-			continue
-		}
-		if t.inSlowStart && len(t.busySlots) >= t.slotLimit(now, &o.tune) {
+		if !t.usable() || !t.hasRoom(now, &o.tune) {
 			continue
 		}
 		score := o.loadScore(now, s, t, r)
@@ -314,6 +311,7 @@
 	s.assignmentCount++
 	t.lastAssignment = s.assignmentCount
 	t.lastAssignedAt = now
+	t.rate.take(now)
 	t.recordAssignment(now, key.host)
 	w.inUse++
 	w.assignments.add(now)
--- a/internal/pool/attempt_end.go
+++ b/internal/pool/attempt_end.go
@@ -62,13 +62,15 @@
 	}
 }
 
-// recordOutcome starts the target's cooldown after a failed attempt, and ends it
-// after the success of an attempt that began later. The success of an attempt that
-// was already in progress does not show that the target recovered.
+// recordOutcome takes over the rate that the target named. It starts the target's
+// cooldown after a failed attempt, and ends it after the success of an attempt that
+// began later. The success of an attempt that was already in progress does not show
+// that the target recovered.
 func (t *target) recordOutcome(now, began model.Instant, a model.Attempt) {
 	if a.Incarnation != t.incarnation {
 		return
 	}
+	t.rate.record(now, a)
 	if a.End == model.AttemptOK || a.End.Failed() {
 		t.countAttempt(now, began, a.End.Failed())
 	}
--- /dev/null
+++ b/internal/pool/host_rate.go
@@ -0,0 +1,115 @@
+package pool
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"tarragongauge.example/tarragongauge/internal/proto"
+	"tarragongauge.example/tarragongauge/pkg/model"
+)
+
+const (
+	// hostRateRetention is how long after its last naming a host keeps a target's
+	// rate. While it decides without an owner it hardly asks such a target.
+	hostRateRetention = time.Minute
+	// maxTurnAge is how long a host may use its turn at a target. Unused turns
+	// expire, so that the hosts do not use many of them at once.
+	maxTurnAge = time.Second
+)
+
+// hostRate is the rate that a target named to this host. Without an owner the host
+// sends a request only in its turn; the turns of all hosts follow each other at
+// random and make up the rate together.
+type hostRate struct {
+	incarnation model.Incarnation
+	perSecond   float64
+	namedAt     model.Instant
+	// turnAt is the next turn. It was drawn at drawnAt.
+	turnAt  model.Instant
+	drawnAt model.Instant
+}
+
+// recordNamedRate takes over what the answer to an attempt of this host says of the
+// rate of its target.
+func (s *pickerService) recordNamedRate(now model.Instant, a model.Attempt) {
+	r, known := s.namedRates[a.Target]
+	switch {
+	case a.Notice.Limited:
+		if !known {
+			r = &hostRate{}
+			if s.namedRates == nil {
+				s.namedRates = map[model.TargetID]*hostRate{}
+			}
+			s.namedRates[a.Target] = r
+		}
+		if r.perSecond != a.Notice.Rate {
+			r.drawnAt = 0
+		}
+		r.incarnation, r.perSecond, r.namedAt = a.Incarnation, a.Notice.Rate, now
+	case known && a.End.HasAnswer() && now.Sub(r.namedAt) >= namedRateGrace:
+		delete(s.namedRates, a.Target)
+	}
+}
+
+// expireNamedRates drops the rates that were not named for long.
+func (s *pickerService) expireNamedRates(now model.Instant) {
+	maps.DeleteFunc(s.namedRates, func(_ model.TargetID, r *hostRate) bool { return now.Sub(r.namedAt) > hostRateRetention })
+}
+
+// allowsByRate reports whether this host may send a target a request without the
+// owner, as far as the target's rate is concerned.
+func (p *Picker) allowsByRate(now model.Instant, s *pickerService, v proto.TargetView) bool {
+	r, ok := s.namedRates[v.Target]
+	if !ok || r.incarnation != v.Incarnation {
+		return true
+	}
+	interval, ok := p.turnInterval(r)
+	if !ok {
+		return false
+	}
+	if r.drawnAt == 0 || r.drawnAt < s.ownerAnsweredAt {
+		r.drawnAt, r.turnAt = now, now.Add(time.Duration(p.rng.Float64()*float64(interval)))
+	}
+	if late := now.Sub(r.turnAt); late > min(interval, maxTurnAge) {
+		r.turnAt = r.turnAt.Add(late - late%interval + interval)
+	}
+	return now >= r.turnAt
+}
+
+// noneAllowedByRate reports whether the rates of all targets that are not excluded
+// keep this host from sending them a request now.
+func (p *Picker) noneAllowedByRate(now model.Instant, s *pickerService, usable []proto.TargetView, exclude []model.TargetID) bool {
+	return !slices.ContainsFunc(usable, func(v proto.TargetView) bool {
+		return !slices.Contains(exclude, v.Target) && p.allowsByRate(now, s, v)
+	})
+}
+
+// turnInterval returns the time between the turns of this host at a target, or false
+// if it has none.
+func (p *Picker) turnInterval(r *hostRate) (time.Duration, bool) {
+	if p.entryHostCount == 0 || r.perSecond <= 0 {
+		return 0, false
+	}
+	interval := float64(p.entryHostCount) / (hostRateShare * r.perSecond) * float64(time.Second)
+	return time.Duration(min(max(interval, 1), float64(hostRateRetention))), true
+}
+
+// takeTurn uses this host's turn at a target.
+func (p *Picker) takeTurn(now model.Instant, s *pickerService, id model.TargetID) {
+	if r, ok := s.namedRates[id]; ok {
+		if interval, ok := p.turnInterval(r); ok {
+			r.turnAt = max(r.turnAt, now).Add(interval)
+		}
+	}
+}
+
+// heldRates returns the rates that targets named to this host, for a new owner.
+func (s *pickerService) heldRates() []proto.NamedRate {
+	var list []proto.NamedRate
+	for _, id := range slices.Sorted(maps.Keys(s.namedRates)) {
+		r := s.namedRates[id]
+		list = append(list, proto.NamedRate{Target: id, Incarnation: r.incarnation, Rate: r.perSecond})
+	}
+	return list
+}
--- a/internal/pool/local.go
+++ b/internal/pool/local.go
@@ -69,8 +69,12 @@
 		}
 		v, ok := p.chooseLocally(now, s, usable, r.exclude)
 		if !ok {
+			if p.noneAllowedByRate(now, s, usable, r.exclude) {
+				p.refuseWithRetryAfter(now, r, proto.SlotNoTarget, localRetryAfter)
+			}
 			continue
 		}
+		p.takeTurn(now, s, v.Target)
 		p.countLocally(s, r)
 		p.withdraw(now, r)
 		r.slot = localSlot | r.nonce
@@ -117,7 +121,7 @@
 func (p *Picker) chooseLocally(now model.Instant, s *pickerService, usable []proto.TargetView, exclude []model.TargetID) (proto.TargetView, bool) {
 	free := s.scratch[:0]
 	for _, v := range usable {
-		if s.inFlightByTarget[v.Target] < max(1, v.Slots/localSlotDivisor) && !slices.Contains(exclude, v.Target) {
+		if s.inFlightByTarget[v.Target] < max(1, v.Slots/localSlotDivisor) && !slices.Contains(exclude, v.Target) && p.allowsByRate(now, s, v) {
 			free = append(free, v)
 		}
 	}
--- a/internal/pool/named_rate_test.go
+++ b/internal/pool/named_rate_test.go
@@ -1,6 +1,7 @@
 package pool
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -33,6 +34,13 @@
 	clear(l.arrivals)
 }
 
+// countAllArrivals counts the requests of all hosts at a target.
+func (l *fleetLoad) countAllArrivals(target model.TargetID) {
+	for _, h := range l.hosts {
+		l.toldAt[toldHost{h, target}] = 1
+	}
+}
+
 func (l *fleetLoad) requireNamedRates(t *testing.T) {
 	t.Helper()
 	for id, rate := range l.rates {
@@ -66,3 +74,39 @@
 	}
 	l.requireNamedRates(t)
 }
+
+func TestTargetThatNamesNoRateAnyMoreGetsItsShareAgain(t *testing.T) {
+	l := newNamedRates()
+	l.settle(45)
+	l.rates = map[model.TargetID]float64{}
+	l.countAllArrivals("t0")
+	l.run(45, 8*time.Second)
+	require.Greater(t, l.mostArrived("t0", rateWindow), 12)
+}
+
+func TestTargetThatTakesNothingIsAskedAgainRarely(t *testing.T) {
+	l := newNamedRates()
+	l.rates = map[model.TargetID]float64{"t0": 0}
+	l.settle(45)
+	l.countAllArrivals("t0")
+	l.run(45, 20*time.Second)
+	l.requireNamedRates(t)
+	require.Positive(t, l.mostArrived("t0", 20*time.Second))
+}
+
+func TestRequestsBeyondNamedRatesAreRefusedAtOnce(t *testing.T) {
+	l := newFleetLoad(40, 8)
+	l.objective = time.Second
+	l.run(45, 3*time.Second)
+	for _, a := range l.targets {
+		l.rates[a.Target] = 1
+	}
+	l.settle(45)
+	l.waits = nil
+	l.run(45, 6*time.Second)
+	l.requireNamedRates(t)
+	require.Greater(t, len(l.waits), 200, "of 270 requests 48 are within the rates")
+	slices.Sort(l.waits)
+	require.LessOrEqual(t, l.waits[len(l.waits)/2], 2*loadTick)
+	require.LessOrEqual(t, l.waits[len(l.waits)-1], l.objective)
+}
--- a/internal/pool/picker.go
+++ b/internal/pool/picker.go
@@ -49,12 +49,6 @@
 	out []Effect
 }
 
-// withdrawal is a withdrawn query whose nonce is remembered up to an instant.
-type withdrawal struct {
-	nonce uint64
-	until model.Instant
-}
-
 // request is a requested target: a request that waits, or one that has an attempt in progress.
 type request struct {
 	id          model.RequestID
@@ -146,6 +140,10 @@
 	// same ones.
 	withdrawnCounts int
 	localPeriod     localPeriod
+	// namedRates holds the rates that targets named to this host. ownerAnsweredAt is
+	// the last tick at which the owner answered in time.
+	namedRates      map[model.TargetID]*hostRate
+	ownerAnsweredAt model.Instant
 	scratch         []proto.TargetView
 }
 
@@ -422,6 +420,7 @@
 		s.recordBroken(now, r)
 	}
 	s.failureTimes.record(now, a)
+	s.recordNamedRate(now, a)
 	if s.owner.Host != "" {
 		p.send(s.owner.Host, proto.SlotDone{
 			Service: s.name, Slot: r.slot, Workspace: r.workspace, Fingerprint: r.fingerprint, Attempt: a,
@@ -441,9 +440,11 @@
 	for _, s := range p.ordered {
 		p.expireAnnouncements(now, s)
 		s.expireBrokenAttempts(now, p.tune.RestoreRetention)
+		s.expireNamedRates(now)
 		p.expireRequests(now, s)
 		if s.hasResponsiveOwner(now, &p.tune) {
 			s.meanInFlight += meanInFlightWeight * (float64(s.inFlight) - s.meanInFlight)
+			s.ownerAnsweredAt = now
 			p.endLocalPeriod(now, s)
 			p.repeatQueries(now, s)
 		} else {
--- a/internal/pool/picker_request.go
+++ b/internal/pool/picker_request.go
@@ -37,6 +37,12 @@
 	p.rememberWithdrawn(now, r)
 }
 
+// withdrawal is a withdrawn query whose nonce is remembered up to an instant.
+type withdrawal struct {
+	nonce uint64
+	until model.Instant
+}
+
 // rememberWithdrawn keeps the nonce of a query that may still be assigned a target,
 // so that the assignment is given back.
 func (p *Picker) rememberWithdrawn(now model.Instant, r *request) {
--- a/internal/pool/queue_wait.go
+++ b/internal/pool/queue_wait.go
@@ -31,7 +31,7 @@
 	if s.latency.mean == 0 {
 		return 0
 	}
-	share := max(1, float64(slots)/float64(active))
+	share := max(1, slots/float64(active))
 	rate := max(share/s.latency.mean.Seconds(), w.assignments.perSecond(now))
 	return time.Duration(float64(w.waitingCount+1) / rate * float64(time.Second))
 }
@@ -56,16 +56,21 @@
 }
 
 // servingSlots returns the slots of the targets that queries do not avoid, or of all
-// usable ones if no target works.
-func (s *service) servingSlots() int {
-	serving, usable := 0, 0
+// usable ones if no target works. A target that names a rate has as many as that
+// rate keeps busy.
+func (s *service) servingSlots() float64 {
+	serving, usable := 0.0, 0.0
 	for _, t := range s.targets {
 		if !t.usable() {
 			continue
 		}
-		usable += t.slots
+		slots := float64(t.slots)
+		if t.rate.limited {
+			slots = min(slots, t.rate.perSecond*s.latency.mean.Seconds())
+		}
+		usable += slots
 		if t.cooldownFrom == 0 || !s.trialOutcomes.mostlyFail(t.failedAttempts) {
-			serving += t.slots
+			serving += slots
 		}
 	}
 	if serving == 0 {
--- a/internal/pool/restore.go
+++ b/internal/pool/restore.go
@@ -120,6 +120,7 @@
 			o.restoreSlot(now, s, host, h)
 		}
 		o.restoreView(now, s, x)
+		o.restoreRates(now, s, x.NamedRates)
 		o.dispatch(now, s)
 	}
 	for _, s := range o.ordered {
--- a/internal/pool/restore_report.go
+++ b/internal/pool/restore_report.go
@@ -155,6 +155,7 @@
 		b.Age = now.Sub(b.endedAt)
 		m.BrokenAttempts = append(m.BrokenAttempts, b.BrokenAttempt)
 	}
+	m.NamedRates = s.heldRates()
 	if s.digest == 0 || s.viewEpoch >= epoch {
 		return m
 	}
--- a/internal/pool/target.go
+++ b/internal/pool/target.go
@@ -31,6 +31,10 @@
 	// slowStartFrom is when the slow start began, inSlowStart is set while it lasts.
 	slowStartFrom model.Instant
 	inSlowStart   bool
+	// rate is the rate that the target names. It was restored from the report of a
+	// host if rateIncarnation is not 0, for that incarnation of the target.
+	rate            namedRate
+	rateIncarnation model.Incarnation
 	// pausedUntil ends the pause after the target shed a request.
 	pausedUntil model.Instant
 	// cooldownFrom is when the last failed attempt was reported, or 0 once an
@@ -176,6 +180,12 @@
 	return max(1, int(t.trafficShare(now, tune)*float64(t.slots)))
 }
 
+// hasRoom reports whether the target has a free slot and takes a request now.
+func (t *target) hasRoom(now model.Instant, tune *Tuning) bool {
+	return len(t.busySlots) < t.slots && now >= t.pausedUntil && t.rate.allows(now) &&
+		(!t.inSlowStart || len(t.busySlots) < t.slotLimit(now, tune))
+}
+
 // acceptsHost reports whether the target may be assigned to an entry host, given
 // the maximum number of hosts.
 func (t *target) acceptsHost(host int32, maxHosts int) bool {
@@ -270,6 +280,10 @@
 	t.stats = stats{}
 	t.cooldownFrom, t.failedAttempts, t.hasExtendedCooldown = 0, 0, false
 	t.keptByFloor = false
+	if t.rateIncarnation != a.Incarnation {
+		t.rate = namedRate{}
+	}
+	t.rateIncarnation = 0
 	t.startedAt = now
 	t.backoffDecayFrom = now
 	t.state = a.State
--- a/internal/pool/trial_request.go
+++ b/internal/pool/trial_request.go
@@ -79,9 +79,12 @@
 // isWorking reports whether the target is usable and has not failed since its last success.
 func (t *target) isWorking() bool { return t.usable() && t.cooldownFrom == 0 }
 
-// hasWorkingTarget reports whether a target works that is not excluded.
+// hasWorkingTarget reports whether a target works that is not excluded and takes
+// requests without a limit.
 func (s *service) hasWorkingTarget(exclude []model.TargetID) bool {
-	return slices.ContainsFunc(s.targets, func(t *target) bool { return t.isWorking() && !slices.Contains(exclude, t.id) })
+	return slices.ContainsFunc(s.targets, func(t *target) bool {
+		return t.isWorking() && !t.rate.limited && !slices.Contains(exclude, t.id)
+	})
 }
 
 // hasFailingTarget reports whether a usable target has failed more often than its
@@ -121,7 +124,7 @@
 func (s *service) trialTarget(now model.Instant, r pickCriteria) *target {
 	var best *target
 	for _, t := range s.targets {
-		if !t.usable() || t.cooldownFrom == 0 || len(t.busySlots) > 0 || now < t.pausedUntil {
+		if !t.usable() || t.cooldownFrom == 0 || len(t.busySlots) > 0 || now < t.pausedUntil || !t.rate.allows(now) {
 			continue
 		}
 		if now.Sub(t.cooldownFrom) < t.trialInterval() || best != nil && best.cooldownFrom <= t.cooldownFrom {
--- a/internal/proto/restore.go
+++ b/internal/proto/restore.go
@@ -44,6 +44,16 @@
 	ViewDigest          uint64
 	EjectedTargets      []EjectedTarget
 	QuarantinedRequests []QuarantinedRequest
+	// NamedRates holds the rates that targets named to the host.
+	NamedRates []NamedRate
+}
+
+// NamedRate is the number of requests per second that a target takes from the whole
+// fleet, as its answers said.
+type NamedRate struct {
+	Target      model.TargetID
+	Incarnation model.Incarnation
+	Rate        float64
 }
 
 // HeldSlot is an attempt in progress whose slot another owner assigned, or the
--- a/internal/wire/restore.go
+++ b/internal/wire/restore.go
@@ -30,6 +30,13 @@
 	ViewDigest          uint64               `cbor:"5,keyasint"`
 	EjectedTargets      []ejectedTarget      `cbor:"6,keyasint"`
 	QuarantinedRequests []quarantinedRequest `cbor:"7,keyasint"`
+	NamedRates          []namedRate          `cbor:"8,keyasint,omitempty"`
+}
+
+type namedRate struct {
+	Target      model.TargetID    `cbor:"1,keyasint"`
+	Incarnation model.Incarnation `cbor:"2,keyasint"`
+	Rate        float64           `cbor:"3,keyasint"`
 }
 
 type heldSlot struct {
@@ -66,23 +73,30 @@
 
 func restoreBindings() []binding {
 	return []binding{
-		bindInfallible(68, toRestoreReport, fromRestoreReport),
+		bind(68, toRestoreReport, fromRestoreReport),
 		bindInfallible(69, func(m proto.RestoreAck) restoreAck { return restoreAck(m) }, func(d restoreAck) proto.RestoreAck { return proto.RestoreAck(d) }),
 	}
 }
 
-func toRestoreReport(m proto.RestoreReport) restoreReport {
+func toRestoreReport(m proto.RestoreReport) (restoreReport, error) {
 	return restoreReport{
 		Shard: m.Shard, Epoch: m.Epoch, Incarnation: m.Incarnation, Serial: m.Serial,
 		Services: convertSlice(m.Services, toRestoreService),
-	}
+	}, nil
 }
 
-func fromRestoreReport(d restoreReport) proto.RestoreReport {
+func fromRestoreReport(d restoreReport) (proto.RestoreReport, error) {
+	for _, s := range d.Services {
+		for _, n := range s.NamedRates {
+			if err := checkRate(n.Rate); err != nil {
+				return proto.RestoreReport{}, err
+			}
+		}
+	}
 	return proto.RestoreReport{
 		Shard: d.Shard, Epoch: d.Epoch, Incarnation: d.Incarnation, Serial: d.Serial,
 		Services: convertSlice(d.Services, fromRestoreService),
-	}
+	}, nil
 }
 
 func toRestoreService(m proto.RestoreService) restoreService {
@@ -94,6 +108,7 @@
 		ViewDigest:          m.ViewDigest,
 		EjectedTargets:      convertSlice(m.EjectedTargets, func(x proto.EjectedTarget) ejectedTarget { return ejectedTarget(x) }),
 		QuarantinedRequests: convertSlice(m.QuarantinedRequests, toQuarantined),
+		NamedRates:          convertSlice(m.NamedRates, func(x proto.NamedRate) namedRate { return namedRate(x) }),
 	}
 }
 
@@ -106,6 +121,7 @@
 		ViewDigest:          d.ViewDigest,
 		EjectedTargets:      convertSlice(d.EjectedTargets, func(x ejectedTarget) proto.EjectedTarget { return proto.EjectedTarget(x) }),
 		QuarantinedRequests: convertSlice(d.QuarantinedRequests, fromQuarantined),
+		NamedRates:          convertSlice(d.NamedRates, func(x namedRate) proto.NamedRate { return proto.NamedRate(x) }),
 	}
 }
 
--- a/pkg/model/target.go
+++ b/pkg/model/target.go
@@ -124,6 +124,9 @@
 	}
 }
 
+// HasAnswer reports whether the target sent a complete answer to the request.
+func (e AttemptEnd) HasAnswer() bool { return e == AttemptOK || e == AttemptError }
+
 // ProvablyNotRun reports whether it is certain that the target did not run the
 // request of the attempt.
 func (e AttemptEnd) ProvablyNotRun() bool {
