pool, entry: send nothing to a target that asked the host to pause

A target that turns a request away with 503 may say in Retry-After for how long it wants nothing from the host that it answered. Hosts and owners did not read it: the target was passed over for 20 ms and got further requests of the same host.

Change: the end of an attempt carries the pause to the owner, which assigns the target to other hosts only; the host itself returns a slot of such a target, and passes over it without an owner. If all targets asked for a pause beyond the time for which a request may wait, it is refused at once, as not run.

--- a/internal/entry/notice.go
+++ b/internal/entry/notice.go
@@ -4,6 +4,7 @@
 	"math"
 	"net/http"
 	"strconv"
+	"time"
 
 	"tarragongauge.example/tarragongauge/pkg/model"
 )
@@ -12,6 +13,9 @@
 // from the whole fleet.
 const headerTargetRate = "X-Target-Rate"
 
+// maxPause bounds the time for which a target may ask a host to pause.
+const maxPause = time.Hour
+
 // readNotice returns what a target says of itself in an answer. A value that cannot
 // be read says nothing.
 func (s *Server) readNotice(res *http.Response) model.TargetNotice {
@@ -19,6 +23,9 @@
 	if rate, ok := parseDecimal(res.Header.Get(s.headerNames.TargetRate)); ok {
 		n.Limited, n.Rate = true, rate
 	}
+	if seconds, ok := parseDecimal(res.Header.Get("Retry-After")); ok && res.StatusCode == http.StatusServiceUnavailable {
+		n.Pause = time.Duration(min(seconds, maxPause.Seconds()) * float64(time.Second))
+	}
 	return n
 }
 
--- a/internal/entry/notice_test.go
+++ b/internal/entry/notice_test.go
@@ -3,6 +3,7 @@
 import (
 	"net/http"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
@@ -47,3 +48,31 @@
 	require.Equal(t, model.AttemptShed, h.fake.endedAttempts[0].Attempt.End)
 	require.Equal(t, model.TargetNotice{}, h.fake.endedAttempts[0].Attempt.Notice)
 }
+
+// TestAttemptCarriesThePauseThatTheTargetAsksFor guards against requests to a target
+// that has turned one away and asked for none for a time.
+func TestAttemptCarriesThePauseThatTheTargetAsksFor(t *testing.T) {
+	for _, tt := range []struct {
+		status int
+		value  string
+		want   time.Duration
+	}{
+		{http.StatusServiceUnavailable, "2", 2 * time.Second},
+		{http.StatusServiceUnavailable, "0.75", 750 * time.Millisecond},
+		{http.StatusServiceUnavailable, "99999999999", time.Hour},
+		{http.StatusServiceUnavailable, "soon", 0},
+		{http.StatusServiceUnavailable, "-1", 0},
+		{http.StatusTooManyRequests, "2", 0},
+	} {
+		h := newCustomHeaderHost(t)
+		h.addTarget(t, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			w.Header().Set("Site-Request-Id", r.Header.Get("Site-Request-Id"))
+			w.Header().Set("Retry-After", tt.value)
+			w.Header().Set("Site-Not-Run", "1")
+			w.WriteHeader(tt.status)
+		}))
+		h.mustDoCustom(t, "GET", "/lookup/x", "r")
+		require.Len(t, h.fake.endedAttempts, 1)
+		require.Equal(t, tt.want, h.fake.endedAttempts[0].Attempt.Notice.Pause, "%d %s", tt.status, tt.value)
+	}
+}
--- a/internal/pool/assign.go
+++ b/internal/pool/assign.go
@@ -100,7 +100,7 @@
 		o.refuse(s, key.host, key.nonce, proto.SlotQueueFull, s.expectedWait(now, w))
 		return
 	}
-	if wait := max(s.expectedWait(now, w), s.namedRateWait(now, m.Exclude)); wait > s.maxWait(m) {
+	if wait := max(s.expectedWait(now, w), s.namedRateWait(now, m.Exclude), s.pauseWait(now, key.host, m.Exclude)); wait > s.maxWait(m) {
 		o.refuse(s, key.host, key.nonce, proto.SlotTooLate, wait)
 		return
 	}
@@ -149,7 +149,7 @@
 		a := w.queue.peek()
 		r := pickCriteria{zone: a.zone, host: a.host, exclude: a.exclude, declined: a.declined, once: a.once}
 		t := o.pick(now, s, r)
-		if t == nil && len(a.exclude) == 0 && !s.hasTargetAtMaxHosts() && !s.hasFailingTarget() {
+		if t == nil && len(a.exclude) == 0 && !s.hasTargetAtMaxHosts() && !s.hasFailingTarget() && !s.hasPauses() {
 			return
 		}
 		if t == nil {
@@ -250,7 +250,7 @@
 		if best != nil && (score > bestScore || score == bestScore && t.lastAssignment > best.lastAssignment) {
 			continue
 		}
-		if !t.acceptsHost(r.host, s.maxHosts(t)) || slices.Contains(r.exclude, t.id) || slices.Contains(r.declined, t.id) {
+		if !t.acceptsHost(r.host, s.maxHosts(t)) || t.pauseLeft(now, r.host) > 0 || slices.Contains(r.exclude, t.id) || slices.Contains(r.declined, t.id) {
 			continue
 		}
 		if canWait && s.isAvoided(now, t, &o.tune, r) {
--- a/internal/pool/fleet_load_test.go
+++ b/internal/pool/fleet_load_test.go
@@ -57,6 +57,12 @@
 	// more than toldGrace ago.
 	toldAt   map[toldHost]model.Instant
 	arrivals map[model.TargetID][]int
+	// pause is the time for which targets ask for no further request when they
+	// reject one. pausedFrom holds when each host was last asked so, and arrivedInPause
+	// counts the requests that came all the same more than toldGrace later.
+	pause          time.Duration
+	pausedFrom     map[toldHost]model.Instant
+	arrivedInPause map[toldHost]int
 	// waits holds how long each refused request waited.
 	waits []time.Duration
 	// due is the part of a request that the offered load has left over.
@@ -93,6 +99,7 @@
 		requests: map[model.RequestID]*offeredRequest{}, running: map[model.Instant][]runningAttempt{},
 		offered: []int{0}, retried: []int{0},
 		rates: map[model.TargetID]float64{}, toldAt: map[toldHost]model.Instant{}, arrivals: map[model.TargetID][]int{},
+		pausedFrom: map[toldHost]model.Instant{}, arrivedInPause: map[toldHost]int{},
 	}
 	l.tune.Retries = Retries{Share: retryRatio, Burst: 0.3 * retrySlack, PerSecond: 0.4 * retrySlack / retryWindow.Seconds(), LocalBurst: 1}
 	for i := range targets {
@@ -195,9 +202,12 @@
 	if told := (toldHost{r.host, a.target}); limited && l.toldAt[told] == 0 {
 		l.toldAt[told] = l.now
 	}
-	l.stepPicker(r.host, AttemptEnded{Request: a.id, Attempt: model.Attempt{
-		End: a.end, Latency: l.latency, Notice: model.TargetNotice{Limited: limited, Rate: rate},
-	}})
+	notice := model.TargetNotice{Limited: limited, Rate: rate}
+	if a.end == model.AttemptShed && l.pause > 0 {
+		notice.Pause = l.pause
+		l.pausedFrom[toldHost{r.host, a.target}] = l.now
+	}
+	l.stepPicker(r.host, AttemptEnded{Request: a.id, Attempt: model.Attempt{End: a.end, Latency: l.latency, Notice: notice}})
 	if a.end == model.AttemptOK || r.attempts > 1 {
 		delete(l.requests, a.id)
 		return
@@ -257,8 +267,12 @@
 	}
 }
 
-// countArrival counts a request at a target, if its host knows the rate of the target.
+// countArrival counts a request at a target, if its host knows the rate of the target
+// or was asked to pause.
 func (l *fleetLoad) countArrival(host model.HostID, target model.TargetID) {
+	if from, ok := l.pausedFrom[toldHost{host, target}]; ok && l.now.Sub(from) >= toldGrace && l.now.Sub(from) < l.pause {
+		l.arrivedInPause[toldHost{host, target}]++
+	}
 	at, told := l.toldAt[toldHost{host, target}]
 	if !told || l.now.Sub(at) < toldGrace {
 		return
--- a/internal/pool/local.go
+++ b/internal/pool/local.go
@@ -69,9 +69,7 @@
 		}
 		v, ok := p.chooseLocally(now, s, usable, r.exclude)
 		if !ok {
-			if p.noneAllowedByRate(now, s, usable, r.exclude) {
-				p.refuseWithRetryAfter(now, r, proto.SlotNoTarget, localRetryAfter)
-			}
+			p.refuseUnsendable(now, s, usable, r)
 			continue
 		}
 		p.takeTurn(now, s, v.Target)
@@ -102,6 +100,21 @@
 	}
 }
 
+// refuseUnsendable refuses a request at once if all targets that it may be sent to
+// asked this host to pause for longer than requests wait, or name rates that leave
+// this host no request now.
+func (p *Picker) refuseUnsendable(now model.Instant, s *pickerService, usable []proto.TargetView, r *request) {
+	wait := r.deadline.Sub(now)
+	if p.tune.MaxLocalWait != 0 {
+		wait = min(wait, p.tune.MaxLocalWait)
+	}
+	if pause := s.leastPause(now, usable, r.exclude); pause > wait {
+		p.refuseWithRetryAfter(now, r, proto.SlotNoTarget, pause)
+	} else if p.noneAllowedByRate(now, s, usable, r.exclude) {
+		p.refuseWithRetryAfter(now, r, proto.SlotNoTarget, localRetryAfter)
+	}
+}
+
 // takeRetryToken takes a retry from the local budget, once for each request, and
 // reports whether the request may run.
 func (p *Picker) takeRetryToken(s *pickerService, r *request) bool {
@@ -121,7 +134,8 @@
 func (p *Picker) chooseLocally(now model.Instant, s *pickerService, usable []proto.TargetView, exclude []model.TargetID) (proto.TargetView, bool) {
 	free := s.scratch[:0]
 	for _, v := range usable {
-		if s.inFlightByTarget[v.Target] < max(1, v.Slots/localSlotDivisor) && !slices.Contains(exclude, v.Target) && p.allowsByRate(now, s, v) {
+		if s.inFlightByTarget[v.Target] < max(1, v.Slots/localSlotDivisor) && !slices.Contains(exclude, v.Target) &&
+			p.allowsByRate(now, s, v) && s.pauseLeft(now, v.Target, v.Incarnation) == 0 {
 			free = append(free, v)
 		}
 	}
--- a/internal/pool/picker.go
+++ b/internal/pool/picker.go
@@ -144,6 +144,7 @@
 	// the last tick at which the owner answered in time.
 	namedRates      map[model.TargetID]*hostRate
 	ownerAnsweredAt model.Instant
+	pauses          map[model.TargetID]hostPause
 	scratch         []proto.TargetView
 }
 
@@ -356,7 +357,7 @@
 	}
 	switch m.Status {
 	case proto.SlotAssigned:
-		if p.targetList.isLeaving(m.Target, m.Incarnation) {
+		if p.targetList.isLeaving(m.Target, m.Incarnation) || s.pauseLeft(now, m.Target, m.Incarnation) > 0 {
 			p.askAgain(now, from, r, m.Target)
 			return
 		}
@@ -377,8 +378,8 @@
 	}
 }
 
-// askAgain cancels the slot of a target that is leaving, which the owner assigned
-// before it was notified, and queries the owner for another target.
+// askAgain cancels the slot of a target that is leaving or asked this host to pause,
+// which the owner assigned before it was notified, and queries the owner for another target.
 func (p *Picker) askAgain(now model.Instant, from model.HostID, r *request, id model.TargetID) {
 	p.send(from, proto.SlotCancel{Service: r.service.name, Nonce: r.nonce})
 	delete(p.byNonce, r.nonce)
@@ -421,6 +422,7 @@
 	}
 	s.failureTimes.record(now, a)
 	s.recordNamedRate(now, a)
+	s.recordPause(now, a)
 	if s.owner.Host != "" {
 		p.send(s.owner.Host, proto.SlotDone{
 			Service: s.name, Slot: r.slot, Workspace: r.workspace, Fingerprint: r.fingerprint, Attempt: a,
--- a/internal/pool/target.go
+++ b/internal/pool/target.go
@@ -35,6 +35,8 @@
 	// host if rateIncarnation is not 0, for that incarnation of the target.
 	rate            namedRate
 	rateIncarnation model.Incarnation
+	// hostPauses holds, by host number, until when the target asked a host for no requests.
+	hostPauses map[int32]model.Instant
 	// pausedUntil ends the pause after the target shed a request.
 	pausedUntil model.Instant
 	// cooldownFrom is when the last failed attempt was reported, or 0 once an
@@ -284,6 +286,7 @@
 		t.rate = namedRate{}
 	}
 	t.rateIncarnation = 0
+	t.hostPauses = nil
 	t.startedAt = now
 	t.backoffDecayFrom = now
 	t.state = a.State
--- a/internal/pool/trial_request.go
+++ b/internal/pool/trial_request.go
@@ -130,7 +130,7 @@
 		if now.Sub(t.cooldownFrom) < t.trialInterval() || best != nil && best.cooldownFrom <= t.cooldownFrom {
 			continue
 		}
-		if t.acceptsHost(r.host, s.maxHosts(t)) && !slices.Contains(r.declined, t.id) {
+		if t.acceptsHost(r.host, s.maxHosts(t)) && t.pauseLeft(now, r.host) == 0 && !slices.Contains(r.declined, t.id) {
 			best = t
 		}
 	}
--- a/internal/wire/pool.go
+++ b/internal/wire/pool.go
@@ -42,19 +42,20 @@
 	Latency     time.Duration     `cbor:"4,keyasint"`
 	Limited     bool              `cbor:"5,keyasint,omitempty"`
 	Rate        float64           `cbor:"6,keyasint,omitempty"`
+	Pause       time.Duration     `cbor:"7,keyasint,omitempty"`
 }
 
 func encodeAttempt(m model.Attempt) attempt {
 	return attempt{
 		Target: m.Target, Incarnation: m.Incarnation, End: m.End, Latency: m.Latency,
-		Limited: m.Notice.Limited, Rate: m.Notice.Rate,
+		Limited: m.Notice.Limited, Rate: m.Notice.Rate, Pause: m.Notice.Pause,
 	}
 }
 
 func decodeAttempt(d attempt) model.Attempt {
 	return model.Attempt{
 		Target: d.Target, Incarnation: d.Incarnation, End: d.End, Latency: d.Latency,
-		Notice: model.TargetNotice{Limited: d.Limited, Rate: d.Rate},
+		Notice: model.TargetNotice{Limited: d.Limited, Rate: d.Rate, Pause: d.Pause},
 	}
 }
 
--- a/pkg/model/notice.go
+++ b/pkg/model/notice.go
@@ -1,5 +1,7 @@
 package model
 
+import "time"
+
 // TargetNotice is what a target says of itself in the header of an answer. The zero
 // value is an answer that says nothing.
 type TargetNotice struct {
@@ -7,4 +9,7 @@
 	// second that it takes from the whole fleet, for as long as its answers name it.
 	Limited bool
 	Rate    float64
+	// Pause is the time for which the target wants no further request from the host
+	// that it answered, or 0.
+	Pause time.Duration
 }
