pool, entry: send nothing to a target that says in an answer that it is leaving

A target that leaves says so in all its answers.

Change: the header target_leaving (X-Target-Leaving) is read with the answer, before its body. The host that was told passes over this incarnation of the target, the owner takes it out of service for all hosts, and a host that a new owner assigns such a target returns the slot and says why. The same way tells a new owner of pauses. A service whose targets all leave refuses at once, as not run.

--- a/internal/conf/join_headers.go
+++ b/internal/conf/join_headers.go
@@ -94,6 +94,7 @@
 		name("workspace", "X-Workspace", "tells a target whose request it runs", func(v *values) *string { return &v.headers.Workspace }),
 		name("not_run", "X-Shed", "marks a target's answer that says that the request was not run", func(v *values) *string { return &v.headers.NotRun }),
 		name("instance", "", "tells a target which one is meant; without a name targets are not told", func(v *values) *string { return &v.headers.Instance }),
+		name("target_leaving", "X-Target-Leaving", "is 1 in the answers of a target that is about to exit", func(v *values) *string { return &v.headers.TargetLeaving }),
 		name("target_rate", "X-Target-Rate", "names in a target's answer the requests per second that it takes from the whole fleet", func(v *values) *string { return &v.headers.TargetRate }),
 		name("key_scheme", "Bearer", "scheme of the Authorization header before a key", func(v *values) *string { return &v.headers.KeyScheme }),
 		flag("caller_ids", "whether the request ids of callers are passed on", func(v *values) *bool { return &v.headers.PassCallerIDs }),
--- a/internal/conf/types.go
+++ b/internal/conf/types.go
@@ -89,7 +89,7 @@
 // targets. Each is empty for its default; entry.HeaderNames says what it carries.
 type Headers struct {
 	RequestID, Deadline, Workspace, NotRun, Instance, KeyScheme string
-	TargetRate                                                  string
+	TargetLeaving, TargetRate                                   string
 	PassCallerIDs                                               bool
 	// StatusPromise, RetryFractions and EndlessAnswers turn on entry.WithStatusPromise,
 	// entry.WithRetryFractions and entry.WithEndlessAnswers.
--- a/internal/entry/api.go
+++ b/internal/entry/api.go
@@ -68,6 +68,9 @@
 	// EndAttempt releases the target that was assigned to a request and reports how
 	// the attempt ended.
 	EndAttempt(end pool.AttemptEnded)
+	// NoteTarget reports what a target says of itself in the header of an answer
+	// whose body is still being passed on.
+	NoteTarget(n pool.TargetNoticed)
 	// Announce delivers a target's announcement that this host has validated.
 	Announce(a model.Announcement)
 }
--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -300,6 +300,9 @@
 	if a.target.Local {
 		text += " chosen without owner"
 	}
+	if a.notice.Leaving {
+		text += ", is leaving"
+	}
 	if a.notice.Pause > 0 {
 		text += fmt.Sprintf(", asks for a pause of %s", a.notice.Pause)
 	}
--- a/internal/entry/fake_test.go
+++ b/internal/entry/fake_test.go
@@ -58,6 +58,7 @@
 	orders         []order.Requested
 	finishedOrders []order.Finished
 	endedAttempts  []pool.AttemptEnded
+	notices        []pool.TargetNoticed
 	targetRequests []pool.TargetRequested
 	announcements  []model.Announcement
 	records        []entry.Record
@@ -150,6 +151,10 @@
 	}
 }
 
+func (f *fakeDecider) NoteTarget(n pool.TargetNoticed) {
+	f.update(func() { f.notices = append(f.notices, n) })
+}
+
 func (f *fakeDecider) Announce(a model.Announcement) {
 	f.update(func() { f.announcements = append(f.announcements, a) })
 }
--- a/internal/entry/forward.go
+++ b/internal/entry/forward.go
@@ -207,6 +207,9 @@
 		}
 		return nil, c.deliver(rep) == nil
 	}
+	if a.notice != (model.TargetNotice{}) {
+		c.s.decider.NoteTarget(pool.TargetNoticed{Service: c.route.Service, Attempt: a.result()})
+	}
 	c.s.registry.markAnswerStarted(c.inFlight)
 	if isKeyWithdrawn(ctx) {
 		a.abort(model.AttemptCanceled)
--- a/internal/entry/header_names.go
+++ b/internal/entry/header_names.go
@@ -15,6 +15,9 @@
 	NotRun string
 	// Instance names the target that is meant. It is empty if targets do not check it.
 	Instance string
+	// TargetLeaving is 1 in the answers of a target that is about to exit. It is
+	// empty if targets do not say so.
+	TargetLeaving string
 	// TargetRate names in an answer the requests per second that the target takes
 	// from the whole fleet. It is empty if targets name none.
 	TargetRate string
@@ -32,8 +35,9 @@
 		Workspace: headerWorkspace,
 		NotRun:    headerShed,
 
-		TargetRate: headerTargetRate,
-		KeyScheme:  "Bearer",
+		TargetLeaving: headerTargetLeaving,
+		TargetRate:    headerTargetRate,
+		KeyScheme:     "Bearer",
 	}
 }
 
--- a/internal/entry/notice.go
+++ b/internal/entry/notice.go
@@ -9,9 +9,11 @@
 	"tarragongauge.example/tarragongauge/pkg/model"
 )
 
-// headerTargetRate names in a target's answer the requests per second that it takes
-// from the whole fleet.
-const headerTargetRate = "X-Target-Rate"
+// Headers in the answers of targets, explained at HeaderNames.
+const (
+	headerTargetLeaving = "X-Target-Leaving"
+	headerTargetRate    = "X-Target-Rate"
+)
 
 // maxPause bounds the time for which a target may ask a host to pause.
 const maxPause = time.Hour
@@ -19,7 +21,7 @@
 // readNotice returns what a target says of itself in an answer. A value that cannot
 // be read says nothing.
 func (s *Server) readNotice(res *http.Response) model.TargetNotice {
-	var n model.TargetNotice
+	n := model.TargetNotice{Leaving: res.Header.Get(s.headerNames.TargetLeaving) == "1"}
 	if rate, ok := parseDecimal(res.Header.Get(s.headerNames.TargetRate)); ok {
 		n.Limited, n.Rate = true, rate
 	}
--- a/internal/entry/notice_test.go
+++ b/internal/entry/notice_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"sync"
 	"testing"
 	"time"
 
@@ -76,3 +77,29 @@
 		require.Equal(t, tt.want, h.fake.endedAttempts[0].Attempt.Notice.Pause, "%d %s", tt.status, tt.value)
 	}
 }
+
+// TestLeavingTargetIsNotedBeforeItsAnswerHasEnded guards against a long answer that
+// hides for its whole length that its target is leaving.
+func TestLeavingTargetIsNotedBeforeItsAnswerHasEnded(t *testing.T) {
+	h := newCustomHeaderHost(t)
+	noted := make(chan struct{})
+	h.addTarget(t, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("Site-Request-Id", r.Header.Get("Site-Request-Id"))
+		w.Header().Set("Site-Leaving", "1")
+		w.WriteHeader(http.StatusOK)
+		w.(http.Flusher).Flush()
+		select {
+		case <-noted:
+		case <-time.After(10 * time.Second):
+		}
+	}))
+	var caller sync.WaitGroup
+	var got answer
+	caller.Go(func() { got = h.mustDoCustom(t, "GET", "/lookup/x", "r") })
+	require.Eventually(t, func() bool { return len(readLocked(h.fake, &h.fake.notices)) == 1 }, 5*time.Second, 5*time.Millisecond)
+	close(noted)
+	caller.Wait()
+	require.Equal(t, http.StatusOK, got.StatusCode)
+	require.True(t, h.fake.notices[0].Attempt.Notice.Leaving)
+	require.True(t, h.fake.endedAttempts[0].Attempt.Notice.Leaving)
+}
--- a/internal/node/decider.go
+++ b/internal/node/decider.go
@@ -66,6 +66,9 @@
 	h.picker.post(end)
 }
 
+// NoteTarget passes on what a target says of itself.
+func (h *entryHost) NoteTarget(n pool.TargetNoticed) { h.picker.post(n) }
+
 // Announce passes on a target's announcement that this host has validated.
 func (h *entryHost) Announce(a model.Announcement) {
 	h.picker.post(pool.TargetAnnounced{Announcement: a})
--- a/internal/node/run_entry.go
+++ b/internal/node/run_entry.go
@@ -136,6 +136,7 @@
 		{&n.Workspace, h.Workspace},
 		{&n.NotRun, h.NotRun},
 		{&n.Instance, h.Instance},
+		{&n.TargetLeaving, h.TargetLeaving},
 		{&n.TargetRate, h.TargetRate},
 		{&n.KeyScheme, h.KeyScheme},
 	} {
--- a/internal/pool/api.go
+++ b/internal/pool/api.go
@@ -73,6 +73,12 @@
 		Request model.RequestID
 		Attempt model.Attempt
 	}
+	// TargetNoticed tells the picker what a target says of itself in an answer
+	// that is still being read.
+	TargetNoticed struct {
+		Service model.ServiceName
+		Attempt model.Attempt
+	}
 	// Probed delivers the result of a Probe effect.
 	Probed struct {
 		Service     model.ServiceName
@@ -188,6 +194,7 @@
 func (FailedTargetsReported) isEvent() {}
 func (EntryHostCountChanged) isEvent() {}
 func (AttemptEnded) isEvent()          {}
+func (TargetNoticed) isEvent()         {}
 func (Probed) isEvent()                {}
 
 func (Send) isEffect()                {}
--- a/internal/pool/fleet_load_test.go
+++ b/internal/pool/fleet_load_test.go
@@ -57,6 +57,8 @@
 	// more than toldGrace ago.
 	toldAt   map[toldHost]model.Instant
 	arrivals map[model.TargetID][]int
+	// leaving holds the targets that say in their answers that they are leaving.
+	leaving map[model.TargetID]bool
 	// pause is the time for which targets ask for no further request when they
 	// reject one. pausedFrom holds when each host was last asked so, and arrivedInPause
 	// counts the requests that came all the same more than toldGrace later.
@@ -199,10 +201,10 @@
 func (l *fleetLoad) finish(a runningAttempt) {
 	r := l.requests[a.id]
 	rate, limited := l.rates[a.target]
-	if told := (toldHost{r.host, a.target}); limited && l.toldAt[told] == 0 {
+	if told := (toldHost{r.host, a.target}); (limited || l.leaving[a.target]) && l.toldAt[told] == 0 {
 		l.toldAt[told] = l.now
 	}
-	notice := model.TargetNotice{Limited: limited, Rate: rate}
+	notice := model.TargetNotice{Limited: limited, Rate: rate, Leaving: l.leaving[a.target]}
 	if a.end == model.AttemptShed && l.pause > 0 {
 		notice.Pause = l.pause
 		l.pausedFrom[toldHost{r.host, a.target}] = l.now
--- a/internal/pool/host_rate.go
+++ b/internal/pool/host_rate.go
@@ -52,11 +52,6 @@
 	}
 }
 
-// expireNamedRates drops the rates that were not named for long.
-func (s *pickerService) expireNamedRates(now model.Instant) {
-	maps.DeleteFunc(s.namedRates, func(_ model.TargetID, r *hostRate) bool { return now.Sub(r.namedAt) > hostRateRetention })
-}
-
 // allowsByRate reports whether this host may send a target a request without the
 // owner, as far as the target's rate is concerned.
 func (p *Picker) allowsByRate(now model.Instant, s *pickerService, v proto.TargetView) bool {
--- a/internal/pool/local.go
+++ b/internal/pool/local.go
@@ -46,7 +46,7 @@
 		}
 	}
 	p.refuseOverdue(now, s)
-	usable := p.localTargets(now, s)
+	usable := slices.DeleteFunc(p.localTargets(now, s), func(v proto.TargetView) bool { return s.toldLeaving(v.Target, v.Incarnation) })
 	if len(usable) == 0 {
 		p.compactQueue(s)
 		return
--- /dev/null
+++ b/internal/pool/notice.go
@@ -0,0 +1,98 @@
+package pool
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"tarragongauge.example/tarragongauge/internal/proto"
+	"tarragongauge.example/tarragongauge/pkg/model"
+)
+
+// leavingRetention is how long a host keeps that a target is leaving. It has exited
+// by then.
+const leavingRetention = 10 * time.Minute
+
+// leavingTarget is a target that told this host that it is leaving.
+type leavingTarget struct {
+	incarnation model.Incarnation
+	toldAt      model.Instant
+}
+
+// recordNotice keeps what the answer to an attempt of this host says of its target.
+func (s *pickerService) recordNotice(now model.Instant, a model.Attempt) {
+	s.recordNamedRate(now, a)
+	s.recordPause(now, a)
+	if a.Notice.Leaving {
+		if s.leavingTargets == nil {
+			s.leavingTargets = map[model.TargetID]leavingTarget{}
+		}
+		s.leavingTargets[a.Target] = leavingTarget{incarnation: max(s.leavingTargets[a.Target].incarnation, a.Incarnation), toldAt: now}
+	}
+}
+
+// expireNotices drops what targets said of themselves that is no longer in force.
+func (s *pickerService) expireNotices(now model.Instant) {
+	maps.DeleteFunc(s.namedRates, func(_ model.TargetID, r *hostRate) bool { return now.Sub(r.namedAt) > hostRateRetention })
+	maps.DeleteFunc(s.pauses, func(_ model.TargetID, p hostPause) bool { return now >= p.until })
+	maps.DeleteFunc(s.leavingTargets, func(_ model.TargetID, l leavingTarget) bool { return now.Sub(l.toldAt) > leavingRetention })
+}
+
+// handleNotice keeps what a target says of itself before its answer has ended, and
+// passes it on to the owner.
+func (p *Picker) handleNotice(now model.Instant, ev TargetNoticed) {
+	s := p.service(ev.Service)
+	s.recordNotice(now, ev.Attempt)
+	if s.owner.Host != "" {
+		p.sendNotice(s, 0, ev.Attempt)
+	}
+}
+
+// sendNotice returns a slot without an attempt, if its number is not 0, and tells the
+// owner what the target says of itself.
+func (p *Picker) sendNotice(s *pickerService, slot uint64, a model.Attempt) {
+	a.End, a.Latency = model.AttemptCanceled, 0
+	p.send(s.owner.Host, proto.SlotDone{Service: s.name, Slot: slot, Attempt: a})
+}
+
+// toldLeaving reports whether a target told this host that it is leaving.
+func (s *pickerService) toldLeaving(id model.TargetID, inc model.Incarnation) bool {
+	last, ok := s.leavingTargets[id]
+	return ok && inc <= last.incarnation
+}
+
+// isUnwanted reports whether an assigned target gets no request of this host: it is
+// leaving or asked for a pause, and the owner did not know it yet.
+func (p *Picker) isUnwanted(now model.Instant, s *pickerService, m proto.SlotReply) bool {
+	return p.targetList.isLeaving(m.Target, m.Incarnation) || s.toldLeaving(m.Target, m.Incarnation) ||
+		s.pauseLeft(now, m.Target, m.Incarnation) > 0
+}
+
+// askAgain returns the slot of a target that this host sends nothing, tells the owner
+// why, and queries it for another target.
+func (p *Picker) askAgain(now model.Instant, from model.HostID, r *request, m proto.SlotReply) {
+	s := r.service
+	notice := model.TargetNotice{Leaving: s.toldLeaving(m.Target, m.Incarnation), Pause: s.pauseLeft(now, m.Target, m.Incarnation)}
+	if from == s.owner.Host && notice != (model.TargetNotice{}) {
+		p.sendNotice(s, m.Slot, model.Attempt{Target: m.Target, Incarnation: m.Incarnation, Notice: notice})
+	} else {
+		p.send(from, proto.SlotCancel{Service: s.name, Nonce: r.nonce})
+	}
+	delete(p.byNonce, r.nonce)
+	p.nonce++
+	r.nonce = p.nonce
+	p.byNonce[r.nonce] = r
+	r.declined = append(slices.Clone(r.declined), m.Target)
+	p.ask(now, r)
+}
+
+// recordLeaving takes a target out of service that says in an answer that it is
+// leaving, whatever it announces.
+func (o *Owner) recordLeaving(now model.Instant, s *service, t *target, a model.Attempt) {
+	if !a.Notice.Leaving || a.Incarnation != t.incarnation || t.state != model.TargetReady {
+		return
+	}
+	t.state = model.TargetDraining
+	s.version++
+	o.enforceFloor(now, s)
+}
--- a/internal/pool/pause.go
+++ b/internal/pool/pause.go
@@ -39,11 +39,7 @@
 	if !ok || p.incarnation != inc {
 		return 0
 	}
-	if now >= p.until {
-		delete(s.pauses, id)
-		return 0
-	}
-	return p.until.Sub(now)
+	return max(0, p.until.Sub(now))
 }
 
 // leastPause returns the shortest pause among the targets that are not excluded. It
--- a/internal/pool/picker.go
+++ b/internal/pool/picker.go
@@ -145,6 +145,7 @@
 	namedRates      map[model.TargetID]*hostRate
 	ownerAnsweredAt model.Instant
 	pauses          map[model.TargetID]hostPause
+	leavingTargets  map[model.TargetID]leavingTarget
 	scratch         []proto.TargetView
 }
 
@@ -189,6 +190,8 @@
 		p.handleTargetRequest(now, &ev)
 	case AttemptEnded:
 		p.handleAttemptEnd(now, ev)
+	case TargetNoticed:
+		p.handleNotice(now, ev)
 	case Received:
 		p.receive(now, ev.From, ev.Msg)
 	case Tick:
@@ -357,8 +360,8 @@
 	}
 	switch m.Status {
 	case proto.SlotAssigned:
-		if p.targetList.isLeaving(m.Target, m.Incarnation) || s.pauseLeft(now, m.Target, m.Incarnation) > 0 {
-			p.askAgain(now, from, r, m.Target)
+		if p.isUnwanted(now, s, m) {
+			p.askAgain(now, from, r, m)
 			return
 		}
 		p.leaveQueue(r)
@@ -378,18 +381,6 @@
 	}
 }
 
-// askAgain cancels the slot of a target that is leaving or asked this host to pause,
-// which the owner assigned before it was notified, and queries the owner for another target.
-func (p *Picker) askAgain(now model.Instant, from model.HostID, r *request, id model.TargetID) {
-	p.send(from, proto.SlotCancel{Service: r.service.name, Nonce: r.nonce})
-	delete(p.byNonce, r.nonce)
-	p.nonce++
-	r.nonce = p.nonce
-	p.byNonce[r.nonce] = r
-	r.declined = append(slices.Clone(r.declined), id)
-	p.ask(now, r)
-}
-
 // assign gives a request its target.
 func (p *Picker) assign(r *request, id model.TargetID, addr string, inc model.Incarnation, local bool) {
 	r.assigned = true
@@ -421,8 +412,7 @@
 		s.recordBroken(now, r)
 	}
 	s.failureTimes.record(now, a)
-	s.recordNamedRate(now, a)
-	s.recordPause(now, a)
+	s.recordNotice(now, a)
 	if s.owner.Host != "" {
 		p.send(s.owner.Host, proto.SlotDone{
 			Service: s.name, Slot: r.slot, Workspace: r.workspace, Fingerprint: r.fingerprint, Attempt: a,
@@ -442,7 +432,7 @@
 	for _, s := range p.ordered {
 		p.expireAnnouncements(now, s)
 		s.expireBrokenAttempts(now, p.tune.RestoreRetention)
-		s.expireNamedRates(now)
+		s.expireNotices(now)
 		p.expireRequests(now, s)
 		if s.hasResponsiveOwner(now, &p.tune) {
 			s.meanInFlight += meanInFlightWeight * (float64(s.inFlight) - s.meanInFlight)
--- a/internal/proto/message.go
+++ b/internal/proto/message.go
@@ -347,7 +347,8 @@
 		RetryAfter  time.Duration
 		Epoch       model.Epoch
 	}
-	// SlotDone returns a slot and reports how the attempt ended.
+	// SlotDone returns a slot and reports how the attempt ended. With slot 0 it only
+	// reports what the target says of itself.
 	SlotDone struct {
 		Service     model.ServiceName
 		Slot        uint64
--- a/pkg/model/notice.go
+++ b/pkg/model/notice.go
@@ -5,6 +5,8 @@
 // TargetNotice is what a target says of itself in the header of an answer. The zero
 // value is an answer that says nothing.
 type TargetNotice struct {
+	// Leaving is set if the target is about to exit and wants no new requests.
+	Leaving bool
 	// Limited is set if the target names a rate. Rate is the number of requests per
 	// second that it takes from the whole fleet, for as long as its answers name it.
 	Limited bool
