pool: tell all hosts the rates that targets name

A host without an owner kept to the rates that targets had named to itself only, so that after the loss of an owner each of 40 hosts asked each target once to be told.

Change: the owner's replies list the rates to a host when they have changed, and every 20 s.

--- a/internal/pool/assign.go
+++ b/internal/pool/assign.go
@@ -36,7 +36,7 @@
 	}
 	key := askKey{host: host, nonce: m.Nonce}
 	if l, ok := s.slotByAsk[key]; ok {
-		o.replyAssigned(s, l)
+		o.replyAssigned(now, s, l)
 		return
 	}
 	if _, ok := s.waitingAsks[key]; ok {
@@ -318,12 +318,12 @@
 	s.connectivity(key.host).slotsInUse++
 	s.slotByID[l.id] = l
 	s.slotByAsk[key] = l
-	o.replyAssigned(s, l)
+	o.replyAssigned(now, s, l)
 }
 
 // replyAssigned tells the picker which slot its query got.
-func (o *Owner) replyAssigned(s *service, l *slot) {
-	o.send(o.hostNames[l.host], proto.SlotReply{
+func (o *Owner) replyAssigned(now model.Instant, s *service, l *slot) {
+	m := proto.SlotReply{
 		Nonce:       l.nonce,
 		Status:      proto.SlotAssigned,
 		Slot:        l.id,
@@ -331,5 +331,7 @@
 		Addr:        l.target.addr,
 		Incarnation: l.target.incarnation,
 		Epoch:       s.ownership.epoch,
-	})
+	}
+	s.listRates(now, l.host, &m)
+	o.send(o.hostNames[l.host], m)
 }
--- a/internal/pool/attempt_end.go
+++ b/internal/pool/attempt_end.go
@@ -49,7 +49,7 @@
 		}
 	}
 	if t, ok := s.targetByID[m.Attempt.Target]; ok && t.announced() {
-		t.recordOutcome(now, began, m.Attempt)
+		s.recordOutcome(now, began, t, m.Attempt)
 		t.recordPause(now, host, m.Attempt)
 		o.recordLeaving(now, s, t, m.Attempt)
 		o.addEvidence(now, s, t, host, m, own, at)
@@ -68,11 +68,13 @@
 // cooldown after a failed attempt, and ends it after the success of an attempt that
 // began later. The success of an attempt that was already in progress does not show
 // that the target recovered.
-func (t *target) recordOutcome(now, began model.Instant, a model.Attempt) {
+func (s *service) recordOutcome(now, began model.Instant, t *target, a model.Attempt) {
 	if a.Incarnation != t.incarnation {
 		return
 	}
+	before := t.rate
 	t.rate.record(now, a)
+	s.countRates(before, t)
 	if a.End == model.AttemptOK || a.End.Failed() {
 		t.countAttempt(now, began, a.End.Failed())
 	}
--- a/internal/pool/host_rate.go
+++ b/internal/pool/host_rate.go
@@ -36,22 +36,40 @@
 	r, known := s.namedRates[a.Target]
 	switch {
 	case a.Notice.Limited:
-		if !known {
-			r = &hostRate{}
-			if s.namedRates == nil {
-				s.namedRates = map[model.TargetID]*hostRate{}
-			}
-			s.namedRates[a.Target] = r
-		}
-		if r.perSecond != a.Notice.Rate {
-			r.drawnAt = 0
-		}
-		r.incarnation, r.perSecond, r.namedAt = a.Incarnation, a.Notice.Rate, now
+		s.setNamedRate(now, proto.NamedRate{Target: a.Target, Incarnation: a.Incarnation, Rate: a.Notice.Rate})
 	case known && a.End.HasAnswer() && now.Sub(r.namedAt) >= namedRateGrace:
 		delete(s.namedRates, a.Target)
 	}
 }
 
+// setNamedRate keeps the rate that a target named to this host or to another one.
+func (s *pickerService) setNamedRate(now model.Instant, n proto.NamedRate) {
+	r, known := s.namedRates[n.Target]
+	if !known {
+		r = &hostRate{}
+		if s.namedRates == nil {
+			s.namedRates = map[model.TargetID]*hostRate{}
+		}
+		s.namedRates[n.Target] = r
+	}
+	if r.perSecond != n.Rate {
+		r.drawnAt = 0
+	}
+	r.incarnation, r.perSecond, r.namedAt = n.Incarnation, n.Rate, now
+}
+
+// replaceNamedRates takes over the rates that the owner lists. A rate that a target
+// has just named to this host stays.
+func (s *pickerService) replaceNamedRates(now model.Instant, m *proto.SlotReply) {
+	if !m.ListsRates {
+		return
+	}
+	for _, n := range m.NamedRates {
+		s.setNamedRate(now, n)
+	}
+	maps.DeleteFunc(s.namedRates, func(_ model.TargetID, r *hostRate) bool { return now.Sub(r.namedAt) >= namedRateGrace })
+}
+
 // allowsByRate reports whether this host may send a target a request without the
 // owner, as far as the target's rate is concerned.
 func (p *Picker) allowsByRate(now model.Instant, s *pickerService, v proto.TargetView) bool {
--- a/internal/pool/named_rate.go
+++ b/internal/pool/named_rate.go
@@ -34,7 +34,9 @@
 // namedRate is the rate that a target names, at the owner of its service. It is a
 // token bucket; the zero value allows everything.
 type namedRate struct {
-	limited    bool
+	limited bool
+	// named is the rate as the target names it, perSecond that of the bucket.
+	named      float64
 	perSecond  float64
 	tokens     float64
 	refilledAt model.Instant
@@ -58,7 +60,7 @@
 	if r.limited {
 		r.tokens = r.level(now)
 	}
-	r.limited, r.perSecond, r.refilledAt = true, ownerRateShare*max(rate, minNamedRate), now
+	r.limited, r.named, r.perSecond, r.refilledAt = true, rate, ownerRateShare*max(rate, minNamedRate), now
 }
 
 // level returns the number of requests saved up.
@@ -115,6 +117,55 @@
 	return max(sum, minNamedRate)
 }
 
+// rateListInterval is the time after which the rates are listed to a host again.
+const rateListInterval = 20 * time.Second
+
+// rateList says which list of the named rates a host got, and when.
+type rateList struct {
+	version  uint64
+	listedAt model.Instant
+}
+
+// listRates adds the rates of all targets to a reply, if its host does not have them
+// yet, so that it keeps to them also without an owner.
+func (s *service) listRates(now model.Instant, host int32, m *proto.SlotReply) {
+	for int(host) >= len(s.rateLists) {
+		s.rateLists = append(s.rateLists, rateList{})
+	}
+	known := &s.rateLists[host]
+	if known.version == s.rateVersion && (s.limitedTargets == 0 || now.Sub(known.listedAt) < rateListInterval) {
+		return
+	}
+	*known = rateList{version: s.rateVersion, listedAt: now}
+	m.ListsRates = true
+	for _, t := range s.targets {
+		if t.rate.limited {
+			m.NamedRates = append(m.NamedRates, proto.NamedRate{Target: t.id, Incarnation: t.incarnation, Rate: t.rate.named})
+		}
+	}
+}
+
+// countRates counts the targets that name a rate, and notes whether any rate changed.
+func (s *service) countRates(before namedRate, t *target) {
+	if before.limited == t.rate.limited && before.named == t.rate.named {
+		return
+	}
+	s.rateVersion++
+	if before.limited {
+		s.limitedTargets--
+	}
+	if t.rate.limited {
+		s.limitedTargets++
+	}
+}
+
+// liftRate ends the limit of a target.
+func (s *service) liftRate(t *target) {
+	before := t.rate
+	t.rate = namedRate{}
+	s.countRates(before, t)
+}
+
 // restoreRates takes over the rates that a host learned from targets, for which this
 // owner may not have an answer yet.
 func (o *Owner) restoreRates(now model.Instant, s *service, list []proto.NamedRate) {
@@ -123,7 +174,9 @@
 		if t.announced() && t.incarnation != n.Incarnation || t.rate.limited {
 			continue
 		}
+		before := t.rate
 		t.rate.set(now, n.Rate)
+		s.countRates(before, t)
 		t.rateIncarnation = n.Incarnation
 		t.rate.namedAt = now
 	}
--- a/internal/pool/named_rate_test.go
+++ b/internal/pool/named_rate_test.go
@@ -110,3 +110,26 @@
 	require.LessOrEqual(t, l.waits[len(l.waits)/2], 2*loadTick)
 	require.LessOrEqual(t, l.waits[len(l.waits)-1], l.objective)
 }
+
+func TestHostsWithoutAnOwnerKnowRatesNamedToOtherHosts(t *testing.T) {
+	l := newFleetLoad(40, 8)
+	l.objective = time.Second
+	l.run(45, 3*time.Second)
+	for _, a := range l.targets {
+		l.rates[a.Target] = 1
+	}
+	l.settle(45)
+	l.run(45, 20*time.Second)
+	l.owner = nil
+	l.run(45, time.Second)
+	for _, a := range l.targets {
+		l.countAllArrivals(a.Target)
+	}
+	clear(l.arrivals)
+	l.waits = nil
+	l.run(45, 8*time.Second)
+	l.requireNamedRates(t)
+	require.Greater(t, len(l.waits), 300, "of 360 requests 16 are within the share of the rates")
+	slices.Sort(l.waits)
+	require.LessOrEqual(t, l.waits[len(l.waits)/2], 2*loadTick)
+}
--- a/internal/pool/picker.go
+++ b/internal/pool/picker.go
@@ -352,6 +352,7 @@
 		// ownership.
 		return
 	}
+	s.replaceNamedRates(now, &m)
 	if r.assigned {
 		if m.Status == proto.SlotAssigned && m.Slot != r.slot {
 			p.send(from, proto.SlotCancel{Service: s.name, Nonce: m.Nonce})
--- a/internal/pool/service.go
+++ b/internal/pool/service.go
@@ -122,6 +122,11 @@
 	// assignmentCount numbers the assignments.
 	assignmentCount uint64
 
+	// rateVersion grows with each change of the rates that targets name, which
+	// limitedTargets counts. rateLists holds what each host knows, by host number.
+	rateVersion    uint64
+	limitedTargets int
+	rateLists      []rateList
 	// retryTokens is at least waitingRetries.
 	retryTokens float64
 	retryReport retryReport
--- a/internal/pool/target.go
+++ b/internal/pool/target.go
@@ -283,7 +283,7 @@
 	t.cooldownFrom, t.failedAttempts, t.hasExtendedCooldown = 0, 0, false
 	t.keptByFloor = false
 	if t.rateIncarnation != a.Incarnation {
-		t.rate = namedRate{}
+		s.liftRate(t)
 	}
 	t.rateIncarnation = 0
 	t.hostPauses = nil
@@ -321,6 +321,7 @@
 	for _, t := range s.targets {
 		silence := now.Sub(max(t.lastAnnouncedAt, t.startedAt))
 		if silence > o.tune.RemoveAfter && len(t.busySlots) == 0 {
+			s.liftRate(t)
 			delete(s.targetByID, t.id)
 			changed = true
 			continue
--- a/internal/proto/message.go
+++ b/internal/proto/message.go
@@ -346,6 +346,10 @@
 		Incarnation model.Incarnation
 		RetryAfter  time.Duration
 		Epoch       model.Epoch
+		// NamedRates holds the rates that targets of the service name, if
+		// ListsRates is set. It is, when they have changed and from time to time.
+		ListsRates bool
+		NamedRates []NamedRate
 	}
 	// SlotDone returns a slot and reports how the attempt ended. With slot 0 it only
 	// reports what the target says of itself.
--- a/internal/wire/pool.go
+++ b/internal/wire/pool.go
@@ -1,8 +1,6 @@
 package wire
 
 import (
-	"fmt"
-	"math"
 	"time"
 
 	"tarragongauge.example/tarragongauge/internal/proto"
@@ -33,6 +31,8 @@
 	Incarnation model.Incarnation `cbor:"6,keyasint"`
 	RetryAfter  time.Duration     `cbor:"7,keyasint"`
 	Epoch       model.Epoch       `cbor:"8,keyasint"`
+	ListsRates  bool              `cbor:"9,keyasint,omitempty"`
+	NamedRates  []namedRate       `cbor:"10,keyasint,omitempty"`
 }
 
 type attempt struct {
@@ -126,7 +126,7 @@
 func poolBindings() []binding {
 	return []binding{
 		bindInfallible(60, func(m proto.SlotAsk) slotAsk { return slotAsk(m) }, func(d slotAsk) proto.SlotAsk { return proto.SlotAsk(d) }),
-		bind(61, func(m proto.SlotReply) (slotReply, error) { return slotReply(m), nil }, fromSlotReply),
+		bind(61, toSlotReply, fromSlotReply),
 		bind(62, toSlotDone, fromSlotDone),
 		bindInfallible(63, func(m proto.SlotCancel) slotCancel { return slotCancel(m) }, func(d slotCancel) proto.SlotCancel { return proto.SlotCancel(d) }),
 		bind(64, toTargetNews, fromTargetNews),
@@ -136,8 +136,22 @@
 	}
 }
 
+func toSlotReply(m proto.SlotReply) (slotReply, error) {
+	return slotReply{
+		Nonce: m.Nonce, Status: m.Status, Slot: m.Slot, Target: m.Target, Addr: m.Addr, Incarnation: m.Incarnation,
+		RetryAfter: m.RetryAfter, Epoch: m.Epoch, ListsRates: m.ListsRates, NamedRates: toNamedRates(m.NamedRates),
+	}, nil
+}
+
 func fromSlotReply(d slotReply) (proto.SlotReply, error) {
-	return proto.SlotReply(d), checkEnum("slot status", d.Status, proto.SlotQuarantined)
+	rates, err := fromNamedRates(d.NamedRates)
+	if err != nil {
+		return proto.SlotReply{}, err
+	}
+	return proto.SlotReply{
+		Nonce: d.Nonce, Status: d.Status, Slot: d.Slot, Target: d.Target, Addr: d.Addr, Incarnation: d.Incarnation,
+		RetryAfter: d.RetryAfter, Epoch: d.Epoch, ListsRates: d.ListsRates, NamedRates: rates,
+	}, checkEnum("slot status", d.Status, proto.SlotQuarantined)
 }
 
 func toSlotDone(m proto.SlotDone) (slotDone, error) {
@@ -152,14 +166,6 @@
 	return m, checkEnum("end of an attempt", d.Attempt.End, model.AttemptInvalid)
 }
 
-// checkRate refuses rates of targets that are negative or no finite number.
-func checkRate(v float64) error {
-	if math.IsNaN(v) || math.IsInf(v, 0) || v < 0 {
-		return fmt.Errorf("rate %g of a target is not a finite number of at least 0", v)
-	}
-	return nil
-}
-
 func toTargetNews(m proto.TargetNews) (targetNews, error) {
 	return targetNews{Announcement: announcement(m.Announcement)}, nil
 }
--- a/internal/wire/restore.go
+++ b/internal/wire/restore.go
@@ -33,12 +33,6 @@
 	NamedRates          []namedRate          `cbor:"8,keyasint,omitempty"`
 }
 
-type namedRate struct {
-	Target      model.TargetID    `cbor:"1,keyasint"`
-	Incarnation model.Incarnation `cbor:"2,keyasint"`
-	Rate        float64           `cbor:"3,keyasint"`
-}
-
 type heldSlot struct {
 	Slot        uint64            `cbor:"1,keyasint"`
 	Target      model.TargetID    `cbor:"2,keyasint"`
@@ -86,17 +80,15 @@
 }
 
 func fromRestoreReport(d restoreReport) (proto.RestoreReport, error) {
-	for _, s := range d.Services {
-		for _, n := range s.NamedRates {
-			if err := checkRate(n.Rate); err != nil {
-				return proto.RestoreReport{}, err
-			}
+	m := proto.RestoreReport{Shard: d.Shard, Epoch: d.Epoch, Incarnation: d.Incarnation, Serial: d.Serial}
+	for _, x := range d.Services {
+		s, err := fromRestoreService(x)
+		if err != nil {
+			return proto.RestoreReport{}, err
 		}
+		m.Services = append(m.Services, s)
 	}
-	return proto.RestoreReport{
-		Shard: d.Shard, Epoch: d.Epoch, Incarnation: d.Incarnation, Serial: d.Serial,
-		Services: convertSlice(d.Services, fromRestoreService),
-	}, nil
+	return m, nil
 }
 
 func toRestoreService(m proto.RestoreService) restoreService {
@@ -108,11 +100,12 @@
 		ViewDigest:          m.ViewDigest,
 		EjectedTargets:      convertSlice(m.EjectedTargets, func(x proto.EjectedTarget) ejectedTarget { return ejectedTarget(x) }),
 		QuarantinedRequests: convertSlice(m.QuarantinedRequests, toQuarantined),
-		NamedRates:          convertSlice(m.NamedRates, func(x proto.NamedRate) namedRate { return namedRate(x) }),
+		NamedRates:          toNamedRates(m.NamedRates),
 	}
 }
 
-func fromRestoreService(d restoreService) proto.RestoreService {
+func fromRestoreService(d restoreService) (proto.RestoreService, error) {
+	rates, err := fromNamedRates(d.NamedRates)
 	return proto.RestoreService{
 		Service:             d.Service,
 		Slots:               convertSlice(d.Slots, func(x heldSlot) proto.HeldSlot { return proto.HeldSlot(x) }),
@@ -121,8 +114,8 @@
 		ViewDigest:          d.ViewDigest,
 		EjectedTargets:      convertSlice(d.EjectedTargets, func(x ejectedTarget) proto.EjectedTarget { return proto.EjectedTarget(x) }),
 		QuarantinedRequests: convertSlice(d.QuarantinedRequests, fromQuarantined),
-		NamedRates:          convertSlice(d.NamedRates, func(x namedRate) proto.NamedRate { return proto.NamedRate(x) }),
-	}
+		NamedRates:          rates,
+	}, err
 }
 
 func toQuarantined(x proto.QuarantinedRequest) quarantinedRequest { return quarantinedRequest(x) }
