--- a/internal/entry/announce.go
+++ b/internal/entry/announce.go
@@ -16,9 +16,7 @@
 
 const (
 	// maxNameLength bounds the names of targets and zones in bytes.
-	maxNameLength = 253
-	// maxSlots bounds the requests that one target may announce to take at once.
-	maxSlots         = 10_000
+	maxNameLength    = 253
 	announcementPath = "/v1/announce"
 )
 
@@ -93,14 +91,14 @@
 		return model.Announcement{}, badAnnouncement("target and zone must be 1 to %d printable characters without spaces", maxNameLength)
 	}
 	addr, err := netip.ParseAddrPort(in.Addr)
-	if err != nil || addr.Port() == 0 || addr.Addr().IsUnspecified() || addr.Addr().IsMulticast() {
+	if err != nil || !IsTargetAddr(addr) {
 		return model.Announcement{}, badAnnouncement("addr %q is not an IP address with a port; send for example 10.0.0.7:8080", in.Addr)
 	}
 	if checkPeer && !samePeer(peer, addr.Addr()) {
 		return model.Announcement{}, badAnnouncement("addr %q is not the address the announcement came from; announce from the target's own address", in.Addr)
 	}
-	if in.Slots < 0 || in.Slots > maxSlots || in.Incarnation == 0 {
-		return model.Announcement{}, badAnnouncement("slots must be between 0 and %d and incarnation greater than 0", maxSlots)
+	if in.Slots < 0 || in.Slots > model.MaxTargetSlots || in.Incarnation == 0 {
+		return model.Announcement{}, badAnnouncement("slots must be between 0 and %d and incarnation greater than 0", model.MaxTargetSlots)
 	}
 	if math.IsNaN(in.Load) || in.Load < 0 {
 		return model.Announcement{}, badAnnouncement("load must be 0 or greater")
@@ -131,6 +129,11 @@
 	}
 }
 
+// IsTargetAddr reports whether a target can be reached at the address.
+func IsTargetAddr(a netip.AddrPort) bool {
+	return a.Port() != 0 && a.IsValid() && !a.Addr().IsUnspecified() && !a.Addr().IsMulticast()
+}
+
 // validName reports whether s can name a target or zone: printable ASCII without spaces.
 func validName(s string) bool {
 	return s != "" && len(s) <= maxNameLength && !strings.ContainsFunc(s, func(r rune) bool { return r <= ' ' || r >= 0x7f })
--- a/internal/node/adapter.go
+++ b/internal/node/adapter.go
@@ -43,6 +43,9 @@
 	// ErrNotAuthoritative unless this host leads with a live quorum and a
 	// configuration was applied.
 	NewestConfig() (model.Config, error)
+	// HasService reports whether the configuration in force on this host has a
+	// service. Before the first configuration it is true.
+	HasService(name model.ServiceName) bool
 	// Announce handles an announcement of a target that the adapter has
 	// validated. It returns ErrNotAuthoritative if this host does not reach a
 	// majority of the fleet.
@@ -145,6 +148,15 @@
 	return p.owner.controlHostInZone(zone)
 }
 
+func (p *controlAPI) HasService(name model.ServiceName) bool {
+	if p.owner == nil {
+		return true
+	}
+	services := p.owner.cfg.Load().Services
+	_, ok := services.Get(name)
+	return ok || services.Len() == 0
+}
+
 func (p *controlAPI) Announce(a model.Announcement) error {
 	if p.owner == nil || !p.seat.confirmedWithin(maxConfirmationAge) {
 		return ErrNotAuthoritative{Cause: "it does not reach a majority of the fleet"}
--- a/pkg/model/target.go
+++ b/pkg/model/target.go
@@ -15,6 +15,9 @@
 	TargetLeaving
 )
 
+// MaxTargetSlots bounds the requests that one target may announce to take at once.
+const MaxTargetSlots = 10_000
+
 // Announcement is the heartbeat by which a target tells the fleet its address,
 // capacity and state.
 type Announcement struct {
