--- a/pkg/opsapi/config.go
+++ b/pkg/opsapi/config.go
@@ -83,17 +83,31 @@
 type Service struct {
 	Name         string `json:"name"`
 	AnnounceHash Hash   `json:"announce_hash"`
+	HealthPath   string `json:"health_path,omitempty"`
+	Connections  int    `json:"connections,omitempty"`
+}
+
+// Share is the JSON form of model.Share.
+type Share struct {
+	Service string  `json:"service"`
+	Weight  float64 `json:"weight"`
 }
 
 // Route is the JSON form of model.Route.
 type Route struct {
 	Name            string   `json:"name"`
+	Host            string   `json:"host,omitempty"`
 	PathPrefix      string   `json:"path_prefix"`
 	Methods         []string `json:"methods,omitempty"`
 	Service         string   `json:"service"`
+	Split           []Share  `json:"split,omitempty"`
 	Open            bool     `json:"open,omitempty"`
 	Idempotent      bool     `json:"idempotent,omitempty"`
 	RequireOrderKey bool     `json:"require_order_key,omitempty"`
+	Attempts        int      `json:"attempts,omitempty"`
+	Timeout         Duration `json:"timeout,omitzero"`
+	Objective       Duration `json:"objective,omitzero"`
+	Priority        int      `json:"priority,omitempty"`
 }
 
 // Exception is the JSON form of model.Exception. Exactly one override is set:
@@ -178,35 +192,64 @@
 }
 
 func fromService(s model.Service) Service {
-	return Service{Name: string(s.Name), AnnounceHash: Hash(s.AnnounceHash)}
+	return Service{Name: string(s.Name), AnnounceHash: Hash(s.AnnounceHash), HealthPath: s.HealthPath, Connections: s.Connections}
 }
 
 func (s Service) model() model.Service {
-	return model.Service{Name: model.ServiceName(s.Name), AnnounceHash: model.KeyHash(s.AnnounceHash)}
+	return model.Service{
+		Name: model.ServiceName(s.Name), AnnounceHash: model.KeyHash(s.AnnounceHash), HealthPath: s.HealthPath, Connections: s.Connections,
+	}
 }
 
 func fromRoute(r model.Route) Route {
 	return Route{
 		Name:            string(r.Name),
+		Host:            r.Host,
 		PathPrefix:      r.PathPrefix,
 		Methods:         r.Methods,
 		Service:         string(r.Service),
+		Split:           fromSplit(r.Split),
 		Open:            r.Open,
 		Idempotent:      r.Idempotent,
 		RequireOrderKey: r.RequireOrderKey,
+		Attempts:        r.Attempts,
+		Timeout:         Duration(r.Timeout),
+		Objective:       Duration(r.Objective),
+		Priority:        r.Priority,
 	}
 }
 
 func (r Route) model() model.Route {
 	return model.Route{
 		Name:            model.RouteName(r.Name),
+		Host:            r.Host,
 		PathPrefix:      r.PathPrefix,
 		Methods:         r.Methods,
 		Service:         model.ServiceName(r.Service),
+		Split:           splitOf(r.Split),
 		Open:            r.Open,
 		Idempotent:      r.Idempotent,
 		RequireOrderKey: r.RequireOrderKey,
+		Attempts:        r.Attempts,
+		Timeout:         time.Duration(r.Timeout),
+		Objective:       time.Duration(r.Objective),
+		Priority:        r.Priority,
+	}
+}
+
+// fromSplit returns nil for a route without a split, as splitOf does.
+func fromSplit(split []model.Share) []Share {
+	if len(split) == 0 {
+		return nil
+	}
+	return mapSlice(split, func(s model.Share) Share { return Share{Service: string(s.Service), Weight: s.Weight} })
+}
+
+func splitOf(split []Share) []model.Share {
+	if len(split) == 0 {
+		return nil
 	}
+	return mapSlice(split, func(s Share) model.Share { return model.Share{Service: model.ServiceName(s.Service), Weight: s.Weight} })
 }
 
 func fromException(e model.Exception) Exception {
