admit: refuse for the rate when too many requests wait and the owner answers

Change: the reason follows from the oldest waiting request. TestTooManyWaitingRequestsAreRefusedForTheRate failed before.

--- a/internal/admit/limiter.go
+++ b/internal/admit/limiter.go
@@ -173,7 +173,8 @@
 		return
 	}
 	if len(p.waiting) >= maxWaitingRequests {
-		l.refuse(p, ev.Request, now)
+		// Whether the owner answers shows in the requests that wait.
+		l.refuse(p, ev.Request, p.waiting[0].arrivedAt)
 		return
 	}
 	tokenExpected := l.owners[p.shard] != "" && now >= p.scarceUntil && len(p.pendingDraws) < maxPendingDraws && len(p.waiting) < maxExpectingRequests
@@ -451,11 +452,11 @@
 	return waited >= tokenWaitTimeout && !p.inOutage && now >= settled && p.answeredSince(r.arrivedAt)
 }
 
-// refuse refuses a request that arrived at an instant. Without an answer since
-// then the reason is a missing owner, otherwise it is the rate.
-func (l *Limiter) refuse(p *tokenPool, id model.RequestID, arrived model.Instant) {
+// refuse refuses a request. Without an answer since an instant the reason is a
+// missing owner, otherwise it is the rate.
+func (l *Limiter) refuse(p *tokenPool, id model.RequestID, since model.Instant) {
 	refusal := Limited{Request: id, RetryAfter: max(p.retryAfter, tokenWaitTimeout)}
-	if !p.answeredSince(arrived) {
+	if !p.answeredSince(since) {
 		refusal.NoOwner, refusal.RetryAfter = true, time.Second
 	}
 	l.effects = append(l.effects, refusal)
