--- a/review/rig/backend.go
+++ b/review/rig/backend.go
@@ -50,8 +50,13 @@
 }
 
 func newBackend(f *fleet, i int, service string) (*backend, error) {
+	return startBackend(f, i, service, fmt.Sprintf("i-%08x", rand.Uint32()), f.controlAddr(i%len(f.controls)))
+}
+
+// startBackend starts a back end under an id. Its first heartbeat goes to endpoint.
+func startBackend(f *fleet, i int, service, id, endpoint string) (*backend, error) {
 	b := &backend{
-		f: f, id: fmt.Sprintf("i-%08x", rand.Uint32()), service: service, zone: zones[i%len(zones)], addr: f.backendAddr(i),
+		f: f, id: id, service: service, zone: zones[i%len(zones)], addr: f.backendAddr(i),
 		born: time.Now().UnixMilli(), stopped: make(chan struct{}), work: 20 * time.Millisecond,
 	}
 	l, err := net.Listen("tcp", b.addr)
@@ -59,8 +64,7 @@
 		return nil, err
 	}
 	b.l = l
-	ep := f.controlAddr(i % len(f.controls))
-	b.endpoint.Store(&ep)
+	b.endpoint.Store(&endpoint)
 	b.beating.Store(true)
 	go b.serve()
 	go b.beatLoop()
