--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -14,6 +14,7 @@
 var cases = map[string]caseFunc{
 	"empty-order-repeated": emptyOrderRepeated,
 	"leave-forgotten":      leaveForgotten,
+	"growth":               growth,
 	"old-leave":            oldLeave,
 	"revoke-cuts-answers":  revokeCutsAnswers,
 }
