--- a/review/4/run.sh
+++ b/review/4/run.sh
@@ -2,4 +2,4 @@
 # Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run.
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/tarragongauge-platform ] && [ -x target/review-rig ] || { echo "run the build of deploy/system.toml and review/build.sh first"; exit 2; }
-exec target/review-rig old-leave review/4/record.txt
+exec target/review-rig leave-forgotten review/4/record.txt
--- a/review/rig/backend.go
+++ b/review/rig/backend.go
@@ -38,6 +38,8 @@
 	// handle answers a request in place of the default, if set. It returns false to
 	// close the connection.
 	handle func(b *backend, c net.Conn, r *http.Request, body []byte) bool
+	// endless is set if health checks are answered with bytes without end.
+	endless bool
 
 	mu   sync.Mutex
 	runs []run
@@ -98,6 +100,11 @@
 			io.WriteString(c, "HTTP/1.1 421 Misdirected Request\r\nTarragongauge-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n")
 			continue
 		}
+		if r.URL.Path == "/health" && b.endless {
+			fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nTarragongauge-Instance-Id: %s\r\n\r\n", b.id)
+			sendEndless(b, c, r.URL.Path)
+			return
+		}
 		if r.URL.Path == "/health" {
 			fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nTarragongauge-Instance-Id: %s\r\nContent-Length: 0\r\n\r\n", b.id)
 			continue
--- a/review/rig/case_growth.go
+++ b/review/rig/case_growth.go
@@ -49,6 +49,8 @@
 	wg   sync.WaitGroup
 	// ends counts, by process, how often that happened.
 	ends []atomic.Int32
+	// peak holds the greatest memory seen, by process.
+	peak []atomic.Int64
 }
 
 // faulty returns the number of machines whose process ended faultEnds times or more.
@@ -63,7 +65,7 @@
 }
 
 func limitMemory(f *fleet) *memoryLimit {
-	m := &memoryLimit{stop: make(chan struct{}), ends: make([]atomic.Int32, len(f.controls))}
+	m := &memoryLimit{stop: make(chan struct{}), ends: make([]atomic.Int32, len(f.controls)), peak: make([]atomic.Int64, len(f.controls))}
 	for i, p := range f.controls {
 		m.wg.Add(1)
 		go func() {
@@ -74,7 +76,9 @@
 					return
 				case <-time.After(50 * time.Millisecond):
 				}
-				if n := memoryOf(p); n > coreMemory {
+				n := memoryOf(p)
+				m.peak[i].Store(max(n, m.peak[i].Load()))
+				if n > coreMemory {
 					p.kill()
 					f.rec.log("platform: %s used %d MB of %d and was killed; ends so far: %d", p.name, n>>20, coreMemory>>20, m.ends[i].Add(1))
 					time.Sleep(restartDelay)
--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -14,6 +14,8 @@
 var cases = map[string]caseFunc{
 	"empty-order-repeated": emptyOrderRepeated,
 	"leave-forgotten":      leaveForgotten,
+	"encoded-slash":        encodedSlash,
+	"endless-health":       endlessHealth,
 	"growth":               growth,
 	"old-leave":            oldLeave,
 	"revoke-cuts-answers":  revokeCutsAnswers,
