ctrl: bound the log of configuration changes in bytes

Callers saw: after 200 to 250 acknowledged changes of a configuration with 1,400 routes, control hosts exceeded their memory one after the other, also after each restart.

Cause: the log was compacted after 1,000 applied entries of any length, so memory and disk held up to 1,000 whole configurations, decoded and with their documents, and recovery decoded them all. The same bound in number where memory is in bytes stood in the tail of the log, uncommitted entries, forwarded proposals, the history's differences, a seat's changes and the queue of a disk that hangs.

States with many routes are encoded by the runtime, from a copy of the history, which the core changed while it was read.

--- a/internal/ctrl/apply.go
+++ b/internal/ctrl/apply.go
@@ -6,10 +6,13 @@
 	"tarragongauge.example/tarragongauge/pkg/model"
 )
 
-// minLogTail is the number of entries before a snapshot that stay in memory, so
-// that a follower that is a little behind needs no snapshot. 128 entries cover
-// one second of a busy operator's script.
-const minLogTail = 128
+const (
+	// maxLogTail and maxLogTailBytes bound the entries before a snapshot that stay
+	// in memory, so that a follower that is a little behind needs no snapshot. 128
+	// entries cover one second of a busy operator's script.
+	maxLogTail      = 128
+	maxLogTailBytes = 2 << 20
+)
 
 // applyEntry applies a committed entry to the state and adds its outcome to the
 // history.
--- a/internal/ctrl/bench_test.go
+++ b/internal/ctrl/bench_test.go
@@ -18,10 +18,13 @@
 // content of a message.
 const messageOverhead = 48
 
-// usage is the processor time that one host used and the bytes that it sent.
+// usage is the processor time that one host used, its longest step, the bytes that
+// it sent and, with measureDisk, the bytes of its records and snapshots.
 type usage struct {
 	cpuTime   time.Duration
+	maxStep   time.Duration
 	sentBytes int
+	diskBytes int
 }
 
 // benchFleet connects control hosts and seats without loss or delay. Records
@@ -33,6 +36,8 @@
 	ids   []model.HostID
 	usage map[model.HostID]*usage
 	queue []proto.Envelope
+	// measureDisk is set to encode the records as the runtime does.
+	measureDisk bool
 }
 
 // newBenchFleet returns a fleet with this number of control hosts, seven seats
@@ -80,11 +85,21 @@
 		start := time.Now()
 		effects := n.Step(net.now, events[0])
 		u.cpuTime += time.Since(start)
+		u.maxStep = max(u.maxStep, time.Since(start))
 		events = events[1:]
 		for _, e := range effects {
 			switch e := e.(type) {
 			case Persist:
 				events = append(events, Persisted{Seq: e.Seq})
+				if net.measureDisk {
+					data, _, err := EncodePersist(e)
+					require.NoError(net.b, err)
+					u.diskBytes += len(data)
+				}
+			case Encode:
+				data, err := codec.EncodeControlState(e.State)
+				require.NoError(net.b, err)
+				events = append(events, Encoded{ID: e.ID, Data: data})
 			case Send:
 				u.sentBytes += messageSize(net.b, e.Msg)
 				net.queue = append(net.queue, proto.Envelope{From: id, To: e.To, Body: e.Msg})
@@ -172,6 +187,39 @@
 	}
 }
 
+// BenchmarkWholeConfigurations measures what one accepted change of a whole
+// configuration costs the leader, with its records and snapshots: processor time
+// in steps, the longest step, bytes to the disk, and heap per host at the end.
+func BenchmarkWholeConfigurations(b *testing.B) {
+	for _, routes := range []int{20, 1400, 10_000} {
+		b.Run(fmt.Sprintf("routes=%d", routes), func(b *testing.B) {
+			net := newBenchFleet(b, 5)
+			net.measureDisk = true
+			for _, u := range net.usage {
+				*u = usage{}
+			}
+			changes := 0
+			for b.Loop() {
+				changes++
+				l := net.leader()
+				net.step(l.self, Proposed{Nonce: uint64(changes), Proposal: model.Proposal{
+					ID: model.ChangeID(fmt.Sprintf("change-%d", changes)), Change: newReplaceContent(model.Revision(changes), routes),
+				}})
+				require.Equal(b, model.Revision(changes), l.Config().Revision)
+				net.tick()
+			}
+			u := net.usage[net.leader().self]
+			b.ReportMetric(float64(u.cpuTime.Microseconds())/float64(changes), "leader-µs/change")
+			b.ReportMetric(float64(u.maxStep.Microseconds()), "max-step-µs")
+			b.ReportMetric(float64(u.diskBytes)/float64(changes)/1024, "disk-KiB/change")
+			before := heapBytes()
+			hosts := len(net.ids)
+			clear(net.nodes)
+			b.ReportMetric(float64(before-heapBytes())/float64(hosts)/1024, "KiB/host")
+		})
+	}
+}
+
 // BenchmarkHeapPerHost measures the heap of one host after a number of changes.
 func BenchmarkHeapPerHost(b *testing.B) {
 	for _, changes := range []int{0, 1000, 2000, 10000} {
--- a/internal/ctrl/encode.go
+++ b/internal/ctrl/encode.go
@@ -1,12 +1,14 @@
 package ctrl
 
 import (
+	"slices"
+
 	"tarragongauge.example/tarragongauge/internal/codec"
 	"tarragongauge.example/tarragongauge/pkg/model"
 )
 
-// maxInlineItems is the number of workspaces and keys up to which a state is
-// encoded inside a step; 2,000 take about 4 ms.
+// maxInlineItems is the number of workspaces, keys and routes up to which a state
+// is encoded inside a step; 2,000 take about 4 ms.
 const maxInlineItems = 2000
 
 // encodeJobs tracks the Encode effects that the runtime has not answered yet.
@@ -28,7 +30,7 @@
 // would take too long inside a step. With WithPartSize every state counts as
 // large.
 func (n *Node) hasLargeState() bool {
-	return n.opts.partSize > 0 || n.state.cfg.Workspaces.Len()+n.state.cfg.Keys.Len() > maxInlineItems
+	return n.opts.partSize > 0 || n.state.cfg.Workspaces.Len()+n.state.cfg.Keys.Len()+n.state.cfg.Routes.Len() > maxInlineItems
 }
 
 // controlState returns the applied state and the history, as they are encoded.
@@ -36,10 +38,13 @@
 	return codec.ControlState{Config: n.state.cfg, OldSeats: n.state.oldSeats, History: n.history.outcomes}
 }
 
-// requestEncode emits an Encode effect and returns its ID.
+// requestEncode emits an Encode effect and returns its ID. The runtime reads the
+// state while this host goes on changing its history, so it gets a copy.
 func (n *Node) requestEncode(configOnly bool) uint64 {
 	n.encodeJobs.lastID++
-	n.emit(Encode{ID: n.encodeJobs.lastID, State: n.controlState(), ConfigOnly: configOnly})
+	state := n.controlState()
+	state.History = slices.Clone(state.History)
+	n.emit(Encode{ID: n.encodeJobs.lastID, State: state, ConfigOnly: configOnly})
 	return n.encodeJobs.lastID
 }
 
@@ -69,7 +74,7 @@
 func (n *Node) adoptSnapshot(s Snapshot) {
 	n.snapshot = s
 	n.disk.writeSnapshot = true
-	n.log.compact(n.compactIndex(), minLogTail)
+	n.log.dropBefore(n.firstKeptIndex())
 }
 
 // onEncoded uses the result of an Encode effect. A snapshot is dropped if this
--- a/internal/ctrl/follow.go
+++ b/internal/ctrl/follow.go
@@ -130,7 +130,7 @@
 	if n.state.cfg.Version != before {
 		n.emit(ConfigApplied{Config: n.state.cfg})
 	}
-	if n.appliedIndex-n.snapshot.Index >= n.opts.snapshotThreshold {
+	if n.isSnapshotDue() {
 		n.takeSnapshot()
 	}
 }
--- a/internal/ctrl/log.go
+++ b/internal/ctrl/log.go
@@ -7,7 +7,12 @@
 	"tarragongauge.example/tarragongauge/pkg/model"
 )
 
-// entryLog is the part of the replicated log that a host holds in memory.
+// entryLog is the part of the replicated log that a host holds in memory. It is
+// bounded in bytes, not only in entries, since an entry may hold a whole
+// configuration. Node.isSnapshotDue ends what was applied since the snapshot,
+// Node.hasFullLog refuses changes while too much is not committed or the snapshot
+// is late, and maxLogTailBytes limits what stays before the snapshot. The log on
+// the disk, which a restart decodes, holds only what follows the snapshot.
 type entryLog struct {
 	// firstIndex is the index of entries[0], or the next index if there are
 	// none.
@@ -15,6 +20,8 @@
 	// prevTerm is the term of the entry before firstIndex.
 	prevTerm model.Term
 	entries  []proto.LogEntry
+	// sizes holds the estimated length of each entry in bytes.
+	sizes []int
 }
 
 // newEntryLog returns an empty log that continues a snapshot.
@@ -61,10 +68,8 @@
 func (l *entryLog) batch(index uint64, n int) []proto.LogEntry {
 	entries := l.entriesFrom(index, n)
 	size := 0
-	for i, e := range entries {
-		if e.Proposal != nil {
-			size += e.Proposal.EstimatedSize()
-		}
+	for i := range entries {
+		size += l.sizes[index-l.firstIndex+uint64(i)]
 		if i > 0 && size > maxAppendBytes {
 			return entries[:i]
 		}
@@ -72,23 +77,56 @@
 	return entries
 }
 
+// size returns the estimated length in bytes of the entries from first to last,
+// which the log must hold. It is 0 if last is before first.
+func (l *entryLog) size(first, last uint64) int {
+	size := 0
+	for i := first; i <= last; i++ {
+		size += l.sizes[i-l.firstIndex]
+	}
+	return size
+}
+
+// tailStart returns the first index of the longest run of entries up to last that
+// has at most n entries of together at most maxBytes bytes.
+func (l *entryLog) tailStart(last uint64, n, maxBytes int) uint64 {
+	first := last + 1
+	for ; first > l.firstIndex && n > 0; n-- {
+		if maxBytes -= l.sizes[first-1-l.firstIndex]; maxBytes < 0 {
+			break
+		}
+		first--
+	}
+	return first
+}
+
 // entry returns the entry at an index, which the log must hold.
 func (l *entryLog) entry(index uint64) proto.LogEntry { return l.entries[index-l.firstIndex] }
 
 // append adds an entry, whose index must be the one after lastIndex.
-func (l *entryLog) append(e proto.LogEntry) { l.entries = append(l.entries, e) }
+func (l *entryLog) append(e proto.LogEntry) {
+	l.entries = append(l.entries, e)
+	size := 0
+	if e.Proposal != nil {
+		size = e.Proposal.EstimatedSize()
+	}
+	l.sizes = append(l.sizes, size)
+}
 
 // truncateFrom removes the entries from an index on, which the log must hold.
-func (l *entryLog) truncateFrom(index uint64) { l.entries = l.entries[:index-l.firstIndex] }
+func (l *entryLog) truncateFrom(index uint64) {
+	kept := index - l.firstIndex
+	clear(l.entries[kept:])
+	l.entries, l.sizes = l.entries[:kept], l.sizes[:kept]
+}
 
-// compact drops the entries up to an index, except for the last keep of them,
-// so that a follower that is a little behind needs no snapshot.
-func (l *entryLog) compact(index uint64, keep uint64) {
-	if index < l.firstIndex+keep {
+// dropBefore drops the entries before an index, if the log holds any.
+func (l *entryLog) dropBefore(index uint64) {
+	if index <= l.firstIndex {
 		return
 	}
-	drop := index - keep - l.firstIndex + 1
+	drop := index - l.firstIndex
 	l.prevTerm = l.entries[drop-1].Term
-	l.entries = slices.Clone(l.entries[drop:])
-	l.firstIndex += drop
+	l.entries, l.sizes = slices.Clone(l.entries[drop:]), slices.Clone(l.sizes[drop:])
+	l.firstIndex = index
 }
--- a/internal/ctrl/node.go
+++ b/internal/ctrl/node.go
@@ -109,7 +109,7 @@
 // It returns model.ErrInvalid for a bad option and ErrIncompleteLog for a log
 // with a gap.
 func New(self model.HostID, rec RecoveredState, opts ...Option) (*Node, error) {
-	o := options{timing: DefaultTiming(), snapshotThreshold: DefaultSnapshotThreshold}
+	o := options{timing: DefaultTiming(), snapshotThreshold: DefaultSnapshotThreshold, snapshotBytes: DefaultSnapshotBytes}
 	for _, opt := range opts {
 		opt(&o)
 	}
--- a/internal/ctrl/option.go
+++ b/internal/ctrl/option.go
@@ -44,9 +44,15 @@
 	}
 }
 
-// DefaultSnapshotThreshold is the number of applied entries after which a
-// snapshot is taken. Recovery decodes and applies at most that many entries.
-const DefaultSnapshotThreshold = 1000
+const (
+	// DefaultSnapshotThreshold is the number of applied entries after which a
+	// snapshot is taken. Recovery decodes and applies at most that many entries.
+	DefaultSnapshotThreshold = 1000
+	// DefaultSnapshotBytes is the estimated length of applied entries after which a
+	// snapshot is taken, unless the last snapshot is longer. An entry takes about
+	// three times its estimated length in memory.
+	DefaultSnapshotBytes = 8 << 20
+)
 
 // Option configures a Node.
 type Option func(*options)
@@ -58,6 +64,7 @@
 	controls          []model.HostID
 	seats             []model.HostID
 	snapshotThreshold uint64
+	snapshotBytes     int
 	partSize          int
 }
 
@@ -87,6 +94,11 @@
 	return func(o *options) { o.snapshotThreshold = entries }
 }
 
+// WithSnapshotBytes replaces DefaultSnapshotBytes.
+func WithSnapshotBytes(bytes int) Option {
+	return func(o *options) { o.snapshotBytes = bytes }
+}
+
 // WithPartSize replaces part.Size by a smaller one, so that tests transfer
 // small snapshots in parts.
 func WithPartSize(bytes int) Option {
@@ -103,8 +115,8 @@
 		return model.ErrInvalid{Field: "election timeout", Got: fmt.Sprintf("%s to %s", t.ElectionMin, t.ElectionMax), Want: "a range that starts at two heartbeats or more"}
 	case t.StageValid < t.StageEvery:
 		return model.ErrInvalid{Field: "stage_valid", Got: t.StageValid.String(), Want: "at least the staging interval"}
-	case o.snapshotThreshold == 0:
-		return model.ErrInvalid{Field: "snapshot threshold", Got: "0", Want: "at least 1 entry"}
+	case o.snapshotThreshold == 0 || o.snapshotBytes <= 0:
+		return model.ErrInvalid{Field: "snapshot threshold", Got: fmt.Sprintf("%d entries, %d bytes", o.snapshotThreshold, o.snapshotBytes), Want: "at least 1 entry and 1 byte"}
 	default:
 		return nil
 	}
--- a/internal/ctrl/propose.go
+++ b/internal/ctrl/propose.go
@@ -13,15 +13,23 @@
 	// maxProposalBytes bounds the length of an encoded change. A whole
 	// configuration with 10,000 routes and its document has about 3 MB.
 	maxProposalBytes = 4 << 20
-	// maxUncommittedEntries bounds the entries of a leader's log that are not
-	// committed yet.
+	// maxUncommittedEntries and maxUncommittedBytes bound the entries of a leader's
+	// log that are not committed yet. A change is refused once one of them is
+	// reached.
 	maxUncommittedEntries = 256
+	maxUncommittedBytes   = 8 << 20
+	// maxLogFactor multiplies the length of applied entries at which a snapshot is
+	// taken. A leader whose log after the snapshot reaches the product takes no
+	// change until the next snapshot is encoded.
+	maxLogFactor = 3
 	// maxDeferredProposals bounds the changes of the control hosts that are
 	// deferred.
 	maxDeferredProposals = 16
 	// maxPendingProposals bounds each list of other proposals that one host has
-	// not answered yet.
+	// not answered yet, and maxForwardedBytes the estimated length of those that it
+	// keeps to send them to the leader again.
 	maxPendingProposals = 1024
+	maxForwardedBytes   = 8 << 20
 )
 
 // origin is where a proposal came from: the runtime of this host if host is
@@ -68,6 +76,15 @@
 	forwarded []forwardedProposal
 }
 
+// forwardedBytes returns the estimated length of the forwarded proposals.
+func (p *pendingProposals) forwardedBytes() int {
+	size := 0
+	for _, f := range p.forwarded {
+		size += f.proposal.EstimatedSize()
+	}
+	return size
+}
+
 // propose handles a proposal. A leader appends it; any other host forwards it
 // to the leader, unless another host has forwarded it already.
 func (n *Node) propose(from origin, p model.Proposal) {
@@ -125,7 +142,7 @@
 	_, decided := n.history.results[p.ID]
 	switch {
 	case decided || n.isUnapplied(p.ID):
-	case len(n.pending.appended) >= maxPendingProposals || n.log.lastIndex()-n.commitIndex >= maxUncommittedEntries:
+	case len(n.pending.appended) >= maxPendingProposals || n.hasFullLog():
 		n.answer(from, busyResult(p.ID))
 		return
 	case n.mustDefer(p) || !confirmed && n.changesControls(p):
@@ -140,6 +157,15 @@
 	n.answerFinalResults()
 }
 
+// hasFullLog reports whether too much of the log is not committed yet, or not in a
+// snapshot because the runtime is still encoding it, to append another change.
+func (n *Node) hasFullLog() bool {
+	last := n.log.lastIndex()
+	return last-n.commitIndex >= maxUncommittedEntries ||
+		n.log.size(n.commitIndex+1, last) >= maxUncommittedBytes ||
+		n.log.size(n.snapshot.Index+1, last) >= maxLogFactor*n.snapshotBytes()
+}
+
 // busyResult returns the answer for a change that was not taken because too
 // many others wait.
 func busyResult(id model.ChangeID) model.Result {
@@ -361,7 +387,7 @@
 
 // forwardProposal sends a proposal of this host's runtime to the leader.
 func (n *Node) forwardProposal(nonce uint64, p model.Proposal) {
-	if len(n.pending.forwarded) >= maxPendingProposals {
+	if len(n.pending.forwarded) >= maxPendingProposals || n.pending.forwardedBytes() >= maxForwardedBytes {
 		n.answer(origin{nonce: nonce}, busyResult(p.ID))
 		return
 	}
--- a/internal/ctrl/schedule_test.go
+++ b/internal/ctrl/schedule_test.go
@@ -20,6 +20,8 @@
 func newWorld(seed uint64, controls, seats, partSize int) *world {
 	w := &world{
 		partSize: partSize,
+		// In every second schedule a few entries lead to a snapshot by their length.
+		snapshotBytes: []int{DefaultSnapshotBytes, 2000}[seed%2],
 
 		rng:      rand.New(rand.NewPCG(seed, 7)),
 		cutLinks: map[[2]model.HostID]bool{},
--- a/internal/ctrl/snapshot.go
+++ b/internal/ctrl/snapshot.go
@@ -29,18 +29,30 @@
 	return n.offeredSnapshot.Index < n.snapshot.Index && n.offeredSnapshot.Index+1 >= n.log.firstIndex && n.sender.IsSending(n.now, n.offeredSnapshot.Data)
 }
 
-// compactIndex returns the index up to which the log may be compacted. It is
-// that of the newest snapshot, unless an older one is being sent: the entries
-// after that one stay, so that its receiver needs no second snapshot. They stay
-// for at most two snapshot thresholds, because a receiver that never finishes
-// must not hold the log forever.
-func (n *Node) compactIndex() uint64 {
-	index := n.snapshot.Index
+// isSnapshotDue reports whether the entries applied since the last snapshot reach
+// the threshold in number or in bytes. The threshold in bytes grows with the
+// snapshot, so that a large state is not written again with each change.
+func (n *Node) isSnapshotDue() bool {
+	return n.appliedIndex-n.snapshot.Index >= n.opts.snapshotThreshold ||
+		n.appliedIndex > n.snapshot.Index && n.log.size(n.snapshot.Index+1, n.appliedIndex) >= n.snapshotBytes()
+}
+
+// snapshotBytes returns the estimated length of applied entries after which a
+// snapshot is taken.
+func (n *Node) snapshotBytes() int { return max(n.opts.snapshotBytes, len(n.snapshot.Data)) }
+
+// firstKeptIndex returns the index from which on the log is kept after a snapshot.
+// While an older snapshot is being sent, the entries after that one stay, so that
+// its receiver needs no second snapshot. They stay for at most two snapshot
+// thresholds, because a receiver that never finishes must not hold the log forever.
+func (n *Node) firstKeptIndex() uint64 {
+	first := n.log.tailStart(n.snapshot.Index, maxLogTail, maxLogTailBytes)
+	next := n.offeredSnapshot.Index + 1
 	sending := n.offeredSnapshot.Data != nil && n.sender.IsSending(n.now, n.offeredSnapshot.Data)
-	if !sending || n.appliedIndex-n.offeredSnapshot.Index > 2*n.opts.snapshotThreshold {
-		return index
+	if !sending || next < n.log.firstIndex || n.appliedIndex >= next+2*n.opts.snapshotThreshold || n.log.size(next, n.appliedIndex) > 2*n.snapshotBytes() {
+		return first
 	}
-	return min(index, n.offeredSnapshot.Index+minLogTail)
+	return min(first, next)
 }
 
 // receiveOffer starts or continues the transfer of a snapshot that is too long
--- a/internal/ctrl/state.go
+++ b/internal/ctrl/state.go
@@ -20,7 +20,7 @@
 const maxContentChanges = 32
 
 // maxChangeBytes is the estimated length of changes above which a host is sent
-// a snapshot instead.
+// a snapshot instead. Changes of the content that would exceed it are not kept.
 const maxChangeBytes = 2 << 20
 
 // state is the configuration after an entry of the log, with the seats that a
@@ -90,7 +90,8 @@
 }
 
 // history holds the outcomes of the newest changes in the order of the log, and
-// their results by change id.
+// their results by change id. Apart from changes of the content, which dropOldContent
+// bounds in bytes, an outcome holds names and a reason, which are bounded each.
 type history struct {
 	outcomes []codec.Outcome
 	results  map[model.ChangeID]model.Result
@@ -124,17 +125,20 @@
 	h.outcomes = h.outcomes[1:]
 }
 
-// dropOldContent drops the change of the outcome that has just become older
-// than maxContentChanges, if it changed the configuration's content. The result
-// stays; a host that needs the change is sent a snapshot.
+// dropOldContent drops the changes of the configuration's content that are older
+// than maxContentChanges, or that exceed maxChangeBytes together with the newer
+// ones. Their results stay; a host that needs such a change is sent a snapshot.
 func (h *history) dropOldContent() {
-	at := len(h.outcomes) - 1 - maxContentChanges
-	if at < 0 {
-		return
-	}
-	switch h.outcomes[at].Committed.Proposal.Change.(type) {
-	case model.EditContent, model.ReplaceContent:
-		h.outcomes[at].Committed.Proposal.Change = nil
+	size := 0
+	for at := len(h.outcomes) - 1; at >= max(0, len(h.outcomes)-1-maxContentChanges); at-- {
+		size += h.outcomes[at].Committed.EstimatedSize()
+		if at > len(h.outcomes)-1-maxContentChanges && size <= maxChangeBytes {
+			continue
+		}
+		switch h.outcomes[at].Committed.Proposal.Change.(type) {
+		case model.EditContent, model.ReplaceContent:
+			h.outcomes[at].Committed.Proposal.Change = nil
+		}
 	}
 }
 
--- a/internal/ctrl/world_test.go
+++ b/internal/ctrl/world_test.go
@@ -38,6 +38,8 @@
 	submitted     []model.Proposal
 	// partSize is the length of snapshot parts, or 0 for part.Size.
 	partSize int
+	// snapshotBytes is the length of applied entries that leads to a snapshot.
+	snapshotBytes int
 }
 
 // event is a function that runs at a point of the virtual time. Events at the
@@ -109,7 +111,7 @@
 	rec, err := Recover(h.snapshot, h.records)
 	if err == nil {
 		h.starts++
-		opts := append(slices.Clone(h.bootstrap), WithSeed(h.w.rng.Uint64()), WithSnapshotThreshold(20), WithPartSize(h.w.partSize))
+		opts := append(slices.Clone(h.bootstrap), WithSeed(h.w.rng.Uint64()), WithSnapshotThreshold(20), WithSnapshotBytes(h.w.snapshotBytes), WithPartSize(h.w.partSize))
 		h.node, err = New(h.id, rec, opts...)
 	}
 	if err != nil {
--- a/internal/lease/history.go
+++ b/internal/lease/history.go
@@ -12,7 +12,7 @@
 const maxKeptChanges = 256
 
 // maxUpdateBytes is the estimated size of changes above which a host gets a snapshot
-// instead.
+// instead. Older changes that would exceed it are not kept.
 const maxUpdateBytes = 2 << 20
 
 // history holds the newest known configuration and the latest changes that led to it.
@@ -101,8 +101,20 @@
 		h.cfg = next
 		h.changes = append(h.changes, c)
 	}
-	if len(h.changes) > maxKeptChanges {
-		h.changes = slices.Clone(h.changes[len(h.changes)-maxKeptChanges:])
+	h.dropOldChanges()
+}
+
+// dropOldChanges keeps at most maxKeptChanges changes and maxUpdateBytes bytes.
+func (h *history) dropOldChanges() {
+	size, first := 0, len(h.changes)
+	for first > 0 && len(h.changes)-first < maxKeptChanges {
+		if size += h.changes[first-1].EstimatedSize(); size > maxUpdateBytes {
+			break
+		}
+		first--
+	}
+	if first > 0 {
+		h.changes = slices.Clone(h.changes[first:])
 	}
 }
 
--- a/internal/node/control.go
+++ b/internal/node/control.go
@@ -204,7 +204,7 @@
 	case ctrl.Send:
 		c.send(f.To, f.Msg)
 	case ctrl.Persist:
-		c.logWrites.add(f)
+		c.persist(f)
 	case ctrl.Encode:
 		generation := c.coreGeneration.Load()
 		c.background(func() { c.encode(f, generation) })
@@ -220,6 +220,17 @@
 	}
 }
 
+// persist queues a record for the disk. A snapshot replaces the records that wait,
+// so the queue of a slow disk holds at most one snapshot and what the core appended
+// since.
+func (c *controlHost) persist(p ctrl.Persist) {
+	if p.Snapshot != nil {
+		c.logWrites.replace(p)
+		return
+	}
+	c.logWrites.add(p)
+}
+
 // encode encodes a large state outside the core that requested it. The result is
 // dropped if that core, of the given generation, was replaced meanwhile.
 func (c *controlHost) encode(f ctrl.Encode, generation int64) {
--- a/internal/node/disk_queue.go
+++ b/internal/node/disk_queue.go
@@ -36,6 +36,19 @@
 	q.mu.Lock()
 	q.queue = append(q.queue, item)
 	q.mu.Unlock()
+	q.notify()
+}
+
+// replace drops the operations that wait and adds one that includes them. Only
+// the latter is reported as done.
+func (q *diskQueue[T]) replace(item T) {
+	q.mu.Lock()
+	q.queue = []T{item}
+	q.mu.Unlock()
+	q.notify()
+}
+
+func (q *diskQueue[T]) notify() {
 	select {
 	case q.wake <- struct{}{}:
 	default:
