node: judge health probes without keeping their answers

Cause: resty reads the whole body of each answer into memory before the status is looked at, and net/http accepts a head of 10 MB. Eight probes run at once. The client also kept the cookies of targets, decompressed, and used the environment's HTTP proxies.

Change: the body is discarded as it arrives; head and body are bounded by 64 KiB, and a longer answer fails the probe; no cookies, decompression or proxies. The same bound for replies to announcements of the stub target.

--- a/internal/node/probe.go
+++ b/internal/node/probe.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"net/http"
 	"time"
 
@@ -17,9 +18,18 @@
 	probeTimeout   = time.Second
 	probeWorkers   = 8
 	probeQueueSize = 64
+	// maxProbeHeader bounds the head of an answer to a probe in bytes.
+	maxProbeHeader = 64 << 10
+	// maxProbeBody bounds in bytes how much of the body is read, so that the
+	// connection can be reused. A target with a longer one fails the probe.
+	maxProbeBody = 64 << 10
+	// probeIdleTimeout is how long a connection waits for the next probe.
+	probeIdleTimeout = 90 * time.Second
 )
 
-// prober sends the health probes that the pool cores request.
+// prober sends the health probes that the pool cores request. A probe is decided
+// by the status and the end of the answer. Nothing that a target sends is kept
+// beyond the probe, and at most maxProbeHeader of it in memory at a time.
 type prober struct {
 	ctx     context.Context
 	client  *resty.Client
@@ -46,7 +56,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	p := &prober{
 		ctx:        ctx,
-		client:     resty.New().SetTimeout(probeTimeout).SetRedirectPolicy(resty.NoRedirectPolicy()),
+		client:     newProbeClient(),
 		workers:    pond.NewPool(probeWorkers, pond.WithQueueSize(probeQueueSize), pond.WithNonBlocking(true)),
 		healthPath: path,
 		onResult:   done,
@@ -57,6 +67,21 @@
 	}
 }
 
+// newProbeClient returns a client without cookies, redirects, decompression and
+// HTTP proxies.
+func newProbeClient() *resty.Client {
+	transport := &http.Transport{
+		DisableCompression:     true,
+		MaxIdleConnsPerHost:    1,
+		IdleConnTimeout:        probeIdleTimeout,
+		MaxResponseHeaderBytes: maxProbeHeader,
+	}
+	return resty.NewWithClient(&http.Client{Transport: transport}).
+		SetTimeout(probeTimeout).
+		SetRedirectPolicy(resty.NoRedirectPolicy()).
+		SetDoNotParseResponse(true)
+}
+
 // start queues a probe. If the queue is full, the probe is dropped, and the core
 // requests it again.
 func (p *prober) start(f pool.Probe) {
@@ -67,7 +92,7 @@
 // stopping aborts has no result.
 func (p *prober) probe(f pool.Probe) {
 	begin := time.Now()
-	resp, err := p.client.R().SetContext(p.ctx).Get("http://" + f.Addr + p.healthPath(f.Service))
+	ok := p.isHealthy("http://" + f.Addr + p.healthPath(f.Service))
 	if p.ctx.Err() != nil {
 		return // aborted by the stop; says nothing about the target
 	}
@@ -75,7 +100,23 @@
 		Service:     f.Service,
 		Target:      f.Target,
 		Incarnation: f.Incarnation,
-		OK:          err == nil && resp.StatusCode() == http.StatusOK,
+		OK:          ok,
 		Latency:     time.Since(begin),
 	})
 }
+
+// isHealthy reports whether a GET of the URL returns status 200 and a complete
+// body of at most maxProbeBody bytes. The body is discarded as it arrives.
+func (p *prober) isHealthy(url string) bool {
+	resp, err := p.client.R().SetContext(p.ctx).Get(url)
+	if err != nil {
+		return false
+	}
+	body := resp.RawBody()
+	defer func() { _ = body.Close() }() // the answer was judged already
+	if resp.StatusCode() != http.StatusOK {
+		return false
+	}
+	n, err := io.Copy(io.Discard, io.LimitReader(body, maxProbeBody+1))
+	return err == nil && n <= maxProbeBody
+}
--- a/internal/stub/runner.go
+++ b/internal/stub/runner.go
@@ -20,6 +20,8 @@
 	// headerTimeout bounds the reading of request headers. It also bounds the wait for
 	// requests in flight after the drain time.
 	headerTimeout = 5 * time.Second
+	// maxReplyBytes bounds the reply to an announcement.
+	maxReplyBytes = 64 << 10
 )
 
 // Registration holds what a runner announces and the entry hosts that it
@@ -66,7 +68,7 @@
 	if reg.Log == nil {
 		reg.Log = func(string) {}
 	}
-	client := resty.New().SetTimeout(announceTimeout).SetAuthToken(reg.Secret)
+	client := resty.New().SetTimeout(announceTimeout).SetAuthToken(reg.Secret).SetResponseBodyLimit(maxReplyBytes)
 	return &Runner{target: t, reg: reg, client: client}, nil
 }
 
