known, node: acknowledge a leave once a majority of disks holds it

Cause: a leave was acknowledged once a majority of the fleet had been in reach after it. The list of targets was written in the background, at most once a second and not at all in the first 10 s after a start, so the disks still named the target as ready. A change was also sent to the other control hosts for 2.5 s only and only by the host that received it, so one that was away meanwhile never learned of it.

Change: each control host appends a new run or state of a target to its disk at once, reports that to the others (TargetsStored) and sends the change to those that have not reported it, for up to 30 s and after a restart anew. A leave is acknowledged once the disks of a majority, and of as many hosts as a configuration needs, hold it.

TestRelayedAnnouncementIsNotForwarded pinned that an announcement from another host is never passed on, which is the second half of the cause. Its replacement checks that it goes only to hosts that lack it, and that this ends.

--- a/internal/known/known.go
+++ b/internal/known/known.go
@@ -3,6 +3,11 @@
 // The owner of a service decides which target gets a request; the list is used
 // while a service has no owner, and makes all hosts respect a target that
 // drains. The package is pure: it imports no clock, network, disk or lock.
+//
+// Each host that holds a change of a target's run or state sends it to the other
+// control hosts until they report that their disks hold it. A change is
+// acknowledged to its target once the disks of a majority hold it, so that it
+// outlives a restart of all control hosts and whichever of them received it.
 package known
 
 import (
@@ -15,10 +20,13 @@
 )
 
 const (
-	// repeatInterval and repeatDuration are how often and for how long a change is
-	// sent again to the other control hosts, since messages may be lost.
-	repeatInterval = time.Second
-	repeatDuration = 2500 * time.Millisecond
+	// repeatInterval is the interval at which a change is sent again to the control
+	// hosts whose disks do not hold it yet, since messages may be lost and hosts may
+	// be away. It doubles up to maxRepeatInterval for a target that is ready.
+	repeatInterval    = time.Second
+	maxRepeatInterval = 8 * time.Second
+	// repeatDuration is how long a change is sent again.
+	repeatDuration = 30 * time.Second
 	// leavingRetention is how long a target that drains or leaves stays on the
 	// list: longer than it goes on serving and than its late announcements arrive.
 	leavingRetention = 30 * time.Second
@@ -40,6 +48,16 @@
 	digest uint64
 	// changes holds the latest changes of entries.
 	changes changeLog
+	// peers are the other control hosts.
+	peers []model.HostID
+	// unsaved holds the targets whose newest run and state the own disk does not hold.
+	unsaved map[model.TargetID]struct{}
+}
+
+// Message is sent to other control hosts. It carries a change that they may lack.
+type Message struct {
+	To           []model.HostID
+	Announcement model.Announcement
 }
 
 // entry holds what is known about one target.
@@ -53,31 +71,51 @@
 	// changedAt is when the announcement last changed, or when the target first sent
 	// it to this host if that was later.
 	changedAt model.Instant
-	// nextRepeatAt is when the announcement is sent again to the other control
-	// hosts, or 0 for never.
-	nextRepeatAt model.Instant
+	// nextRepeatAt is when the announcement is sent again to the control hosts that
+	// lack it, or 0 for never. repeatInterval is the interval after that.
+	nextRepeatAt   model.Instant
+	repeatInterval time.Duration
+	// copies holds the hosts whose disks hold the run, each with the latest state
+	// that it reported. They are those of the announcement's incarnation.
+	copies []diskCopy
 }
 
 // NewList returns an empty list. Targets that send no announcement for longer
 // than silenceTimeout count as leaving.
 func NewList(silenceTimeout time.Duration) *List {
-	return &List{silenceTimeout: silenceTimeout, entries: map[model.TargetID]entry{}}
+	return &List{silenceTimeout: silenceTimeout, entries: map[model.TargetID]entry{}, unsaved: map[model.TargetID]struct{}{}}
 }
 
-// Restore adds the targets that the host knew before it restarted.
+// Restore adds the targets that the host's disk held when it started, unless the
+// list holds a later run or state of them. Those that do not take requests are sent
+// to the other control hosts, which may have missed that.
 func (l *List) Restore(now model.Instant, targets []model.Announcement) {
 	for _, a := range targets {
-		l.set(entry{announcement: a, receivedAt: now, changedAt: now})
+		if old, ok := l.entries[a.Target]; ok && a.Run().IsBefore(old.announcement.Run()) {
+			continue
+		}
+		e := entry{announcement: a, receivedAt: now, changedAt: now}
+		e.copies = e.copiesWith("", a.State)
+		if a.State != model.TargetReady {
+			e.nextRepeatAt, e.repeatInterval = now, repeatInterval
+		}
+		l.set(e)
 	}
 }
 
 // set adds or replaces the entry of a target and updates the digest.
 func (l *List) set(e entry) {
 	old, ok := l.entries[e.announcement.Target]
+	if ok && old.announcement.Incarnation != e.announcement.Incarnation {
+		e.copies = nil
+	}
 	l.entries[e.announcement.Target] = e
 	if ok && old.announcement == e.announcement {
 		return
 	}
+	if !e.isStoredBy("") {
+		l.unsaved[e.announcement.Target] = struct{}{}
+	}
 	l.recordChange(e.announcement.Target)
 	if ok {
 		l.digest -= codec.TargetDigest(old.announcement)
@@ -94,6 +132,7 @@
 	l.recordChange(id)
 	l.digest -= codec.TargetDigest(e.announcement)
 	delete(l.entries, id)
+	delete(l.unsaved, id)
 }
 
 // recordChange records that a target is about to change. It is called before the
@@ -105,22 +144,22 @@
 
 // HandleAnnouncement updates the list with an announcement, which came from the
 // target itself if isDirect is set and from another control host otherwise. It
-// returns the announcements to send to the other control hosts.
-func (l *List) HandleAnnouncement(now model.Instant, a model.Announcement, isDirect bool) []model.Announcement {
+// returns the messages to send to the other control hosts.
+func (l *List) HandleAnnouncement(now model.Instant, a model.Announcement, isDirect bool) []Message {
 	a.Load = 0
 	old, ok := l.entries[a.Target]
-	if ok && isOlder(a, old.announcement) {
+	if ok && a.Run().IsBefore(old.announcement.Run()) {
 		return nil
 	}
-	next := entry{announcement: a, receivedAt: now, isDirect: isDirect, changedAt: old.changedAt, nextRepeatAt: old.nextRepeatAt}
+	next := old
+	next.announcement, next.receivedAt, next.isDirect = a, now, isDirect
 	changed := !ok || a != old.announcement
-	if changed {
-		next.changedAt, next.nextRepeatAt = now, 0
+	if changed || isDirect && !old.isDirect {
+		next.changedAt, next.nextRepeatAt, next.repeatInterval = now, now.Add(repeatInterval), repeatInterval
 	}
-	var messages []model.Announcement
+	var messages []Message
 	if isDirect && (changed || !old.isDirect) {
-		next.changedAt, next.nextRepeatAt = now, now.Add(repeatInterval)
-		messages = append(messages, a)
+		messages = append(messages, l.messageToAll(a))
 	}
 	l.set(next)
 	if changed && a.State == model.TargetReady {
@@ -129,26 +168,25 @@
 	return messages
 }
 
-// isOlder reports whether announcement a precedes announcement b of the same target.
-func isOlder(a, b model.Announcement) bool {
-	return a.Incarnation < b.Incarnation || a.Incarnation == b.Incarnation && a.State < b.State
+// messageToAll returns a message to all other control hosts.
+func (l *List) messageToAll(a model.Announcement) Message {
+	return Message{To: l.peers, Announcement: a}
 }
 
 // endReplacedTargets marks the targets as leaving whose address a later
-// incarnation, announced by a, has taken over. It returns the announcements to
-// send to the other control hosts.
-func (l *List) endReplacedTargets(now model.Instant, a model.Announcement, isDirect bool) []model.Announcement {
-	var messages []model.Announcement
+// incarnation, announced by a, has taken over. It returns the messages to send to
+// the other control hosts.
+func (l *List) endReplacedTargets(now model.Instant, a model.Announcement, isDirect bool) []Message {
+	var messages []Message
 	for _, id := range l.sortedIDs() {
 		e := l.entries[id]
 		if id == a.Target || e.announcement.Addr != a.Addr || e.announcement.State == model.TargetLeaving || e.announcement.Incarnation >= a.Incarnation {
 			continue
 		}
 		e.announcement.State = model.TargetLeaving
-		e.changedAt, e.nextRepeatAt = now, 0
+		e.changedAt, e.nextRepeatAt, e.repeatInterval = now, now.Add(repeatInterval), repeatInterval
 		if isDirect {
-			e.nextRepeatAt = now.Add(repeatInterval)
-			messages = append(messages, e.announcement)
+			messages = append(messages, l.messageToAll(e.announcement))
 		}
 		l.set(e)
 	}
@@ -166,10 +204,10 @@
 }
 
 // Tick removes expired entries, marks silent targets as leaving and returns the
-// announcements to send to the other control hosts now: the targets that fell
-// silent, and repetitions of changes whose messages may have been lost.
-func (l *List) Tick(now model.Instant) []model.Announcement {
-	var messages []model.Announcement
+// messages to send to the other control hosts now: the targets that fell silent,
+// and changes that the disks of some hosts do not hold yet.
+func (l *List) Tick(now model.Instant) []Message {
+	var messages []Message
 	for _, id := range l.sortedIDs() {
 		e := l.entries[id]
 		switch silence := now.Sub(e.receivedAt); {
@@ -178,20 +216,34 @@
 			continue
 		case e.isDirect && e.announcement.State == model.TargetReady && silence > l.silenceTimeout:
 			e.announcement.State = model.TargetLeaving
-			e.changedAt, e.nextRepeatAt = now, now
+			e.changedAt, e.nextRepeatAt, e.repeatInterval = now, now, repeatInterval
 		}
 		if e.nextRepeatAt != 0 && now >= e.nextRepeatAt {
-			messages = append(messages, e.announcement)
-			e.nextRepeatAt = now.Add(repeatInterval)
-			if now.Sub(e.changedAt) > repeatDuration {
-				e.nextRepeatAt = 0
-			}
+			messages = append(messages, l.repeat(now, &e)...)
 		}
 		l.set(e)
 	}
 	return messages
 }
 
+// repeat returns the message that sends an entry again to the hosts that lack it,
+// if there are any, and schedules the next one.
+func (l *List) repeat(now model.Instant, e *entry) []Message {
+	if now.Sub(e.changedAt) > repeatDuration {
+		e.nextRepeatAt = 0
+		return nil
+	}
+	e.nextRepeatAt = now.Add(e.repeatInterval)
+	lacking := e.lacking(l.peers)
+	if len(lacking) == 0 {
+		return nil
+	}
+	if e.announcement.State == model.TargetReady {
+		e.repeatInterval = min(2*e.repeatInterval, maxRepeatInterval)
+	}
+	return []Message{{To: lacking, Announcement: e.announcement}}
+}
+
 // Targets returns the announcements of all targets, sorted by name, and the
 // digest of the list. The caller must not change the slice.
 func (l *List) Targets() ([]model.Announcement, uint64) {
@@ -205,6 +257,9 @@
 	return l.cachedTargets, l.digest
 }
 
+// Digest returns the digest of the list.
+func (l *List) Digest() uint64 { return l.digest }
+
 // Difference holds the changes that bring an earlier state of a list up to date.
 type Difference struct {
 	// Changed holds the targets that were added or replaced.
--- a/internal/known/known_test.go
+++ b/internal/known/known_test.go
@@ -14,22 +14,41 @@
 	return model.Announcement{Service: "s", Target: model.TargetID(id), Addr: addr, Zone: "z", Slots: 3, Incarnation: incarnation, State: state}
 }
 
+// peers are the other control hosts in these tests.
+var peers = []model.HostID{"c1", "c2"} //nolint:gochecknoglobals // never changed
+
+// newTestList returns an empty list of a host with peers.
+func newTestList() *List {
+	l := NewList(20 * time.Second)
+	l.SetPeers(peers)
+	return l
+}
+
+// toAll returns messages with the announcements to all peers.
+func toAll(list ...model.Announcement) []Message {
+	var messages []Message
+	for _, a := range list {
+		messages = append(messages, Message{To: peers, Announcement: a})
+	}
+	return messages
+}
+
 // Guards against a change that is not sent to the other control hosts, and against
 // heartbeats that are forwarded although nothing changed.
 func TestOnlyChangesAreForwarded(t *testing.T) {
-	l := NewList(20 * time.Second)
+	l := newTestList()
 	now := model.Instant(time.Second)
 	ready := target("a", "10.0.0.1:1", 1, model.TargetReady)
-	require.Equal(t, []model.Announcement{ready}, l.HandleAnnouncement(now, ready, true))
+	require.Equal(t, toAll(ready), l.HandleAnnouncement(now, ready, true))
 	require.Empty(t, l.HandleAnnouncement(now, ready, true))
 	loaded := ready
 	loaded.Load = 0.5
 	require.Empty(t, l.HandleAnnouncement(now, loaded, true), "its load is no change")
-	require.Equal(t, []model.Announcement{ready}, l.Tick(now.Add(repeatInterval)), "the message may have been lost")
+	require.Equal(t, toAll(ready), l.Tick(now.Add(repeatInterval)), "the message may have been lost")
 	require.Empty(t, l.Tick(now.Add(repeatInterval)))
 
 	draining := target("a", "10.0.0.1:1", 1, model.TargetDraining)
-	require.Equal(t, []model.Announcement{draining}, l.HandleAnnouncement(now, draining, true))
+	require.Equal(t, toAll(draining), l.HandleAnnouncement(now, draining, true))
 	require.Empty(t, l.HandleAnnouncement(now, ready, true), "a late heartbeat")
 	list, digest := l.Targets()
 	require.Equal(t, []model.Announcement{draining}, list)
@@ -37,21 +56,37 @@
 }
 
 // Guards against control hosts that send each other the same announcement
-// endlessly, since each forwards what it received from the others.
-func TestRelayedAnnouncementIsNotForwarded(t *testing.T) {
-	l := NewList(20 * time.Second)
+// endlessly: an announcement from another host is sent only to hosts whose disks do
+// not hold it, and not without end.
+func TestRelayedAnnouncementIsSentOnlyToHostsThatLackIt(t *testing.T) {
+	for _, state := range []model.TargetState{model.TargetReady, model.TargetLeaving} {
+		l := newTestList()
+		now := model.Instant(time.Second)
+		a := target("a", "10.0.0.1:1", 1, state)
+		require.Empty(t, l.HandleAnnouncement(now, a, false))
+		l.HandleStored("c1", []model.TargetRun{a.Run()})
+		require.Equal(t, []Message{{To: []model.HostID{"c2"}, Announcement: a}}, l.Tick(now.Add(repeatInterval)))
+		l.HandleStored("c2", []model.TargetRun{a.Run()})
+		for range 20 {
+			now = now.Add(repeatInterval)
+			require.Empty(t, l.Tick(now))
+		}
+	}
+	l := newTestList()
 	now := model.Instant(time.Second)
 	require.Empty(t, l.HandleAnnouncement(now, target("a", "10.0.0.1:1", 1, model.TargetReady), false))
-	for range 20 {
+	sent := 0
+	for range 200 {
 		now = now.Add(repeatInterval)
-		require.Empty(t, l.Tick(now))
+		sent += len(l.Tick(now))
 	}
+	require.Less(t, sent, 10, "hosts that never answer")
 }
 
 // Guards against a crashed target that stays ready, and against a live target
 // that is marked as leaving since it now sends its heartbeats to another host.
 func TestSilentTargetIsForwardedAsLeaving(t *testing.T) {
-	l := NewList(20 * time.Second)
+	l := newTestList()
 	start := model.Instant(time.Second)
 	l.HandleAnnouncement(start, target("crashed", "10.0.0.1:1", 1, model.TargetReady), true)
 	moved := target("moved", "10.0.0.2:1", 1, model.TargetReady)
@@ -60,8 +95,11 @@
 		l.Tick(start.Add(at))
 	}
 	l.HandleAnnouncement(start.Add(10*time.Second), moved, false)
+	for _, host := range peers {
+		l.HandleStored(host, []model.TargetRun{moved.Run()})
+	}
 	gone := target("crashed", "10.0.0.1:1", 1, model.TargetLeaving)
-	require.Equal(t, []model.Announcement{gone}, l.Tick(start.Add(21*time.Second)))
+	require.Equal(t, toAll(gone), l.Tick(start.Add(21*time.Second)))
 	list, _ := l.Targets()
 	require.Equal(t, []model.Announcement{gone, moved}, list)
 }
@@ -69,11 +107,11 @@
 // Guards against two ready targets with the same address: after an address is
 // reused, requests for the target that ended would reach another service.
 func TestLaterIncarnationReplacesTargetAtItsAddress(t *testing.T) {
-	l := NewList(20 * time.Second)
+	l := newTestList()
 	now := model.Instant(time.Second)
 	l.HandleAnnouncement(now, target("a", "10.0.0.1:1", 5, model.TargetReady), false)
 	successor := target("b", "10.0.0.1:1", 9, model.TargetReady)
-	require.Equal(t, []model.Announcement{successor, target("a", "10.0.0.1:1", 5, model.TargetLeaving)}, l.HandleAnnouncement(now, successor, true))
+	require.Equal(t, toAll(successor, target("a", "10.0.0.1:1", 5, model.TargetLeaving)), l.HandleAnnouncement(now, successor, true))
 	require.Empty(t, l.HandleAnnouncement(now, target("c", "10.0.0.1:1", 7, model.TargetReady), false))
 	list, _ := l.Targets()
 	require.Len(t, list, 3)
@@ -94,3 +132,63 @@
 	require.Empty(t, list)
 	require.Zero(t, digest)
 }
+
+// Guards against a control host that returns after a while, for example from a
+// restart, and never learns that a target left meanwhile: changes were sent again
+// for 2.5 s only, whether or not a disk held them.
+func TestLeaveIsSentUntilEachDiskHoldsIt(t *testing.T) {
+	l := newTestList()
+	now := model.Instant(time.Second)
+	leaving := target("a", "10.0.0.1:1", 1, model.TargetLeaving)
+	l.HandleAnnouncement(now, target("a", "10.0.0.1:1", 1, model.TargetReady), true)
+	for _, host := range peers {
+		l.HandleStored(host, []model.TargetRun{{Target: "a", Incarnation: 1, State: model.TargetReady}})
+	}
+	require.Equal(t, toAll(leaving), l.HandleAnnouncement(now, leaving, true))
+	l.HandleStored("c1", []model.TargetRun{leaving.Run()})
+	for range 20 {
+		now = now.Add(repeatInterval)
+		require.Equal(t, []Message{{To: []model.HostID{"c2"}, Announcement: leaving}}, l.Tick(now))
+	}
+	l.HandleStored("c2", []model.TargetRun{leaving.Run()})
+	require.Empty(t, l.Tick(now.Add(repeatInterval)))
+}
+
+// Guards against a restart after which only some hosts know that a target has left.
+func TestRestoredLeaveIsSentToTheOtherHosts(t *testing.T) {
+	l := newTestList()
+	now := model.Instant(time.Second)
+	leaving := target("left", "10.0.0.1:1", 1, model.TargetLeaving)
+	l.Restore(now, []model.Announcement{target("left", "10.0.0.1:1", 1, model.TargetReady), target("ready", "10.0.0.2:1", 1, model.TargetReady)})
+	l.Restore(now, []model.Announcement{leaving})
+	l.Restore(now, []model.Announcement{target("left", "10.0.0.1:1", 1, model.TargetReady)})
+	require.True(t, l.IsSaved(leaving.Run()), "it was read from the disk")
+	require.Equal(t, toAll(leaving), l.Tick(now))
+}
+
+// Guards against copies of an earlier state or run that are counted for a later
+// one, and against copies on hosts that are no longer control hosts.
+func TestCopiesAreThoseOfTheRunAndState(t *testing.T) {
+	l := newTestList()
+	now := model.Instant(time.Second)
+	hosts := []model.HostID{"c0", "c1", "c2"}
+	count := func(a model.Announcement) int { return l.CopyCount(a.Run(), "c0", hosts) }
+	ready, draining := target("a", "10.0.0.1:1", 1, model.TargetReady), target("a", "10.0.0.1:1", 1, model.TargetDraining)
+	l.HandleAnnouncement(now, ready, true)
+	require.Equal(t, []model.Announcement{ready}, l.Unsaved())
+	require.Equal(t, []model.TargetRun{ready.Run()}, l.HandleSaved([]model.Announcement{ready}))
+	require.Empty(t, l.HandleSaved([]model.Announcement{ready}), "reported already")
+	l.HandleStored("c1", []model.TargetRun{ready.Run()})
+	l.HandleStored("c9", []model.TargetRun{ready.Run()})
+	require.Equal(t, 2, count(ready))
+	l.HandleAnnouncement(now, draining, true)
+	require.Zero(t, count(draining))
+	require.Equal(t, []model.Announcement{draining}, l.Unsaved())
+	l.HandleStored("c2", []model.TargetRun{{Target: "a", Incarnation: 1, State: model.TargetLeaving}})
+	require.Equal(t, 1, count(draining), "a later state includes it")
+	next := target("a", "10.0.0.1:1", 2, model.TargetReady)
+	l.HandleAnnouncement(now, next, true)
+	l.HandleStored("c1", []model.TargetRun{draining.Run()})
+	require.Zero(t, count(next))
+	require.Zero(t, count(draining))
+}
--- a/internal/node/adapter.go
+++ b/internal/node/adapter.go
@@ -48,7 +48,9 @@
 	HasService(name model.ServiceName) bool
 	// Announce handles an announcement of a target that the adapter has
 	// validated. It returns ErrNotAuthoritative if this host does not reach a
-	// majority of the fleet.
+	// majority of the fleet. If the target takes no more requests, nil means that
+	// the disks of a majority of the control hosts hold that, so that no restart of
+	// control hosts makes it ready again.
 	Announce(a model.Announcement) error
 	// ControlHostInZone returns a live control host of a zone, or this host if
 	// none is known. Targets announce themselves to that host, so that
@@ -166,6 +168,9 @@
 	if a.State == model.TargetReady {
 		return nil
 	}
+	if !p.owner.isStoredByMajority(a.Run(), p.minCopies, leaveConfirmTimeout) {
+		return ErrNotAuthoritative{Cause: "too few disks of control hosts hold the announcement"}
+	}
 	// The other control hosts were told over the links on which the next
 	// confirmation arrives. Without waiting for it, a host that was just cut off
 	// would acknowledge a leave that no other host learns of before the target
--- a/internal/node/disk_full_test.go
+++ b/internal/node/disk_full_test.go
@@ -182,7 +182,7 @@
 	a := model.Announcement{Service: "s", Target: "t", Addr: "127.0.0.1:1", Slots: 3, Incarnation: 1, State: model.TargetReady}
 	at := func(d time.Duration) model.Instant { return model.Instant(restoredCountLifetime + d) }
 	due := func(d time.Duration) {
-		k.dueAnnouncements(at(d))
+		k.dueMessages(at(d))
 		for _, task := range tasks {
 			task()
 		}
--- a/internal/node/owner_host.go
+++ b/internal/node/owner_host.go
@@ -9,6 +9,7 @@
 	"github.com/go-logr/logr"
 
 	"tarragongauge.example/tarragongauge/internal/admit"
+	"tarragongauge.example/tarragongauge/internal/known"
 	"tarragongauge.example/tarragongauge/internal/lease"
 	"tarragongauge.example/tarragongauge/internal/pool"
 	"tarragongauge.example/tarragongauge/internal/proto"
@@ -53,8 +54,8 @@
 
 // newOwnerHost returns the owner cores of a control host and a function that
 // stops their health probes.
-func newOwnerHost(self proto.Member, timing lease.Timing, tuning pool.Tuning, known *knownTargets, log logr.Logger, send func(model.HostID, proto.Message), admitOpts ...admit.Option) (*ownerHost, func()) {
-	p := &ownerHost{log: log, self: self, send: send, clock: newClock(), knownTargets: known}
+func newOwnerHost(self proto.Member, timing lease.Timing, tuning pool.Tuning, targets *knownTargets, log logr.Logger, send func(model.HostID, proto.Message), admitOpts ...admit.Option) (*ownerHost, func()) {
+	p := &ownerHost{log: log, self: self, send: send, clock: newClock(), knownTargets: targets}
 	p.startedAt = p.clock.now()
 	cfg := model.NewConfig(nil, nil)
 	p.cfg.Store(&cfg)
@@ -67,6 +68,7 @@
 	p.bucketOwner = newRunner(c, admit.NewOwner(self.Host, admitOpts...).Step, p.applyAdmit)
 	p.poolOwner = newRunner(c, pool.NewOwner(self.Host, pool.WithTuning(tuning)).Step, p.applyPool)
 	p.announcementPicker = newRunner(c, pool.NewPicker(self.Host, self.Zone, pool.WithIncarnation(self.Incarnation), pool.WithTuning(tuning)).Step, p.applyAnnouncementPicker)
+	targets.reportStored = p.reportStored
 	prober, stop := newProber(context.Background(), p.healthPath, func(ev pool.Probed) { p.poolOwner.post(ev) })
 	p.prober = prober
 	return p, stop
@@ -77,6 +79,7 @@
 	switch f := f.(type) {
 	case lease.ConfigChanged:
 		p.cfg.Store(&f.Config)
+		p.updatePeers()
 		p.claimer.post(f)
 		p.bucketOwner.post(admit.Configured{Config: f.Config})
 		p.poolOwner.post(pool.Configured{Config: f.Config})
@@ -99,6 +102,7 @@
 func (p *ownerHost) updateMembers(members []proto.Member) {
 	controls := slices.DeleteFunc(slices.Clone(members), func(m proto.Member) bool { return m.Role != proto.RoleControl || m.Draining })
 	p.controls.Store(&controls)
+	p.updatePeers()
 	lost := p.entryHosts.replace(members)
 	p.poolOwner.post(pool.EntryHostsChanged{Hosts: p.entryHosts.hosts})
 	p.knownTargets.setEntryHostCount(len(p.entryHosts.hosts))
@@ -110,6 +114,20 @@
 	p.bucketOwner.post(admit.StandbysChanged{Standbys: workspaceStandbys(members, p.self)})
 }
 
+// updatePeers sets the hosts to which changes of known targets are sent: the other
+// voters, and control hosts that are about to become voters.
+func (p *ownerHost) updatePeers() {
+	peers := slices.Clone(p.cfg.Load().Controls)
+	if controls := p.controls.Load(); controls != nil {
+		for _, m := range *controls {
+			if !slices.Contains(peers, m.Host) {
+				peers = append(peers, m.Host)
+			}
+		}
+	}
+	p.knownTargets.setPeers(slices.DeleteFunc(peers, func(h model.HostID) bool { return h == p.self.Host }))
+}
+
 // startedTogether returns the entry hosts that started together with this
 // process, as after a power failure of all hosts. It returns nil once
 // newProcessPeriod has passed.
@@ -150,8 +168,9 @@
 	case proto.DrawAsk, proto.StandbyNote, proto.StandbyAck:
 		p.bucketOwner.post(admit.Received{From: from, Msg: m})
 	case proto.TargetNews:
-		p.knownTargets.recordAnnouncement(p.clock.now(), m.Announcement, false)
-		p.poolOwner.post(pool.Received{From: from, Msg: m})
+		p.handleNews(from, m)
+	case proto.TargetsStored:
+		p.knownTargets.recordStored(from, m.Runs)
 	case proto.SlotAsk, proto.SlotDone, proto.SlotCancel, proto.ProbeResult, proto.ViewAsk, proto.RestoreReport, proto.QuarantineClear:
 		p.poolOwner.post(pool.Received{From: from, Msg: m})
 	case proto.SlotReply, proto.ViewReply, proto.RestoreAck:
@@ -167,8 +186,23 @@
 	p.bucketOwner.post(admit.Tick{})
 	p.poolOwner.post(pool.Tick{})
 	p.announcementPicker.post(pool.Tick{})
-	for _, a := range p.knownTargets.dueAnnouncements(p.clock.now()) {
-		p.sendToControls(a)
+	p.sendNews(p.knownTargets.dueMessages(p.clock.now()))
+}
+
+// handleNews handles an announcement that another host passed on. If this host's
+// disk holds it already, the sender has not heard of that.
+func (p *ownerHost) handleNews(from model.HostID, m proto.TargetNews) {
+	if run := m.Announcement.Run(); p.knownTargets.isSaved(run) {
+		p.send(from, proto.TargetsStored{Runs: []model.TargetRun{run}})
+	}
+	p.sendNews(p.knownTargets.recordAnnouncement(p.clock.now(), m.Announcement, false))
+	p.poolOwner.post(pool.Received{From: from, Msg: m})
+}
+
+// reportStored tells the other control hosts which runs this host's disk holds.
+func (p *ownerHost) reportStored(runs []model.TargetRun) {
+	for _, host := range p.knownTargets.peers() {
+		p.send(host, proto.TargetsStored{Runs: runs})
 	}
 }
 
@@ -228,22 +262,29 @@
 // announce handles an announcement that this host received from a target.
 func (p *ownerHost) announce(a model.Announcement) {
 	p.announcementPicker.post(pool.TargetAnnounced{Announcement: a})
-	for _, changed := range p.knownTargets.recordAnnouncement(p.clock.now(), a, true) {
-		p.sendToControls(changed)
-	}
+	p.sendNews(p.knownTargets.recordAnnouncement(p.clock.now(), a, true))
 }
 
-// sendToControls sends an announcement to the other control hosts. If the target
-// leaves, whichever of them owns the service, now or later, assigns no new
-// requests to it, and neither does an entry host that asks one of them.
-func (p *ownerHost) sendToControls(a model.Announcement) {
-	for _, host := range p.cfg.Load().Controls {
-		if host != p.self.Host {
-			p.send(host, proto.TargetNews{Announcement: a})
+// sendNews sends announcements to other control hosts. If a target leaves,
+// whichever of them owns the service, now or later, assigns no new requests to it,
+// and neither does an entry host that asks one of them.
+func (p *ownerHost) sendNews(messages []known.Message) {
+	for _, m := range messages {
+		for _, host := range m.To {
+			p.send(host, proto.TargetNews{Announcement: m.Announcement})
 		}
 	}
 }
 
+// isStoredByMajority waits until a run of a target is on the disks of a majority of
+// the control hosts, and of at least minCopies. It returns false if that does not
+// happen in time.
+func (p *ownerHost) isStoredByMajority(run model.TargetRun, minCopies int, timeout time.Duration) bool {
+	controls := p.cfg.Load().Controls
+	need := max(model.Majority(len(controls)), minCopies)
+	return p.knownTargets.waitForCopies(run, p.self.Host, controls, need, timeout)
+}
+
 // healthPath returns the path of a service's health probes in the current
 // configuration.
 func (p *ownerHost) healthPath(name model.ServiceName) string {
--- a/internal/proto/message.go
+++ b/internal/proto/message.go
@@ -365,8 +365,11 @@
 		Service model.ServiceName
 		Nonce   uint64
 	}
-	// TargetNews forwards an announcement from the entry host that received it.
+	// TargetNews forwards an announcement from the host that received it.
 	TargetNews struct{ Announcement model.Announcement }
+	// TargetsStored tells the other control hosts which runs of targets the sender's
+	// disk holds, each in the given state or a later one.
+	TargetsStored struct{ Runs []model.TargetRun }
 	// ProbeResult reports the result of a health probe that an entry host made for the owner.
 	ProbeResult struct {
 		Service     model.ServiceName
--- a/internal/proto/message_types.go
+++ b/internal/proto/message_types.go
@@ -25,6 +25,7 @@
 func (SlotDone) isMessage()         {}
 func (SlotCancel) isMessage()       {}
 func (TargetNews) isMessage()       {}
+func (TargetsStored) isMessage()    {}
 func (ProbeResult) isMessage()      {}
 func (ViewAsk) isMessage()          {}
 func (ViewReply) isMessage()        {}
--- a/internal/wire/pool.go
+++ b/internal/wire/pool.go
@@ -123,6 +123,16 @@
 	QuarantinedRequests []quarantinedRequest `cbor:"5,keyasint"`
 }
 
+type targetRun struct {
+	Target      model.TargetID    `cbor:"1,keyasint"`
+	Incarnation model.Incarnation `cbor:"2,keyasint"`
+	State       model.TargetState `cbor:"3,keyasint"`
+}
+
+type targetsStored struct {
+	Runs []targetRun `cbor:"1,keyasint"`
+}
+
 func poolBindings() []binding {
 	return []binding{
 		bindInfallible(60, func(m proto.SlotAsk) slotAsk { return slotAsk(m) }, func(d slotAsk) proto.SlotAsk { return proto.SlotAsk(d) }),
@@ -133,6 +143,7 @@
 		bindInfallible(65, func(m proto.ProbeResult) probeResult { return probeResult(m) }, func(d probeResult) proto.ProbeResult { return proto.ProbeResult(d) }),
 		bindInfallible(66, func(m proto.ViewAsk) viewAsk { return viewAsk(m) }, func(d viewAsk) proto.ViewAsk { return proto.ViewAsk(d) }),
 		bindInfallible(67, toViewReply, fromViewReply),
+		bind(72, func(m proto.TargetsStored) (targetsStored, error) { return toTargetsStored(m), nil }, fromTargetsStored),
 	}
 }
 
@@ -166,6 +177,25 @@
 	return m, checkEnum("end of an attempt", d.Attempt.End, model.AttemptInvalid)
 }
 
+func toTargetsStored(m proto.TargetsStored) targetsStored {
+	d := targetsStored{}
+	for _, r := range m.Runs {
+		d.Runs = append(d.Runs, targetRun(r))
+	}
+	return d
+}
+
+func fromTargetsStored(d targetsStored) (proto.TargetsStored, error) {
+	var m proto.TargetsStored
+	for _, r := range d.Runs {
+		if err := checkEnum("target state", r.State, model.TargetLeaving); err != nil {
+			return m, err
+		}
+		m.Runs = append(m.Runs, model.TargetRun(r))
+	}
+	return m, nil
+}
+
 func toTargetNews(m proto.TargetNews) (targetNews, error) {
 	return targetNews{Announcement: announcement(m.Announcement)}, nil
 }
--- a/pkg/model/target.go
+++ b/pkg/model/target.go
@@ -34,6 +34,24 @@
 	Load float64
 }
 
+// TargetRun identifies one run of a target's process, and a state of it.
+type TargetRun struct {
+	Target      TargetID
+	Incarnation Incarnation
+	State       TargetState
+}
+
+// Run returns the run and the state that the announcement is about.
+func (a Announcement) Run() TargetRun {
+	return TargetRun{Target: a.Target, Incarnation: a.Incarnation, State: a.State}
+}
+
+// IsBefore reports whether the run, in its state, precedes another run or state of
+// the same target.
+func (r TargetRun) IsBefore(other TargetRun) bool {
+	return r.Incarnation < other.Incarnation || r.Incarnation == other.Incarnation && r.State < other.State
+}
+
 // EjectionCause is the reason why a target was ejected.
 type EjectionCause int
 
