node, platform: acknowledge a leave for the newest run of a target

Cause: the host announced that the earlier run leaves, which all hosts ignore. A start of a run was acknowledged by one host alone, a host that sent an earlier run was never told the later one, and a late copy of a draining heartbeat was acknowledged without a look at whether the first one had been announced.

Change: a DELETE is about the newest run in the fleet's list (AnnounceLeave). A new run is acknowledged like a leave, once the disks of a majority hold it, so that the majority behind a leave knows each run whose start was acknowledged. A host that knows a later run or state tells it to the sender of an earlier one.

--- a/internal/known/known.go
+++ b/internal/known/known.go
@@ -7,7 +7,10 @@
 // Each host that holds a change of a target's run or state sends it to the other
 // control hosts until they report that their disks hold it. A change is
 // acknowledged to its target once the disks of a majority hold it, so that it
-// outlives a restart of all control hosts and whichever of them received it.
+// outlives a restart of all control hosts and whichever of them received it. A host
+// that knows a later run stores nothing of an earlier one. As two majorities have a
+// host in common, no leave is acknowledged for a run that was replaced by another
+// one whose start was acknowledged.
 package known
 
 import (
@@ -142,14 +145,19 @@
 	l.changes.add(l.digest, id)
 }
 
-// HandleAnnouncement updates the list with an announcement, which came from the
-// target itself if isDirect is set and from another control host otherwise. It
-// returns the messages to send to the other control hosts.
-func (l *List) HandleAnnouncement(now model.Instant, a model.Announcement, isDirect bool) []Message {
+// HandleAnnouncement updates the list with an announcement, which came from another
+// control host, or from the target itself if from is empty. It returns the messages to
+// send to the other control hosts. One that sends an earlier run or state than the
+// list holds is told the later one.
+func (l *List) HandleAnnouncement(now model.Instant, a model.Announcement, from model.HostID) []Message {
 	a.Load = 0
+	isDirect := from == ""
 	old, ok := l.entries[a.Target]
 	if ok && a.Run().IsBefore(old.announcement.Run()) {
-		return nil
+		if isDirect {
+			return nil
+		}
+		return []Message{{To: []model.HostID{from}, Announcement: old.announcement}}
 	}
 	next := old
 	next.announcement, next.receivedAt, next.isDirect = a, now, isDirect
@@ -257,6 +265,13 @@
 	return l.cachedTargets, l.digest
 }
 
+// Newest returns the newest announcement of a target, and false if the list does not
+// hold the target.
+func (l *List) Newest(id model.TargetID) (model.Announcement, bool) {
+	e, ok := l.entries[id]
+	return e.announcement, ok
+}
+
 // Digest returns the digest of the list.
 func (l *List) Digest() uint64 { return l.digest }
 
--- a/internal/known/known_test.go
+++ b/internal/known/known_test.go
@@ -39,17 +39,17 @@
 	l := newTestList()
 	now := model.Instant(time.Second)
 	ready := target("a", "10.0.0.1:1", 1, model.TargetReady)
-	require.Equal(t, toAll(ready), l.HandleAnnouncement(now, ready, true))
-	require.Empty(t, l.HandleAnnouncement(now, ready, true))
+	require.Equal(t, toAll(ready), l.HandleAnnouncement(now, ready, ""))
+	require.Empty(t, l.HandleAnnouncement(now, ready, ""))
 	loaded := ready
 	loaded.Load = 0.5
-	require.Empty(t, l.HandleAnnouncement(now, loaded, true), "its load is no change")
+	require.Empty(t, l.HandleAnnouncement(now, loaded, ""), "its load is no change")
 	require.Equal(t, toAll(ready), l.Tick(now.Add(repeatInterval)), "the message may have been lost")
 	require.Empty(t, l.Tick(now.Add(repeatInterval)))
 
 	draining := target("a", "10.0.0.1:1", 1, model.TargetDraining)
-	require.Equal(t, toAll(draining), l.HandleAnnouncement(now, draining, true))
-	require.Empty(t, l.HandleAnnouncement(now, ready, true), "a late heartbeat")
+	require.Equal(t, toAll(draining), l.HandleAnnouncement(now, draining, ""))
+	require.Empty(t, l.HandleAnnouncement(now, ready, ""), "a late heartbeat")
 	list, digest := l.Targets()
 	require.Equal(t, []model.Announcement{draining}, list)
 	require.NotZero(t, digest)
@@ -63,7 +63,7 @@
 		l := newTestList()
 		now := model.Instant(time.Second)
 		a := target("a", "10.0.0.1:1", 1, state)
-		require.Empty(t, l.HandleAnnouncement(now, a, false))
+		require.Empty(t, l.HandleAnnouncement(now, a, "c1"))
 		l.HandleStored("c1", []model.TargetRun{a.Run()})
 		require.Equal(t, []Message{{To: []model.HostID{"c2"}, Announcement: a}}, l.Tick(now.Add(repeatInterval)))
 		l.HandleStored("c2", []model.TargetRun{a.Run()})
@@ -74,7 +74,7 @@
 	}
 	l := newTestList()
 	now := model.Instant(time.Second)
-	require.Empty(t, l.HandleAnnouncement(now, target("a", "10.0.0.1:1", 1, model.TargetReady), false))
+	require.Empty(t, l.HandleAnnouncement(now, target("a", "10.0.0.1:1", 1, model.TargetReady), "c1"))
 	sent := 0
 	for range 200 {
 		now = now.Add(repeatInterval)
@@ -88,13 +88,13 @@
 func TestSilentTargetIsForwardedAsLeaving(t *testing.T) {
 	l := newTestList()
 	start := model.Instant(time.Second)
-	l.HandleAnnouncement(start, target("crashed", "10.0.0.1:1", 1, model.TargetReady), true)
+	l.HandleAnnouncement(start, target("crashed", "10.0.0.1:1", 1, model.TargetReady), "")
 	moved := target("moved", "10.0.0.2:1", 1, model.TargetReady)
-	l.HandleAnnouncement(start, moved, true)
+	l.HandleAnnouncement(start, moved, "")
 	for at := time.Duration(0); at <= 10*time.Second; at += repeatInterval {
 		l.Tick(start.Add(at))
 	}
-	l.HandleAnnouncement(start.Add(10*time.Second), moved, false)
+	l.HandleAnnouncement(start.Add(10*time.Second), moved, "c1")
 	for _, host := range peers {
 		l.HandleStored(host, []model.TargetRun{moved.Run()})
 	}
@@ -109,10 +109,10 @@
 func TestLaterIncarnationReplacesTargetAtItsAddress(t *testing.T) {
 	l := newTestList()
 	now := model.Instant(time.Second)
-	l.HandleAnnouncement(now, target("a", "10.0.0.1:1", 5, model.TargetReady), false)
+	l.HandleAnnouncement(now, target("a", "10.0.0.1:1", 5, model.TargetReady), "c1")
 	successor := target("b", "10.0.0.1:1", 9, model.TargetReady)
-	require.Equal(t, toAll(successor, target("a", "10.0.0.1:1", 5, model.TargetLeaving)), l.HandleAnnouncement(now, successor, true))
-	require.Empty(t, l.HandleAnnouncement(now, target("c", "10.0.0.1:1", 7, model.TargetReady), false))
+	require.Equal(t, toAll(successor, target("a", "10.0.0.1:1", 5, model.TargetLeaving)), l.HandleAnnouncement(now, successor, ""))
+	require.Empty(t, l.HandleAnnouncement(now, target("c", "10.0.0.1:1", 7, model.TargetReady), "c1"))
 	list, _ := l.Targets()
 	require.Len(t, list, 3)
 }
@@ -122,8 +122,8 @@
 func TestExpiredEntriesAreRemoved(t *testing.T) {
 	l := NewList(20 * time.Second)
 	now := model.Instant(time.Second)
-	l.HandleAnnouncement(now, target("left", "10.0.0.1:1", 1, model.TargetLeaving), true)
-	l.HandleAnnouncement(now, target("foreign", "10.0.0.2:1", 1, model.TargetReady), false)
+	l.HandleAnnouncement(now, target("left", "10.0.0.1:1", 1, model.TargetLeaving), "")
+	l.HandleAnnouncement(now, target("foreign", "10.0.0.2:1", 1, model.TargetReady), "c1")
 	l.Restore(now, []model.Announcement{target("restored", "10.0.0.3:1", 1, model.TargetReady)})
 	list, _ := l.Targets()
 	require.Len(t, list, 3)
@@ -140,11 +140,11 @@
 	l := newTestList()
 	now := model.Instant(time.Second)
 	leaving := target("a", "10.0.0.1:1", 1, model.TargetLeaving)
-	l.HandleAnnouncement(now, target("a", "10.0.0.1:1", 1, model.TargetReady), true)
+	l.HandleAnnouncement(now, target("a", "10.0.0.1:1", 1, model.TargetReady), "")
 	for _, host := range peers {
 		l.HandleStored(host, []model.TargetRun{{Target: "a", Incarnation: 1, State: model.TargetReady}})
 	}
-	require.Equal(t, toAll(leaving), l.HandleAnnouncement(now, leaving, true))
+	require.Equal(t, toAll(leaving), l.HandleAnnouncement(now, leaving, ""))
 	l.HandleStored("c1", []model.TargetRun{leaving.Run()})
 	for range 20 {
 		now = now.Add(repeatInterval)
@@ -174,21 +174,36 @@
 	hosts := []model.HostID{"c0", "c1", "c2"}
 	count := func(a model.Announcement) int { return l.CopyCount(a.Run(), "c0", hosts) }
 	ready, draining := target("a", "10.0.0.1:1", 1, model.TargetReady), target("a", "10.0.0.1:1", 1, model.TargetDraining)
-	l.HandleAnnouncement(now, ready, true)
+	l.HandleAnnouncement(now, ready, "")
 	require.Equal(t, []model.Announcement{ready}, l.Unsaved())
 	require.Equal(t, []model.TargetRun{ready.Run()}, l.HandleSaved([]model.Announcement{ready}))
 	require.Empty(t, l.HandleSaved([]model.Announcement{ready}), "reported already")
 	l.HandleStored("c1", []model.TargetRun{ready.Run()})
 	l.HandleStored("c9", []model.TargetRun{ready.Run()})
 	require.Equal(t, 2, count(ready))
-	l.HandleAnnouncement(now, draining, true)
+	l.HandleAnnouncement(now, draining, "")
 	require.Zero(t, count(draining))
 	require.Equal(t, []model.Announcement{draining}, l.Unsaved())
 	l.HandleStored("c2", []model.TargetRun{{Target: "a", Incarnation: 1, State: model.TargetLeaving}})
 	require.Equal(t, 1, count(draining), "a later state includes it")
 	next := target("a", "10.0.0.1:1", 2, model.TargetReady)
-	l.HandleAnnouncement(now, next, true)
+	l.HandleAnnouncement(now, next, "")
 	l.HandleStored("c1", []model.TargetRun{draining.Run()})
 	require.Zero(t, count(next))
 	require.Zero(t, count(draining))
 }
+
+// Guards against a host that goes on with an earlier run of a target because the
+// message about the later one was lost, or that spreads a state that is over.
+func TestHostThatSendsAnEarlierRunIsToldTheLaterOne(t *testing.T) {
+	l := newTestList()
+	now := model.Instant(time.Second)
+	second := target("a", "10.0.0.1:1", 2, model.TargetReady)
+	l.HandleAnnouncement(now, second, "c2")
+	correction := []Message{{To: []model.HostID{"c1"}, Announcement: second}}
+	for _, state := range []model.TargetState{model.TargetReady, model.TargetLeaving} {
+		require.Equal(t, correction, l.HandleAnnouncement(now, target("a", "10.0.0.1:1", 1, state), "c1"))
+	}
+	require.Empty(t, l.HandleAnnouncement(now, target("a", "10.0.0.1:1", 1, model.TargetReady), ""), "a late heartbeat of the target")
+	require.Zero(t, l.CopyCount(target("a", "10.0.0.1:1", 1, model.TargetLeaving).Run(), "c0", []model.HostID{"c0"}))
+}
--- a/internal/lease/targets_test.go
+++ b/internal/lease/targets_test.go
@@ -55,7 +55,7 @@
 			a.State = model.TargetLeaving
 		}
 		for _, relay := range relays {
-			relay.list.HandleAnnouncement(now, a, true)
+			relay.list.HandleAnnouncement(now, a, "")
 			relay.list.Tick(now)
 		}
 		m := relays[r.IntN(100)/95].reply(held.digest)
--- a/internal/node/adapter.go
+++ b/internal/node/adapter.go
@@ -48,10 +48,17 @@
 	HasService(name model.ServiceName) bool
 	// Announce handles an announcement of a target that the adapter has
 	// validated. It returns ErrNotAuthoritative if this host does not reach a
-	// majority of the fleet. If the target takes no more requests, nil means that
-	// the disks of a majority of the control hosts hold that, so that no restart of
-	// control hosts makes it ready again.
-	Announce(a model.Announcement) error
+	// majority of the fleet. Otherwise the disks of a majority of the control hosts
+	// hold the announced run and state, so that no restart of control hosts makes a
+	// target that leaves ready again. The targets in replaced, whose address the
+	// target has taken over, are announced as they are, without waiting for disks.
+	Announce(a model.Announcement, replaced ...model.Announcement) error
+	// AnnounceLeave announces that the newest known run of a target leaves, and
+	// returns the announcement. Another host may have heard of a later run than the
+	// announcement that the adapter heard last, which is zero if it heard of none.
+	// AnnounceLeave returns ErrNotAuthoritative if no run is known, or in place of an
+	// acknowledgement as Announce does.
+	AnnounceLeave(target model.TargetID, heard model.Announcement) (model.Announcement, error)
 	// ControlHostInZone returns a live control host of a zone, or this host if
 	// none is known. Targets announce themselves to that host, so that
 	// announcements cause no traffic between zones.
@@ -84,16 +91,6 @@
 // not reach the owners.
 const maxConfirmationAge = 1200 * time.Millisecond
 
-const (
-	// leaveConfirmTimeout bounds the wait for a confirmation after a target
-	// announced that it leaves. It is shorter than the second after which a
-	// target asks another host, and longer than an ask and its reply.
-	leaveConfirmTimeout = 700 * time.Millisecond
-	// leaveConfirmPollInterval is the interval at which the confirmation is
-	// checked.
-	leaveConfirmPollInterval = 10 * time.Millisecond
-)
-
 // controlAPI implements ControlAPI.
 type controlAPI struct {
 	control *controlHost
@@ -158,25 +155,3 @@
 	_, ok := services.Get(name)
 	return ok || services.Len() == 0
 }
-
-func (p *controlAPI) Announce(a model.Announcement) error {
-	if p.owner == nil || !p.seat.confirmedWithin(maxConfirmationAge) {
-		return ErrNotAuthoritative{Cause: "it does not reach a majority of the fleet"}
-	}
-	announcedAt := p.seat.clock.now()
-	p.owner.announce(a)
-	if a.State == model.TargetReady {
-		return nil
-	}
-	if !p.owner.isStoredByMajority(a.Run(), p.minCopies, leaveConfirmTimeout) {
-		return ErrNotAuthoritative{Cause: "too few disks of control hosts hold the announcement"}
-	}
-	// The other control hosts were told over the links on which the next
-	// confirmation arrives. Without waiting for it, a host that was just cut off
-	// would acknowledge a leave that no other host learns of before the target
-	// must get no more requests.
-	if !p.seat.confirmedSince(announcedAt, leaveConfirmTimeout) {
-		return ErrNotAuthoritative{Cause: "it was not confirmed to reach a majority of the fleet since the target announced that it leaves"}
-	}
-	return nil
-}
--- a/internal/node/disk_full_test.go
+++ b/internal/node/disk_full_test.go
@@ -188,11 +188,11 @@
 		}
 		tasks = nil
 	}
-	k.recordAnnouncement(at(0), a, true)
+	k.recordAnnouncement(at(0), a, "")
 	due(2 * time.Second)
 	disk.full.Store(true)
 	a.State = model.TargetLeaving
-	k.recordAnnouncement(at(3*time.Second), a, true)
+	k.recordAnnouncement(at(3*time.Second), a, "")
 	due(4 * time.Second)
 	disk.full.Store(false)
 	due(6 * time.Second)
--- a/internal/node/known_targets.go
+++ b/internal/node/known_targets.go
@@ -97,17 +97,27 @@
 	k.log.Info("targets known from the disk", "targets", len(targets), "hosts", k.restoredHostCount)
 }
 
-// recordAnnouncement records an announcement, from the target itself or from
-// another control host, and returns the messages to send to the other control
-// hosts. A new run or state is written to the disk in the background.
-func (k *knownTargets) recordAnnouncement(now model.Instant, a model.Announcement, fromTarget bool) []known.Message {
+// recordAnnouncement records an announcement, from another control host or, if from
+// is empty, from the target itself, and returns the messages to send to the other
+// control hosts. A new run or state is written to the disk in the background.
+func (k *knownTargets) recordAnnouncement(now model.Instant, a model.Announcement, from model.HostID) []known.Message {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	messages := k.list.HandleAnnouncement(now, a, fromTarget)
+	messages := k.list.HandleAnnouncement(now, a, from)
+	if k.list.HasUnsaved() {
+		k.notifyCopies()
+	}
 	k.save(now)
 	return messages
 }
 
+// newest returns the newest announcement of a target, and false if it is not known.
+func (k *knownTargets) newest(id model.TargetID) (model.Announcement, bool) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.list.Newest(id)
+}
+
 // dueMessages returns the messages to send to the other control hosts now, and
 // saves the list if it changed.
 func (k *knownTargets) dueMessages(now model.Instant) []known.Message {
@@ -155,17 +165,21 @@
 
 // waitForCopies waits until the disks of at least need of the hosts, of which this
 // host is self, hold a run in its state or a later one. It returns false if that
-// does not happen in time.
-func (k *knownTargets) waitForCopies(r model.TargetRun, self model.HostID, hosts []model.HostID, need int, timeout time.Duration) bool {
-	end := time.NewTimer(timeout)
+// does not happen before the deadline, or once a later run of the target is known.
+func (k *knownTargets) waitForCopies(r model.TargetRun, self model.HostID, hosts []model.HostID, need int, deadline time.Time) bool {
+	end := time.NewTimer(time.Until(deadline))
 	defer end.Stop()
 	for {
 		k.mu.Lock()
 		n, changed := k.list.CopyCount(r, self, hosts), k.copiesChanged
+		newest, _ := k.list.Newest(r.Target)
 		k.mu.Unlock()
 		if n >= need {
 			return true
 		}
+		if newest.Incarnation > r.Incarnation {
+			return false
+		}
 		select {
 		case <-changed:
 		case <-end.C:
--- a/internal/node/known_targets_test.go
+++ b/internal/node/known_targets_test.go
@@ -245,3 +245,47 @@
 	require.True(t, f.hosts[4].knowsState(model.TargetReady), "that is what its disk holds")
 	f.requireAllKnow(model.TargetLeaving)
 }
+
+// Guards against a leave that is acknowledged for an earlier run of a target by a
+// control host that has not heard of the present one, and so has no effect.
+func TestLeaveIsAcknowledgedForTheNewestRunOnly(t *testing.T) {
+	f := newTargetFleet(t, 5)
+	first, second := testLeaver(), testLeaver()
+	second.Incarnation++
+	require.NoError(t, f.hosts[0].running().Announce(first))
+	f.requireAllKnow(model.TargetReady)
+	f.hosts[0].isCut.Store(true)
+	require.NoError(t, f.hosts[3].running().Announce(second))
+	f.hosts[3].stop()
+	a, err := f.hosts[0].running().AnnounceLeave(first.Target, first)
+	require.True(t, IsErrNotAuthoritative(err), "cut off, it knows the earlier run only: %v", a)
+
+	f.hosts[0].isCut.Store(false)
+	a, err = f.hosts[0].running().AnnounceLeave(first.Target, first)
+	require.NoError(t, err, "the other hosts tell it of the later run")
+	require.Equal(t, second.Incarnation, a.Incarnation)
+	f.hosts[3].start()
+	restored, _ := f.hosts[3].known()
+	require.Equal(t, second.Incarnation, restored.Incarnation)
+	f.requireAllKnow(model.TargetLeaving)
+
+	_, err = f.hosts[1].running().AnnounceLeave("unknown", model.Announcement{})
+	require.True(t, IsErrNotAuthoritative(err))
+}
+
+// Guards against a start that is acknowledged although only one host knows of it: a
+// leave of the run before could be acknowledged by all the others.
+func TestStartIsAcknowledgedByAMajorityOfDisks(t *testing.T) {
+	f := newTargetFleet(t, 5)
+	f.hosts[0].isCut.Store(true)
+	require.True(t, IsErrNotAuthoritative(f.hosts[0].running().Announce(testLeaver())))
+	f.hosts[0].isCut.Store(false)
+	require.NoError(t, f.hosts[0].running().Announce(testLeaver()))
+	f.killAll()
+	for _, h := range f.hosts {
+		h.start()
+	}
+	began := time.Now()
+	require.NoError(t, f.hosts[2].running().Announce(testLeaver()), "the other disks hold it already")
+	require.Less(t, time.Since(began), announceTimeout/2)
+}
--- a/internal/node/leave_confirmation_test.go
+++ b/internal/node/leave_confirmation_test.go
@@ -27,5 +27,5 @@
 	require.Less(t, time.Since(began), time.Second)
 
 	time.AfterFunc(30*time.Millisecond, func() { confirm(now.Add(time.Millisecond)) })
-	require.True(t, h.confirmedSince(now, leaveConfirmTimeout))
+	require.True(t, h.confirmedSince(now, announceTimeout))
 }
--- a/internal/node/owner_host.go
+++ b/internal/node/owner_host.go
@@ -195,7 +195,7 @@
 	if run := m.Announcement.Run(); p.knownTargets.isSaved(run) {
 		p.send(from, proto.TargetsStored{Runs: []model.TargetRun{run}})
 	}
-	p.sendNews(p.knownTargets.recordAnnouncement(p.clock.now(), m.Announcement, false))
+	p.sendNews(p.knownTargets.recordAnnouncement(p.clock.now(), m.Announcement, from))
 	p.poolOwner.post(pool.Received{From: from, Msg: m})
 }
 
@@ -262,7 +262,7 @@
 // announce handles an announcement that this host received from a target.
 func (p *ownerHost) announce(a model.Announcement) {
 	p.announcementPicker.post(pool.TargetAnnounced{Announcement: a})
-	p.sendNews(p.knownTargets.recordAnnouncement(p.clock.now(), a, true))
+	p.sendNews(p.knownTargets.recordAnnouncement(p.clock.now(), a, ""))
 }
 
 // sendNews sends announcements to other control hosts. If a target leaves,
@@ -278,11 +278,11 @@
 
 // isStoredByMajority waits until a run of a target is on the disks of a majority of
 // the control hosts, and of at least minCopies. It returns false if that does not
-// happen in time.
-func (p *ownerHost) isStoredByMajority(run model.TargetRun, minCopies int, timeout time.Duration) bool {
+// happen before the deadline, or once a later run is known.
+func (p *ownerHost) isStoredByMajority(run model.TargetRun, minCopies int, deadline time.Time) bool {
 	controls := p.cfg.Load().Controls
 	need := max(model.Majority(len(controls)), minCopies)
-	return p.knownTargets.waitForCopies(run, p.self.Host, controls, need, timeout)
+	return p.knownTargets.waitForCopies(run, p.self.Host, controls, need, deadline)
 }
 
 // healthPath returns the path of a service's health probes in the current
