entry: refuse waiting requests before a stop ends

Cause: only http.Server.Shutdown knew when the stop ends. Admission, reservation and assignment went by the caller's deadline.

Change: while a request waits, its context ends before the end of the stop by the route's latency objective, at least 0.5 s, and it is refused as not run. Nothing is passed on after that. Requests at a target at the very end are answered as unknown in place of a closed connection, no sooner than before.

--- a/internal/entry/call.go
+++ b/internal/entry/call.go
@@ -129,7 +129,7 @@
 		return err
 	}
 	if c.s.draining.Load() {
-		return refuse(http.StatusServiceUnavailable, CodeDraining, "this host is shutting down; send the request again, to another host").withRetryAfter(otherHostRetryAfter)
+		return stopping()
 	}
 	if err := c.matchRoute(); err != nil {
 		return err
@@ -146,15 +146,17 @@
 	if err := c.prepare(ctx); err != nil {
 		return err
 	}
-	if err := c.admit(ctx); err != nil {
+	waitCtx, release := c.s.stop.context(ctx, c.sendMargin())
+	defer release()
+	if err := c.admit(waitCtx); err != nil {
 		return err
 	}
-	done, err := c.reserve(ctx)
+	done, err := c.reserve(waitCtx)
 	if done || err != nil {
 		return err
 	}
 	defer c.finishOrder(nil)
-	return c.forward(ctx)
+	return c.forward(ctx, waitCtx)
 }
 
 // authenticate finds the workspace of the request by its key and registers the
@@ -388,6 +390,8 @@
 		return keyWithdrawn()
 	case errors.Is(cause, errNotFresh):
 		return notFresh()
+	case errors.Is(cause, errStopping):
+		return stopping()
 	case errors.Is(cause, context.DeadlineExceeded):
 		return deadlinePassed()
 	case cause != nil:
--- a/internal/entry/deadline.go
+++ b/internal/entry/deadline.go
@@ -24,8 +24,9 @@
 	c.rc.SetReadDeadline(deadline)                       //nolint:errcheck // Some response writers in tests do not support deadlines.
 	c.rc.SetWriteDeadline(deadline.Add(errorWriteGrace)) //nolint:errcheck // Some response writers in tests do not support deadlines.
 	base, cancel := context.WithCancelCause(c.r.Context())
+	base, release := c.s.stop.context(base, 0)
 	ctx, stop := context.WithDeadline(base, deadline)
-	return ctx, func(cause error) { cancel(cause); stop() }, nil
+	return ctx, func(cause error) { cancel(cause); stop(); release() }, nil
 }
 
 // callerTimeout returns the time that the caller waits according to the deadline
--- a/internal/entry/fake_test.go
+++ b/internal/entry/fake_test.go
@@ -45,6 +45,8 @@
 	targets  []pool.Assigned
 	// refusal is the status with which every request for a target is refused, or 0.
 	refusal proto.SlotStatus
+	// holdAssignments delays the assignment of targets until it is closed, or is nil.
+	holdAssignments chan struct{}
 	// refuseRetry refuses requests for a second target.
 	refuseRetry bool
 	// assignWithToken makes AdmitAndAssign assign a target.
@@ -125,7 +127,14 @@
 	f.update(func() { f.finishedOrders = append(f.finishedOrders, end) })
 }
 
-func (f *fakeDecider) AssignTarget(_ context.Context, want pool.TargetRequested) (entry.Assignment, error) {
+func (f *fakeDecider) AssignTarget(ctx context.Context, want pool.TargetRequested) (entry.Assignment, error) {
+	if hold := readLocked(f, &f.holdAssignments); hold != nil {
+		select {
+		case <-hold:
+		case <-ctx.Done():
+			return entry.Assignment{}, context.Cause(ctx)
+		}
+	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.targetRequests = append(f.targetRequests, want)
--- a/internal/entry/forward.go
+++ b/internal/entry/forward.go
@@ -14,12 +14,13 @@
 
 // forward sends the request to one target after another until one answers or no
 // further attempt is allowed. It returns an error that is still to be sent, or
-// nil if the caller was answered.
-func (c *call) forward(ctx context.Context) *ErrRefused {
+// nil if the caller was answered. While the request waits for a target, waitCtx
+// applies, which ends before ctx if this host stops.
+func (c *call) forward(ctx, waitCtx context.Context) *ErrRefused {
 	var tried []model.TargetID
 	var last *failedAttempt
 	for {
-		target, refused := c.assignTarget(ctx, tried)
+		target, refused := c.assignTarget(waitCtx, tried)
 		if refused != nil {
 			return c.answerFailure(last, refused)
 		}
@@ -31,12 +32,16 @@
 			c.returnTarget(model.Attempt{Target: target.Target, Incarnation: target.Incarnation, End: model.AttemptCanceled})
 			return err
 		}
+		if errors.Is(context.Cause(waitCtx), errStopping) {
+			c.returnTarget(model.Attempt{Target: target.Target, Incarnation: target.Incarnation, End: model.AttemptCanceled})
+			return c.answerFailure(last, stopping())
+		}
 		failed, done := c.tryTarget(ctx, target)
 		if done {
 			return nil
 		}
 		last = failed
-		if len(tried) >= c.maxAttempts() || !c.canRetry(ctx, failed.attempt) {
+		if len(tried) >= c.maxAttempts() || !c.canRetry(waitCtx, failed.attempt) {
 			return c.answerFailure(last, nil)
 		}
 	}
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -35,19 +35,22 @@
 	startedAt time.Time
 	// draining is set once new requests are refused.
 	draining atomic.Bool
+	stop     *stop
 	// active counts the requests of callers that have not ended.
 	active atomic.Int64
 }
 
 // NewServer returns a server and its clean-up function. The clean-up function
-// refuses new requests, waits for those in flight until its context ends, and then
-// closes the connections that are left. NewServer returns model.ErrInvalid if
+// refuses new requests and waits for those in flight until its context ends. Requests
+// that wait for a target are refused as not run as soon as too little time is left to
+// serve them; those that are with a target at the end are answered as unknown. Then
+// the connections that are left are closed. NewServer returns model.ErrInvalid if
 // decider or recorder is nil or a limit that must be positive is not.
 func NewServer(decider Decider, recorder Recorder, opts ...Option) (*Server, func(context.Context) error, error) {
 	if decider == nil || recorder == nil {
 		return nil, nil, model.ErrInvalid{Field: "decider or recorder", Got: "nil", Want: "set"}
 	}
-	s := &Server{settings: settings{limits: DefaultLimits(), requireRequestID: true, log: logr.Discard(), requestLog: logr.Discard(), headerNames: DefaultHeaderNames()}, decider: decider, recorder: recorder, registry: newRegistry(), startedAt: time.Now()}
+	s := &Server{settings: settings{limits: DefaultLimits(), requireRequestID: true, log: logr.Discard(), requestLog: logr.Discard(), headerNames: DefaultHeaderNames()}, decider: decider, recorder: recorder, registry: newRegistry(), startedAt: time.Now(), stop: newStop()}
 	for _, opt := range opts {
 		opt(&s.settings)
 	}
@@ -119,8 +122,12 @@
 // shutdown is the clean-up function that NewServer returns.
 func (s *Server) shutdown(ctx context.Context) error {
 	s.Drain()
+	s.stop.beginUntil(ctx)
 	err := s.callers.Shutdown(ctx)
 	if err != nil {
+		lastAnswers, cancel := context.WithTimeout(context.Background(), lastAnswersTime)
+		defer cancel()
+		_ = s.callers.Shutdown(lastAnswers) // what is left is closed
 		err = errors.Join(err, s.callers.Close())
 	}
 	if terr := s.targets.Shutdown(ctx); terr != nil {
