--- a/internal/node/announce.go
+++ b/internal/node/announce.go
@@ -16,6 +16,7 @@
 	leaveConfirmPollInterval = 10 * time.Millisecond
 )
 
+// Announce waits for disks and a confirmation for at most announceTimeout.
 func (p *controlAPI) Announce(a model.Announcement, replaced ...model.Announcement) error {
 	return p.announceUntil(time.Now().Add(announceTimeout), a, replaced)
 }
@@ -47,7 +48,8 @@
 	return nil
 }
 
-// AnnounceLeave begins anew if another host tells of a later run meanwhile.
+// AnnounceLeave waits as Announce does. It begins anew if another host tells of a
+// later run meanwhile.
 func (p *controlAPI) AnnounceLeave(target model.TargetID, heard model.Announcement) (model.Announcement, error) {
 	deadline := time.Now().Add(announceTimeout)
 	for {
--- a/internal/node/disks_full_in_turn_test.go
+++ b/internal/node/disks_full_in_turn_test.go
@@ -76,7 +76,7 @@
 
 // send delivers a message in the order of sending.
 func (f *logFleet) send(from, to model.HostID, m proto.Message) {
-	f.messages.Go(func() {
+	f.messages.Submit(func() {
 		if m, ok := m.(proto.SeatStage); ok {
 			f.host(from).receive(to, proto.SeatStageReply{Term: m.Term, HeldVersion: m.Newest, Incarnation: 1, Round: m.Round})
 			return
--- a/internal/node/probe_answer_test.go
+++ b/internal/node/probe_answer_test.go
@@ -26,13 +26,13 @@
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
 	group := pond.NewPool(0)
-	group.Go(func() {
+	group.Submit(func() {
 		for {
 			c, err := l.Accept()
 			if err != nil {
 				return
 			}
-			group.Go(func() {
+			group.Submit(func() {
 				defer c.Close() //nolint:errcheck // the prober has closed it
 				_, _ = c.Read(make([]byte, 4096))
 				send(c)
@@ -88,7 +88,7 @@
 	var peak atomic.Int64
 	done := make(chan struct{})
 	group := pond.NewPool(1)
-	group.Go(func() {
+	group.Submit(func() {
 		for {
 			select {
 			case <-done:
