--- a/internal/rules/names_test.go
+++ b/internal/rules/names_test.go
@@ -16,6 +16,7 @@
 		"InstallSnapshot JoinAsk JournalCopyAsk JournalCopyReply JournalFormAsk JournalFormReply LeaseAsk LeaseReply Part PartAsk PeerAsk " +
 		"PeerReply ProbeResult ProposeAsk ProposeReply QuarantineClear ReserveAsk ReserveFree ReserveReply RestoreAck RestoreReport SeatLearn " +
 		"SeatLearnReply SeatStage SeatStageReply ShareAsk ShareGift SlotAsk SlotCancel SlotDone SlotReply StandbyAck StandbyNote StatusAsk StatusReply TargetNews " +
+		"TargetsStored " +
 		"ViewAsk ViewReply VoteAsk VoteReply"
 	changeNames = "CreateWorkspace EditContent IssueKey PutException PutRoute PutService RemoveException RemoveRoute ReplaceContent SetControls " +
 		"SetDefaults SetSeats WithdrawKey WithdrawWorkspace"
