--- a/review/rig-2/fleet.go
+++ b/review/rig-2/fleet.go
@@ -48,7 +48,11 @@
 	control, fleetAt int
 	controls         []*machine
 	entries          []*machine
-	rec              *record
+	// spare is a machine that is not started with the others, or nil.
+	spare *machine
+	// machines holds all machines, also those that were replaced.
+	machines []*machine
+	rec      *record
 }
 
 // record writes what was sent, answered and run to record.txt.
@@ -95,7 +99,8 @@
 	for i := range entries {
 		f.entries = append(f.entries, &machine{name: fmt.Sprintf("edge-%d", i+1), class: "edge", zone: zones[i%len(zones)], ip: fmt.Sprintf("%s.%d", net2, 100+i)})
 	}
-	for _, m := range f.all() {
+	f.machines = f.all()
+	for _, m := range f.machines {
 		m.dir = filepath.Join(dir, m.name)
 		if err := os.MkdirAll(filepath.Join(m.dir, "data"), 0o755); err != nil {
 			return nil, err
@@ -137,7 +142,7 @@
 		fmt.Fprintf(&b, "front = \"%s:%d\"\nready = \"%s:%d\"\n", m.ip, f.front, m.ip, f.ready)
 	}
 	fmt.Fprintf(&b, "[limits]\ncpu_share = 0.32\ncores = 1\nmemory_mb = 284\nmax_fds = 4100\nlink_mbps = 1000.0\n")
-	fmt.Fprintf(&b, "[fault_tolerance]\nmachines = %d\nzones = 0\nregions = 0\n", (len(f.controls)-1)/2)
+	fmt.Fprintf(&b, "[fault_tolerance]\nmachines = %d\nzones = 0\nregions = 0\n", min(2, (len(f.controls)-1)/2))
 	return os.WriteFile(filepath.Join(m.dir, "boot.toml"), []byte(b.String()), 0o644)
 }
 
@@ -190,7 +195,7 @@
 
 // close ends all processes and removes the folder, unless KEEP is set.
 func (f *fleet) close() {
-	for _, m := range f.all() {
+	for _, m := range f.machines {
 		if m.cmd != nil {
 			m.signal(syscall.SIGCONT)
 			m.kill()
@@ -206,6 +211,9 @@
 // startAll starts all machines and waits until every entry host is ready.
 func (f *fleet) startAll() error {
 	for _, m := range f.all() {
+		if m == f.spare {
+			continue
+		}
 		if err := f.start(m); err != nil {
 			return err
 		}
--- a/review/rig-2/main.go
+++ b/review/rig-2/main.go
@@ -55,6 +55,9 @@
 		return exitNotRun
 	}
 	defer f.close()
+	if name == "replace" {
+		f.spare = f.controls[5]
+	}
 	if err := f.startAll(); err != nil {
 		fmt.Println(err)
 		return exitNotRun
