--- a/review/rig-2/case_foreign.go
+++ b/review/rig-2/case_foreign.go
@@ -9,8 +9,6 @@
 	"time"
 )
 
-func init() { cases["foreign"] = foreign }
-
 const (
 	foreignBackEnds = 10
 	// foreignNamed is how many back ends another writer names in a heartbeat.
--- a/review/rig-2/case_rename.go
+++ b/review/rig-2/case_rename.go
@@ -9,8 +9,6 @@
 	"time"
 )
 
-func init() { cases["rename"] = renameTenant }
-
 const (
 	renameOrders = 12
 	renameWork   = 3 * time.Second
--- a/review/rig-2/case_replace.go
+++ b/review/rig-2/case_replace.go
@@ -9,11 +9,6 @@
 	"time"
 )
 
-func init() {
-	cases["replace"] = replaceCore
-	size["replace"] = [2]int{6, 2} // the sixth control host is the successor
-}
-
 const (
 	// successorAfter is how long after a machine is gone its successor starts.
 	successorAfter = time.Second
--- a/review/rig-2/case_revoke.go
+++ b/review/rig-2/case_revoke.go
@@ -11,14 +11,6 @@
 	"time"
 )
 
-func init() { cases["revoke"] = revoke }
-
-// Keys of the tenant in the revoke case. The second one is withdrawn.
-const (
-	keptKey      = "ctnfzs989anu6wsjnban"
-	withdrawnKey = "fqasnmgkcuyj8pjbvk9m"
-)
-
 // Size and duration of the answers in the revoke case.
 const (
 	streamParts    = 60
--- a/review/rig-2/fleet.go
+++ b/review/rig-2/fleet.go
@@ -24,9 +24,8 @@
 const (
 	heartbeatInterval = 1500 * time.Millisecond
 	configApply       = 2 * time.Second
-	drainTime         = 2 * time.Second
-	graceTime         = 6 * time.Second
-	stableWindow      = 3 * time.Second
+
+	stableWindow = 3 * time.Second
 )
 
 // zones are the zones of the deployment.
@@ -48,8 +47,6 @@
 	control, fleetAt int
 	controls         []*machine
 	entries          []*machine
-	// spare is a machine that is not started with the others, or nil.
-	spare *machine
 	// machines holds all machines, also those that were replaced.
 	machines []*machine
 	rec      *record
@@ -183,16 +180,6 @@
 
 func (m *machine) signal(s syscall.Signal) { m.cmd.Process.Signal(s) }
 
-// hasExited reports whether the process of the machine has ended.
-func (m *machine) hasExited() bool {
-	select {
-	case <-m.exited:
-		return true
-	default:
-		return false
-	}
-}
-
 // close ends all processes and removes the folder, unless KEEP is set.
 func (f *fleet) close() {
 	for _, m := range f.machines {
@@ -208,12 +195,9 @@
 	fmt.Println("logs are in", f.dir)
 }
 
-// startAll starts all machines and waits until every entry host is ready.
-func (f *fleet) startAll() error {
-	for _, m := range f.all() {
-		if m == f.spare {
-			continue
-		}
+// startAll starts the first control hosts and all entry hosts.
+func (f *fleet) startAll(controls int) error {
+	for _, m := range append(append([]*machine{}, f.controls[:controls]...), f.entries...) {
 		if err := f.start(m); err != nil {
 			return err
 		}
--- a/review/rig-2/main.go
+++ b/review/rig-2/main.go
@@ -18,12 +18,23 @@
 	exitNotRun = 2
 )
 
-// cases maps the name of a case to its function. It returns whether the rule was
-// broken, or an error if the case could not run.
-var cases = map[string]func(f *fleet, trouble bool) (broken bool, err error){}
+// testCase is a case under review: the size of its deployment, and a function that
+// returns whether the rule was broken, or an error if the case could not run.
+type testCase struct {
+	run               func(f *fleet, trouble bool) (broken bool, err error)
+	controls, entries int
+	// spares is how many of the control hosts are not started with the others.
+	spares int
+}
 
-// size holds the numbers of control and entry hosts of a case.
-var size = map[string][2]int{}
+// cases holds the cases by name.
+var cases = map[string]testCase{
+	"replace": {run: replaceCore, controls: 6, entries: 2, spares: 1},
+	"resend":  {run: resend, controls: 5, entries: 2},
+	"revoke":  {run: revoke, controls: 5, entries: 2},
+	"rename":  {run: renameTenant, controls: 5, entries: 2},
+	"foreign": {run: foreign, controls: 5, entries: 2},
+}
 
 func main() { os.Exit(play()) }
 
@@ -45,26 +56,19 @@
 	}
 	defer out.Close()
 	rec := &record{w: out, start: time.Now()}
-	n, ok := size[name]
-	if !ok {
-		n = [2]int{5, 2}
-	}
-	f, err := newFleet(rec, n[0], n[1])
+	f, err := newFleet(rec, test.controls, test.entries)
 	if err != nil {
 		fmt.Println(err)
 		return exitNotRun
 	}
 	defer f.close()
-	if name == "replace" {
-		f.spare = f.controls[5]
-	}
-	if err := f.startAll(); err != nil {
+	if err := f.startAll(test.controls - test.spares); err != nil {
 		fmt.Println(err)
 		return exitNotRun
 	}
 	trouble := os.Getenv("TROUBLE") != "0"
 	rec.printf("case %s, with the disruption: %v", name, trouble)
-	broken, err := test(f, trouble)
+	broken, err := test.run(f, trouble)
 	switch {
 	case err != nil:
 		rec.printf("the case could not run: %v", err)
--- a/review/rig-2/server.go
+++ b/review/rig-2/server.go
@@ -37,11 +37,8 @@
 	inWork   atomic.Int64
 	stop     chan struct{}
 	stopOnce sync.Once
-	// paused stops the heartbeats.
-	paused atomic.Bool
-
-	mu   sync.Mutex
-	runs []run
+	mu       sync.Mutex
+	runs     []run
 	// at is the control host that took the last heartbeat.
 	at int
 }
@@ -119,9 +116,7 @@
 
 func (b *backend) beat() {
 	for {
-		if !b.paused.Load() {
-			b.sendBeat()
-		}
+		b.sendBeat()
 		select {
 		case <-b.stop:
 			return
