--- a/review/rig-2/main.go
+++ b/review/rig-2/main.go
@@ -30,9 +30,9 @@
 // cases holds the cases by name.
 var cases = map[string]testCase{
 	"replace": {run: replaceCore, controls: 6, entries: 2, spares: 1},
-	"resend":  {run: resend, controls: 5, entries: 2},
 	"revoke":  {run: revoke, controls: 5, entries: 2},
 	"rename":  {run: renameTenant, controls: 5, entries: 2},
+	"prefix":  {run: prefix, controls: 5, entries: 2},
 	"foreign": {run: foreign, controls: 5, entries: 2},
 }
 
