--- a/review/rig-2/case_foreign.go
+++ b/review/rig-2/case_foreign.go
@@ -3,36 +3,30 @@
 package main
 
 import (
+	"errors"
 	"fmt"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
 const (
-	foreignBackEnds = 10
-	// foreignNamed is how many back ends another writer names in a heartbeat.
-	foreignNamed = 4
-	foreignWork  = 100 * time.Millisecond
-	// foreignRate is in requests a second: 0.85 of what ten back ends with three slots
-	// can run, and 1.4 times what six can.
-	foreignRate = 255
-	// foreignWait is longer than the time after which the system forgets a back end
-	// that has sent no heartbeat.
-	foreignWait  = 24 * time.Second
-	floorShare   = 0.7
-	floorWindow  = 2 * time.Second
-	loadDuration = 8 * time.Second
+	foreignBackEnds = 6
+	// foreignNamed is how many back ends another writer names.
+	foreignNamed = 3
+	// drainTime is drain_ms.
+	drainTime = 2 * time.Second
+	// quietTime is how long after the last acknowledgement no client sends a request.
+	quietTime     = 2500 * time.Millisecond
+	foreignOrders = 140
+	// foreignClients is more than the slots of the back ends that stay.
+	foreignClients = 14
+	foreignWork    = 100 * time.Millisecond
 )
 
-// sentRequest is a request of the load with its result.
-type sentRequest struct {
-	at     time.Time
-	served bool
-}
-
-// foreign checks FLOOR: another writer sends one heartbeat for each of some back ends,
-// with a service that no configuration names.
+// foreign checks DRAIN: another writer sends a heartbeat for some back ends, with a
+// service that no configuration names, and then these leave.
 func foreign(f *fleet, trouble bool) (bool, error) {
 	backends, err := setUp(f, orders("r7"), foreignBackEnds, 3, foreignWork)
 	if err != nil {
@@ -41,71 +35,66 @@
 	for _, b := range backends {
 		defer b.close()
 	}
-	if trouble {
-		for _, b := range backends[:foreignNamed] {
-			m := f.controls[b.at]
-			body := fmt.Appendf(nil, `{"address":%q,"born":%d,"info":{"service":"ledger","version":"v1","zone":%q,"slots":3},"status":{"state":"ready","sequence":1000000,"cold_remaining_ms":0}}`, b.addr, b.born, b.zone)
-			status, _, err := f.callControl(m, http.MethodPut, "/api/instances/"+b.id, body)
-			f.rec.printf("another writer sends to %s a heartbeat for %s with the service \"ledger\": status %d, %v", m.name, b.id, status, err)
+	if got := f.sendOrders(foreignOrders); got < foreignOrders*9/10 {
+		return false, errors.New("orders failed before the disruption")
+	}
+	leaving := backends[:foreignNamed]
+	for i, b := range leaving {
+		if !trouble {
+			continue
 		}
+		m := f.controls[b.at]
+		body := fmt.Appendf(nil, `{"address":"127.0.0.1:%d","born":%d,"info":{"service":"ledger","version":"v1","zone":%q,"slots":3},"status":{"state":"ready","sequence":1,"cold_remaining_ms":0}}`, 9+i, time.Now().UnixMilli(), b.zone)
+		status, _, err := f.callControl(m, http.MethodPut, "/api/instances/"+b.id, body)
+		f.rec.printf("another writer sends to %s a heartbeat for %s with the service \"ledger\": status %d, %v", m.name, b.id, status, err)
 	}
-	time.Sleep(foreignWait)
-	var mu sync.Mutex
-	var sent []sentRequest
-	var wg sync.WaitGroup
-	began := time.Now()
-	tick := time.NewTicker(time.Second / foreignRate)
-	defer tick.Stop()
-	for i := 0; time.Since(began) < loadDuration; i++ {
-		<-tick.C
-		wg.Add(1)
-		go func() {
-			defer wg.Done()
-			at := time.Now()
-			c, err := f.dial(f.entries[i%len(f.entries)])
-			if err != nil {
-				return
+	time.Sleep(2 * heartbeatInterval)
+	acked := map[*backend]time.Time{}
+	for _, b := range leaving {
+		b.draining.Store(true)
+		m, ok := b.sendBeat()
+		if !ok {
+			return false, fmt.Errorf("the leave of %s was not acknowledged", b.id)
+		}
+		acked[b] = time.Now()
+		f.rec.printf("back end %s leaves; acknowledged by %s", b.id, m.name)
+	}
+	time.Sleep(quietTime)
+	f.sendOrders(foreignOrders)
+	late := 0
+	for _, b := range leaving {
+		for _, r := range b.allRuns() {
+			if after := r.at.Sub(acked[b]); after > drainTime {
+				late++
+				f.rec.printf("request %s reached back end %s %s after its leave was acknowledged", r.id, b.id, after)
 			}
-			defer c.conn.Close()
-			q := order(nil)
-			q.body = "tray"
-			a := c.do(q)
-			mu.Lock()
-			defer mu.Unlock()
-			sent = append(sent, sentRequest{at: at, served: a.status == http.StatusOK})
-		}()
+		}
 	}
-	wg.Wait()
-	return f.checkFloor(began, sent, backends), nil
+	f.rec.printf("%d requests reached back ends later than drain_ms after the acknowledgement of their leave", late)
+	return late > 0, nil
 }
 
-// checkFloor applies the rule to windows of floorWindow and returns whether it was broken.
-func (f *fleet) checkFloor(began time.Time, sent []sentRequest, backends []*backend) bool {
-	broken := false
-	for from := began.Add(time.Second); from.Add(floorWindow).Before(began.Add(loadDuration)); from = from.Add(time.Second) {
-		in := func(at time.Time) bool { return !at.Before(from) && at.Before(from.Add(floorWindow)) }
-		all, unserved, used := 0, 0, 0
-		for _, s := range sent {
-			if in(s.at) {
-				all++
-				if !s.served {
-					unserved++
+// sendOrders sends orders from foreignClients clients at once, each one after the other,
+// and returns how many were answered with 200.
+func (f *fleet) sendOrders(n int) int {
+	var served atomic.Int64
+	var wg sync.WaitGroup
+	for i := range foreignClients {
+		wg.Go(func() {
+			for range n / foreignClients {
+				c, err := f.dial(f.entries[i%len(f.entries)])
+				if err != nil {
+					continue
 				}
-			}
-		}
-		for _, b := range backends {
-			for _, r := range b.allRuns() {
-				if in(r.at) {
-					used++
-					break
+				q := order(nil)
+				q.body = "tray"
+				if a := c.do(q); a.status == http.StatusOK {
+					served.Add(1)
 				}
+				c.conn.Close()
 			}
-		}
-		share := float64(unserved) / float64(max(1, all))
-		f.rec.printf("2 s from %s: %d of %d ready back ends get requests, %.2f of %d requests not served", from.Sub(began), used, len(backends), share, all)
-		if used > 0 && float64(used) < floorShare*float64(len(backends)) && share > 0.1 && share < 0.5 {
-			broken = true
-		}
+		})
 	}
-	return broken
+	wg.Wait()
+	return int(served.Load())
 }
--- a/review/rig-2/case_rename.go
+++ b/review/rig-2/case_rename.go
@@ -47,9 +47,7 @@
 	sent, served, denied := 0, 0, 0
 	round := func() {
 		for i := range renameOrders {
-			wg.Add(1)
-			go func() {
-				defer wg.Done()
+			wg.Go(func() {
 				c, err := f.dial(f.entries[i%len(f.entries)])
 				if err != nil {
 					return
@@ -67,7 +65,7 @@
 				case 400, 401, 403, 404:
 					denied++
 				}
-			}()
+			})
 			time.Sleep(20 * time.Millisecond)
 		}
 	}
--- a/review/rig-2/case_revoke.go
+++ b/review/rig-2/case_revoke.go
@@ -61,7 +61,6 @@
 	whole, cut := map[string]int{}, map[string]int{}
 	var wg sync.WaitGroup
 	get := func(m *machine, key string) {
-		defer wg.Done()
 		c, err := f.dial(m)
 		if err != nil {
 			return
@@ -82,9 +81,8 @@
 	}
 	round := func() {
 		for i := range 4 {
-			wg.Add(2)
-			go get(f.entries[i%2], keptKey)
-			go get(f.entries[i%2], withdrawnKey)
+			wg.Go(func() { get(f.entries[i%2], keptKey) })
+			wg.Go(func() { get(f.entries[i%2], withdrawnKey) })
 			time.Sleep(100 * time.Millisecond)
 		}
 	}
--- a/review/rig-2/fleet.go
+++ b/review/rig-2/fleet.go
@@ -37,7 +37,6 @@
 	dir                   string
 	cmd                   *exec.Cmd
 	exited                chan struct{}
-	log                   *os.File
 }
 
 // fleet is a deployment of control and entry hosts on loopback addresses.
@@ -50,6 +49,8 @@
 	// machines holds all machines, also those that were replaced.
 	machines []*machine
 	rec      *record
+	// tasks holds the goroutines of the fleet and its back ends.
+	tasks sync.WaitGroup
 }
 
 // record writes what was sent, answered and run to record.txt.
@@ -160,12 +161,13 @@
 	if err := cmd.Start(); err != nil {
 		return err
 	}
-	m.cmd, m.log, m.exited = cmd, out, make(chan struct{})
-	go func(done chan struct{}) {
+	done := make(chan struct{})
+	m.cmd, m.exited = cmd, done
+	f.tasks.Go(func() {
 		cmd.Wait()
 		out.Close()
 		close(done)
-	}(m.exited)
+	})
 	return nil
 }
 
--- a/review/rig-2/server.go
+++ b/review/rig-2/server.go
@@ -65,8 +65,8 @@
 	}
 	b := &backend{f: f, id: id, service: service, zone: zone, born: time.Now().UnixMilli(), slots: slots, addr: l.Addr().String(), l: l, work: work, stop: make(chan struct{})}
 	b.srv = &http.Server{Handler: b, IdleTimeout: 10 * time.Second}
-	go b.srv.Serve(l)
-	go b.beat()
+	f.tasks.Go(func() { b.srv.Serve(l) })
+	f.tasks.Go(b.beat)
 	return b, nil
 }
 
@@ -114,6 +114,21 @@
 	return nil, false
 }
 
+// deregister sends the call with which a back end leaves until it is acknowledged, and
+// ends the heartbeats. It returns the control host that acknowledged it.
+func (b *backend) deregister() (*machine, bool) {
+	b.stopOnce.Do(func() { close(b.stop) })
+	for try := range 2 * len(b.f.controls) {
+		m := b.f.controls[(b.at+try)%len(b.f.controls)]
+		status, _, err := b.f.callControl(m, http.MethodDelete, "/api/instances/"+b.id, nil)
+		if err == nil && status/100 == 2 {
+			return m, true
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+	return nil, false
+}
+
 func (b *backend) beat() {
 	for {
 		b.sendBeat()
@@ -132,8 +147,12 @@
 	w.WriteHeader(status)
 }
 
-// ServeHTTP implements http.Handler as the page describes a back end.
+// ServeHTTP implements http.Handler as the page describes a back end. One that leaves
+// says so in all its answers (letter 6).
 func (b *backend) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if b.draining.Load() {
+		w.Header().Set("Server-Leaving", "1")
+	}
 	if r.URL.Path == "/health" && r.Header.Get("Tarragongauge-Request-Id") == "" {
 		w.Header().Set("Tarragongauge-Instance-Id", b.id)
 		if b.draining.Load() {
@@ -177,15 +196,3 @@
 	}
 	io.Copy(w, bytes.NewReader(answer))
 }
-
-// loseAnswer closes the connection of a request without an answer.
-func loseAnswer(w http.ResponseWriter, reset bool) {
-	conn, _, err := w.(http.Hijacker).Hijack()
-	if err != nil {
-		return
-	}
-	if tcp, ok := conn.(*net.TCPConn); ok && reset {
-		tcp.SetLinger(0)
-	}
-	conn.Close()
-}
