review: drop a call that no case uses

The stand-in of a back end could leave by DELETE. The case on foreign heartbeats lets all its back ends leave by a heartbeat that says draining.

--- a/review/rig-2/server.go
+++ b/review/rig-2/server.go
@@ -114,21 +114,6 @@
 	return nil, false
 }
 
-// deregister sends the call with which a back end leaves until it is acknowledged, and
-// ends the heartbeats. It returns the control host that acknowledged it.
-func (b *backend) deregister() (*machine, bool) {
-	b.stopOnce.Do(func() { close(b.stop) })
-	for try := range 2 * len(b.f.controls) {
-		m := b.f.controls[(b.at+try)%len(b.f.controls)]
-		status, _, err := b.f.callControl(m, http.MethodDelete, "/api/instances/"+b.id, nil)
-		if err == nil && status/100 == 2 {
-			return m, true
-		}
-		time.Sleep(50 * time.Millisecond)
-	}
-	return nil, false
-}
-
 func (b *backend) beat() {
 	for {
 		b.sendBeat()
