--- a/review/rig-2/main.go
+++ b/review/rig-2/main.go
@@ -7,7 +7,6 @@
 import (
 	"fmt"
 	"os"
-	"path/filepath"
 	"time"
 )
 
@@ -40,7 +39,7 @@
 
 func play() int {
 	if len(os.Args) != 3 {
-		fmt.Println("usage: rig CASE FOLDER")
+		fmt.Println("usage: review-rig-2 CASE RECORD")
 		return exitNotRun
 	}
 	name := os.Args[1]
@@ -49,7 +48,7 @@
 		fmt.Println("unknown case", name)
 		return exitNotRun
 	}
-	out, err := os.Create(filepath.Join(os.Args[2], "record.txt"))
+	out, err := os.Create(os.Args[2])
 	if err != nil {
 		fmt.Println(err)
 		return exitNotRun
