entry: a reset during an upload does not complete the answer

Callers saw: a target answered a long upload at once with a 200 without a length, sent part of the body and reset the connection while the upload was still being written. The caller got that part as a complete answer.

Cause: a socket reports a reset to one call only. While an upload is written and all buffers are full, that call is mostly the write. The read then gets a plain end, which net/http takes for the end of an answer without a length. The write returns its error to net/http at the same time, too late to matter.

Answers with a length or chunks, or cut in their head, were broken off already; their cases stay.

Change: resetConn keeps the error of each write. A read that gets a plain end ends a waiting write, waits for it, and returns its error instead unless the error is EPIPE. Linux reports EPIPE if the target had ended its side before the reset, or if a read has got the reset already; in the first case all bytes of the answer have arrived, so that it is passed on as before (TestAnswerBeforeEndOfUploadIsPassedOn).

--- a/internal/entry/target_conn.go
+++ b/internal/entry/target_conn.go
@@ -228,7 +228,7 @@
 			if err != nil {
 				return nil, err
 			}
-			return &targetConn{Conn: conn}, nil
+			return &targetConn{Conn: &resetConn{Conn: conn}}, nil
 		},
 		DisableCompression:     true,
 		MaxIdleConns:           0,
