entry: malformed header lines of an answer reach no caller

Callers saw: a target's answer in whose head the name of a field held a blank was passed on as an answer. With "Content-Length : 2" the caller got a 200 with a body that lasted until the connection ended, and with "Transfer-Encoding : chunked" the chunk sizes as part of the body.

Cause: net/http accepts a blank in a name. It keeps the line under a name that nobody looks up, so that a length is lost, and drops it when the answer is written to the caller. It also joins a line that begins with a blank to the one before, and takes a bare LF for the end of a line. The same holds for trailers and for heads with status 1xx.

Change: targetConn checks the header lines, chunks and trailer of each answer as the bytes arrive, by the same rules as for callers' requests. On the first malformed line it ends the connection before net/http gets that part, and the attempt counts as an invalid answer: 502 with an unknown outcome for an order, a retry for a request that may be repeated. Folded lines are refused as well, as RFC 9112, section 5.2, allows.

--- /dev/null
+++ b/internal/entry/answer_check.go
@@ -0,0 +1,157 @@
+package entry
+
+import (
+	"bytes"
+	"errors"
+	"net/http"
+	"strings"
+)
+
+var (
+	errAnswerField   = errors.New("a header line of the answer is malformed or folded; send each header as one line \"Name: value\"")
+	errAnswerLine    = errors.New("a line of the answer's head is too long or does not end with CR LF")
+	errAnswerTrailer = errors.New("the header Trailer of the answer lists a malformed name")
+	errAnswerChunk   = errors.New("the chunks or the trailer of the answer are malformed")
+)
+
+// answerPart is the part of an answer that an answerChecker expects next.
+type answerPart int
+
+const (
+	answerStatusLine answerPart = iota
+	answerFields
+	// answerChunks is a chunked body and its trailer.
+	answerChunks
+	// answerUnchecked is everything after the checked parts of an answer.
+	answerUnchecked
+)
+
+// answerChecker checks the head, the chunks and the trailer of a target's answer as
+// its bytes arrive. net/http alone accepts names with blanks and drops or passes on
+// their lines, so that a Content-Length can be lost, and joins folded lines.
+type answerChecker struct {
+	// limit bounds a line, and all lines of a trailer together, in bytes.
+	limit int
+	// isHead is set if the request is a HEAD, whose answer has no body.
+	isHead bool
+	part   answerPart
+	head   answerHead
+	chunks framer
+	// partial holds the part of a line whose end has not arrived.
+	partial []byte
+}
+
+// begin starts the check of the answer to another request.
+func (c *answerChecker) begin(isHead bool) {
+	c.isHead, c.part, c.head, c.partial = isHead, answerStatusLine, answerHead{}, nil
+}
+
+// check checks the next bytes of the answer. After an error, the rest of the answer
+// cannot be checked.
+func (c *answerChecker) check(in []byte) error {
+	if len(c.partial) > 0 {
+		in = append(c.partial, in...)
+	}
+	for len(in) > 0 && c.part != answerUnchecked {
+		n, err := c.consume(in)
+		if err != nil {
+			return err
+		}
+		if n == 0 {
+			c.partial = bytes.Clone(in)
+			return nil
+		}
+		in = in[n:]
+	}
+	c.partial = nil
+	return nil
+}
+
+// consume checks one element at the start of in and returns its length, or 0 if in
+// holds no complete element.
+func (c *answerChecker) consume(in []byte) (int, error) {
+	if c.part == answerChunks {
+		return c.consumeChunk(in)
+	}
+	line, n, err := completeLine(in, c.limit)
+	switch {
+	case err != nil:
+		return 0, errAnswerLine
+	case n == 0:
+		return 0, nil
+	case c.part == answerStatusLine:
+		c.part = answerFields
+		c.head.setStatusLine(line)
+		return n, nil
+	case len(line) == 0:
+		c.endHead()
+		return n, nil
+	default:
+		return n, c.head.addField(line)
+	}
+}
+
+// consumeChunk checks one element of a chunked body or one line of its trailer.
+func (c *answerChecker) consumeChunk(in []byte) (int, error) {
+	n, _, err := c.chunks.consume(in)
+	if err != nil {
+		return 0, errAnswerChunk
+	}
+	if n > 0 && c.chunks.part == partHeader {
+		c.part = answerUnchecked
+	}
+	return n, nil
+}
+
+// endHead sets the part that follows a complete head.
+func (c *answerChecker) endHead() {
+	h := c.head
+	c.head = answerHead{}
+	switch {
+	case h.isInformational():
+		c.part = answerStatusLine
+	case h.isChunked && !c.isHead && h.status != http.StatusNotModified:
+		c.part, c.chunks = answerChunks, framer{part: partChunkSize, limit: c.limit}
+	default:
+		c.part = answerUnchecked
+	}
+}
+
+// answerHead is what the lines of an answer's head say about its framing.
+type answerHead struct {
+	status    int
+	isChunked bool
+}
+
+// setStatusLine keeps the status of a status line, which net/http checks.
+func (h *answerHead) setStatusLine(line []byte) {
+	_, rest, _ := strings.Cut(string(line), " ")
+	digits, _, _ := strings.Cut(strings.TrimLeft(rest, " "), " ")
+	if status, ok := parseDigits(digits, 10); ok {
+		h.status = int(status)
+	}
+}
+
+// addField checks a header line and keeps what it says about the framing.
+func (h *answerHead) addField(line []byte) error {
+	name, value, ok := splitField(line)
+	if !ok {
+		return errAnswerField
+	}
+	switch name {
+	case "transfer-encoding":
+		h.isChunked = true
+	case "trailer":
+		for listed := range strings.SplitSeq(value, ",") {
+			if listed = strings.Trim(listed, " \t"); listed != "" && !validToken(listed) {
+				return errAnswerTrailer
+			}
+		}
+	}
+	return nil
+}
+
+// isInformational reports whether another head follows this one.
+func (h answerHead) isInformational() bool {
+	return h.status >= http.StatusContinue && h.status < http.StatusOK && h.status != http.StatusSwitchingProtocols
+}
--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -52,6 +52,8 @@
 type connTrace struct {
 	mu   sync.Mutex
 	conn *targetConn
+	// isHead is set if the request is a HEAD.
+	isHead bool
 	// generation is the number of this request on conn.
 	generation uint64
 	// firstByteAt is when the first byte of the request was sent, as far as known.
@@ -72,7 +74,7 @@
 	if !ok {
 		return
 	}
-	gen, ok := conn.beginRequest(info.Reused)
+	gen, ok := conn.beginRequest(info.Reused, t.isHead)
 	if !ok {
 		conn.abort()
 	}
@@ -123,6 +125,16 @@
 	return t.conn.abort(), t.answered
 }
 
+// answerError returns why the answer is malformed, or nil.
+func (t *connTrace) answerError() error {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.conn == nil {
+		return nil
+	}
+	return t.conn.answerError()
+}
+
 // release marks the end of a complete answer, after which net/http may reuse the connection.
 func (t *connTrace) release() {
 	t.mu.Lock()
@@ -150,7 +162,7 @@
 	// As long as nothing was sent, another connection is tried. The pool holds at
 	// most MaxTargetConns idle ones, so that the last try opens a new one.
 	for range c.s.limits.MaxTargetConns + 1 {
-		a.trace, a.end, a.err = &connTrace{}, 0, nil
+		a.trace, a.end, a.err = &connTrace{isHead: c.r.Method == http.MethodHead}, 0, nil
 		a.roundTrip(ctx, c)
 		if a.end != model.AttemptNotSent || !a.trace.wasReused() || ctx.Err() != nil {
 			break
@@ -185,6 +197,10 @@
 	sent, answered := a.trace.abort()
 	a.maybeSent = a.maybeSent || sent
 	a.err = err
+	malformed := a.trace.answerError()
+	if malformed != nil {
+		a.err = malformed // net/http may report only that the connection was closed.
+	}
 	a.setLatency()
 	cause := context.Cause(ctx)
 	switch {
@@ -194,7 +210,7 @@
 		a.end = model.AttemptCanceled
 	case !a.maybeSent:
 		a.end = model.AttemptNotSent
-	case answered && (!isConnectionError(err) || a.res == nil && a.trace.endedInformational()):
+	case malformed != nil, answered && (!isConnectionError(err) || a.res == nil && a.trace.endedInformational()):
 		a.end = model.AttemptInvalid
 	default:
 		a.end = model.AttemptBroken
--- a/internal/entry/invalid_status_test.go
+++ b/internal/entry/invalid_status_test.go
@@ -63,24 +63,31 @@
 			}
 			t.Run(fmt.Sprint(name, " kept open ", keep), func(t *testing.T) {
 				t.Parallel()
-				h := newHost(t)
-				arrived := h.statusLineTarget(t, head, keep)
-				good := h.addStubTarget(t, stub.Behavior{})
-				order, err := h.do(h.newRequest(t, "POST", "/order/x", "b"))
-				require.NoError(t, err, "the caller must get a response")
-				require.Equal(t, "502 unknown", fmt.Sprint(order.StatusCode, " ", order.outcome()))
-				require.Empty(t, good.Journal(), "an order that may have run must not run again")
-				require.EqualValues(t, 1, arrived.Load())
-				lookup, err := h.do(h.newRequest(t, "GET", "/lookup/x", ""))
-				require.NoError(t, err, "the caller must get a response")
-				require.Equal(t, "200 ran", fmt.Sprint(lookup.StatusCode, " ", lookup.outcome()))
-				require.Len(t, good.Journal(), 1)
-				require.Equal(t, []model.AttemptEnd{model.AttemptInvalid, model.AttemptInvalid, model.AttemptOK}, attemptEnds(h.fake))
+				requireNotPassedOn(t, newHost(t), head, keep)
 			})
 		}
 	}
 }
 
+// requireNotPassedOn checks that the host passes on no answer of a target that answers
+// with head, as statusLineTarget does: an order ends with 502 and is not sent again, a
+// lookup is answered by another target.
+func requireNotPassedOn(t *testing.T, h *testHost, head string, keep bool) {
+	t.Helper()
+	arrived := h.statusLineTarget(t, head, keep)
+	good := h.addStubTarget(t, stub.Behavior{})
+	order, err := h.do(h.newRequest(t, "POST", "/order/x", "b"))
+	require.NoError(t, err, "the caller must get a response")
+	require.Equal(t, "502 unknown", fmt.Sprint(order.StatusCode, " ", order.outcome()))
+	require.Empty(t, good.Journal(), "an order that may have run must not run again")
+	require.EqualValues(t, 1, arrived.Load())
+	lookup, err := h.do(h.newRequest(t, "GET", "/lookup/x", ""))
+	require.NoError(t, err, "the caller must get a response")
+	require.Equal(t, "200 ran", fmt.Sprint(lookup.StatusCode, " ", lookup.outcome()))
+	require.Len(t, good.Journal(), 1)
+	require.Equal(t, []model.AttemptEnd{model.AttemptInvalid, model.AttemptInvalid, model.AttemptOK}, attemptEnds(h.fake))
+}
+
 // manyInformational returns more informational responses than any target sends.
 func manyInformational() string {
 	out := ""
--- a/internal/entry/target_conn.go
+++ b/internal/entry/target_conn.go
@@ -28,7 +28,8 @@
 
 // targetConn is a connection to a target. It proves whether a byte of a request
 // was sent, which decides whether the request may be retried, and it detects stray
-// bytes, which arrive while no request is open. It serves one request at a time.
+// bytes, which arrive while no request is open, and malformed answers. It serves one
+// request at a time.
 type targetConn struct {
 	net.Conn
 
@@ -45,15 +46,25 @@
 	// reading is set while net/http waits for input, which it does only when it has
 	// processed all earlier input.
 	reading bool
+	// answer checks the answer to the current request.
+	answer answerChecker
+	// answerErr is why that answer is malformed, or nil.
+	answerErr error
+}
+
+// newTargetConn returns a connection to a target whose answers may have a header of
+// up to maxHeader bytes.
+func newTargetConn(conn net.Conn, maxHeader int) *targetConn {
+	return &targetConn{Conn: &resetConn{Conn: conn}, answer: answerChecker{limit: maxHeader}}
 }
 
 // beginRequest starts a request and returns its number on the connection. It
 // returns false if the connection cannot take one, because it was aborted or, when
 // reused, has input left from an earlier request. That input would be taken for
 // the answer.
-func (c *targetConn) beginRequest(reused bool) (uint64, bool) {
+func (c *targetConn) beginRequest(reused, isHead bool) (uint64, bool) {
 	for end := time.Now().Add(settleTimeout); ; time.Sleep(settlePollInterval) {
-		gen, state := c.tryBeginRequest(reused)
+		gen, state := c.tryBeginRequest(reused, isHead)
 		if state != connUnsettled {
 			return gen, state == connReady
 		}
@@ -76,7 +87,7 @@
 )
 
 // tryBeginRequest starts a request if the connection is ready for one.
-func (c *targetConn) tryBeginRequest(reused bool) (uint64, connState) {
+func (c *targetConn) tryBeginRequest(reused, isHead bool) (uint64, connState) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.aborted {
@@ -88,6 +99,8 @@
 	c.generation++
 	c.requestOpen = false
 	c.firstByteAt = time.Time{}
+	c.answer.begin(isHead)
+	c.answerErr = nil
 	return c.generation, connReady
 }
 
@@ -148,25 +161,46 @@
 	return nil
 }
 
-// Read implements net.Conn. On stray bytes it aborts the connection and returns
-// errStrayInput.
+// Read implements net.Conn. On stray bytes and on bytes that make an answer malformed
+// it aborts the connection and returns none of them.
 func (c *targetConn) Read(p []byte) (int, error) {
-	c.setReading(true)
+	c.startReading()
 	n, err := c.Conn.Read(p)
-	if c.setReading(false) || n == 0 {
-		return n, err
+	if invalid := c.checkInput(p[:n]); invalid != nil {
+		c.abort()
+		return 0, invalid
+	}
+	return n, err
+}
+
+// startReading records that net/http waits for input.
+func (c *targetConn) startReading() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.reading = true
+}
+
+// checkInput ends the wait for input. It returns an error if the input answers no
+// request or makes the answer malformed.
+func (c *targetConn) checkInput(in []byte) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.reading = false
+	if len(in) == 0 {
+		return nil
+	}
+	if !c.requestOpen || c.aborted {
+		return errStrayInput
 	}
-	c.abort()
-	return 0, errStrayInput
+	c.answerErr = c.answer.check(in)
+	return c.answerErr
 }
 
-// setReading sets whether net/http waits for input, and reports whether a request
-// is open, so that input is expected.
-func (c *targetConn) setReading(on bool) bool {
+// answerError returns why the answer to the current request is malformed, or nil.
+func (c *targetConn) answerError() error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.reading = on
-	return c.requestOpen && !c.aborted
+	return c.answerErr
 }
 
 // transports holds the transport to targets that is in use and earlier ones, which
@@ -228,7 +262,7 @@
 			if err != nil {
 				return nil, err
 			}
-			return &targetConn{Conn: &resetConn{Conn: conn}}, nil
+			return newTargetConn(conn, l.MaxHeader), nil
 		},
 		DisableCompression:     true,
 		MaxIdleConns:           0,
