entry: refuse answers whose framing fields contradict each other

Callers would see: an answer of HTTP/1.0 with Transfer-Encoding: chunked came through with the chunk sizes as its body, and with a Content-Length besides with the first bytes of these, as a complete answer. An answer with a Content-Length and chunks lost the length; a 204 that announces a body lost the body.

Cause: net/http ignores Transfer-Encoding in HTTP/1.0, ignores Content-Length next to Transfer-Encoding, and reads no body after a 204.

Evidence: TestMalformedHeadReachesNoCaller on the code before fails in 10 of its 122 cases, in 9 of them with a success for the caller and in one with a part and a broken connection at the deadline.

Change: the checker of heads keeps the version, the status and the framing fields, and refuses the head if they contradict each other. Content-Length: 0 with 204 stays valid.

Result: the cases pass, and so does TestWellFormedHeadsReachTheCaller.

--- a/internal/entry/answer_check.go
+++ b/internal/entry/answer_check.go
@@ -11,6 +11,7 @@
 	errAnswerField   = errors.New("a header line of the answer is malformed or folded; send each header as one line \"Name: value\"")
 	errAnswerLine    = errors.New("a line of the answer's head is too long or does not end with CR LF")
 	errAnswerTrailer = errors.New("the header Trailer of the answer lists a malformed name")
+	errAnswerFraming = errors.New("the answer's head has contradicting fields on the length of its body; send only one of Content-Length and Transfer-Encoding, and neither with status 204")
 	errAnswerChunk   = errors.New("the chunks or the trailer of the answer are malformed")
 )
 
@@ -28,7 +29,8 @@
 
 // answerChecker checks the head, the chunks and the trailer of a target's answer as
 // its bytes arrive. net/http alone accepts names with blanks and drops or passes on
-// their lines, so that a Content-Length can be lost, and joins folded lines.
+// their lines, so that a Content-Length can be lost. It joins folded lines, and
+// ignores Transfer-Encoding in HTTP/1.0 and Content-Length next to Transfer-Encoding.
 type answerChecker struct {
 	// limit bounds a line, and all lines of a trailer together, in bytes.
 	limit int
@@ -84,8 +86,7 @@
 		c.head.setStatusLine(line)
 		return n, nil
 	case len(line) == 0:
-		c.endHead()
-		return n, nil
+		return n, c.endHead()
 	default:
 		return n, c.head.addField(line)
 	}
@@ -103,29 +104,37 @@
 	return n, nil
 }
 
-// endHead sets the part that follows a complete head.
-func (c *answerChecker) endHead() {
+// endHead checks a complete head and sets the part that follows.
+func (c *answerChecker) endHead() error {
 	h := c.head
 	c.head = answerHead{}
 	switch {
 	case h.isInformational():
 		c.part = answerStatusLine
+	case h.contradictsItself():
+		return errAnswerFraming
 	case h.isChunked && !c.isHead && h.status != http.StatusNotModified:
 		c.part, c.chunks = answerChunks, framer{part: partChunkSize, limit: c.limit}
 	default:
 		c.part = answerUnchecked
 	}
+	return nil
 }
 
 // answerHead is what the lines of an answer's head say about its framing.
 type answerHead struct {
 	status    int
+	isHTTP10  bool
 	isChunked bool
+	// hasLength is set if the head has Content-Length, length holds its value.
+	hasLength bool
+	length    string
 }
 
-// setStatusLine keeps the status of a status line, which net/http checks.
+// setStatusLine keeps the version and the status of a status line, which net/http checks.
 func (h *answerHead) setStatusLine(line []byte) {
-	_, rest, _ := strings.Cut(string(line), " ")
+	version, rest, _ := strings.Cut(string(line), " ")
+	h.isHTTP10 = version == "HTTP/1.0"
 	digits, _, _ := strings.Cut(strings.TrimLeft(rest, " "), " ")
 	if status, ok := parseDigits(digits, 10); ok {
 		h.status = int(status)
@@ -139,6 +148,8 @@
 		return errAnswerField
 	}
 	switch name {
+	case "content-length":
+		h.hasLength, h.length = true, value
 	case "transfer-encoding":
 		h.isChunked = true
 	case "trailer":
@@ -155,3 +166,15 @@
 func (h answerHead) isInformational() bool {
 	return h.status >= http.StatusContinue && h.status < http.StatusOK && h.status != http.StatusSwitchingProtocols
 }
+
+// contradictsItself reports whether the head leaves open where the body ends.
+func (h answerHead) contradictsItself() bool {
+	switch {
+	case h.isChunked:
+		return h.hasLength || h.isHTTP10 || h.status == http.StatusNoContent
+	case h.status == http.StatusNoContent:
+		return h.hasLength && h.length != "0"
+	default:
+		return false
+	}
+}
--- a/internal/entry/answer_head_test.go
+++ b/internal/entry/answer_head_test.go
@@ -32,14 +32,22 @@
 	}
 }
 
-// malformedHeads returns answers whose head net/http alone would take in part.
+// malformedHeads returns answers whose head net/http alone would take in part, or
+// whose framing contradicts itself.
 func malformedHeads() map[string]string {
 	heads := map[string]string{
 		"blank after the length's name": answerStart + "Content-Length : 2\r\n\r\nok", "blank in the length's name": answerStart + "Content Length: 2\r\n\r\nok",
 		"blank after the encoding's name": answerStart + "Transfer-Encoding : chunked\r\n\r\n" + chunkedOK + "\r\n",
 		"blank before the length's name":  answerStart + "X-A: b\r\n Content-Length: 2\r\n\r\nok",
+		"length and chunks":               answerStart + lengthOfTwo + isChunked + "\r\n" + chunkedOK + "\r\n",
+		"chunks in HTTP/1.0":              "HTTP/1.0" + answerStart[8:] + isChunked + "\r\n" + chunkedOK + "\r\n",
+		"chunks and length in HTTP/1.0":   "HTTP/1.0" + answerStart[8:] + lengthOfTwo + isChunked + "\r\n" + chunkedOK + "\r\n",
+		"204 with a length":               "HTTP/1.1 204 x" + answerStart[15:] + lengthOfTwo + "\r\nok",
+		"204 with chunks":                 "HTTP/1.1 204 x" + answerStart[15:] + isChunked + "\r\n" + chunkedOK + "\r\n",
 		"blank in a listed trailer":       answerStart + isChunked + "Trailer: X-A, X B\r\n\r\n" + chunkedOK + "\r\n",
 		"blank in an informational head":  "HTTP/1.1 103 x\r\nX A: b\r\n\r\n" + answerStart + lengthOfTwo + "\r\nok",
+		"lengths that differ":             answerStart + lengthOfTwo + "Content-Length: 3\r\n\r\nok",
+		"length with a sign":              answerStart + "Content-Length: +2\r\n\r\nok",
 	}
 	for name, line := range malformedLines() {
 		heads[name] = answerStart + line + "\r\n" + lengthOfTwo + "\r\nok"
