entry: refuse answers with a malformed status line

Callers would see: a target's answer whose status line has another version of HTTP, a second blank before the status, or a control byte in its reason, was passed on as an answer.

Cause: net/http checks only that three characters form a number. It accepts any version, skips blanks, and does not look at the reason. Statuses such as 000 were refused before by their number (isFinalStatus) and still are; their cases stay as they were.

Change: the checker of heads accepts HTTP/1.0 and HTTP/1.1, one blank, three digits, and a reason without control characters, which may be missing.

Result: all 63 cases pass, and TestValidStatusesReachTheCaller does.

--- a/internal/entry/answer_check.go
+++ b/internal/entry/answer_check.go
@@ -8,11 +8,12 @@
 )
 
 var (
-	errAnswerField   = errors.New("a header line of the answer is malformed or folded; send each header as one line \"Name: value\"")
-	errAnswerLine    = errors.New("a line of the answer's head is too long or does not end with CR LF")
-	errAnswerTrailer = errors.New("the header Trailer of the answer lists a malformed name")
-	errAnswerFraming = errors.New("the answer's head has contradicting fields on the length of its body; send only one of Content-Length and Transfer-Encoding, and neither with status 204")
-	errAnswerChunk   = errors.New("the chunks or the trailer of the answer are malformed")
+	errAnswerStatusLine = errors.New("the status line of the answer is malformed; send HTTP/1.0 or HTTP/1.1, a status of three digits and a reason without control characters, separated by single spaces")
+	errAnswerField      = errors.New("a header line of the answer is malformed or folded; send each header as one line \"Name: value\"")
+	errAnswerLine       = errors.New("a line of the answer's head is too long or does not end with CR LF")
+	errAnswerTrailer    = errors.New("the header Trailer of the answer lists a malformed name")
+	errAnswerFraming    = errors.New("the answer's head has contradicting fields on the length of its body; send only one of Content-Length and Transfer-Encoding, and neither with status 204")
+	errAnswerChunk      = errors.New("the chunks or the trailer of the answer are malformed")
 )
 
 // answerPart is the part of an answer that an answerChecker expects next.
@@ -29,8 +30,9 @@
 
 // answerChecker checks the head, the chunks and the trailer of a target's answer as
 // its bytes arrive. net/http alone accepts names with blanks and drops or passes on
-// their lines, so that a Content-Length can be lost. It joins folded lines, and
-// ignores Transfer-Encoding in HTTP/1.0 and Content-Length next to Transfer-Encoding.
+// their lines, so that a Content-Length can be lost. It joins folded lines, accepts
+// any version of HTTP, and ignores Transfer-Encoding in HTTP/1.0 and Content-Length
+// next to Transfer-Encoding.
 type answerChecker struct {
 	// limit bounds a line, and all lines of a trailer together, in bytes.
 	limit int
@@ -83,8 +85,7 @@
 		return 0, nil
 	case c.part == answerStatusLine:
 		c.part = answerFields
-		c.head.setStatusLine(line)
-		return n, nil
+		return n, c.head.setStatusLine(line)
 	case len(line) == 0:
 		return n, c.endHead()
 	default:
@@ -131,14 +132,20 @@
 	length    string
 }
 
-// setStatusLine keeps the version and the status of a status line, which net/http checks.
-func (h *answerHead) setStatusLine(line []byte) {
-	version, rest, _ := strings.Cut(string(line), " ")
-	h.isHTTP10 = version == "HTTP/1.0"
-	digits, _, _ := strings.Cut(strings.TrimLeft(rest, " "), " ")
-	if status, ok := parseDigits(digits, 10); ok {
-		h.status = int(status)
+// setStatusLine checks a status line and keeps its version and status.
+func (h *answerHead) setStatusLine(line []byte) error {
+	minor, rest, ok := bytes.Cut(line, []byte(" "))
+	h.isHTTP10 = string(minor) == "HTTP/1.0"
+	if !ok || !h.isHTTP10 && string(minor) != "HTTP/1.1" {
+		return errAnswerStatusLine
 	}
+	digits, reason, _ := strings.Cut(string(rest), " ")
+	status, ok := parseDigits(digits, 10)
+	if !ok || len(digits) != 3 || !validValue(reason) {
+		return errAnswerStatusLine
+	}
+	h.status = int(status)
+	return nil
 }
 
 // addField checks a header line and keeps what it says about the framing.
--- a/internal/entry/invalid_status_test.go
+++ b/internal/entry/invalid_status_test.go
@@ -50,6 +50,9 @@
 		"one digit": "HTTP/1.1 2 x" + rest, "two digits": "HTTP/1.1 20 x" + rest, "four digits": "HTTP/1.1 2000 x" + rest,
 		"plus": "HTTP/1.1 +20 x" + rest, "plus and zeros": "HTTP/1.1 +00 x" + rest, "minus zero": "HTTP/1.1 -00 x" + rest,
 		"letters": "HTTP/1.1 abc x" + rest, "no status": "HTTP/1.1 " + rest, "200 with a tab": "HTTP/1.1 200\tOK" + rest,
+		"two blanks": "HTTP/1.1  200 OK" + rest, "HTTP/0.9": "HTTP/0.9 200 OK" + rest, "HTTP/2.0": "HTTP/2.0 200 OK" + rest,
+		"lower case": "http/1.1 200 OK" + rest, "leading blank": " HTTP/1.1 200 OK" + rest, "empty line": "\r\nHTTP/1.1 200 OK" + rest,
+		"control byte in the reason": "HTTP/1.1 200 O\x00K" + rest, "CR in the reason": "HTTP/1.1 200 O\rK" + rest, "bare LF": "HTTP/1.1 200 OK" + rest[1:],
 		"informational with a body": "HTTP/1.1 199 x" + rest, "informational, then the end": "HTTP/1.1 150 x\r\nX-Request-Id: %s\r\n\r\n",
 		"informational without end": "HTTP/1.1 103 x\r\nX-Request-Id: %s\r\n\r\n" + manyInformational(),
 	}
