node: a health check fails on a malformed answer

Seen: a target whose answers to health checks had a malformed head counted as healthy, so that the entry hosts sent it requests, whose answers they refuse if they are malformed in the same way.

Cause: as for callers' requests, net/http takes more than HTTP allows.

Evidence: TestProbesFailOnMalformedAnswers on the code before: 9 of the 11 malformed answers passed the check. A status 000 and a control byte in a name failed it already.

Change: the connections of health checks use the checker of the entry package.

Result: all 11 fail the check, and five well-formed answers pass it, among them one without a length and one of HTTP/1.0.

--- a/internal/node/probe.go
+++ b/internal/node/probe.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"net"
 	"net/http"
 	"time"
 
@@ -88,9 +89,16 @@
 }
 
 // newProbeClient returns a client without cookies, redirects, decompression and
-// HTTP proxies.
+// HTTP proxies. A malformed answer is an error.
 func newProbeClient() *resty.Client {
 	transport := &http.Transport{
+		DialContext: func(ctx context.Context, network, addr string) (net.Conn, error) {
+			conn, err := (&net.Dialer{}).DialContext(ctx, network, addr)
+			if err != nil {
+				return nil, err
+			}
+			return entry.NewCheckedConn(conn, maxProbeHeader), nil
+		},
 		DisableCompression:     true,
 		MaxIdleConnsPerHost:    1,
 		IdleConnTimeout:        probeIdleTimeout,
--- a/internal/node/probe_answer_test.go
+++ b/internal/node/probe_answer_test.go
@@ -187,3 +187,30 @@
 	ok, _ := p.get("http://" + cut)
 	require.False(t, ok)
 }
+
+// Guards against a health check that takes a malformed answer for a healthy one: the
+// entry hosts refuse such answers, so that the target can serve no caller.
+func TestProbesFailOnMalformedAnswers(t *testing.T) {
+	const ok = "HTTP/1.1 200 OK\r\n"
+	healthy := map[string]string{
+		"length": ok + "Content-Length: 2\r\n\r\nok", "chunks": ok + "Transfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n",
+		"no length": ok + "\r\nok", "HTTP/1.0": "HTTP/1.0 200 OK\r\n\r\nok", "no reason": "HTTP/1.1 200\r\nContent-Length: 0\r\n\r\n",
+	}
+	malformed := map[string]string{
+		"status": "HTTP/1.1 000 x\r\nContent-Length: 0\r\n\r\n", "version": "HTTP/2.0 200 OK\r\nContent-Length: 0\r\n\r\n",
+		"two blanks in the status line": "HTTP/1.1  200 OK\r\nContent-Length: 0\r\n\r\n", "control byte in the reason": "HTTP/1.1 200 \x00\r\nContent-Length: 0\r\n\r\n",
+		"blank in a name": ok + "X A: b\r\nContent-Length: 0\r\n\r\n", "blank after a name": ok + "Content-Length : 0\r\n\r\n", "control byte in a name": ok + "X\x00A: b\r\n\r\n",
+		"folded line": ok + "X-A: b\r\n Content-Length: 0\r\n\r\n", "length and chunks": ok + "Content-Length: 2\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n",
+		"chunks in HTTP/1.0": "HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n",
+		"blank in a trailer": ok + "Transfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\nX A: b\r\n\r\n",
+	}
+	probe := func(text string) int {
+		return probeAll(t, startRawTarget(t, func(c net.Conn) { _, _ = c.Write([]byte(text)) }), 1)
+	}
+	for name, text := range healthy {
+		t.Run(name, func(t *testing.T) { require.Equal(t, 1, probe(text)) })
+	}
+	for name, text := range malformed {
+		t.Run(name, func(t *testing.T) { require.Zero(t, probe(text)) })
+	}
+}
