entry: net/http resends no request with X-Idempotency-Key

Callers saw: an order without a body and with the header X-Idempotency-Key ran twice when its target reset a kept connection before the head of the answer.

Cause: net/http resends a POST, PUT or PATCH without a body by itself if the connection was reused, broke before the first byte of the answer, and the request has Idempotency-Key or X-Idempotency-Key in canonical case. Only the first was renamed.

Change: both headers are sent to targets in lower case.

--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -11,6 +11,7 @@
 	"net/textproto"
 	"net/url"
 	"strconv"
+	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -400,10 +401,12 @@
 	if _, ok := h["User-Agent"]; !ok {
 		h["User-Agent"] = nil // keeps net/http from adding its own
 	}
-	if key, ok := h[headerOrderKey]; ok {
-		// net/http resends requests that have this header in its canonical case.
-		delete(h, headerOrderKey)
-		h["idempotency-key"] = key
+	for _, name := range []string{headerOrderKey, headerOtherOrderKey} {
+		if key, ok := h[name]; ok {
+			// net/http resends requests that have this header in its canonical case.
+			delete(h, name)
+			h[strings.ToLower(name)] = key
+		}
 	}
 	c.body.attachTo(out, c.filter)
 	return out
--- a/internal/entry/error.go
+++ b/internal/entry/error.go
@@ -64,6 +64,8 @@
 	headerAPIKey    = "X-Api-Key"
 	headerOrderKey  = "Idempotency-Key"
 	headerReplayed  = "Idempotency-Replayed"
+	// headerOtherOrderKey is forwarded like other headers and has no meaning here.
+	headerOtherOrderKey = "X-Idempotency-Key"
 )
 
 // minRetryAfter is the shortest time sent in Retry-After. It covers a new
--- a/internal/entry/forward_test.go
+++ b/internal/entry/forward_test.go
@@ -176,15 +176,20 @@
 // TestTransportNeverResends guards against a request that runs twice because
 // net/http resends it by itself after an idle connection broke.
 func TestTransportNeverResends(t *testing.T) {
-	for _, c := range []struct{ method, path, body string }{
-		{"GET", "/order/x", ""},
-		{"OPTIONS", "/order/x", ""},
-		{"POST", "/order/x", ""},
-		{"POST", "/order/x", "body"},
-		{"DELETE", "/order/x", ""},
-		{"POST", "/strict/x", ""},
+	const key, otherKey = "Idempotency-Key", "X-Idempotency-Key"
+	for _, c := range []struct{ method, path, body, header string }{
+		{"GET", "/order/x", "", key},
+		{"OPTIONS", "/order/x", "", key},
+		{"POST", "/order/x", "", key},
+		{"POST", "/order/x", "body", key},
+		{"DELETE", "/order/x", "", key},
+		{"POST", "/strict/x", "", key},
+		{"GET", "/order/x", "", otherKey},
+		{"POST", "/order/x", "", otherKey},
+		{"PUT", "/order/x", "", otherKey},
+		{"POST", "/order/x", "body", otherKey},
 	} {
-		t.Run(c.method+" "+c.path+" "+c.body, func(t *testing.T) {
+		t.Run(c.method+" "+c.path+" "+c.body+" "+c.header, func(t *testing.T) {
 			t.Parallel()
 			h := newHost(t)
 			var seen atomic.Int32
@@ -205,7 +210,7 @@
 				}
 			})
 			require.Equal(t, 200, h.mustDo(t, "GET", "/lookup/warm", "").StatusCode)
-			a := h.mustDo(t, c.method, c.path, c.body, "Idempotency-Key", "o-1")
+			a := h.mustDo(t, c.method, c.path, c.body, c.header, "o-1")
 			require.Equal(t, "unknown", a.outcome())
 			require.EqualValues(t, 1, seen.Load())
 		})
