client: a broken answer of a control host is no result

Operators would see: a change that a control host answered with an invalid status was reported as a fault, that is as not accepted, although it may be accepted; and a cut or foreign answer to "quarantine clear" was reported as a success.

Cause: parseFault takes the body of any answer with a field "kind" for a fault, and a result has such a field. ClearQuarantine takes any status from 200 to 299 for a success, although a control host sends 204, which has no body that could be cut.

Change: a fault must be of a known kind and have the status of its kind, and each request knows the status of its success. Everything else counts as internal: the next host is asked, and the result of a change stays unknown.

--- a/pkg/client/client.go
+++ b/pkg/client/client.go
@@ -153,13 +153,13 @@
 
 // Burn returns the service-level counters as the JSON that the control host sent.
 func (c *Client) Burn(ctx context.Context) ([]byte, error) {
-	return c.request(ctx, http.MethodGet, opsapi.PathBurn, nil)
+	return c.request(ctx, http.MethodGet, opsapi.PathBurn, nil, http.StatusOK)
 }
 
 // ClearQuarantine lets requests of a workspace run again that are quarantined by a
 // service because they crashed its targets.
 func (c *Client) ClearQuarantine(ctx context.Context, service model.ServiceName, ws model.WorkspaceID) error {
-	_, err := c.request(ctx, http.MethodPost, opsapi.PathQuarantine, opsapi.QuarantineClear{Service: string(service), Workspace: string(ws)})
+	_, err := c.request(ctx, http.MethodPost, opsapi.PathQuarantine, opsapi.QuarantineClear{Service: string(service), Workspace: string(ws)}, http.StatusNoContent)
 	return err
 }
 
@@ -185,7 +185,7 @@
 }
 
 func (c *Client) getJSON(ctx context.Context, path string, v any) error {
-	data, err := c.request(ctx, http.MethodGet, path, nil)
+	data, err := c.request(ctx, http.MethodGet, path, nil, http.StatusOK)
 	if err != nil {
 		return err
 	}
@@ -196,15 +196,15 @@
 }
 
 // request sends an idempotent request to one host after the other until one
-// answers, and returns the body of the response.
-func (c *Client) request(ctx context.Context, method, path string, body any) ([]byte, error) {
+// answers with the status want, and returns the body of the response.
+func (c *Client) request(ctx context.Context, method, path string, body any, want int) ([]byte, error) {
 	var data []byte
 	err := c.tryHosts(ctx, func(a Address) (decision, error) {
 		resp, err := c.send(ctx, a, method, path, body)
 		if err != nil {
 			return decision{retry: true}, err
 		}
-		if resp.IsSuccess() {
+		if resp.StatusCode() == want {
 			data = resp.Body()
 			return decision{}, nil
 		}
@@ -224,10 +224,11 @@
 }
 
 // parseFault returns the ErrFault of a response that is not a success, and whether
-// to try another host. A response without a fault in its body counts as internal.
+// to try another host. A response without a fault in its body, or with another status
+// than that of the fault, counts as internal.
 func parseFault(a Address, resp *resty.Response) (decision, error) {
 	f := ErrFault{Host: a.Host}
-	if err := json.Unmarshal(resp.Body(), &f.Fault); err != nil || f.Fault.Kind == "" {
+	if err := json.Unmarshal(resp.Body(), &f.Fault); err != nil || !f.Fault.Kind.IsValid() || f.Fault.Kind.Status() != resp.StatusCode() {
 		f.Fault = opsapi.Fault{Kind: opsapi.FaultInternal, Message: fmt.Sprintf("HTTP status %d; check that the address belongs to a control host, and set [tls] authority_file if that host uses TLS", resp.StatusCode())}
 	}
 	retry := isFault(f, opsapi.FaultNotLeader, opsapi.FaultUnavailable, opsapi.FaultInternal)
--- a/pkg/opsapi/opsapi.go
+++ b/pkg/opsapi/opsapi.go
@@ -62,6 +62,16 @@
 	FaultInternal    FaultKind = "internal"
 )
 
+// IsValid reports whether k is one of the constants.
+func (k FaultKind) IsValid() bool {
+	switch k {
+	case FaultUnauthorized, FaultRateLimited, FaultMalformed, FaultTooLong, FaultNotFound, FaultNotLeader, FaultUnavailable, FaultInternal:
+		return true
+	default:
+		return false
+	}
+}
+
 // Status returns the HTTP status code of a response with the fault.
 func (k FaultKind) Status() int {
 	switch k {
