entry: check the names of header fields without a call per rune

Change: validToken tests bytes, splitField cuts one copy. It checks the name as it was sent: before, strings.ToLower turned the Kelvin sign in a request's name into a "k". connTrace and answerChecker call the flag for HEAD noBody, since "head" means the header here.

--- a/internal/entry/answer_check.go
+++ b/internal/entry/answer_check.go
@@ -36,8 +36,8 @@
 type answerChecker struct {
 	// limit bounds a line, and all lines of a trailer together, in bytes.
 	limit int
-	// isHead is set if the request is a HEAD, whose answer has no body.
-	isHead bool
+	// noBody is set if the request is a HEAD, whose answer has no body.
+	noBody bool
 	part   answerPart
 	head   answerHead
 	chunks framer
@@ -46,8 +46,8 @@
 }
 
 // begin starts the check of the answer to another request.
-func (c *answerChecker) begin(isHead bool) {
-	c.isHead, c.part, c.head, c.partial = isHead, answerStatusLine, answerHead{}, nil
+func (c *answerChecker) begin(noBody bool) {
+	c.noBody, c.part, c.head, c.partial = noBody, answerStatusLine, answerHead{}, nil
 }
 
 // check checks the next bytes of the answer. After an error, the rest of the answer
@@ -114,7 +114,7 @@
 		c.part = answerStatusLine
 	case h.contradictsItself():
 		return errAnswerFraming
-	case h.isChunked && !c.isHead && h.status != http.StatusNotModified:
+	case h.isChunked && !c.noBody && h.status != http.StatusNotModified:
 		c.part, c.chunks = answerChunks, framer{part: partChunkSize, limit: c.limit}
 	default:
 		c.part = answerUnchecked
--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -53,8 +53,8 @@
 type connTrace struct {
 	mu   sync.Mutex
 	conn *targetConn
-	// isHead is set if the request is a HEAD.
-	isHead bool
+	// noBody is set if the request is a HEAD, whose answer has no body.
+	noBody bool
 	// generation is the number of this request on conn.
 	generation uint64
 	// firstByteAt is when the first byte of the request was sent, as far as known.
@@ -75,7 +75,7 @@
 	if !ok {
 		return
 	}
-	gen, ok := conn.beginRequest(info.Reused, t.isHead)
+	gen, ok := conn.beginRequest(info.Reused, t.noBody)
 	if !ok {
 		conn.abort()
 	}
@@ -163,7 +163,7 @@
 	// As long as nothing was sent, another connection is tried. The pool holds at
 	// most MaxTargetConns idle ones, so that the last try opens a new one.
 	for range c.s.limits.MaxTargetConns + 1 {
-		a.trace, a.end, a.err = &connTrace{isHead: c.r.Method == http.MethodHead}, 0, nil
+		a.trace, a.end, a.err = &connTrace{noBody: c.r.Method == http.MethodHead}, 0, nil
 		a.roundTrip(ctx, c)
 		if a.end != model.AttemptNotSent || !a.trace.wasReused() || ctx.Err() != nil {
 			break
--- a/internal/entry/framing.go
+++ b/internal/entry/framing.go
@@ -288,16 +288,28 @@
 
 // splitField returns a header's name in lower case and its trimmed value.
 func splitField(line []byte) (name, value string, ok bool) {
-	n, v, found := bytes.Cut(line, []byte(":"))
-	name, value = strings.ToLower(string(n)), strings.Trim(string(v), " \t")
-	return name, value, found && validToken(name) && validValue(value)
+	n, v, found := strings.Cut(string(line), ":")
+	name, value = strings.ToLower(n), strings.Trim(v, " \t")
+	return name, value, found && validToken(n) && validValue(value)
 }
 
 // validToken reports whether s is a token of RFC 9110, section 5.6.2.
 func validToken(s string) bool {
-	return s != "" && !strings.ContainsFunc(s, func(r rune) bool {
-		return r <= ' ' || r >= 0x7f || strings.ContainsRune("\"(),/:;<=>?@[\\]{}", r)
-	})
+	for _, b := range []byte(s) {
+		if !isTokenByte(b) {
+			return false
+		}
+	}
+	return s != ""
+}
+
+func isTokenByte(b byte) bool {
+	switch {
+	case 'a' <= b && b <= 'z', 'A' <= b && b <= 'Z', '0' <= b && b <= '9':
+		return true
+	default:
+		return strings.IndexByte("!#$%&'*+-.^_`|~", b) >= 0
+	}
 }
 
 // validHost reports whether s has only characters of a host and port.
--- a/internal/entry/target_conn.go
+++ b/internal/entry/target_conn.go
@@ -62,9 +62,9 @@
 // returns false if the connection cannot take one, because it was aborted or, when
 // reused, has input left from an earlier request. That input would be taken for
 // the answer.
-func (c *targetConn) beginRequest(reused, isHead bool) (uint64, bool) {
+func (c *targetConn) beginRequest(reused, noBody bool) (uint64, bool) {
 	for end := time.Now().Add(settleTimeout); ; time.Sleep(settlePollInterval) {
-		gen, state := c.tryBeginRequest(reused, isHead)
+		gen, state := c.tryBeginRequest(reused, noBody)
 		if state != connUnsettled {
 			return gen, state == connReady
 		}
@@ -87,7 +87,7 @@
 )
 
 // tryBeginRequest starts a request if the connection is ready for one.
-func (c *targetConn) tryBeginRequest(reused, isHead bool) (uint64, connState) {
+func (c *targetConn) tryBeginRequest(reused, noBody bool) (uint64, connState) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.aborted {
@@ -99,7 +99,7 @@
 	c.generation++
 	c.requestOpen = false
 	c.firstByteAt = time.Time{}
-	c.answer.begin(isHead)
+	c.answer.begin(noBody)
 	c.answerErr = nil
 	return c.generation, connReady
 }
