entry: name the version of a status line, and share the wait for ends

setStatusLine called the version "minor" and cut the line once as bytes and once as a string. Two tests waited for the ends of attempts with the same lines; both use waitForEnds now. No check, bound or expectation changes. The tests of malformed answers and of resets pass three times with the race detector.

--- a/internal/entry/answer_check.go
+++ b/internal/entry/answer_check.go
@@ -134,12 +134,12 @@
 
 // setStatusLine checks a status line and keeps its version and status.
 func (h *answerHead) setStatusLine(line []byte) error {
-	minor, rest, ok := bytes.Cut(line, []byte(" "))
-	h.isHTTP10 = string(minor) == "HTTP/1.0"
-	if !ok || !h.isHTTP10 && string(minor) != "HTTP/1.1" {
+	version, rest, ok := strings.Cut(string(line), " ")
+	h.isHTTP10 = version == "HTTP/1.0"
+	if !ok || !h.isHTTP10 && version != "HTTP/1.1" {
 		return errAnswerStatusLine
 	}
-	digits, reason, _ := strings.Cut(string(rest), " ")
+	digits, reason, _ := strings.Cut(rest, " ")
 	status, ok := parseDigits(digits, 10)
 	if !ok || len(digits) != 3 || !validValue(reason) {
 		return errAnswerStatusLine
--- a/internal/entry/answer_head_test.go
+++ b/internal/entry/answer_head_test.go
@@ -57,12 +57,18 @@
 	return heads
 }
 
-// requireEnds checks how the attempts ended. The end of a streamed answer is reported
-// after the caller has got it.
+// requireEnds checks how the attempts ended.
 func requireEnds(t *testing.T, h *testHost, want ...model.AttemptEnd) {
 	t.Helper()
-	require.Eventually(t, func() bool { return len(attemptEnds(h.fake)) >= len(want) }, time.Second, time.Millisecond)
-	require.Equal(t, want, attemptEnds(h.fake))
+	require.Equal(t, want, h.waitForEnds(t, len(want)))
+}
+
+// waitForEnds returns how the attempts ended, once there are n of them. The end of a
+// streamed answer is reported after the caller has got it.
+func (h *testHost) waitForEnds(t *testing.T, n int) []model.AttemptEnd {
+	t.Helper()
+	require.Eventually(t, func() bool { return len(attemptEnds(h.fake)) >= n }, time.Second, time.Millisecond)
+	return attemptEnds(h.fake)
 }
 
 // TestMalformedHeadReachesNoCaller guards against an answer with a malformed head or
--- a/internal/entry/answer_reset_test.go
+++ b/internal/entry/answer_reset_test.go
@@ -114,8 +114,7 @@
 						require.Equal(t, "502 unknown", fmt.Sprint(a.StatusCode, " ", a.outcome()), "got %q", a.body)
 					}
 					sent := map[bool]int{false: 1, true: 2}[kept]
-					require.Eventually(t, func() bool { return len(attemptEnds(h.fake)) >= sent }, time.Second, time.Millisecond)
-					ends := attemptEnds(h.fake)
+					ends := h.waitForEnds(t, sent)
 					require.Len(t, ends, sent, "a streamed request is sent once")
 					require.Contains(t, []model.AttemptEnd{model.AttemptBroken, model.AttemptInvalid}, ends[sent-1])
 				})
