entry: a withdrawal ends no request that is with a target

Cause: CancelKey and CancelWorkspace cancelled the requests of a withdrawn key at once, or after a second if the caller had a part of the answer or the fleet served unconfirmed.

Change: a withdrawal ends the waits of a request for its body, a token or a target, as not run, and leaves attempts alone. The evidence says until when requests in flight run.

Tests: TestChangesEndNoRequestAtATarget failed before, on key removed and workspace withdrawn. TestRequestInFlightWhenKeyIsWithdrawn stated the old rule (401 after a second, at once where silence is proved); it is replaced by that test and TestWithdrawalEndsWithRightToServe, which bounds the end from both sides. Tests that used CancelKey for a withdrawal now use WithdrawKey and expect 200 from the request that is with a target; the checks on the rest of the connection are unchanged.

--- a/internal/entry/call.go
+++ b/internal/entry/call.go
@@ -142,12 +142,12 @@
 		return err
 	}
 	defer cancel(nil)
-	if err := c.authenticate(cancel); err != nil {
+	waitCtx, endWait := c.s.stop.context(ctx, c.sendMargin())
+	defer endWait(nil)
+	if err := c.authenticate(ctx, cancel, endWait); err != nil {
 		return err
 	}
 	defer c.unregister()
-	waitCtx, release := c.s.stop.context(ctx, c.sendMargin())
-	defer release()
 	if err := c.prepare(waitCtx); err != nil {
 		return err
 	}
@@ -174,7 +174,8 @@
 // authenticate finds the workspace of the request by its key and registers the
 // request as in flight. The key is looked up before and after the registration:
 // a withdrawal then either finds the registered request or is noticed here.
-func (c *call) authenticate(cancel context.CancelCauseFunc) *ErrRefused {
+// cancel ends the request, and endWait its waits until it is with a target.
+func (c *call) authenticate(ctx context.Context, cancel, endWait context.CancelCauseFunc) *ErrRefused {
 	keys := presentedKeys(c.r.Header, c.s.headerNames.KeyScheme)
 	c.filter = newKeyFilter(c.cfg, keys, c.route.Open)
 	if c.route.Open {
@@ -187,7 +188,10 @@
 	// The name shares memory with the configuration, which the registry would
 	// otherwise keep alive.
 	c.workspace, c.keyHash = model.WorkspaceID(strings.Clone(string(key.Workspace))), key.Hash
-	c.inFlight = &inFlightRequest{workspace: c.workspace, key: key.Hash, cancel: cancel}
+	c.inFlight = &inFlightRequest{workspace: c.workspace, key: key.Hash, cancel: cancel, endWait: endWait}
+	if deadline, ok := ctx.Deadline(); ok {
+		c.inFlight.endsBy = deadline.Add(errorWriteGrace)
+	}
 	c.s.registry.register(c.inFlight, callerConnOf(c.r.Context()))
 	if err := c.checkKey(); err != nil {
 		c.unregister()
--- a/internal/entry/deadline.go
+++ b/internal/entry/deadline.go
@@ -26,7 +26,7 @@
 	base, cancel := context.WithCancelCause(c.r.Context())
 	base, release := c.s.stop.context(base, 0)
 	ctx, stop := context.WithDeadline(base, deadline)
-	return ctx, func(cause error) { cancel(cause); stop(); release() }, nil
+	return ctx, func(cause error) { cancel(cause); stop(); release(nil) }, nil
 }
 
 // callerTimeout returns the time that the caller waits according to the deadline
--- a/internal/entry/forward.go
+++ b/internal/entry/forward.go
@@ -28,20 +28,14 @@
 			c.s.metrics.countRetry(target.Local)
 		}
 		tried = append(tried, target.Target)
-		c.s.registry.setAtTarget(c.inFlight, true)
-		if err := c.checkKey(); err != nil {
+		if err := c.checkBeforeSend(waitCtx); err != nil {
 			c.returnTarget(model.Attempt{Target: target.Target, Incarnation: target.Incarnation, End: model.AttemptCanceled})
-			return err
-		}
-		if errors.Is(context.Cause(waitCtx), errStopping) {
-			c.returnTarget(model.Attempt{Target: target.Target, Incarnation: target.Incarnation, End: model.AttemptCanceled})
-			return c.answerFailure(last, stopping())
+			return c.answerFailure(last, err)
 		}
 		failed, done := c.tryTarget(ctx, target)
 		if done {
 			return nil
 		}
-		c.s.registry.setAtTarget(c.inFlight, false)
 		last = failed
 		if len(tried) >= c.maxAttempts() || !c.canRetry(waitCtx, failed.attempt) {
 			return c.answerFailure(last, nil)
@@ -49,6 +43,18 @@
 	}
 }
 
+// checkBeforeSend returns an error if the request must not be sent to the target that
+// it got: its key was withdrawn, or its wait ended while the assignment arrived.
+func (c *call) checkBeforeSend(waitCtx context.Context) *ErrRefused {
+	if err := c.checkKey(); err != nil {
+		return err
+	}
+	if waitCtx.Err() != nil {
+		return c.contextError(waitCtx)
+	}
+	return nil
+}
+
 // maxAttempts returns to how many targets the request may be sent: the limit of
 // the host, or that of the route if it is lower.
 func (c *call) maxAttempts() int {
@@ -225,7 +231,6 @@
 		c.s.decider.NoteTarget(pool.TargetNoticed{Service: c.route.Service, Attempt: a.result()})
 		a.isNoted = true
 	}
-	c.s.registry.markAnswerStarted(c.inFlight)
 	if isKeyWithdrawn(ctx) {
 		a.abort(model.AttemptCanceled)
 		return &failedAttempt{attempt: a, err: keyWithdrawn()}, false
--- a/internal/entry/options.go
+++ b/internal/entry/options.go
@@ -80,7 +80,6 @@
 	statusPromise    bool
 	endlessAnswers   bool
 	retryFractions   bool
-	withdrawalGrace  bool
 }
 
 // Option changes a setting of a Server.
@@ -112,13 +111,6 @@
 	return func(s *settings) { s.requestLog = log }
 }
 
-// WithWithdrawalGrace lets requests that are with a target finish within a second
-// after their key was withdrawn. By default they end at once, and the caller does
-// not learn the result of a request that ran.
-func WithWithdrawalGrace() Option {
-	return func(s *settings) { s.withdrawalGrace = true }
-}
-
 // WithAnnouncementPeerCheck refuses announcements of an address other than the one
 // that they were sent from.
 func WithAnnouncementPeerCheck() Option {
--- a/internal/entry/registry.go
+++ b/internal/entry/registry.go
@@ -19,6 +19,9 @@
 	// InFlight counts the keyed requests that have not ended, including those that
 	// wait for a token or a target.
 	InFlight int
+	// EndsWithin is the time by which the requests in flight have ended, since their
+	// deadlines have passed. It is 0 unless there are any.
+	EndsWithin time.Duration
 	// Admitted is set if a request of the workspace was admitted since the start of
 	// this host.
 	Admitted bool
@@ -30,20 +33,15 @@
 type inFlightRequest struct {
 	workspace model.WorkspaceID
 	key       model.KeyHash
-	cancel    context.CancelCauseFunc
-	// answerStarted is set before the caller gets the first part of a streamed
-	// answer. It is guarded by the registry.
-	answerStarted bool
-	// atTarget is set while the request is with a target. It is guarded by the registry.
-	atTarget bool
+	// endsBy is when the request has ended at the latest.
+	endsBy time.Time
+	// cancel ends the request.
+	cancel context.CancelCauseFunc
+	// endWait ends the wait for a token, a reservation or a target. It does not
+	// affect an attempt that has begun, but prevents further ones.
+	endWait context.CancelCauseFunc
 }
 
-// answerGrace is how long an answer of which the caller has a part may continue
-// after the withdrawal of its key and, with WithWithdrawalGrace, a request that is
-// with a target. A host learns of a withdrawal within 3 s, so
-// the request ends within the required 5 s.
-const answerGrace = time.Second
-
 // registry holds the keyed requests in flight, the connections by the keys that
 // they presented, and when each workspace was last admitted. It is safe for
 // concurrent use.
@@ -87,31 +85,6 @@
 	removeFromSet(r.inFlight, f.workspace, f)
 }
 
-// markAnswerStarted records that the caller of a keyed request is about to get the
-// first part of its answer. The handler must check the request's context
-// afterwards: a withdrawal before this call has cancelled it without the grace
-// period. For a request on an open route, f is nil and nothing happens.
-func (r *registry) markAnswerStarted(f *inFlightRequest) {
-	if f == nil {
-		return
-	}
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	f.answerStarted = true
-}
-
-// setAtTarget records that a keyed request is about to be sent to a target, or is
-// not with one any more. The handler must check the key after it was set: a
-// withdrawal before this call has cancelled the request without the grace period.
-func (r *registry) setAtTarget(f *inFlightRequest, at bool) {
-	if f == nil {
-		return
-	}
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	f.atTarget = at
-}
-
 // markAdmitted records the time of an admission.
 func (r *registry) markAdmitted(ws model.WorkspaceID) {
 	r.mu.Lock()
@@ -129,12 +102,15 @@
 	conn.keyWorkspaces = nil
 }
 
-// evidence returns the number of requests of a workspace in flight and the time
-// since its last admission.
+// evidence returns the number of requests of a workspace in flight, when they have
+// ended, and the time since its last admission.
 func (r *registry) evidence(ws model.WorkspaceID) Evidence {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	e := Evidence{InFlight: len(r.inFlight[ws])}
+	for f := range r.inFlight[ws] {
+		e.EndsWithin = max(e.EndsWithin, time.Until(f.endsBy))
+	}
 	if at, ok := r.lastAdmittedAt[ws]; ok {
 		e.Admitted = true
 		e.SinceAdmitted = time.Since(at)
@@ -153,23 +129,28 @@
 	return n
 }
 
-// cancel cancels the requests that match and returns their number. Those that
-// mayFinish, which may be nil, reports are cancelled after answerGrace.
-func (r *registry) cancel(cause error, mayFinish, match func(*inFlightRequest) bool) int {
+// cancel ends the requests that match and returns their number.
+func (r *registry) cancel(cause error, match func(*inFlightRequest) bool) int {
+	return r.forEach(match, func(f *inFlightRequest) { f.cancel(cause) })
+}
+
+// endWaits ends the requests that match and are not with a target. It returns the
+// number of all requests that match.
+func (r *registry) endWaits(cause error, match func(*inFlightRequest) bool) int {
+	return r.forEach(match, func(f *inFlightRequest) { f.endWait(cause) })
+}
+
+// forEach calls fn with each request that matches and returns their number.
+func (r *registry) forEach(match func(*inFlightRequest) bool, fn func(*inFlightRequest)) int {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	n := 0
 	for _, requests := range r.inFlight {
 		for f := range requests {
-			if !match(f) {
-				continue
-			}
-			n++
-			if mayFinish != nil && mayFinish(f) {
-				time.AfterFunc(answerGrace, func() { f.cancel(cause) })
-				continue
+			if match(f) {
+				n++
+				fn(f)
 			}
-			f.cancel(cause)
 		}
 	}
 	return n
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -213,34 +213,39 @@
 // Evidence returns what this host knows of a workspace's traffic.
 func (s *Server) Evidence(ws model.WorkspaceID) Evidence { return s.registry.evidence(ws) }
 
-// mayFinish reports whether a request whose key is withdrawn gets answerGrace to
-// finish.
-func (s *Server) mayFinish(f *inFlightRequest) bool {
-	return f.answerStarted || f.atTarget && s.withdrawalGrace
-}
-
-// CancelWorkspace cancels the requests in flight of a withdrawn workspace and
-// closes the connections that presented one of its keys, busy ones after their
-// answer. Requests of which the caller has a part of the answer get another second
-// to finish, and with WithWithdrawalGrace those that are with a target. It returns the number of requests. The Decider's configuration must
-// already be without the workspace, so that requests that arrive meanwhile are
-// refused.
-func (s *Server) CancelWorkspace(ws model.WorkspaceID) int {
-	n := s.registry.cancel(errKeyWithdrawn, s.mayFinish, func(f *inFlightRequest) bool { return f.workspace == ws })
+// WithdrawWorkspace refuses the requests of a withdrawn workspace that are not with
+// a target, as not run, and closes the connections that presented one of its keys,
+// busy ones after their answer. Requests that are with a target go on until they end
+// or CancelWorkspace is called, but are not retried. It returns the number of
+// requests in flight. The Decider's configuration must already be without the
+// workspace, so that requests that arrive meanwhile are refused.
+func (s *Server) WithdrawWorkspace(ws model.WorkspaceID) int {
+	n := s.registry.endWaits(errKeyWithdrawn, func(f *inFlightRequest) bool { return f.workspace == ws })
 	s.registry.closeConns(func(_ model.KeyHash, w model.WorkspaceID) bool { return w == ws })
 	return n
 }
 
-// CancelKey does for a withdrawn key what CancelWorkspace does for a workspace.
-func (s *Server) CancelKey(hash model.KeyHash) int {
-	n := s.registry.cancel(errKeyWithdrawn, s.mayFinish, func(f *inFlightRequest) bool { return f.key == hash })
+// WithdrawKey does for a withdrawn key what WithdrawWorkspace does for a workspace.
+func (s *Server) WithdrawKey(hash model.KeyHash) int {
+	n := s.registry.endWaits(errKeyWithdrawn, func(f *inFlightRequest) bool { return f.key == hash })
 	s.registry.closeConns(func(k model.KeyHash, _ model.WorkspaceID) bool { return k == hash })
 	return n
 }
 
+// CancelWorkspace ends the requests in flight of a withdrawn workspace at once, also
+// those that are with a target, and returns their number.
+func (s *Server) CancelWorkspace(ws model.WorkspaceID) int {
+	return s.registry.cancel(errKeyWithdrawn, func(f *inFlightRequest) bool { return f.workspace == ws })
+}
+
+// CancelKey does for a withdrawn key what CancelWorkspace does for a workspace.
+func (s *Server) CancelKey(hash model.KeyHash) int {
+	return s.registry.cancel(errKeyWithdrawn, func(f *inFlightRequest) bool { return f.key == hash })
+}
+
 // CancelAllKeyed cancels all keyed requests in flight, on a host that cannot
 // confirm its configuration any more, and returns their number. The connections
 // stay open, since their keys may still be valid.
 func (s *Server) CancelAllKeyed() int {
-	return s.registry.cancel(errNotFresh, nil, func(*inFlightRequest) bool { return true })
+	return s.registry.cancel(errNotFresh, func(*inFlightRequest) bool { return true })
 }
--- a/internal/entry/stopping.go
+++ b/internal/entry/stopping.go
@@ -51,8 +51,8 @@
 }
 
 // context returns a context that also ends, with errStopping, the time margin before
-// the end of a shutdown. The function releases it.
-func (s *stop) context(ctx context.Context, margin time.Duration) (context.Context, func()) {
+// the end of a shutdown, and the function that ends it, which must be called.
+func (s *stop) context(ctx context.Context, margin time.Duration) (context.Context, context.CancelCauseFunc) {
 	ctx, cancel := context.WithCancelCause(ctx)
 	stopWaiting := context.AfterFunc(s.begun, func() {
 		s.mu.Lock()
@@ -64,9 +64,9 @@
 		timer := time.AfterFunc(time.Until(endsAt)-margin, func() { cancel(errStopping) })
 		context.AfterFunc(ctx, func() { timer.Stop() })
 	})
-	return ctx, func() {
+	return ctx, func(cause error) {
 		stopWaiting()
-		cancel(nil)
+		cancel(cause)
 	}
 }
 
--- a/internal/node/effects.go
+++ b/internal/node/effects.go
@@ -65,7 +65,7 @@
 }
 
 // applyConfig puts a newer configuration in force on this host. It stores the
-// configuration before it cancels the requests of withdrawn keys, so that every
+// configuration before it refuses the requests of withdrawn keys, so that every
 // request that arrives from then on is decided by the new configuration.
 func (h *entryHost) applyConfig(cfg model.Config) {
 	old := h.cfg.Load()
@@ -77,38 +77,11 @@
 	h.bucketOwner.post(admit.Configured{Config: cfg})
 	h.picker.post(pool.Configured{Config: cfg})
 	h.poolOwner.post(pool.Configured{Config: cfg})
-	h.cancelWithdrawn(*old, cfg)
+	h.withdrawKeys(*old, cfg)
 	h.setConnectionShare()
 	h.log.Info("configuration in force", "version", cfg.Version)
 }
 
-// keepsWithdrawnInFlight reports whether requests in flight continue after their
-// key is withdrawn. They do on a draining host of a fleet whose hosts may serve
-// by an older configuration anyway: the host stops within seconds, and it aborts
-// no request that a target is working on. New requests with the key are refused.
-func (h *entryHost) keepsWithdrawnInFlight() bool {
-	return h.serveUnconfirmed && h.draining.Load()
-}
-
-// cancelWithdrawn cancels the requests in flight of keys and workspaces that are
-// no longer valid in cfg.
-func (h *entryHost) cancelWithdrawn(old, cfg model.Config) {
-	if h.keepsWithdrawnInFlight() {
-		h.log.Info("requests in flight of withdrawn keys go on until this host has stopped", "version", cfg.Version)
-		return
-	}
-	for key := range old.Keys.RemovedIn(cfg.Keys) {
-		n := h.server.CancelKey(key.Hash)
-		h.log.Info("key withdrawn", "workspace", key.Workspace, "key", key.ID, "ended_requests", n)
-	}
-	for ws := range cfg.Workspaces.ChangedSince(old.Workspaces) {
-		if before, _ := old.Workspaces.Get(ws.ID); ws.Withdrawn && !before.Withdrawn {
-			n := h.server.CancelWorkspace(ws.ID)
-			h.log.Info("workspace withdrawn", "workspace", ws.ID, "ended_requests", n)
-		}
-	}
-}
-
 // updateMembers passes the addresses of the members to the links, and the live
 // and lost entry hosts to the owner cores.
 func (h *entryHost) updateMembers(members []proto.Member) {
--- a/internal/node/entry.go
+++ b/internal/node/entry.go
@@ -38,6 +38,7 @@
 	// keyedCanceled is set once the keyed requests in flight were canceled for
 	// lack of freshness.
 	keyedCanceled atomic.Bool
+	withdrawals   withdrawals
 	draining      atomic.Bool
 	// serveUnconfirmed is set if keyed requests are admitted by the last known
 	// configuration, without a confirmation.
@@ -166,6 +167,7 @@
 	if h.detour != nil {
 		h.detour.post(lease.Tick{})
 	}
+	h.endWithdrawn()
 	h.cancelStale()
 }
 
--- a/internal/node/report.go
+++ b/internal/node/report.go
@@ -40,11 +40,15 @@
 func (h *entryHost) evidence(m proto.EvidenceAsk) proto.EvidenceReply {
 	version := h.cfg.Load().Version
 	workspace := h.server.Evidence(m.Workspace)
+	if endsAt, ok := h.withdrawals.endOf(m.Workspace); ok {
+		workspace.EndsWithin = min(workspace.EndsWithin, max(0, endsAt.Sub(h.clock.now())))
+	}
 	return proto.EvidenceReply{
 		Nonce:              m.Nonce,
 		Workspace:          m.Workspace,
 		HeldVersion:        version,
 		InFlight:           workspace.InFlight,
+		EndsWithin:         workspace.EndsWithin,
 		EverAdmitted:       workspace.Admitted,
 		SinceLastAdmission: workspace.SinceAdmitted,
 		FreshFor:           max(0, h.remainingFreshness()),
--- a/internal/node/run_entry.go
+++ b/internal/node/run_entry.go
@@ -95,7 +95,7 @@
 func (h *entryHost) open(c conf.Entry) (func(context.Context) error, error) {
 	p := h.process
 	h.vars = admin.NewVars()
-	server, drain, err := entry.NewServer(h, h.burn, append(append(headerOptions(c.Headers), h.withdrawalOptions()...), entry.WithMetrics(entry.NewMetrics(h.vars.Registry())), entry.WithHost(c.Host.Name), entry.WithLog(h.log), entry.WithRequestLog(h.log.WithName(logs.RequestLoggerName)), entry.WithLimits(entryLimits(c.Limits)))...)
+	server, drain, err := entry.NewServer(h, h.burn, append(headerOptions(c.Headers), entry.WithMetrics(entry.NewMetrics(h.vars.Registry())), entry.WithHost(c.Host.Name), entry.WithLog(h.log), entry.WithRequestLog(h.log.WithName(logs.RequestLoggerName)), entry.WithLimits(entryLimits(c.Limits)))...)
 	if err != nil {
 		return nil, err
 	}
@@ -123,16 +123,6 @@
 	return drain, nil
 }
 
-// withdrawalOptions returns the options for requests whose key is withdrawn. A
-// fleet whose hosts may serve by an older configuration proves no silence, so that
-// requests that are with a target may finish. Others end them at once.
-func (h *entryHost) withdrawalOptions() []entry.Option {
-	if !h.serveUnconfirmed {
-		return nil
-	}
-	return []entry.Option{entry.WithWithdrawalGrace()}
-}
-
 // headerOptions returns the options for headers whose names or behavior differ
 // from the defaults.
 func headerOptions(h conf.Headers) []entry.Option {
--- a/internal/node/silence.go
+++ b/internal/node/silence.go
@@ -102,7 +102,9 @@
 	}
 	switch {
 	case reply.InFlight > 0:
-		return hostResult{e, fmt.Sprintf("host %q still has %d requests of the workspace in flight", m.member.Host, reply.InFlight)}
+		ms := reply.EndsWithin.Milliseconds()
+		e.EndsWithinMs = &ms
+		return hostResult{e, fmt.Sprintf("host %q still has %d requests of the workspace in flight, which end within %d ms", m.member.Host, reply.InFlight, ms)}
 	case reply.HeldVersion < withdrawnAt && !(acceptanceKnown && cover.Covered):
 		return hostResult{e, fmt.Sprintf("host %q has version %d, which is older than the withdrawal in version %d", m.member.Host, reply.HeldVersion, withdrawnAt)}
 	default:
--- a/internal/proto/message.go
+++ b/internal/proto/message.go
@@ -471,6 +471,8 @@
 		HeldVersion model.Version
 		// InFlight counts the workspace's requests that have not ended on this host.
 		InFlight int
+		// EndsWithin is the time within which the requests in flight end at the latest.
+		EndsWithin time.Duration
 		// EverAdmitted is set if this host ever admitted a request of the workspace.
 		// SinceLastAdmission is then the time since the last such admission.
 		EverAdmitted       bool
--- a/internal/wire/report.go
+++ b/internal/wire/report.go
@@ -17,6 +17,7 @@
 	Workspace          model.WorkspaceID `cbor:"2,keyasint"`
 	HeldVersion        model.Version     `cbor:"3,keyasint"`
 	InFlight           int               `cbor:"4,keyasint"`
+	EndsWithin         time.Duration     `cbor:"8,keyasint,omitempty"`
 	EverAdmitted       bool              `cbor:"5,keyasint"`
 	SinceLastAdmission time.Duration     `cbor:"6,keyasint"`
 	FreshFor           time.Duration     `cbor:"7,keyasint"`
--- a/pkg/opsapi/report.go
+++ b/pkg/opsapi/report.go
@@ -74,6 +74,9 @@
 	Version uint64 `json:"version,omitempty"`
 	// InFlight is the number of the workspace's requests in flight on the host.
 	InFlight int `json:"in_flight"`
+	// EndsWithinMs is the time within which the requests in flight end at the latest,
+	// in milliseconds, or nil if there are none.
+	EndsWithinMs *int64 `json:"ends_within_ms,omitempty"`
 	// LastAdmittedMs is how long ago the host admitted the last request of the
 	// workspace, in milliseconds, or nil if it admitted none.
 	LastAdmittedMs *int64 `json:"last_admitted_ms,omitempty"`
