node: no proof of silence for hosts that serve without a confirmation

With [fleet] unconfirmed = serve, the evidence covered a host that did not answer, or that held a version older than the withdrawal, 4.1 s after the acceptance: `silence` said "proved" while such a host may go on serving the workspace for as long as it is cut off.

Cause: the bound follows from the freshness of confirmations, which such hosts do not need. Change: control knows the setting; a host counts as covered only once it answers with the withdrawal in force and without requests in flight.

TestSilenceIsNotProvedOfHostsThatServeUnconfirmed fails before ("no answer" and "older version" were covered).

--- a/internal/node/control.go
+++ b/internal/node/control.go
@@ -45,6 +45,9 @@
 	send         func(model.HostID, proto.Message)
 	learnMembers func([]proto.Member)
 	background   func(task func())
+	// serveUnconfirmed is set if entry hosts serve without a confirmation, so that
+	// the right to serve of a host that does not answer never ends.
+	serveUnconfirmed bool
 	// onConfigApplied is called with each applied configuration. It may be nil.
 	onConfigApplied func(model.Config)
 	// ownerZones returns the zones that the owner cores of this host know. It may be
@@ -79,15 +82,17 @@
 
 // controlSetup holds the parameters of openControl.
 type controlSetup struct {
-	self         proto.Member
-	dataDir      string
-	timing       lease.Timing
-	controls     []model.HostID
-	seats        []model.HostID
-	createFleet  bool
-	log          logr.Logger
-	send         func(model.HostID, proto.Message)
-	learnMembers func([]proto.Member)
+	self        proto.Member
+	dataDir     string
+	timing      lease.Timing
+	controls    []model.HostID
+	seats       []model.HostID
+	createFleet bool
+	// serveUnconfirmed is set if entry hosts serve without a confirmation.
+	serveUnconfirmed bool
+	log              logr.Logger
+	send             func(model.HostID, proto.Message)
+	learnMembers     func([]proto.Member)
 	// background starts a task in the background.
 	background func(task func())
 	// storeOpts are options of the log's store, for tests.
@@ -109,6 +114,8 @@
 		statusReplies:   newWaiters[uint64, proto.StatusReply](),
 		members:         map[model.HostID]seenMember{},
 		background:      s.background,
+
+		serveUnconfirmed: s.serveUnconfirmed,
 	}
 	c.configOffers.background = s.background
 	if contents.TornBytes > 0 {
--- a/internal/node/run_control.go
+++ b/internal/node/run_control.go
@@ -120,7 +120,7 @@
 	send := func(to model.HostID, m proto.Message) { p.mesh.Send(to, m) }
 	control, closeLog, err := openControl(controlSetup{
 		self: p.self, dataDir: c.Host.DataDir, timing: lease.DefaultTiming(),
-		controls: hostsOf(c.Fleet.Controls), seats: hostsOf(c.Fleet.Seats), createFleet: c.CreateFleet,
+		controls: hostsOf(c.Fleet.Controls), seats: hostsOf(c.Fleet.Seats), createFleet: c.CreateFleet, serveUnconfirmed: c.Fleet.ServeUnconfirmed,
 		log: log, send: send, learnMembers: p.mesh.UpdateMembers, background: p.background,
 	})
 	if err != nil {
--- a/internal/node/silence.go
+++ b/internal/node/silence.go
@@ -49,8 +49,14 @@
 type coverage struct {
 	lease.Coverage
 	now model.Instant
+	// unbounded is set if hosts may serve without a confirmation. The time of the
+	// coverage then says nothing about a single host.
+	unbounded bool
 }
 
+// covers reports whether a host has lost the right to serve under an older version.
+func (c coverage) covers() bool { return c.Covered && !c.unbounded }
+
 // sinceCoveredMs returns the milliseconds since the right to serve under an older
 // version ended. It is negative before that.
 func (c coverage) sinceCoveredMs() int64 { return c.now.Sub(c.CoveredAt).Milliseconds() }
@@ -63,7 +69,7 @@
 	c.core.read(func(now model.Instant) {
 		var acceptedAt model.Instant
 		acceptedAt, acceptanceKnown = c.node.AcceptedAt(v)
-		out = coverage{Coverage: lease.CoverageOf(acceptedAt, now, c.timing), now: now}
+		out = coverage{Coverage: lease.CoverageOf(acceptedAt, now, c.timing), now: now, unbounded: c.serveUnconfirmed}
 	})
 	return out, acceptanceKnown
 }
@@ -105,7 +111,7 @@
 		ms := reply.EndsWithin.Milliseconds()
 		e.EndsWithinMs = &ms
 		return hostResult{e, fmt.Sprintf("host %q still has %d requests of the workspace in flight, which end within %d ms", m.member.Host, reply.InFlight, ms)}
-	case reply.HeldVersion < withdrawnAt && !(acceptanceKnown && cover.Covered):
+	case reply.HeldVersion < withdrawnAt && !(acceptanceKnown && cover.covers()):
 		return hostResult{e, fmt.Sprintf("host %q has version %d, which is older than the withdrawal in version %d", m.member.Host, reply.HeldVersion, withdrawnAt)}
 	default:
 		e.Covered = true
@@ -114,11 +120,15 @@
 }
 
 // evaluateUnreachable evaluates a host that did not reply. The host counts as
-// covered once its right to serve has ended.
+// covered once its right to serve has ended, which it never does if hosts may serve
+// without a confirmation.
 func evaluateUnreachable(e opsapi.HostEvidence, cover coverage, acceptanceKnown bool) hostResult {
 	if !acceptanceKnown {
 		return hostResult{e, fmt.Sprintf("host %q did not reply", e.Host)}
 	}
+	if cover.unbounded {
+		return hostResult{e, fmt.Sprintf("host %q did not reply and may serve by an older configuration until it hears of the withdrawal; stop it or restore its links, and ask again", e.Host)}
+	}
 	ms := cover.sinceCoveredMs()
 	e.RightEndedMs = &ms
 	if !cover.Covered {
--- a/internal/node/withdrawn_key_test.go
+++ b/internal/node/withdrawn_key_test.go
@@ -360,3 +360,26 @@
 	require.True(t, (<-res).whole())
 	require.Eventually(t, func() bool { return f.evidence(proto.EvidenceAsk{Workspace: "w"}).InFlight == 0 }, time.Second, 5*time.Millisecond)
 }
+
+// TestSilenceIsNotProvedOfHostsThatServeUnconfirmed guards against evidence that
+// covers a host which may still serve by the configuration before the withdrawal.
+func TestSilenceIsNotProvedOfHostsThatServeUnconfirmed(t *testing.T) {
+	m := seenMember{member: proto.Member{Host: "e1"}}
+	expired := lease.Coverage{Covered: true}
+	for name, c := range map[string]struct {
+		reply    proto.EvidenceReply
+		answered bool
+		covered  bool
+	}{
+		"no answer":      {},
+		"older version":  {reply: proto.EvidenceReply{HeldVersion: 1}, answered: true},
+		"hears of it":    {reply: proto.EvidenceReply{HeldVersion: 2}, answered: true, covered: true},
+		"still has some": {reply: proto.EvidenceReply{HeldVersion: 2, InFlight: 1}, answered: true},
+	} {
+		got := evaluateHost(m, c.reply, c.answered, 2, coverage{Coverage: expired, unbounded: true}, true)
+		require.Equal(t, c.covered, got.evidence.Covered, name)
+		require.Equal(t, c.covered, got.missing == "", name)
+		confirmed := evaluateHost(m, c.reply, c.answered, 2, coverage{Coverage: expired}, true)
+		require.Equal(t, c.reply.InFlight == 0, confirmed.evidence.Covered, "%s, confirmed hosts", name)
+	}
+}
