member: a successor takes the place of a lost control host within its time

Cause: the leader removed a silent host only after 8 s, so the list still counted the host that was gone; of its five hosts two were learners then. A shorter silence alone would move the race: schedules also showed a new leader that waits anew for its silent predecessor, planned replacements whose old host is heard until it exits, hosts that were removed while unreachable and never ask to join, and a host that hears nothing and is proposed in place of the successor again and again.

Change: a host that announces its stop, or that is silent for 1 s while a host has begun to ask, makes room; without a newcomer a host that pauses or is cut off stays for 8 s as before. A new leader knows how long its predecessor has been silent, a host without a leader asks to join, and hosts that ask take turns. The list still changes by one host at a time, each change after the commit of the one before, so successive majorities meet. The rule stands in section 3.1 of the design.

TestLostHostIsReplaced stated 8 s for every host; TestNewcomerReplacesLostHost and TestPausedHostStaysWithoutNewcomer replace it and keep its bound of 8 s for hosts that have asked for long.

--- a/internal/ctrl/elect.go
+++ b/internal/ctrl/elect.go
@@ -20,7 +20,7 @@
 		n.setLeader("")
 	}
 	if leader != "" {
-		n.leaderContactAt = n.now
+		n.leaderContactAt, n.lastLeader = n.now, leader
 		n.resetElectionTimer()
 	}
 	n.setLeader(leader)
--- a/internal/ctrl/lead.go
+++ b/internal/ctrl/lead.go
@@ -38,8 +38,11 @@
 	// needsSnapshot is set for a host without any state.
 	needsSnapshot  bool
 	snapshotSentAt model.Instant
-	lastReplyAt    model.Instant
-	ackedRound     uint64
+	// lastReplyAt is when the peer last replied, or became a peer if hasReplied
+	// is not set.
+	lastReplyAt model.Instant
+	hasReplied  bool
+	ackedRound  uint64
 	// learnerID is the learner ID of a follower that counts in no majority, or
 	// 0. To be admitted, the follower must hold the entry barrierIndex.
 	// minVoterRound is the first heartbeat round that began after the learner
@@ -253,7 +256,7 @@
 	if p == nil || !n.checkReply(p, m) {
 		return
 	}
-	p.lastReplyAt = n.now
+	p.lastReplyAt, p.hasReplied = n.now, true
 	p.ackedRound = max(p.ackedRound, m.Round)
 	n.updateMatch(p, m)
 	n.advanceCommit()
@@ -358,9 +361,10 @@
 	return LeadershipConfirmation{OK: true, NewestVersion: n.state.cfg.Version, Age: age}
 }
 
-// LastReplyAt returns when a control host last replied to this leader, or when
-// it became a peer if it has not replied since. It returns false on a host that
-// does not lead, and for a host that is no peer.
+// LastReplyAt returns when a control host last replied to this leader. Of a host
+// that has not replied yet, it returns when it became a peer or, if it led before
+// this host, when it was last heard from as the leader. It returns false on a host
+// that does not lead, and for a host that is no peer.
 func (n *Node) LastReplyAt(host model.HostID) (model.Instant, bool) {
 	if n.role != RoleLeader {
 		return 0, false
@@ -369,5 +373,8 @@
 	if p == nil || p.lastReplyAt == 0 {
 		return 0, false
 	}
+	if host == n.lastLeader && !p.hasReplied {
+		return n.leaderContactAt, true
+	}
 	return p.lastReplyAt, true
 }
--- a/internal/ctrl/node.go
+++ b/internal/ctrl/node.go
@@ -58,8 +58,10 @@
 	term     model.Term
 	votedFor model.HostID
 	leader   model.HostID
-	// leaderContactAt is when this host last heard from a leader, or 0.
+	// leaderContactAt is when this host last heard from a leader, or 0, and
+	// lastLeader is that leader.
 	leaderContactAt model.Instant
+	lastLeader      model.HostID
 	// electionDeadline is when this host stands for election unless it hears
 	// from a leader, or 0 before the first tick.
 	electionDeadline model.Instant
--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -1,8 +1,16 @@
 // Package member decides which hosts are control hosts and seats when the
 // settings name only a few addresses of the fleet. A host that is not a control
 // host asks to join. The leader adds it while control hosts are missing, and
-// removes an unreachable control host to make room for a host that asks. The
-// Planner is a pure state machine.
+// removes a control host that stops or is unreachable to make room for a host that
+// asks. The Planner is a pure state machine.
+//
+// A host that has begun to ask is a sign that another one is gone for good, so an
+// unreachable control host is then replaced within a second. While no host has begun
+// to ask, one that pauses or is cut off stays a control host for LostTimeout, and
+// without a host that asks it stays one. The leader cannot tell which one of several
+// unreachable hosts is gone. If it removes another one, that one asks to join when it
+// returns and takes the place of the one that is gone. Either way the lists hold at
+// most as many unreachable hosts as have failed and not yet returned.
 package member
 
 import (
@@ -26,8 +34,14 @@
 	// the leader proposes.
 	proposalInterval = 400 * time.Millisecond
 	// LostTimeout is how long a control host may be unreachable before a host that
-	// asks to join replaces it. It exceeds the time of a restart and of catching up.
+	// has asked to join for longer than this replaces it. It exceeds the time of a
+	// restart and of catching up.
 	LostTimeout = 8 * time.Second
+	// newcomerTimeout is how long a control host may be unreachable before a host that
+	// has begun to ask within LostTimeout replaces it. It covers several lost
+	// heartbeats, and leaves half of the time that a successor has for its election
+	// and for both changes of the list.
+	newcomerTimeout = time.Second
 )
 
 // Event is an input of a Planner. It is a sealed interface.
@@ -41,6 +55,10 @@
 		View View
 		Ask  proto.JoinAsk
 	}
+	// LeaveAnnounced delivers a LeaveNotice to the planner of a control host.
+	LeaveAnnounced struct{ Notice proto.LeaveNotice }
+	// Stopping tells the planner that its host is about to stop.
+	Stopping struct{}
 )
 
 // View is the state of the consensus core of this host at the time of an event.
@@ -71,6 +89,8 @@
 
 func (Tick) isEvent()              {}
 func (JoinRequested) isEvent()     {}
+func (LeaveAnnounced) isEvent()    {}
+func (Stopping) isEvent()          {}
 func (Send) isEffect()             {}
 func (Propose) isEffect()          {}
 func (CandidateLocated) isEffect() {}
@@ -85,6 +105,10 @@
 	size int
 
 	candidates map[model.HostID]candidate
+	// leavingAt holds when control hosts last announced that they stop.
+	leavingAt map[model.HostID]model.Instant
+	// stopping is set once this host is about to stop.
+	stopping bool
 	// leadsSince is when this host became the leader, or 0 while it is not.
 	leadsSince model.Instant
 	nextAsk    model.Instant
@@ -92,15 +116,19 @@
 	proposals  uint64
 }
 
-// candidate is a host that asked to join, last at askedAt.
+// candidate is a host that asks to join.
 type candidate struct {
-	member  proto.Member
+	member proto.Member
+	// since is when this host got the first of its present asks, askedAt the last.
+	since   model.Instant
 	askedAt model.Instant
+	// proposedAt is when this host last proposed to add it, or 0.
+	proposedAt model.Instant
 }
 
 // NewPlanner returns a planner that keeps size control hosts: 1, 3 or 5.
 func NewPlanner(self proto.Member, seeds []model.HostID, size int) *Planner {
-	return &Planner{self: self, seeds: slices.Clone(seeds), size: size, candidates: map[model.HostID]candidate{}}
+	return &Planner{self: self, seeds: slices.Clone(seeds), size: size, candidates: map[model.HostID]candidate{}, leavingAt: map[model.HostID]model.Instant{}}
 }
 
 // Step handles one event and returns the resulting effects.
@@ -108,6 +136,12 @@
 	switch ev := ev.(type) {
 	case JoinRequested:
 		return p.handleJoin(now, ev)
+	case LeaveAnnounced:
+		p.leavingAt[ev.Notice.Host] = now
+		return nil
+	case Stopping:
+		p.stopping, p.nextAsk = true, 0
+		return nil
 	case Tick:
 		return p.tick(now, ev.View)
 	default:
@@ -121,7 +155,13 @@
 	} else if p.leadsSince == 0 {
 		p.leadsSince = now
 	}
-	if !slices.Contains(v.Config.Controls, p.self.Host) {
+	switch {
+	case v.IsLeader && p.stopping:
+		p.leavingAt[p.self.Host] = now
+	case p.stopping:
+		return p.announceLeave(now, v)
+	case !v.IsLeader && (v.Leader == "" || !slices.Contains(v.Config.Controls, p.self.Host)):
+		// A host that was removed while it was unreachable does not know it.
 		return p.ask(now, v)
 	}
 	if !v.IsLeader || now < p.nextPlan {
@@ -163,6 +203,15 @@
 	return out
 }
 
+// announceLeave tells the leader that this host is about to stop.
+func (p *Planner) announceLeave(now model.Instant, v View) []Effect {
+	if now < p.nextAsk || v.Leader == "" || !slices.Contains(v.Config.Controls, p.self.Host) {
+		return nil
+	}
+	p.nextAsk = now.Add(askInterval)
+	return []Effect{Send{To: v.Leader, Msg: proto.LeaveNotice{Host: p.self.Host}}}
+}
+
 // handleJoin records a candidate on the leader. Other control hosts forward the ask
 // to the leader once.
 func (p *Planner) handleJoin(now model.Instant, ev JoinRequested) []Effect {
@@ -171,7 +220,12 @@
 		return nil
 	}
 	if ev.View.IsLeader {
-		p.candidates[host] = candidate{member: ev.Ask.Member, askedAt: now}
+		c, ok := p.candidates[host]
+		if !ok || now.Sub(c.askedAt) > candidateTimeout {
+			c.since = now
+		}
+		c.member, c.askedAt = ev.Ask.Member, now
+		p.candidates[host] = c
 		return []Effect{CandidateLocated{Member: ev.Ask.Member}}
 	}
 	if ev.Ask.Forwarded || ev.View.Leader == "" || ev.View.Leader == p.self.Host {
@@ -185,12 +239,15 @@
 // plan returns the next change of the lists, or nil if none is needed.
 func (p *Planner) plan(now model.Instant, v View) model.Change {
 	controls := v.Config.Controls
-	next := p.firstCandidate(now, controls)
+	next := p.nextCandidate(now, controls)
 	switch {
 	case next != "" && len(controls) < p.size:
+		c := p.candidates[next]
+		c.proposedAt = now
+		p.candidates[next] = c
 		return model.SetControls{Controls: append(slices.Clone(controls), next)}
 	case next != "":
-		if lost := p.lostControl(now, v); lost != "" {
+		if lost := p.replaceable(now, v, p.replaceTimeout(now)); lost != "" {
 			return model.SetControls{Controls: slices.DeleteFunc(slices.Clone(controls), func(h model.HostID) bool { return h == lost })}
 		}
 	}
@@ -200,31 +257,54 @@
 	return nil
 }
 
-// firstCandidate returns the candidate with the lowest host name, or "", and drops the
-// candidates that no longer ask or have joined.
-func (p *Planner) firstCandidate(now model.Instant, controls []model.HostID) model.HostID {
-	var first model.HostID
+// HasCandidate reports whether a host asks to join.
+func (p *Planner) HasCandidate(now model.Instant) bool {
+	for _, c := range p.candidates {
+		if now.Sub(c.askedAt) <= candidateTimeout {
+			return true
+		}
+	}
+	return false
+}
+
+// nextCandidate returns the candidate that was least recently proposed, by host name
+// among equals, or "", and drops the candidates that no longer ask or have joined. A
+// host that is heard but hears nothing asks and cannot be added.
+func (p *Planner) nextCandidate(now model.Instant, controls []model.HostID) model.HostID {
+	var next model.HostID
 	for host, c := range p.candidates {
 		if now.Sub(c.askedAt) > candidateTimeout || slices.Contains(controls, host) {
 			delete(p.candidates, host)
 			continue
 		}
-		if first == "" || host < first {
-			first = host
+		best := p.candidates[next].proposedAt
+		if next == "" || c.proposedAt < best || c.proposedAt == best && host < next {
+			next = host
 		}
 	}
-	return first
+	return next
 }
 
-// lostControl returns the control host that has been unreachable for the longest time
-// beyond LostTimeout, or "". A new leader waits for LostTimeout before it reports any.
-func (p *Planner) lostControl(now model.Instant, v View) model.HostID {
-	if now.Sub(p.leadsSince) < LostTimeout {
-		return ""
+// replaceTimeout returns how long a control host must be unreachable for a candidate
+// to replace it.
+func (p *Planner) replaceTimeout(now model.Instant) time.Duration {
+	for _, c := range p.candidates {
+		if now.Sub(c.since) <= LostTimeout {
+			return newcomerTimeout
+		}
 	}
+	return LostTimeout
+}
+
+// replaceable returns a control host that is about to stop or, if there is none, the
+// one that has been unreachable for the longest time beyond timeout, or "".
+func (p *Planner) replaceable(now model.Instant, v View, timeout time.Duration) model.HostID {
 	var lost model.HostID
-	oldest := now.Add(-LostTimeout)
+	oldest := now.Add(-timeout)
 	for _, host := range v.Config.Controls {
+		if at, ok := p.leavingAt[host]; ok && now.Sub(at) <= candidateTimeout {
+			return host
+		}
 		if host == p.self.Host {
 			continue
 		}
--- a/internal/member/world_test.go
+++ b/internal/member/world_test.go
@@ -38,6 +38,8 @@
 	// stagedVersion is the version that the seat of the host holds in memory.
 	stagedVersion model.Version
 	leader        model.HostID
+	// frozen is set while the process stands still. Messages wait for it.
+	frozen bool
 }
 
 // world simulates five hosts in virtual time. Their settings name three of them.
@@ -51,6 +53,8 @@
 	queue []message
 	// isCutOff holds the hosts that exchange no messages.
 	isCutOff map[model.HostID]bool
+	// blocked reports whether messages from one host to another are lost. It may be nil.
+	blocked func(from, to model.HostID) bool
 	// acceptedRevision is the highest revision that a leader acknowledged,
 	// proposedRevision the highest that was proposed.
 	acceptedRevision model.Revision
@@ -110,7 +114,7 @@
 
 // send delivers a message after 1 to 4 ms, unless one of the hosts is cut off.
 func (w *world) send(from, to model.HostID, msg proto.Message) {
-	if w.isCutOff[from] || w.isCutOff[to] || w.hosts[to] == nil {
+	if w.isCutOff[from] || w.isCutOff[to] || w.hosts[to] == nil || w.blocked != nil && w.blocked(from, to) {
 		return
 	}
 	delay := time.Duration(1+w.rng.IntN(4)) * time.Millisecond
@@ -153,12 +157,14 @@
 // deliver passes a message to the seat, the planner or the consensus core of a host.
 func (w *world) deliver(m message) {
 	h := w.hosts[m.to]
-	if h.node == nil || w.isCutOff[m.to] {
+	if h == nil || h.node == nil || w.isCutOff[m.to] {
 		return
 	}
 	switch msg := m.msg.(type) {
 	case proto.JoinAsk:
 		w.stepPlanner(h, JoinRequested{View: w.view(h), Ask: msg})
+	case proto.LeaveNotice:
+		w.stepPlanner(h, LeaveAnnounced{Notice: msg})
 	case proto.SeatStage:
 		// Package lease tests seats. This one acknowledges every version.
 		h.stagedVersion = max(h.stagedVersion, msg.Newest)
@@ -174,7 +180,7 @@
 		due := w.queue
 		w.queue = nil
 		for _, m := range due {
-			if m.deliverAt > w.now {
+			if to := w.hosts[m.to]; m.deliverAt > w.now || to != nil && to.frozen {
 				w.queue = append(w.queue, m)
 				continue
 			}
@@ -189,7 +195,7 @@
 
 // stepHost syncs what a host wrote and delivers ticks every 25 ms.
 func (w *world) stepHost(h *simHost) {
-	if h.node == nil {
+	if h.node == nil || h.frozen {
 		return
 	}
 	for _, p := range h.unsynced {
@@ -230,7 +236,7 @@
 func (w *world) checkLeaders() {
 	for _, id := range w.order {
 		h := w.hosts[id]
-		if h.node == nil || !h.node.ConfirmLeadership(w.now).OK {
+		if h.node == nil || h.frozen || !h.node.ConfirmLeadership(w.now).OK {
 			continue
 		}
 		require.GreaterOrEqual(w.t, h.node.Config().Revision, w.acceptedRevision, "leader %s at %s", id, time.Duration(w.now))
@@ -241,7 +247,7 @@
 func (w *world) leaders() []model.HostID {
 	var out []model.HostID
 	for _, id := range w.order {
-		if h := w.hosts[id]; h.node != nil && h.node.ConfirmLeadership(w.now).OK {
+		if h := w.hosts[id]; h.node != nil && !h.frozen && h.node.ConfirmLeadership(w.now).OK {
 			out = append(out, id)
 		}
 	}
--- a/internal/node/membership.go
+++ b/internal/node/membership.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"slices"
+	"time"
 
 	"tarragongauge.example/tarragongauge/internal/ctrl"
 	"tarragongauge.example/tarragongauge/internal/member"
@@ -14,12 +15,20 @@
 // automatically.
 type membership struct {
 	control *controlHost
+	planner *member.Planner
 	core    *runner[member.Event, member.Effect]
 }
 
+const (
+	// stopNoticeTime is how long a host that stops waits for its notice to be sent.
+	stopNoticeTime = 50 * time.Millisecond
+	// maxHandoverTime bounds how long a leader that stops waits to be replaced.
+	maxHandoverTime = time.Second
+)
+
 func newMembership(c *controlHost, seeds []model.HostID, size int) *membership {
-	m := &membership{control: c}
-	m.core = newRunner(c.clock, member.NewPlanner(c.self, seeds, size).Step, m.apply)
+	m := &membership{control: c, planner: member.NewPlanner(c.self, seeds, size)}
+	m.core = newRunner(c.clock, m.planner.Step, m.apply)
 	return m
 }
 
@@ -52,6 +61,29 @@
 
 func (m *membership) tick() { m.core.post(member.Tick{View: m.view()}) }
 
+// announceStop tells the leader that this host is about to stop, so that a host that
+// asks to join takes its place at once. A leader waits until it is replaced if there
+// is such a host.
+func (m *membership) announceStop() {
+	m.core.post(member.Stopping{})
+	m.tick()
+	time.Sleep(stopNoticeTime)
+	for end := time.Now().Add(maxHandoverTime); time.Now().Before(end) && m.handsOver(); {
+		m.tick()
+		time.Sleep(stopNoticeTime)
+	}
+}
+
+// handsOver reports whether this host leads and a host asks to join.
+func (m *membership) handsOver() bool {
+	if !m.view().IsLeader {
+		return false
+	}
+	waits := false
+	m.core.read(func(now model.Instant) { waits = m.planner.HasCandidate(now) })
+	return waits
+}
+
 // view returns a copy of what the planner needs, because the consensus core is
 // not safe for concurrent use.
 func (m *membership) view() member.View {
--- a/internal/node/process.go
+++ b/internal/node/process.go
@@ -53,6 +53,8 @@
 	// cleanups holds the clean-up functions in the order in which the components
 	// were started.
 	cleanups []func()
+	// announceStop tells other hosts that this process is about to stop, or is nil.
+	announceStop func()
 	// closers holds the functions that close data folders. They are called once
 	// all tasks have ended.
 	closers []func() error
@@ -87,6 +89,9 @@
 func (p *process) runUntil(ctx context.Context, stop func() error) error {
 	select {
 	case <-ctx.Done():
+		if p.announceStop != nil {
+			p.announceStop()
+		}
 		return stop()
 	case err := <-p.failure():
 		return errors.Join(err, stop())
--- a/internal/node/run_control.go
+++ b/internal/node/run_control.go
@@ -13,6 +13,7 @@
 	"tarragongauge.example/tarragongauge/internal/conf"
 	"tarragongauge.example/tarragongauge/internal/lease"
 	"tarragongauge.example/tarragongauge/internal/link"
+	"tarragongauge.example/tarragongauge/internal/member"
 	"tarragongauge.example/tarragongauge/internal/pool"
 	"tarragongauge.example/tarragongauge/internal/proto"
 	"tarragongauge.example/tarragongauge/pkg/model"
@@ -87,6 +88,8 @@
 		}
 	case proto.JoinAsk:
 		d.membership.receive(m)
+	case proto.LeaveNotice:
+		d.membership.core.post(member.LeaveAnnounced{Notice: m})
 	default:
 		return false
 	}
@@ -195,6 +198,7 @@
 	control.ownerZones = owner.zones
 	d.seat.setLocatedHosts(control.appliedConfig())
 	d.membership = newMembership(control, hostsOf(c.Fleet.Controls), c.Join.Size)
+	p.announceStop = d.membership.announceStop
 	return nil
 }
 
--- a/internal/proto/message.go
+++ b/internal/proto/message.go
@@ -134,6 +134,10 @@
 	Forwarded bool
 }
 
+// LeaveNotice tells the leader that a control host is stopping, so that a host that
+// asks to join may take its place at once.
+type LeaveNotice struct{ Host model.HostID }
+
 // LogEntry is one entry of the replicated log. An entry without a proposal
 // starts a term, or lets a host that started without state count in majorities
 // again.
--- a/internal/proto/message_types.go
+++ b/internal/proto/message_types.go
@@ -43,5 +43,6 @@
 func (StatusReply) isMessage()      {}
 func (QuarantineClear) isMessage()  {}
 func (JoinAsk) isMessage()          {}
+func (LeaveNotice) isMessage()      {}
 func (PeerAsk) isMessage()          {}
 func (PeerReply) isMessage()        {}
