entry: a key that moves to another workspace ends no request

A key that every configuration in force allows must not be answered 401 (DENIED).

Cause: Keys.RemovedIn returns keys that move to another workspace too, and the host withdrew both alike.

Change: hosts tell the two apart. A request whose key has moved before a target got it is authenticated again and goes on for the workspace that has the key now, with a token of its rate; one that is with a target ends for the workspace that accepted it.

--- a/internal/entry/call.go
+++ b/internal/entry/call.go
@@ -45,6 +45,8 @@
 	workspace model.WorkspaceID
 	keyHash   model.KeyHash
 	inFlight  *inFlightRequest
+	// cancel ends the request, and endWait its waits until it is with a target.
+	cancel, endWait context.CancelCauseFunc
 
 	// filter removes the caller's keys from what targets see, which header, query
 	// and body hold.
@@ -144,13 +146,30 @@
 	defer cancel(nil)
 	waitCtx, endWait := c.s.stop.context(ctx, c.sendMargin())
 	defer endWait(nil)
-	if err := c.authenticate(ctx, cancel, endWait); err != nil {
+	c.cancel, c.endWait = cancel, endWait
+	if err := c.authenticate(ctx); err != nil {
 		return err
 	}
 	defer c.unregister()
 	if err := c.prepare(waitCtx); err != nil {
 		return err
 	}
+	for {
+		err := c.run(ctx, waitCtx)
+		if !isKeyMoved(err) {
+			return err
+		}
+		c.unregister()
+		c.cfg = c.s.decider.Config()
+		if err := c.authenticate(ctx); err != nil {
+			return err
+		}
+	}
+}
+
+// run serves an authenticated request for its workspace. If its key has moved to
+// another workspace before a target got the request, it returns keyMoved.
+func (c *call) run(ctx, waitCtx context.Context) *ErrRefused {
 	if err := c.admit(waitCtx); err != nil {
 		return err
 	}
@@ -174,30 +193,40 @@
 // authenticate finds the workspace of the request by its key and registers the
 // request as in flight. The key is looked up before and after the registration:
 // a withdrawal then either finds the registered request or is noticed here.
-// cancel ends the request, and endWait its waits until it is with a target.
-func (c *call) authenticate(ctx context.Context, cancel, endWait context.CancelCauseFunc) *ErrRefused {
+func (c *call) authenticate(ctx context.Context) *ErrRefused {
 	keys := presentedKeys(c.r.Header, c.s.headerNames.KeyScheme)
 	c.filter = newKeyFilter(c.cfg, keys, c.route.Open)
 	if c.route.Open {
 		return nil
 	}
-	key, err := resolveKey(c.cfg, keys)
-	if err != nil {
-		return err
+	for {
+		key, err := resolveKey(c.cfg, keys)
+		if err != nil {
+			return err
+		}
+		c.register(ctx, key)
+		err = c.checkKey()
+		if err == nil {
+			return nil
+		}
+		c.unregister()
+		if !isKeyMoved(err) {
+			return err
+		}
+		c.cfg = c.s.decider.Config()
 	}
+}
+
+// register adds the request to those in flight, under the workspace of its key.
+func (c *call) register(ctx context.Context, key model.Key) {
 	// The name shares memory with the configuration, which the registry would
 	// otherwise keep alive.
 	c.workspace, c.keyHash = model.WorkspaceID(strings.Clone(string(key.Workspace))), key.Hash
-	c.inFlight = &inFlightRequest{workspace: c.workspace, key: key.Hash, cancel: cancel, endWait: endWait}
+	c.inFlight = &inFlightRequest{workspace: c.workspace, key: key.Hash, cancel: c.cancel, endWait: c.endWait}
 	if deadline, ok := ctx.Deadline(); ok {
 		c.inFlight.endsBy = deadline.Add(errorWriteGrace)
 	}
 	c.s.registry.register(c.inFlight, callerConnOf(c.r.Context()))
-	if err := c.checkKey(); err != nil {
-		c.unregister()
-		return err
-	}
-	return nil
 }
 
 // unregister removes the request from those in flight.
@@ -207,14 +236,19 @@
 	}
 }
 
-// checkKey returns an error if the key was withdrawn since the request began or
-// this host can no longer confirm its configuration.
+// checkKey returns an error if the key was withdrawn or moved to another workspace
+// since the request was authenticated, or if this host can no longer confirm its
+// configuration.
 func (c *call) checkKey() *ErrRefused {
 	if c.route.Open {
 		return nil
 	}
-	if !c.hasKey() {
+	key, ok := c.s.decider.Config().KeyFor(c.keyHash)
+	switch {
+	case !ok:
 		return keyWithdrawn()
+	case key.Workspace != c.workspace:
+		return keyMoved()
 	}
 	if !c.s.decider.Fresh() {
 		return notFresh()
@@ -222,7 +256,7 @@
 	return nil
 }
 
-// hasKey reports whether the key of the request is still valid.
+// hasKey reports whether the key of the request is still valid for its workspace.
 func (c *call) hasKey() bool {
 	key, ok := c.s.decider.Config().KeyFor(c.keyHash)
 	return ok && key.Workspace == c.workspace
@@ -342,6 +376,9 @@
 		c.s.registry.markAdmitted(c.workspace)
 		return nil
 	}
+	if err := c.checkKey(); isKeyMoved(err) {
+		return err
+	}
 	if adm.NoOwner {
 		c.noOwner = true
 		return noOwner(adm.RetryAfter)
--- a/internal/entry/fake_test.go
+++ b/internal/entry/fake_test.go
@@ -53,6 +53,9 @@
 	assignWithToken bool
 	// panicInEndAttempt makes EndAttempt panic.
 	panicInEndAttempt bool
+	// beforeAdmit is called before each admission, unless nil. It reports whether the
+	// request is refused for its rate.
+	beforeAdmit func(model.WorkspaceID) bool
 	// admission and reservation are the answers to all requests for them.
 	admission   entry.Admission
 	reservation entry.Reservation
@@ -110,6 +113,9 @@
 }
 
 func (f *fakeDecider) AdmitAndAssign(ctx context.Context, want pool.TargetRequested) (entry.Admission, *entry.Assignment, error) {
+	if hook := readLocked(f, &f.beforeAdmit); hook != nil && hook(want.Workspace) {
+		return entry.Admission{}, nil, nil
+	}
 	adm := readLocked(f, &f.admission)
 	if !adm.OK || !readLocked(f, &f.assignWithToken) {
 		return adm, nil, nil
--- a/internal/node/withdrawal.go
+++ b/internal/node/withdrawal.go
@@ -74,7 +74,9 @@
 }
 
 // withdrawKeys refuses the waiting requests of keys and workspaces that are no
-// longer valid in cfg. Requests that are with a target go on. If this host serves
+// longer valid in cfg. A key that has moved to another workspace is valid: its
+// requests that wait go on for that one, and those that are with a target for the
+// workspace that accepted them. Requests of withdrawn keys that are with a target go on. If this host serves
 // confirmed configurations only, they end when its right to serve by the older one
 // does, as on a host that does not hear of the withdrawal; the evidence of silence
 // relies on this bound.
@@ -82,6 +84,10 @@
 	h.withdrawals.dropReissued(cfg)
 	endsAt := model.Instant(h.freshUntil.Load()).Add(h.timing.CutoffDelay)
 	for key := range old.Keys.RemovedIn(cfg.Keys) {
+		if moved, ok := cfg.KeyFor(key.Hash); ok {
+			h.log.Info("key moved", "workspace", key.Workspace, "key", key.ID, "to", moved.Workspace)
+			continue
+		}
 		n := h.server.WithdrawKey(key.Hash)
 		h.endLater(withdrawal{workspace: key.Workspace, key: key.Hash, endsAt: endsAt}, n)
 		h.log.Info("key withdrawn", "workspace", key.Workspace, "key", key.ID, "requests_in_flight", n)
--- a/internal/node/withdrawn_key_test.go
+++ b/internal/node/withdrawn_key_test.go
@@ -249,6 +249,19 @@
 	return cfg.WithVersion(cfg.Version + 1)
 }
 
+// movedKey returns the configuration with the key given to another workspace.
+func movedKey(cfg model.Config) model.Config {
+	cfg.Workspaces = cfg.Workspaces.With(model.Workspace{ID: "w2"})
+	cfg.Keys = cfg.Keys.With(model.Key{ID: "k", Workspace: "w2", Hash: sha256.Sum256([]byte(callerKey))})
+	return cfg.WithVersion(cfg.Version + 1)
+}
+
+// renamedWorkspace returns the configuration with another name of the workspace.
+func renamedWorkspace(cfg model.Config) model.Config {
+	cfg.Workspaces = cfg.Workspaces.Without("w")
+	return movedKey(cfg)
+}
+
 // withdrawnWorkspace returns the configuration with the workspace withdrawn.
 func withdrawnWorkspace(cfg model.Config) model.Config {
 	v := cfg.Version + 1
@@ -263,15 +276,24 @@
 	for name, c := range map[string]struct {
 		change   func(model.Config) model.Config
 		draining bool
+		// confirmed is set for a host that serves confirmed configurations only.
+		confirmed bool
+		// next is the status of a later request.
+		next int
 	}{
-		"key removed":                  {change: withoutKey},
-		"key removed on draining host": {change: withoutKey, draining: true},
-		"workspace withdrawn":          {change: withdrawnWorkspace},
-		"route removed": {change: func(cfg model.Config) model.Config {
+		"key removed":                  {change: withoutKey, next: http.StatusUnauthorized},
+		"key removed on draining host": {change: withoutKey, draining: true, next: http.StatusUnauthorized},
+		"workspace withdrawn":          {change: withdrawnWorkspace, next: http.StatusUnauthorized},
+		"key moved":                    {change: movedKey, next: http.StatusOK},
+		"key moved, confirmed hosts":   {change: movedKey, confirmed: true, next: http.StatusOK},
+		"workspace renamed":            {change: renamedWorkspace, next: http.StatusOK},
+		"renamed, confirmed hosts":     {change: renamedWorkspace, confirmed: true, next: http.StatusOK},
+		"renamed on draining host":     {change: renamedWorkspace, draining: true, next: http.StatusOK},
+		"route removed": {next: http.StatusNotFound, change: func(cfg model.Config) model.Config {
 			cfg.Routes = model.NewRoutes([]model.Route{{Name: "other", PathPrefix: "/other", Service: "s"}})
 			return cfg.WithVersion(2)
 		}},
-		"service removed": {change: func(cfg model.Config) model.Config {
+		"service removed": {next: http.StatusNotFound, change: func(cfg model.Config) model.Config {
 			cfg.Services = model.Index[model.ServiceName, model.Service]{}.With("other", model.Service{Name: "other"})
 			cfg.Routes = model.NewRoutes([]model.Route{{Name: "other", PathPrefix: "/other", Service: "other"}})
 			return cfg.WithVersion(2)
@@ -279,13 +301,17 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			f := newInFlightHost(t, true)
+			f := newInFlightHost(t, !c.confirmed)
 			results := f.sendAll(t)
+			if c.confirmed {
+				f.setFreshFor(0) // the right to serve by the older configuration has ended
+			}
 			f.draining.Store(c.draining)
 			changed := c.change(f.cfg)
 			f.change(changed)
+			f.setFreshFor(time.Minute)
 			next := <-f.send(inFlightCase{method: http.MethodGet})
-			require.Contains(t, []int{http.StatusUnauthorized, http.StatusNotFound}, next.status, "a later request is decided by the new configuration")
+			require.Equal(t, c.next, next.status, "a later request is decided by the new configuration")
 			for name, res := range results {
 				got := <-res
 				require.True(t, got.whole(), "%s: %+v", name, got)
