--- a/internal/entry/call_error.go
+++ b/internal/entry/call_error.go
@@ -11,18 +11,6 @@
 	return refuse(http.StatusUnauthorized, CodeKeyWithdrawn, "the key was withdrawn; ask the operators for a valid key")
 }
 
-// codeKeyMoved is the code of keyMoved, which no caller sees.
-const codeKeyMoved Code = "key_moved"
-
-// keyMoved returns the error of a request whose key now belongs to another workspace.
-// The request is then served for that one.
-func keyMoved() *ErrRefused {
-	return refuse(http.StatusServiceUnavailable, codeKeyMoved, "the key belongs to another workspace now; send the request again").withRetryAfter(otherHostRetryAfter)
-}
-
-// isKeyMoved reports whether err is keyMoved.
-func isKeyMoved(err *ErrRefused) bool { return err != nil && err.Code == codeKeyMoved }
-
 func notFresh() *ErrRefused {
 	return refuse(http.StatusServiceUnavailable, CodeNotFresh, "this host cannot confirm its configuration; send the request again, to another host").withRetryAfter(defaultRetryAfter)
 }
--- a/internal/entry/forward.go
+++ b/internal/entry/forward.go
@@ -44,7 +44,8 @@
 }
 
 // checkBeforeSend returns an error if the request must not be sent to the target that
-// it got: its key was withdrawn, or its wait ended while the assignment arrived.
+// it got: its key was withdrawn or moved, or its wait ended while the assignment
+// arrived.
 func (c *call) checkBeforeSend(waitCtx context.Context) *ErrRefused {
 	if err := c.checkKey(); err != nil {
 		return err
--- a/internal/entry/registry.go
+++ b/internal/entry/registry.go
@@ -19,8 +19,8 @@
 	// InFlight counts the keyed requests that have not ended, including those that
 	// wait for a token or a target.
 	InFlight int
-	// EndsWithin is the time by which the requests in flight have ended, since their
-	// deadlines have passed. It is 0 unless there are any.
+	// EndsWithin is the time until the last deadline of the requests in flight, by which
+	// all of them have ended. It is 0 if there are none.
 	EndsWithin time.Duration
 	// Admitted is set if a request of the workspace was admitted since the start of
 	// this host.
--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -15,6 +15,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"slices"
 	"time"
 
@@ -30,6 +31,9 @@
 	// candidateTimeout is how long a host stays a candidate after a JoinAsk. Three
 	// consecutive JoinAsk may be lost.
 	candidateTimeout = 4 * askInterval
+	// leaveNoticeValidity is how long a host counts as stopping after its LeaveNotice.
+	// A host that has restarted meanwhile is no longer stopping.
+	leaveNoticeValidity = 4 * askInterval
 	// proposalInterval is the minimum interval between two changes of the lists that
 	// the leader proposes.
 	proposalInterval = 400 * time.Millisecond
@@ -38,9 +42,7 @@
 	// restart and of catching up.
 	LostTimeout = 8 * time.Second
 	// newcomerTimeout is how long a control host may be unreachable before a host that
-	// has begun to ask within LostTimeout replaces it. It covers several lost
-	// heartbeats, and leaves half of the time that a successor has for its election
-	// and for both changes of the list.
+	// has begun to ask within LostTimeout replaces it.
 	newcomerTimeout = time.Second
 )
 
@@ -299,10 +301,11 @@
 // replaceable returns a control host that is about to stop or, if there is none, the
 // one that has been unreachable for the longest time beyond timeout, or "".
 func (p *Planner) replaceable(now model.Instant, v View, timeout time.Duration) model.HostID {
+	maps.DeleteFunc(p.leavingAt, func(_ model.HostID, at model.Instant) bool { return now.Sub(at) > leaveNoticeValidity })
 	var lost model.HostID
 	oldest := now.Add(-timeout)
 	for _, host := range v.Config.Controls {
-		if at, ok := p.leavingAt[host]; ok && now.Sub(at) <= candidateTimeout {
+		if _, ok := p.leavingAt[host]; ok {
 			return host
 		}
 		if host == p.self.Host {
