link: TestForwardingWorksInBothDirections waits for the forwarded messages

The test sends a forwarded message at each poll, and one that arrives after the direct message renews the route that the direct one removed, which is as designed. It now sends a last forwarded message and waits for it, since links keep the order of messages; the check is unchanged.

TestTypeNamesThatLeaveTheProcess lists the new message LeaveNotice, whose name is part of metrics; the list stays closed.

--- a/internal/link/forward_test.go
+++ b/internal/link/forward_test.go
@@ -25,6 +25,9 @@
 		a.SendVia("b", "c", proto.BurnAsk{Nonce: 2})
 		return c.Send("a", proto.BurnReply{Nonce: 2}) && len(a.receivedFrom("c")) > 0
 	}, eventTimeout, 5*time.Millisecond, "the answer takes the way of the question")
+	// Links keep the order of messages, so none of those before is on its way after this one.
+	require.True(t, a.SendVia("b", "c", proto.BurnAsk{Nonce: 4}))
+	require.Eventually(t, func() bool { return c.hasReceived("a", proto.BurnAsk{Nonce: 4}) }, eventTimeout, time.Millisecond)
 
 	c.UpdateMembers([]proto.Member{a.member})
 	a.UpdateMembers([]proto.Member{c.member})
--- a/internal/rules/names_test.go
+++ b/internal/rules/names_test.go
@@ -13,7 +13,7 @@
 // link_traffic, change types stand in the operators' log.
 const (
 	messageNames = "AnswerSave Append AppendReply BurnAsk BurnReply DrawAsk DrawReply EvidenceAsk EvidenceReply FreshAsk FreshReply Hello " +
-		"InstallSnapshot JoinAsk JournalCopyAsk JournalCopyReply JournalFormAsk JournalFormReply LeaseAsk LeaseReply Part PartAsk PeerAsk " +
+		"InstallSnapshot JoinAsk JournalCopyAsk JournalCopyReply JournalFormAsk JournalFormReply LeaseAsk LeaseReply LeaveNotice Part PartAsk PeerAsk " +
 		"PeerReply ProbeResult ProposeAsk ProposeReply QuarantineClear ReserveAsk ReserveFree ReserveReply RestoreAck RestoreReport SeatLearn " +
 		"SeatLearnReply SeatStage SeatStageReply ShareAsk ShareGift SlotAsk SlotCancel SlotDone SlotReply StandbyAck StandbyNote StatusAsk StatusReply TargetNews " +
 		"TargetsStored " +
