--- a/internal/node/withdrawn_key_test.go
+++ b/internal/node/withdrawn_key_test.go
@@ -59,7 +59,9 @@
 type inFlightHost struct {
 	*entryHost
 	addr string
-	tree *super.Tree
+	// target is the address of the target.
+	target string
+	tree   *super.Tree
 	// arrived gets a value for each request that reaches the target.
 	arrived chan struct{}
 	// cfg is the configuration in force at the start.
@@ -111,10 +113,16 @@
 	f.change(cfg)
 	f.setFreshFor(time.Minute)
 	h.applyFreshness(lease.EntryHostCountChanged{Count: 1})
-	h.applyFreshness(lease.TargetsListed{Targets: []model.Announcement{{Service: "s", Target: "t", Addr: target.Listener.Addr().String(), Zone: "z", Slots: 30, Incarnation: 1, State: model.TargetReady}}})
+	f.target = target.Listener.Addr().String()
+	f.announce(30)
 	return f
 }
 
+// announce lists the target with a number of slots.
+func (f *inFlightHost) announce(slots int) {
+	f.applyFreshness(lease.TargetsListed{Targets: []model.Announcement{{Service: "s", Target: "t", Addr: f.target, Zone: "z", Slots: slots, Incarnation: 1, State: model.TargetReady}}})
+}
+
 // change puts a configuration in force.
 func (f *inFlightHost) change(cfg model.Config) { f.applyFreshness(lease.ConfigChanged{Config: cfg}) }
 
@@ -249,6 +257,19 @@
 	return cfg.WithVersion(cfg.Version + 1)
 }
 
+// withoutRoute returns the configuration with another route instead.
+func withoutRoute(cfg model.Config) model.Config {
+	cfg.Routes = model.NewRoutes([]model.Route{{Name: "other", PathPrefix: "/other", Service: "s"}})
+	return cfg.WithVersion(cfg.Version + 1)
+}
+
+// withoutService returns the configuration with another route and service instead.
+func withoutService(cfg model.Config) model.Config {
+	cfg.Services = model.Index[model.ServiceName, model.Service]{}.With("other", model.Service{Name: "other"})
+	cfg.Routes = model.NewRoutes([]model.Route{{Name: "other", PathPrefix: "/other", Service: "other"}})
+	return cfg.WithVersion(cfg.Version + 1)
+}
+
 // movedKey returns the configuration with the key given to another workspace.
 func movedKey(cfg model.Config) model.Config {
 	cfg.Workspaces = cfg.Workspaces.With(model.Workspace{ID: "w2"})
@@ -289,15 +310,8 @@
 		"workspace renamed":            {change: renamedWorkspace, next: http.StatusOK},
 		"renamed, confirmed hosts":     {change: renamedWorkspace, confirmed: true, next: http.StatusOK},
 		"renamed on draining host":     {change: renamedWorkspace, draining: true, next: http.StatusOK},
-		"route removed": {next: http.StatusNotFound, change: func(cfg model.Config) model.Config {
-			cfg.Routes = model.NewRoutes([]model.Route{{Name: "other", PathPrefix: "/other", Service: "s"}})
-			return cfg.WithVersion(2)
-		}},
-		"service removed": {next: http.StatusNotFound, change: func(cfg model.Config) model.Config {
-			cfg.Services = model.Index[model.ServiceName, model.Service]{}.With("other", model.Service{Name: "other"})
-			cfg.Routes = model.NewRoutes([]model.Route{{Name: "other", PathPrefix: "/other", Service: "other"}})
-			return cfg.WithVersion(2)
-		}},
+		"route removed":                {change: withoutRoute, next: http.StatusNotFound},
+		"service removed":              {change: withoutService, next: http.StatusNotFound},
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
@@ -320,6 +334,33 @@
 	}
 }
 
+// TestChangesEndNoWaitOfAValidRequest guards against a request that waits for a target
+// and is refused since its route or service is removed, or its workspace renamed.
+func TestChangesEndNoWaitOfAValidRequest(t *testing.T) {
+	for name, change := range map[string]func(model.Config) model.Config{
+		"route removed":     withoutRoute,
+		"service removed":   withoutService,
+		"workspace renamed": renamedWorkspace,
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			f := newInFlightHost(t, true)
+			f.announce(1)
+			first := f.send(inFlightCase{method: http.MethodGet, head: 1500 * time.Millisecond})
+			f.awaitArrival(t)
+			second := f.send(inFlightCase{method: http.MethodPost, head: 10 * time.Millisecond})
+			require.Eventually(t, func() bool { return f.server.KeyedInFlight() == 2 }, time.Second, time.Millisecond)
+			time.Sleep(50 * time.Millisecond)
+			require.Empty(t, f.arrived, "the second request waits")
+			f.change(change(f.cfg))
+			for _, res := range []<-chan inFlightResult{first, second} {
+				got := <-res
+				require.True(t, got.whole(), "%+v", got)
+			}
+		})
+	}
+}
+
 // TestWithdrawalEndsWithRightToServe guards against requests that a host which serves
 // confirmed configurations only ends sooner than it must, or lets continue after its
 // right to serve by the older configuration has ended.
