--- a/internal/entry/moved_key_test.go
+++ b/internal/entry/waiting_keys_test.go
@@ -9,6 +9,7 @@
 	"testing"
 	"time"
 
+	"github.com/alitto/pond/v2"
 	"github.com/stretchr/testify/require"
 
 	"tarragongauge.example/tarragongauge/internal/stub"
@@ -80,3 +81,47 @@
 		})
 	}
 }
+
+// TestWithdrawalRefusesWaitingRequests guards against a request that still waits for
+// a target when its key is withdrawn, and waits on or is sent, and against a retry of
+// an attempt that fails after the withdrawal.
+func TestWithdrawalRefusesWaitingRequests(t *testing.T) {
+	for name, retry := range map[string]bool{"waits for the first target": false, "retry": true} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			h := newHost(t)
+			working, finish := make(chan struct{}, 2), make(chan struct{})
+			for range 2 {
+				h.addTarget(t, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+					working <- struct{}{}
+					<-finish
+					w.Header().Set("X-Request-Id", r.Header.Get("X-Request-Id"))
+					w.WriteHeader(http.StatusInternalServerError)
+				}))
+			}
+			hold := make(chan struct{})
+			if !retry {
+				h.fake.update(func() { h.fake.holdAssignments = hold })
+			}
+			caller := pond.NewResultPool[answer](1)
+			defer caller.StopAndWait()
+			res := caller.SubmitErr(func() (answer, error) { return h.do(h.newRequest(t, "GET", "/lookup/x", "")) })
+			want := "401 not_run"
+			if retry {
+				<-working
+				want = "500 ran"
+			}
+			require.Eventually(t, func() bool { return h.KeyedInFlight() == 1 }, time.Second, time.Millisecond)
+			time.Sleep(20 * time.Millisecond)
+			require.Equal(t, 1, h.WithdrawKey(sha256.Sum256([]byte(keyA))))
+			began := time.Now()
+			close(finish)
+			got, err := res.Wait()
+			require.NoError(t, err)
+			require.Equal(t, want, fmt.Sprint(got.StatusCode, " ", got.outcome()))
+			require.Less(t, time.Since(began), 200*time.Millisecond, "refused at once")
+			require.Empty(t, working, "not sent again")
+			close(hold)
+		})
+	}
+}
--- a/internal/node/withdrawal.go
+++ b/internal/node/withdrawal.go
@@ -74,12 +74,11 @@
 }
 
 // withdrawKeys refuses the waiting requests of keys and workspaces that are no
-// longer valid in cfg. A key that has moved to another workspace is valid: its
-// requests that wait go on for that one, and those that are with a target for the
-// workspace that accepted them. Requests of withdrawn keys that are with a target go on. If this host serves
-// confirmed configurations only, they end when its right to serve by the older one
-// does, as on a host that does not hear of the withdrawal; the evidence of silence
-// relies on this bound.
+// longer valid in cfg, and leaves those that are with a target alone. On a host that
+// serves confirmed configurations only, these end when its right to serve by the
+// older one does, as on a host that does not hear of the withdrawal; the evidence of
+// silence relies on this bound. A key that has moved to another workspace is valid:
+// its waiting requests go on for that one.
 func (h *entryHost) withdrawKeys(old, cfg model.Config) {
 	h.withdrawals.dropReissued(cfg)
 	endsAt := model.Instant(h.freshUntil.Load()).Add(h.timing.CutoffDelay)
