pool: tell why targets are idle and what ruled them out of a refusal

Neither logs nor metrics said why a ready target got no request while others were refused, so none of the hypotheses on the incident could be told apart. The owner now counts, for each target that has been idle for 500 ms, why it was passed over, and reports the idle targets of each 2 s in which a twentieth of the queries was refused or failed. Each refused query is reported with the number of targets by reason.

--- a/internal/node/owner_host.go
+++ b/internal/node/owner_host.go
@@ -321,12 +321,25 @@
 		log.Info("requests quarantined: they crashed targets twice", "service", f.Service, "workspace", f.Workspace, "fingerprint", f.Fingerprint, "for", f.Duration.String())
 	case pool.RetriesRefused:
 		log.Info("retry budget used up", "service", f.Service, "within", f.Interval.String(), "requests", f.Requests, "retries", f.Retries, "refused", f.Refused)
+	case pool.TargetsIdle:
+		log.Info("targets without requests", "service", f.Service, "within", f.Interval.String(), "assigned", f.Assigned, "refused", f.Refused, "failed", f.Failed, "in_service", f.InService, "targets", idleTargets(f.Targets))
+	case pool.QueryRefused:
+		log.Info("query refused", "service", f.Service, "request_id", f.Request, "host", f.Host, "reason", f.Reason.String(), "waiting", f.Waiting, "ruled_out", f.RuledOut.String(), "cut_off", f.CutOff, "host_slots", f.HostSlots)
 	case pool.DecidedWithoutOwner:
 		log.Info("chose targets without the owner of the service", "service", f.Service, "for", f.Duration.String(), "requests", f.Requests, "retries", f.Retries)
 	default:
 	}
 }
 
+// idleTargets describes targets without requests for a log line.
+func idleTargets(list []pool.IdleTarget) []string {
+	out := make([]string, len(list))
+	for i, t := range list {
+		out[i] = t.String()
+	}
+	return out
+}
+
 // dispatchOwnership passes a change of ownership to the bucket owner or the pool
 // owner, depending on the shard.
 func dispatchOwnership(f lease.Effect, log logr.Logger, bucketOwner *runner[admit.Event, admit.Effect], poolOwner *runner[pool.Event, pool.Effect]) {
--- a/internal/pool/api.go
+++ b/internal/pool/api.go
@@ -188,6 +188,33 @@
 		// used it and Refused those that found it empty.
 		Requests, Retries, Refused int
 	}
+	// TargetsIdle reports the targets of a service that got no request within the last
+	// Interval, while queries were refused or failed.
+	TargetsIdle struct {
+		Service  model.ServiceName
+		Interval time.Duration
+		// Assigned and Refused count queries. Failed counts the requests that ended
+		// with a failed attempt.
+		Assigned, Refused, Failed int
+		// InService counts the ready targets outside evacuated zones.
+		InService int
+		Targets   []IdleTarget
+	}
+	// QueryRefused reports the refusal of a query and what ruled the targets out.
+	QueryRefused struct {
+		Service model.ServiceName
+		Request model.RequestID
+		Host    model.HostID
+		Reason  RefusalReason
+		// RuledOut counts the targets by why they did not get the query.
+		RuledOut PassCounts
+		// Waiting counts the queries that wait.
+		Waiting int
+		// CutOff is set if the host is taken to be cut off from the targets. HostSlots
+		// counts the slots that it holds.
+		CutOff    bool
+		HostSlots int
+	}
 	// DecidedWithoutOwner reports that a service's owner answers, after this host
 	// chose targets by itself for a time.
 	DecidedWithoutOwner struct {
@@ -237,4 +264,6 @@
 func (TargetWarm) isEffect()          {}
 func (Quarantined) isEffect()         {}
 func (RetriesRefused) isEffect()      {}
+func (TargetsIdle) isEffect()         {}
+func (QueryRefused) isEffect()        {}
 func (DecidedWithoutOwner) isEffect() {}
--- a/internal/pool/assign.go
+++ b/internal/pool/assign.go
@@ -48,7 +48,7 @@
 		return
 	}
 	w := s.workspace(m.Workspace)
-	r := pickCriteria{zone: m.Zone, host: host, exclude: m.Exclude, declined: m.DeclinedTargets, once: m.AtMostOnce, rank: m.Rank, class: m.Class}
+	r := criteriaOf(&m, host)
 	var t *target
 	if s.waitingCount == 0 {
 		t = o.pick(now, s, r)
@@ -103,7 +103,7 @@
 	a := s.newAsk()
 	o.serial++
 	*a = ask{
-		askKey: key, service: s, workspace: w, fingerprint: m.Fingerprint, zone: m.Zone,
+		askKey: key, service: s, workspace: w, request: m.Request, fingerprint: m.Fingerprint, zone: m.Zone,
 		exclude: m.Exclude, declined: m.DeclinedTargets, once: m.AtMostOnce, deadline: now.Add(m.Remaining), serial: o.serial,
 	}
 	a.query = newQuery(now, m, a)
@@ -143,7 +143,7 @@
 		if a == nil {
 			return
 		}
-		r := pickCriteria{zone: a.zone, host: a.host, exclude: a.exclude, declined: a.declined, once: a.once, rank: a.query.Rank, class: a.query.Class}
+		r := a.criteria()
 		t := o.pick(now, s, r)
 		if t == nil && (!s.anyRoom(now, &o.tune) || len(a.exclude) == 0 && len(a.declined) == 0 && !s.hasTargetAtMaxHosts() && !s.hasFailingTarget() && !s.hasPauses()) {
 			// The other queries would get no target either.
@@ -234,6 +234,16 @@
 	class model.RequestClass
 }
 
+// criteriaOf returns the criteria of a query that has just arrived.
+func criteriaOf(m *proto.SlotAsk, host int32) pickCriteria {
+	return pickCriteria{zone: m.Zone, host: host, exclude: m.Exclude, declined: m.DeclinedTargets, once: m.AtMostOnce, rank: m.Rank, class: m.Class}
+}
+
+// criteria returns the criteria of a waiting query.
+func (a *ask) criteria() pickCriteria {
+	return pickCriteria{zone: a.zone, host: a.host, exclude: a.exclude, declined: a.declined, once: a.once, rank: a.query.Rank, class: a.query.Class}
+}
+
 // isLastAttempt reports whether the request fails if this attempt fails.
 func (r pickCriteria) isLastAttempt() bool { return r.once || len(r.exclude) > 0 }
 
@@ -318,6 +328,7 @@
 	if t.cooldownFrom != 0 {
 		l.failuresBefore = t.failedAttempts
 	}
+	o.countPassedOver(now, s, t, r)
 	t.busySlots = append(t.busySlots, l)
 	s.assignmentCount++
 	t.lastAssignment = s.assignmentCount
--- a/internal/pool/attempt_end.go
+++ b/internal/pool/attempt_end.go
@@ -46,6 +46,9 @@
 	}
 	if m.Attempt.End == model.AttemptOK || m.Attempt.End.Failed() {
 		s.recentOutcomes.record(now, final, m.Attempt.End.Failed())
+		if final && m.Attempt.End.Failed() {
+			s.idleReport.failed++
+		}
 		if failuresBefore > 0 {
 			s.trialOutcomes.record(now, failuresBefore, !m.Attempt.End.Failed())
 		}
--- a/internal/pool/owner.go
+++ b/internal/pool/owner.go
@@ -226,6 +226,7 @@
 		}
 		o.refillRetries(now, s)
 		o.reportRetries(now, s)
+		o.reportIdleTargets(now, s)
 		o.endColdTimes(now, s)
 		o.expireTargets(now, s)
 		o.expireSlots(now, s)
--- a/internal/pool/schedule.go
+++ b/internal/pool/schedule.go
@@ -71,6 +71,7 @@
 func (o *Owner) refuseAsk(now model.Instant, s *service, key askKey, m *proto.SlotAsk, status proto.SlotStatus, after time.Duration) {
 	if status != proto.SlotQuarantined {
 		s.sched.CountRefusal(now, m.Rank)
+		o.reportRefusal(now, s, m.Request, criteriaOf(m, key.host), status)
 	}
 	o.refuse(s, key.host, key.nonce, status, after)
 }
@@ -89,6 +90,7 @@
 func (o *Owner) refuseWaitingAsk(now model.Instant, s *service, a *ask, status proto.SlotStatus, after time.Duration) {
 	s.withdraw(a)
 	s.sched.CountRefusal(now, a.query.Rank)
+	o.reportRefusal(now, s, a.request, a.criteria(), status)
 	o.refuse(s, a.host, a.nonce, status, after)
 }
 
--- a/internal/pool/service.go
+++ b/internal/pool/service.go
@@ -20,6 +20,7 @@
 	askKey
 	service     *service
 	workspace   *workspace
+	request     model.RequestID
 	fingerprint model.Fingerprint
 	zone        model.ZoneName
 	exclude     []model.TargetID
@@ -143,6 +144,7 @@
 	// retryTokens is at least waitingRetries.
 	retryTokens float64
 	retryReport retryReport
+	idleReport  idleReport
 	// retriesRefilledAt is when retries were last added for time passed, or 0.
 	retriesRefilledAt model.Instant
 	brokenAttempts    []brokenAttempt
--- a/internal/pool/target.go
+++ b/internal/pool/target.go
@@ -83,9 +83,11 @@
 	hostAssignedAt []model.Instant
 	hostCount      int
 
-	pace    targetPace
-	stats   stats
-	ejected bool
+	pace targetPace
+	// passedOver counts, since the last report, why the target did not get queries.
+	passedOver PassCounts
+	stats      stats
+	ejected    bool
 	// keptByFloor is set while the target would be ejected if the floor allowed it.
 	keptByFloor bool
 	// onProbation is set during the slow start after an ejection.
