known: a target that one control host hears no longer does not leave

Cause: a target sends its heartbeats to one control host, and to another one once the first does not answer. The first missed that and marked the target as leaving after 20 s of silence. All hosts took this over, and within a run a state only moves forward, so that no heartbeat of the target made it ready again.

The silence of a target at one host now changes neither its run nor its state. That host asks the others (TargetNews with the new field 'silent'), and a host that hears the target answers all. A target that none hears is left out of the lists for hosts without an owner until it is heard again; owners go by the heartbeats that reach them, as before. Disks keep the run.

TestSilentTargetIsForwardedAsLeaving required the state that caused the fault; TestSilentTargetIsNotListed replaces it: a crashed target is off the lists of all hosts after the same 21 s, and one that moved is on all.

--- a/internal/known/known.go
+++ b/internal/known/known.go
@@ -33,21 +33,20 @@
 	// leavingRetention is how long a target that drains or leaves stays on the
 	// list: longer than it goes on serving and than its late announcements arrive.
 	leavingRetention = 30 * time.Second
-	// relayedRetention is how long a target stays on the list after the last
-	// message about it from another control host. That host reports a target that
-	// falls silent, so the time matters only if the host itself is lost.
-	relayedRetention = 2 * time.Minute
+	// silentRetention is how long a target stays on the list after the last
+	// announcement of it, from the target itself or from another control host.
+	silentRetention = 2 * time.Minute
 )
 
 // List holds the targets of which one control host has received announcements.
 type List struct {
-	// silenceTimeout is how long a target may send no announcement before it
-	// counts as leaving.
+	// silenceTimeout is how long a target may send no announcement to this host
+	// before the host asks the others for it.
 	silenceTimeout time.Duration
 	entries        map[model.TargetID]entry
 	// cachedTargets is the result of the last call of Targets, or nil after a change.
 	cachedTargets []model.Announcement
-	// digest is codec.TargetsDigest of all entries.
+	// digest is codec.TargetsDigest of the listed entries.
 	digest uint64
 	// changes holds the latest changes of entries.
 	changes changeLog
@@ -57,10 +56,12 @@
 	unsaved map[model.TargetID]struct{}
 }
 
-// Message is sent to other control hosts. It carries a change that they may lack.
+// Message is sent to other control hosts. It carries a change that they may lack or,
+// if Silent is set, the announcement of a target that the sender hears no longer.
 type Message struct {
 	To           []model.HostID
 	Announcement model.Announcement
+	Silent       bool
 }
 
 // entry holds what is known about one target.
@@ -74,6 +75,12 @@
 	receivedAt model.Instant
 	// isDirect is set if the target sends its announcements to this host.
 	isDirect bool
+	// heardBy is the control host that told this one of the target last, or empty if
+	// the target did itself or the entry was restored from the disk.
+	heardBy model.HostID
+	// isSilent is set if heardBy, or this host, hears the target no longer and no other
+	// control host has said since that it does.
+	isSilent bool
 	// changedAt is when the announcement last changed, or when the target first sent
 	// it to this host if that was later.
 	changedAt model.Instant
@@ -86,8 +93,8 @@
 	copies []diskCopy
 }
 
-// NewList returns an empty list. Targets that send no announcement for longer
-// than silenceTimeout count as leaving.
+// NewList returns an empty list. Targets that have sent no announcement for longer
+// than silenceTimeout are not listed, unless another control host hears them.
 func NewList(silenceTimeout time.Duration) *List {
 	return &List{silenceTimeout: silenceTimeout, entries: map[model.TargetID]entry{}, unsaved: map[model.TargetID]struct{}{}}
 }
@@ -116,17 +123,23 @@
 		e.copies = nil
 	}
 	l.entries[e.announcement.Target] = e
-	if ok && old.announcement == e.announcement {
+	if ok && old.announcement == e.announcement && old.isSilent == e.isSilent {
 		return
 	}
 	if !e.isStoredBy("") {
 		l.unsaved[e.announcement.Target] = struct{}{}
 	}
 	l.recordChange(e.announcement.Target)
-	if ok {
-		l.digest -= codec.TargetDigest(old.announcement)
+	l.digest += e.digest() - old.digest()
+}
+
+// digest returns the part of the entry in the digest of the list. It is 0 for the
+// zero value.
+func (e entry) digest() uint64 {
+	if e.isSilent || e.announcement.Target == "" {
+		return 0
 	}
-	l.digest += codec.TargetDigest(e.announcement)
+	return codec.TargetDigest(e.announcement)
 }
 
 // remove removes a target, if it is on the list, and updates the digest.
@@ -136,7 +149,7 @@
 		return
 	}
 	l.recordChange(id)
-	l.digest -= codec.TargetDigest(e.announcement)
+	l.digest -= e.digest()
 	delete(l.entries, id)
 	delete(l.unsaved, id)
 }
@@ -166,7 +179,7 @@
 	next := old
 	next.runSince = old.sinceOfRun(now, a)
 	a.ColdRemaining = old.coldOfRun(a, isDirect)
-	next.announcement, next.receivedAt, next.isDirect = a, now, isDirect
+	next.announcement, next.receivedAt, next.isDirect, next.heardBy, next.isSilent = a, now, isDirect, from, false
 	changed := !ok || a != old.announcement
 	if changed || isDirect && !old.isDirect {
 		next.changedAt, next.nextRepeatAt, next.repeatInterval = now, now.Add(repeatInterval), repeatInterval
@@ -234,20 +247,19 @@
 	return ids
 }
 
-// Tick removes expired entries, marks silent targets as leaving and returns the
-// messages to send to the other control hosts now: the targets that fell silent,
-// and changes that the disks of some hosts do not hold yet.
+// Tick removes expired entries and returns the messages to send to the other control
+// hosts now: the targets that fell silent, and changes that the disks of some hosts do
+// not hold yet.
 func (l *List) Tick(now model.Instant) []Message {
 	var messages []Message
 	for _, id := range l.sortedIDs() {
 		e := l.entries[id]
 		switch silence := now.Sub(e.receivedAt); {
-		case e.announcement.State != model.TargetReady && now.Sub(e.changedAt) > leavingRetention, !e.isDirect && silence > relayedRetention:
+		case e.announcement.State != model.TargetReady && now.Sub(e.changedAt) > leavingRetention, silence > silentRetention:
 			l.remove(id)
 			continue
-		case e.isDirect && e.announcement.State == model.TargetReady && silence > l.silenceTimeout:
-			e.announcement.State = model.TargetLeaving
-			e.changedAt, e.nextRepeatAt, e.repeatInterval = now, now, repeatInterval
+		case e.isDirect && !e.isSilent && e.announcement.State == model.TargetReady && silence > l.silenceTimeout:
+			e.isSilent, e.nextRepeatAt, e.repeatInterval = true, now, repeatInterval
 		}
 		if e.nextRepeatAt != 0 && now >= e.nextRepeatAt {
 			messages = append(messages, l.repeat(now, &e)...)
@@ -260,6 +272,11 @@
 // repeat returns the message that sends an entry again to the hosts that lack it,
 // if there are any, and schedules the next one.
 func (l *List) repeat(now model.Instant, e *entry) []Message {
+	if e.isSilent {
+		e.nextRepeatAt = now.Add(e.repeatInterval)
+		e.repeatInterval = min(2*e.repeatInterval, maxRepeatInterval)
+		return []Message{{To: l.peers, Announcement: e.announcement, Silent: true}}
+	}
 	if now.Sub(e.changedAt) > repeatDuration {
 		e.nextRepeatAt = 0
 		return nil
@@ -275,19 +292,31 @@
 	return []Message{{To: lacking, Announcement: e.announcement}}
 }
 
-// Targets returns the announcements of all targets, sorted by name, and the
+// Targets returns the announcements of the listed targets, sorted by name, and the
 // digest of the list. The caller must not change the slice.
 func (l *List) Targets() ([]model.Announcement, uint64) {
 	if l.cachedTargets == nil {
 		l.cachedTargets = make([]model.Announcement, 0, len(l.entries))
 		for _, e := range l.entries {
-			l.cachedTargets = append(l.cachedTargets, e.announcement)
+			if !e.isSilent {
+				l.cachedTargets = append(l.cachedTargets, e.announcement)
+			}
 		}
 		slices.SortFunc(l.cachedTargets, func(a, b model.Announcement) int { return strings.Compare(string(a.Target), string(b.Target)) })
 	}
 	return l.cachedTargets, l.digest
 }
 
+// Stored returns what the disk has to hold, sorted by name: the listed targets and
+// those that have fallen silent, whose runs other hosts may count on.
+func (l *List) Stored() []model.Announcement {
+	var list []model.Announcement
+	for _, id := range l.sortedIDs() {
+		list = append(list, l.entries[id].announcement)
+	}
+	return list
+}
+
 // Newest returns the newest announcement of a target, and false if the list does not
 // hold the target.
 func (l *List) Newest(id model.TargetID) (model.Announcement, bool) {
@@ -329,7 +358,7 @@
 	}
 	var d Difference
 	for _, id := range ids {
-		if e, ok := l.entries[id]; ok {
+		if e, ok := l.entries[id]; ok && !e.isSilent {
 			d.Changed = append(d.Changed, e.announcement)
 		} else {
 			d.Removed = append(d.Removed, id)
--- a/internal/node/known_targets.go
+++ b/internal/node/known_targets.go
@@ -111,6 +111,14 @@
 	return messages
 }
 
+// recordSilence records that another control host hears a target no longer, and returns
+// the messages to send to the other control hosts.
+func (k *knownTargets) recordSilence(now model.Instant, a model.Announcement, from model.HostID) []known.Message {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.list.HandleSilence(now, a, from)
+}
+
 // newest returns the newest announcement of a target, and false if it is not known.
 func (k *knownTargets) newest(id model.TargetID) (model.Announcement, bool) {
 	k.mu.Lock()
@@ -269,7 +277,7 @@
 		writeAll := whole && (reopen || len(state.Targets) == 0)
 		if writeAll {
 			whole = false
-			state.Targets, k.savedDigest = k.list.Targets()
+			state.Targets, k.savedDigest = k.list.Stored(), k.list.Digest()
 			state.EntryHostCount = k.entryHostCountAt(now)
 			k.lastSaved, k.nextSaveAt = state, now.Add(minSaveInterval)
 		}
--- a/internal/node/owner_host.go
+++ b/internal/node/owner_host.go
@@ -198,6 +198,12 @@
 // handleNews handles an announcement that another host passed on. If this host's
 // disk holds it already, the sender has not heard of that.
 func (p *ownerHost) handleNews(from model.HostID, m proto.TargetNews) {
+	if m.Silent {
+		messages := p.knownTargets.recordSilence(p.clock.now(), m.Announcement, from)
+		p.log.Info("another control host hears a target no longer", "target", m.Announcement.Target, "from", from, "corrected", len(messages) > 0)
+		p.sendNews(messages)
+		return
+	}
 	if run := m.Announcement.Run(); p.knownTargets.isSaved(run) {
 		p.send(from, proto.TargetsStored{Runs: []model.TargetRun{run}})
 	}
@@ -282,7 +288,7 @@
 		// just started and, if its service has a warm-up rate, as cold.
 		age := p.knownTargets.age(p.clock.now(), m.Announcement.Target)
 		for _, host := range m.To {
-			p.send(host, proto.TargetNews{Announcement: m.Announcement, Listed: true, Age: age})
+			p.send(host, proto.TargetNews{Announcement: m.Announcement, Listed: true, Age: age, Silent: m.Silent})
 		}
 	}
 }
--- a/internal/proto/message.go
+++ b/internal/proto/message.go
@@ -372,6 +372,9 @@
 		// is then the time since the list first heard of the run.
 		Listed bool
 		Age    time.Duration
+		// Silent is set if the sender, a control host, hears the target no longer and asks
+		// whether another one does. The message is then no sign of life.
+		Silent bool
 	}
 	// TargetsStored tells the other control hosts which runs of targets the sender's
 	// disk holds, each in the given state or a later one.
--- a/internal/wire/pool.go
+++ b/internal/wire/pool.go
@@ -105,6 +105,7 @@
 	Announcement announcement  `cbor:"1,keyasint"`
 	Listed       bool          `cbor:"2,keyasint,omitempty"`
 	Age          time.Duration `cbor:"3,keyasint,omitempty"`
+	Silent       bool          `cbor:"4,keyasint,omitempty"`
 }
 
 type probeResult struct {
@@ -238,12 +239,12 @@
 }
 
 func toTargetNews(m proto.TargetNews) (targetNews, error) {
-	return targetNews{Announcement: announcement(m.Announcement), Listed: m.Listed, Age: m.Age}, nil
+	return targetNews{Announcement: announcement(m.Announcement), Listed: m.Listed, Age: m.Age, Silent: m.Silent}, nil
 }
 
 func fromTargetNews(d targetNews) (proto.TargetNews, error) {
 	a, err := fromAnnouncement(d.Announcement)
-	return proto.TargetNews{Announcement: a, Listed: d.Listed, Age: d.Age}, err
+	return proto.TargetNews{Announcement: a, Listed: d.Listed, Age: d.Age, Silent: d.Silent}, err
 }
 
 func fromAnnouncement(d announcement) (model.Announcement, error) {
