pool: targets are not idle for long while requests are refused

Cause: each reason to pass over a target (ejection with a doubling backoff, extended cooldown, slow start, floor, zone) has a clock of its own that starts with a past failure. None of them knows that the capacity is missing meanwhile. Extended cooldowns ended only when requests failed at targets, not when queries were refused.

Refused queries now count with the failed ones. From 8 % on, a target in service without a request for 1.5 s gets the next query that fits; one that may still fail only if the request may be repeated, or none of those comes. Two successes in a row end an ejection early.

--- a/internal/pool/assign.go
+++ b/internal/pool/assign.go
@@ -53,6 +53,9 @@
 	if s.waitingCount == 0 {
 		t = o.pick(now, s, r)
 	}
+	if t == nil {
+		t = o.dueTarget(now, s, r)
+	}
 	if t == nil && s.mayTry(now, &m, &o.tune) {
 		t = s.trialTarget(now, r)
 	}
@@ -248,8 +251,12 @@
 func (r pickCriteria) isLastAttempt() bool { return r.once || len(r.exclude) > 0 }
 
 // pick returns the target for a query, or nil if the query waits. The target with
-// the lowest load score wins, unless it has just been assigned and the service is paced.
+// the lowest load score wins, unless another one has been idle for too long, or it has
+// just been assigned and the service is paced.
 func (o *Owner) pick(now model.Instant, s *service, r pickCriteria) *target {
+	if t := o.dueTarget(now, s, r); t != nil {
+		return t
+	}
 	best, score := o.bestTarget(now, s, r, func(*target, float64) bool { return true })
 	return o.spaced(now, s, r, best, score)
 }
--- a/internal/pool/attempt_end.go
+++ b/internal/pool/attempt_end.go
@@ -56,6 +56,7 @@
 	if t, ok := s.targetByID[m.Attempt.Target]; ok && t.announced() {
 		s.recordOutcome(now, began, t, m.Attempt)
 		t.recordPause(now, host, m.Attempt)
+		o.recordEjectionTrial(now, began, s, t, m.Attempt)
 		t.recordMoved(now, m.Attempt)
 		o.recordColdAnswer(now, s, t, m.Attempt.Incarnation, m.Attempt.Notice.ReportsCold, m.Attempt.Notice.ColdRemaining)
 		o.recordLeaving(now, s, t, m.Attempt)
--- a/internal/pool/cooldown.go
+++ b/internal/pool/cooldown.go
@@ -26,11 +26,12 @@
 	// those that work. The users require that 0.7 of the targets without a fault get
 	// requests within 2 s, and an extended cooldown may outlast the fault.
 	maxExtendedShare = 0.2
-	// maxFailedShare is the share of failed requests above which no cooldown is
-	// extended. The users' requirement on healthy targets applies while more than a
-	// tenth of a service's requests is not served, and only targets without a fault
-	// count for it, which may be few.
-	maxFailedShare = 0.08
+	// maxUnservedShare is the share of refused or failed requests above which no
+	// cooldown is extended and idle targets are due for a query. The users'
+	// requirement on healthy targets applies while more than a tenth of a service's
+	// requests is not served, and only targets without a fault count for it, which may
+	// be few.
+	maxUnservedShare = 0.08
 	// outcomeHalfLife is the half-life of the counts behind the share of failed requests.
 	outcomeHalfLife = time.Second
 	// maxCooldownDoublings bounds the extension: a cooldown of 1.8 s grows to 7.2 s.
@@ -45,30 +46,42 @@
 	failuresPerSuccess = 2
 )
 
-// recentOutcomes counts the requests of a service that ended and those that failed,
-// with weights that halve every outcomeHalfLife.
+// recentOutcomes counts the requests of a service that ended and those that were
+// refused or failed, with weights that halve every outcomeHalfLife.
 type recentOutcomes struct {
-	endedRequests  float64
-	failedRequests float64
-	updatedAt      model.Instant
+	endedRequests    float64
+	unservedRequests float64
+	updatedAt        model.Instant
 }
 
 // record counts the end of an attempt. Final is set if the request failed with the
 // attempt; a failed attempt whose request can be retried is not counted.
 func (l *recentOutcomes) record(now model.Instant, final, failed bool) {
-	weight := math.Exp2(-now.Sub(l.updatedAt).Seconds() / outcomeHalfLife.Seconds())
-	l.endedRequests, l.failedRequests, l.updatedAt = l.endedRequests*weight, l.failedRequests*weight, now
+	l.decay(now)
 	if !failed {
 		l.endedRequests++
 	} else if final {
 		l.endedRequests++
-		l.failedRequests++
+		l.unservedRequests++
 	}
 }
 
-// tooManyFailed reports whether so many requests fail that no cooldown is extended.
-func (l *recentOutcomes) tooManyFailed() bool {
-	return l.failedRequests > maxFailedShare*max(1, l.endedRequests)
+// recordRefusal counts a refused request.
+func (l *recentOutcomes) recordRefusal(now model.Instant) {
+	l.decay(now)
+	l.endedRequests++
+	l.unservedRequests++
+}
+
+func (l *recentOutcomes) decay(now model.Instant) {
+	weight := math.Exp2(-now.Sub(l.updatedAt).Seconds() / outcomeHalfLife.Seconds())
+	l.endedRequests, l.unservedRequests, l.updatedAt = l.endedRequests*weight, l.unservedRequests*weight, now
+}
+
+// tooManyUnserved reports whether so many requests are refused or fail that no target
+// is left out for longer than necessary.
+func (l *recentOutcomes) tooManyUnserved() bool {
+	return l.unservedRequests > maxUnservedShare*max(1, l.endedRequests)
 }
 
 // countAttempt updates the failure count of a target by an attempt that began after
@@ -117,7 +130,7 @@
 	}
 	s.cooldownScratch = candidates
 	maxTargets := min(int(maxExtendedShare*float64(working)), s.spareTargets(now))
-	if s.recentOutcomes.tooManyFailed() {
+	if s.recentOutcomes.tooManyUnserved() {
 		maxTargets = 0
 	}
 	if len(candidates) > maxTargets {
--- a/internal/pool/eject.go
+++ b/internal/pool/eject.go
@@ -168,6 +168,7 @@
 	t.backoffDecayFrom = now
 	t.probeRequested = false
 	t.postponements = 0
+	t.ejectionTrials = 0
 	t.ejectedUntil = until
 }
 
@@ -208,11 +209,11 @@
 		if !t.ejected {
 			continue
 		}
-		if !t.probeRequested && now >= t.ejectedUntil.Add(-probeLeadTime) {
+		if !t.probeRequested && now >= o.ejectionEnd(now, s, t).Add(-probeLeadTime) {
 			t.probeRequested = true
 			o.emit(Probe{Service: s.name, Target: t.id, Incarnation: t.incarnation, Addr: t.addr})
 		}
-		if now < t.ejectedUntil {
+		if now < o.ejectionEnd(now, s, t) {
 			continue
 		}
 		failed := t.probeAt != 0 && !t.probeOK && now.Sub(t.probeAt) < maxProbeAge
--- a/internal/pool/fleet_load_test.go
+++ b/internal/pool/fleet_load_test.go
@@ -88,6 +88,8 @@
 	cold *coldTimes
 	// due is the part of a request that the offered load has left over.
 	due float64
+	// results holds the requests that ended.
+	results []requestResult
 	// offered and retried count the requests and the attempts beyond the first, by tick.
 	offered, retried []int
 }
@@ -207,6 +209,7 @@
 			l.countRefused(e)
 			l.refused = append(l.refused, e)
 			l.waits = append(l.waits, l.now.Sub(l.requests[e.Request].offeredAt))
+			l.results = append(l.results, requestResult{at: l.requests[e.Request].offeredAt})
 			delete(l.requests, e.Request)
 		}
 	}
@@ -270,7 +273,8 @@
 		l.pausedFrom[toldHost{r.host, a.target}] = l.now
 	}
 	l.stepPicker(r.host, AttemptEnded{Request: a.id, Attempt: model.Attempt{End: a.end, Latency: a.took, Notice: notice}})
-	if a.end == model.AttemptOK || r.attempts > 1 {
+	if a.end == model.AttemptOK || r.attempts > 1 || r.kind != nil && !r.kind.mayRepeat && a.end.Failed() {
+		l.results = append(l.results, requestResult{at: r.offeredAt, served: a.end == model.AttemptOK})
 		delete(l.requests, a.id)
 		return
 	}
--- a/internal/pool/passed_over.go
+++ b/internal/pool/passed_over.go
@@ -172,6 +172,7 @@
 // reportRefusal reports the refusal of a query with what ruled the targets out.
 func (o *Owner) reportRefusal(now model.Instant, s *service, id model.RequestID, r pickCriteria, status proto.SlotStatus) {
 	s.idleReport.refused++
+	s.recentOutcomes.recordRefusal(now)
 	h := s.connectivity(r.host)
 	o.emit(QueryRefused{
 		Service: s.name, Request: id, Host: o.hostNames[r.host], Reason: ReasonOf(status), Waiting: s.waitingCount,
--- a/internal/pool/rank_load_test.go
+++ b/internal/pool/rank_load_test.go
@@ -19,11 +19,13 @@
 	workspaces                int
 	offered, inTime           int
 	displaced                 int
-	retryAfter                []time.Duration
+	// mayRepeat is set if a request that failed is sent to another target.
+	mayRepeat  bool
+	retryAfter []time.Duration
 }
 
 func (k *loadKind) describe(now model.Instant, ask *TargetRequested, offeredAt model.Instant) {
-	ask.Rank, ask.Class, ask.AtMostOnce = k.rank, model.RequestClass(k.work), true
+	ask.Rank, ask.Class, ask.AtMostOnce = k.rank, model.RequestClass(k.work), !k.mayRepeat
 	ask.Objective = offeredAt.Add(k.objective).Sub(now)
 	ask.Deadline = offeredAt.Add(k.deadline)
 }
--- a/internal/pool/target.go
+++ b/internal/pool/target.go
@@ -111,6 +111,8 @@
 	probeAt        model.Instant
 	// postponements counts how often failed probes delayed the return.
 	postponements int
+	// ejectionTrials counts the successes in a row since the ejection.
+	ejectionTrials int
 }
 
 // inCooldown reports whether other targets are preferred to this one, because it
