pool: an ejection that the floor ends does not count for the next one

Both ejections counted, so that the backoff doubled without a failure between them. The floor now takes the count back.

TestEjectionThatTheFloorEndsDoesNotCount failed before (5.3 s).

--- a/internal/pool/floor.go
+++ b/internal/pool/floor.go
@@ -107,6 +107,8 @@
 		}
 		o.reinstate(s, leastSevere)
 		leastSevere.keptByFloor = true
+		// The target was not given the time to fail again.
+		leastSevere.ejections = max(0, leastSevere.ejections-1)
 	}
 }
 
--- a/internal/pool/floor_test.go
+++ b/internal/pool/floor_test.go
@@ -107,6 +107,25 @@
 	require.Equal(t, 3, ejectedTargets(s), "10 of the 13 targets that do not fail are in use")
 }
 
+// TestEjectionThatTheFloorEndsDoesNotCount guards against an ejection that lasts twice as
+// long since the floor had ended the one before it at once: 13 s instead of 6 s.
+func TestEjectionThatTheFloorEndsDoesNotCount(t *testing.T) {
+	l := newEpisodeLoad(t, 5, CautiousTuning())
+	h := l.harness
+	s := h.owner.services[testService]
+	bad := s.targets[0]
+	h.ejectRange(0, 1)
+	for n := 1; n < 5; n++ {
+		h.announce(n, 1, model.TargetDraining)
+	}
+	require.False(t, bad.ejected, "the floor ends the ejection")
+	for n := 1; n < 5; n++ {
+		h.announce(n, 2, model.TargetReady)
+	}
+	require.Equal(t, 1, h.ejectRange(0, 1))
+	require.Less(t, bad.ejectedUntil.Sub(h.now), 3*CautiousTuning().BackoffBase/2)
+}
+
 // TestFailingTargetIsEjectedWithinTheFloor guards against a floor that keeps the only
 // failing target in service because the target counts for neither side before it is
 // ejected: of three targets one may be ejected with a floor of 0.6.
