pool: ejections end on time without an owner

A host without an owner left out each target that the last view named as ejected, for as long as no owner came, although the view says how long the ejection lasts. With 30 % of the slots ejected, the hosts together used 70 % until control was back. The ejection now ends when the owner would have ended it; cooldowns of the host itself follow.

TestEjectionEndsWithoutAnOwner failed before. The views of the other tests now state how long an ejection lasts, as real ones do.

--- a/internal/pool/local.go
+++ b/internal/pool/local.go
@@ -163,20 +163,20 @@
 // of the announcements that this host took itself.
 func (p *Picker) localTargets(now model.Instant, s *pickerService) []proto.TargetView {
 	if p.targetList.isRecent(now, p.tune.StaleAfter) {
-		return p.listedTargets(s)
+		return p.listedTargets(now, s)
 	}
 	var list []proto.TargetView
 	recent := s.viewConfirmedAt != 0 && now.Sub(s.viewConfirmedAt) <= p.tune.StaleAfter
 	if recent {
 		for _, v := range s.view {
-			if !v.Ejected && !s.isSuperseded(v) && !p.targetList.isLeaving(v.Target, v.Incarnation) {
+			if !s.isEjected(now, v) && !s.isSuperseded(v) && !p.targetList.isLeaving(v.Target, v.Incarnation) {
 				list = append(list, v)
 			}
 		}
 	}
 	for _, n := range s.announcements {
 		a := n.announcement
-		if a.State != model.TargetReady || now.Sub(n.receivedAt) > p.tune.StaleAfter || s.isDecidedByView(a, recent) {
+		if a.State != model.TargetReady || now.Sub(n.receivedAt) > p.tune.StaleAfter || s.isDecidedByView(now, a, recent) {
 			continue
 		}
 		slots := a.Slots
@@ -199,11 +199,17 @@
 	return a.Incarnation > v.Incarnation || a.Incarnation == v.Incarnation && a.State != model.TargetReady
 }
 
+// isEjected reports whether the ejection of a target of the view still lasts. It ends
+// when the owner would have ended it, although no owner says so.
+func (s *pickerService) isEjected(now model.Instant, v proto.TargetView) bool {
+	return v.Ejected && now.Sub(s.viewReceivedAt) < v.EjectionRemaining
+}
+
 // isDecidedByView reports whether the view decides whether a target is used: a
-// recent view always does, an older one if it ejected this incarnation of the
-// target.
-func (s *pickerService) isDecidedByView(a model.Announcement, recent bool) bool {
+// recent view always does, an older one if the ejection of this incarnation of the
+// target still lasts.
+func (s *pickerService) isDecidedByView(now model.Instant, a model.Announcement, recent bool) bool {
 	return slices.ContainsFunc(s.view, func(v proto.TargetView) bool {
-		return v.Target == a.Target && v.Incarnation >= a.Incarnation && (recent || v.Ejected)
+		return v.Target == a.Target && v.Incarnation >= a.Incarnation && (recent || s.isEjected(now, v))
 	})
 }
--- a/internal/pool/local_test.go
+++ b/internal/pool/local_test.go
@@ -12,6 +12,26 @@
 
 // newStartedPickers returns the pickers of hosts that start together and know the
 // targets of a service, but no owner.
+// TestEjectionEndsWithoutAnOwner guards against a target that no host uses for as long as
+// there is no owner, since the last one had ejected it for some seconds.
+func TestEjectionEndsWithoutAnOwner(t *testing.T) {
+	h := newPickerHarness(t, "e0")
+	h.request("first")
+	h.step(RequestAbandoned{Request: "first"})
+	ejected := viewOf("ejected", true)
+	ejected.EjectionRemaining = 4 * time.Second
+	h.receiveView(1, ejected)
+	h.setOwner("", 2)
+	list := TargetsListed{Targets: []model.Announcement{{Service: testService, Target: "ejected", Zone: "z", Slots: 3, Incarnation: 1, State: model.TargetReady}}}
+	h.step(list)
+	h.request("r")
+	require.Empty(t, effectsOf[Assigned](h.wait(time.Second)))
+	h.wait(3 * time.Second)
+	h.step(list)
+	h.request("s")
+	require.Len(t, effectsOf[Assigned](h.out), 1)
+}
+
 func newStartedPickers(t *testing.T, hosts, targets, slots int) []*pickerHarness {
 	t.Helper()
 	var list []model.Announcement
--- a/internal/pool/picker_test.go
+++ b/internal/pool/picker_test.go
@@ -89,7 +89,11 @@
 }
 
 func viewOf(id model.TargetID, ejected bool) proto.TargetView {
-	return proto.TargetView{Target: id, Addr: "127.0.0.1:1", Zone: "z", Slots: 3, Incarnation: 1, Ejected: ejected}
+	v := proto.TargetView{Target: id, Addr: "127.0.0.1:1", Zone: "z", Slots: 3, Incarnation: 1, Ejected: ejected}
+	if ejected {
+		v.EjectionRemaining = time.Minute
+	}
+	return v
 }
 
 // TestPickerRepeatsAndWithdraws guards against requests that hang after one lost
--- a/internal/pool/target_list.go
+++ b/internal/pool/target_list.go
@@ -49,12 +49,12 @@
 	return l.confirmedAt != 0 && l.byService != nil && now.Sub(l.confirmedAt) <= within
 }
 
-// listedTargets returns the listed targets of a service that its last owner had not ejected.
-func (p *Picker) listedTargets(s *pickerService) []proto.TargetView {
+// listedTargets returns the listed targets of a service that are not in an ejection of its last owner.
+func (p *Picker) listedTargets(now model.Instant, s *pickerService) []proto.TargetView {
 	var list []proto.TargetView
 	for _, a := range p.targetList.byService[s.name] {
 		ejected := slices.ContainsFunc(s.view, func(v proto.TargetView) bool {
-			return v.Target == a.Target && v.Incarnation >= a.Incarnation && v.Ejected
+			return v.Target == a.Target && v.Incarnation >= a.Incarnation && s.isEjected(now, v)
 		})
 		if !ejected {
 			list = append(list, proto.TargetView{Target: a.Target, Addr: a.Addr, Zone: a.Zone, Slots: a.Slots, Incarnation: a.Incarnation})
