--- a/internal/pool/passed_over.go
+++ b/internal/pool/passed_over.go
@@ -79,13 +79,16 @@
 	Zone   model.ZoneName
 	// Idle is the time since its last request, or since it was first known.
 	Idle time.Duration
+	// InUse counts the slots in use, Failures the failed attempts that no success made
+	// up for.
+	InUse, Failures int
 	// PassedOver counts the assignments of other targets by why this one did not get them.
 	PassedOver PassCounts
 }
 
 // String describes the target in one field of a log line.
 func (t IdleTarget) String() string {
-	return fmt.Sprintf("%s in %s idle for %s: %s", t.Target, t.Zone, t.Idle.Round(time.Millisecond), t.PassedOver)
+	return fmt.Sprintf("%s in %s idle for %s, %d in use, %d failures: %s", t.Target, t.Zone, t.Idle.Round(time.Millisecond), t.InUse, t.Failures, t.PassedOver)
 }
 
 const (
@@ -203,8 +206,8 @@
 func (s *service) idleTargets(now, since model.Instant) []IdleTarget {
 	var list []IdleTarget
 	for _, t := range s.targets {
-		if t.inService() && t.idleSince() < since && len(t.busySlots) == 0 {
-			list = append(list, IdleTarget{Target: t.id, Zone: t.zone, Idle: now.Sub(t.idleSince()), PassedOver: t.passedOver})
+		if t.inService() && t.idleSince() < since {
+			list = append(list, IdleTarget{Target: t.id, Zone: t.zone, Idle: now.Sub(t.idleSince()), InUse: len(t.busySlots), Failures: t.failedAttempts, PassedOver: t.passedOver})
 		}
 	}
 	return list
