--- a/internal/pool/attempt_end.go
+++ b/internal/pool/attempt_end.go
@@ -44,15 +44,7 @@
 			s.freeSlot(now, l)
 		}
 	}
-	if m.Attempt.End == model.AttemptOK || m.Attempt.End.Failed() {
-		s.recentOutcomes.record(now, final, m.Attempt.End.Failed())
-		if final && m.Attempt.End.Failed() {
-			s.idleReport.failed++
-		}
-		if failuresBefore > 0 {
-			s.trialOutcomes.record(now, failuresBefore, !m.Attempt.End.Failed())
-		}
-	}
+	s.countOutcome(now, m.Attempt.End, final, failuresBefore)
 	if t, ok := s.targetByID[m.Attempt.Target]; ok && t.announced() {
 		s.recordOutcome(now, began, t, m.Attempt)
 		t.recordPause(now, host, m.Attempt)
@@ -72,6 +64,22 @@
 	}
 }
 
+// countOutcome counts the end of an attempt towards the shares by which the service
+// decides. Final is set if the request failed with a failed attempt.
+func (s *service) countOutcome(now model.Instant, end model.AttemptEnd, final bool, failuresBefore int) {
+	failed := end.Failed()
+	if end != model.AttemptOK && !failed {
+		return
+	}
+	s.recentOutcomes.record(now, final, failed)
+	if final && failed {
+		s.idleReport.failed++
+	}
+	if failuresBefore > 0 {
+		s.trialOutcomes.record(now, failuresBefore, !failed)
+	}
+}
+
 // recordOutcome takes over the rate that the target named. It starts the target's
 // cooldown after a failed attempt, and ends it after the success of an attempt that
 // began later. The success of an attempt that was already in progress does not show
