pool: a slot that is given back unused is no request

Hosts ask for a slot while the token of a request is still on its way, and give it back if the token is late. The owner counted such an assignment as a request, so that a target could be taken for used that got nothing.

TestUnusedSlotsAreNoRequests failed before.

--- a/internal/node/owner_host.go
+++ b/internal/node/owner_host.go
@@ -328,7 +328,7 @@
 	case pool.RetriesRefused:
 		log.Info("retry budget used up", "service", f.Service, "within", f.Interval.String(), "requests", f.Requests, "retries", f.Retries, "refused", f.Refused)
 	case pool.TargetsIdle:
-		log.Info("targets without requests", "service", f.Service, "within", f.Interval.String(), "assigned", f.Assigned, "refused", f.Refused, "failed", f.Failed, "in_service", f.InService, "targets", idleTargets(f.Targets))
+		log.Info("targets without requests", "service", f.Service, "within", f.Interval.String(), "assigned", f.Assigned, "unused", f.Unused, "refused", f.Refused, "failed", f.Failed, "in_service", f.InService, "targets", idleTargets(f.Targets))
 	case pool.QueryRefused:
 		log.Info("query refused", "service", f.Service, "request_id", f.Request, "host", f.Host, "reason", f.Reason.String(), "waiting", f.Waiting, "ruled_out", f.RuledOut.String(), "cut_off", f.CutOff, "host_slots", f.HostSlots)
 	case pool.DecidedWithoutOwner:
--- a/internal/pool/api.go
+++ b/internal/pool/api.go
@@ -193,9 +193,9 @@
 	TargetsIdle struct {
 		Service  model.ServiceName
 		Interval time.Duration
-		// Assigned and Refused count queries. Failed counts the requests that ended
-		// with a failed attempt.
-		Assigned, Refused, Failed int
+		// Assigned and Refused count queries, Unused the assignments that hosts gave
+		// back. Failed counts the requests that ended with a failed attempt.
+		Assigned, Unused, Refused, Failed int
 		// InService counts the ready targets outside evacuated zones.
 		InService int
 		Targets   []IdleTarget
--- a/internal/pool/assign.go
+++ b/internal/pool/assign.go
@@ -130,6 +130,7 @@
 		return
 	}
 	if l, ok := s.slotByAsk[key]; ok {
+		s.recordUse(l, false)
 		s.freeSlot(now, l)
 		o.dispatch(now, s)
 	}
--- a/internal/pool/attempt_end.go
+++ b/internal/pool/attempt_end.go
@@ -32,6 +32,7 @@
 	case own:
 		s.sched.Measure(now, l.hold, m.Attempt.End == model.AttemptOK)
 		s.countEnd(now, l.startedAt, l.target, m.Attempt.End)
+		s.recordUse(l, m.Attempt.End != model.AttemptCanceled || m.Attempt.Latency > 0)
 		s.freeSlot(now, l)
 	case s.isOwnSlot(m.Slot):
 		return
--- a/internal/pool/cold.go
+++ b/internal/pool/cold.go
@@ -89,7 +89,7 @@
 // it has had none for minIdleTime, while so many requests fail that each target without
 // a fault must get one within 2 s.
 func (s *service) isColdDue(now model.Instant, t *target) bool {
-	return s.recentOutcomes.tooManyUnserved() && now.Sub(max(t.lastAssignedAt, t.startedAt)) >= minIdleTime
+	return s.recentOutcomes.tooManyUnserved() && now.Sub(t.idleSince()) >= minIdleTime
 }
 
 // hasBoundedTarget reports whether a usable target takes requests at its warm-up rate.
--- a/internal/pool/idle_target_test.go
+++ b/internal/pool/idle_target_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"tarragongauge.example/tarragongauge/internal/proto"
 	"tarragongauge.example/tarragongauge/pkg/model"
 )
 
@@ -316,6 +317,21 @@
 	require.True(t, ejected.onProbation)
 }
 
+// TestUnusedSlotsAreNoRequests guards against a target that gets nothing although it is
+// assigned again and again: hosts ask for slots before the token of a request is there.
+func TestUnusedSlotsAreNoRequests(t *testing.T) {
+	h, _ := lossyHarness(t, CautiousTuning())
+	h.now = h.now.Add(1900 * time.Millisecond)
+	for range 4 {
+		m := h.newAsk("w", 1)
+		m.AtMostOnce = true
+		got := firstReply(h.receive("e1", m)).Target
+		h.receive("e1", proto.SlotCancel{Service: testService, Nonce: m.Nonce})
+		h.now = h.now.Add(20 * time.Millisecond)
+		require.Equal(t, got, h.askOnce(), "it is still due")
+	}
+}
+
 func TestEjectionsWithoutRepeatableRequestsAreShort(t *testing.T) {
 	tune := CautiousTuning()
 	h, ejected := lossyHarness(t, tune)
--- a/internal/pool/idle_trial.go
+++ b/internal/pool/idle_trial.go
@@ -23,6 +23,28 @@
 	minEjectionTrials = 2
 )
 
+// lastRequestAt returns when the target last got a request, or 0. A slot that its host
+// gave back unused is none: hosts ask for slots before they know that they need them.
+func (t *target) lastRequestAt() model.Instant {
+	last := t.lastSentAt
+	for _, l := range t.busySlots {
+		last = max(last, l.startedAt)
+	}
+	return last
+}
+
+// idleSince returns when the target last got a request, or was first known.
+func (t *target) idleSince() model.Instant { return max(t.lastRequestAt(), t.startedAt) }
+
+// recordUse records whether the request of a slot that ends was sent to the target.
+func (s *service) recordUse(l *slot, sent bool) {
+	if !sent {
+		s.idleReport.unused++
+		return
+	}
+	l.target.lastSentAt = max(l.target.lastSentAt, l.startedAt)
+}
+
 // lacksService reports whether so many queries are refused or fail that idle targets
 // are due for a query.
 func (s *service) lacksService() bool { return s.recentOutcomes.tooManyUnserved() }
--- a/internal/pool/passed_over.go
+++ b/internal/pool/passed_over.go
@@ -105,9 +105,9 @@
 // idleReport counts the queries of a service in an interval.
 type idleReport struct {
 	startedAt model.Instant
-	// assigned and refused count queries, failed the attempts that were the last ones
-	// of their requests and failed.
-	assigned, refused, failed int
+	// assigned and refused count queries, unused the assignments that were given back,
+	// failed the attempts that were the last ones of their requests and failed.
+	assigned, refused, unused, failed int
 }
 
 // passReason returns why a target did not get a query.
@@ -150,9 +150,6 @@
 	return PassLoad
 }
 
-// idleSince returns when the target last got a request, or was first known.
-func (t *target) idleSince() model.Instant { return max(t.lastAssignedAt, t.startedAt) }
-
 // countPassedOver counts why idle targets did not get a query that another one got.
 func (o *Owner) countPassedOver(now model.Instant, s *service, chosen *target, r pickCriteria) {
 	s.idleReport.assigned++
@@ -193,7 +190,7 @@
 	unserved := rep.refused + rep.failed
 	if rep.startedAt != 0 && float64(unserved) >= minUnservedShare*float64(max(1, rep.assigned+rep.refused)) {
 		if idle := s.idleTargets(now, rep.startedAt); len(idle) > 0 {
-			o.emit(TargetsIdle{Service: s.name, Interval: now.Sub(rep.startedAt), Assigned: rep.assigned, Refused: rep.refused, Failed: rep.failed, Targets: idle, InService: s.inServiceCount()})
+			o.emit(TargetsIdle{Service: s.name, Interval: now.Sub(rep.startedAt), Assigned: rep.assigned, Unused: rep.unused, Refused: rep.refused, Failed: rep.failed, Targets: idle, InService: s.inServiceCount()})
 		}
 	}
 	for _, t := range s.targets {
--- a/internal/pool/target.go
+++ b/internal/pool/target.go
@@ -63,8 +63,10 @@
 	lastErrorHost int32
 	// lastSuccessAt is when a completed attempt was last reported, or 0.
 	lastSuccessAt model.Instant
-	// lastAssignedAt is when the target was last assigned, or 0.
+	// lastAssignedAt is when the target was last assigned, or 0. lastSentAt is when the
+	// last request that has ended and was sent to the target was assigned, or 0.
 	lastAssignedAt model.Instant
+	lastSentAt     model.Instant
 	// lastRefusalAt is when a refused connection was last reported, or 0.
 	lastRefusalAt model.Instant
 	// lastRefusalHost is the number of the host that reported that refusal.
@@ -154,7 +156,7 @@
 // without requests nothing is learned about the target, and its capacity would be
 // lost.
 func (t *target) successStaleness(now model.Instant) float64 {
-	if t.cooldownFrom != 0 || len(t.busySlots) == 0 && now.Sub(t.lastAssignedAt) >= minIdleTime {
+	if t.cooldownFrom != 0 || len(t.busySlots) == 0 && now.Sub(t.lastRequestAt()) >= minIdleTime {
 		return 0
 	}
 	if t.lastSuccessAt == 0 {
