--- a/internal/pool/idle_target_test.go
+++ b/internal/pool/idle_target_test.go
@@ -1,9 +1,9 @@
 package pool
 
 import (
-	"fmt"
 	"math/rand/v2"
 	"os"
+	"slices"
 	"strconv"
 	"testing"
 	"time"
@@ -15,52 +15,37 @@
 )
 
 // The rule on idle targets: in each window in which more than a tenth but less than half
-// of the requests are not served, servedTargetShare of the sound targets get a request.
-// A target is sound again soundAfter after it last failed or started. Left out are
-// windows of fewer requests than a tenth can be told from, and of fewer attempts than
-// reach all targets: hosts without an owner do not know each other's attempts.
+// of the requests are not served, 0.7 of the sound targets get a request. A target is
+// sound again soundAfter after it last failed or started. Left out are windows of fewer
+// requests than a tenth can be told from, and of fewer attempts by target than reach all:
+// hosts without an owner do not know each other's attempts.
 const (
-	idleWindow                = 2 * time.Second
-	soundAfter                = 2 * time.Second
-	servedTargetShare         = 0.7
-	minWindowRequests         = 10
-	minAttemptsByTarget       = 2
-	minAttemptsWithoutAnOwner = 6
-	// ownerSettlesIn is the time after a change of owner in which windows count as ones
-	// without an owner.
+	idleWindow, soundAfter     = 2 * time.Second, 2 * time.Second
+	minWindowRequests          = 10
+	minAttempts, minWithoutOne = 2, 6
+	// ownerSettlesIn is the time after a change of owner that counts as one without.
 	ownerSettlesIn = 3 * time.Second
+	failingWork    = 12 * loadTick
 )
 
 // failingFleet is a fleet of which a third of the targets fail, hang or are slow for some
-// seconds, again and again.
+// seconds, again and again. It restarts targets and loses its owner.
 type failingFleet struct {
 	*fleetLoad
-	name string
-	rng  *rand.Rand
-	// faults holds when each target fails, in order of time. A start is one without
-	// duration.
-	faults map[model.TargetID][]timeSpan
-	fault  targetFault
-	// restarts is set if targets restart, losesOwner if the owner is lost now and then.
-	restarts, losesOwner bool
-	ownerless            []timeSpan
+	rng *rand.Rand
+	// fault is what happens to three of four requests in a fault, or to all if it is slow.
+	fault    string
+	restarts bool
+	// faults holds when each target fails. A start is one without duration.
+	faults    map[model.TargetID][]timeSpan
+	ownerless []timeSpan
 	// attempts holds when each target got requests.
 	attempts map[model.TargetID][]model.Instant
 }
 
 type timeSpan struct{ from, until model.Instant }
 
-func (s timeSpan) overlaps(from, until model.Instant) bool { return s.from < until && s.until > from }
-
-// targetFault is what happens to three of four requests of a target in a fault, or to all
-// of a slow one.
-type targetFault int
-
-const (
-	faultFails targetFault = iota
-	faultHangs
-	faultSlow
-)
+func (s timeSpan) overlaps(x timeSpan) bool { return s.from < x.until && s.until > x.from }
 
 // requestResult is when a request arrived, and whether it was served.
 type requestResult struct {
@@ -68,8 +53,6 @@
 	served bool
 }
 
-const failingFleetDuration = 24 * time.Second
-
 func newFailingFleet(seed uint64) *failingFleet {
 	rng := rand.New(rand.NewPCG(seed, 54))
 	targets := 2 + rng.IntN(14)
@@ -81,74 +64,64 @@
 	if rng.IntN(2) == 0 {
 		load = 0.2 + 1.2*rng.Float64()
 	}
-	f := &failingFleet{rng: rng, faults: map[model.TargetID][]timeSpan{}, attempts: map[model.TargetID][]model.Instant{}, losesOwner: seed%3 == 0}
+	f := &failingFleet{rng: rng, faults: map[model.TargetID][]timeSpan{}, attempts: map[model.TargetID][]model.Instant{}}
 	f.fleetLoad = newFleetLoad(hosts, targets, func(l *fleetLoad) {
 		l.rng, l.zones, l.tune.Pace = rng, zones, rng.IntN(2) == 0
 	})
-	f.fault = []targetFault{faultFails, faultFails, faultHangs, faultSlow}[rng.IntN(4)]
+	f.fault = []string{"fails", "fails", "hangs", "slow"}[rng.IntN(4)]
 	f.restarts = rng.IntN(2) == 0
-	once := []float64{0, 0.5, 1}[rng.IntN(3)]
-	f.offer(load, once)
-	f.name = fmt.Sprintf("seed %d: %d targets, %d hosts, %d zones, load %.2f, %.1f not repeatable, fault %d", seed, targets, hosts, zones, load, once, f.fault)
-	for i := range targets {
-		if rng.IntN(3) == 0 {
-			f.addFaults(targetID(i))
-		}
-	}
-	f.outcome = f.decide
-	return f
-}
-
-// offer offers a load, as a multiple of the capacity, of two classes of requests.
-func (f *failingFleet) offer(load, once float64) {
-	const work = 12 * loadTick
-	perSecond := load * 4 * float64(len(f.targets)) / work.Seconds()
+	perSecond, once := load*4*float64(targets)/failingWork.Seconds(), 0.5*float64(rng.IntN(3))
 	for _, k := range []loadKind{{perSecond: once * perSecond}, {perSecond: (1 - once) * perSecond, mayRepeat: true}} {
 		if k.perSecond > 0 {
-			k.work, k.objective, k.deadline, k.workspaces = work, time.Second, 4*time.Second, 8
+			k.work, k.objective, k.deadline, k.workspaces = failingWork, time.Second, 4*time.Second, 8
 			f.kinds = append(f.kinds, &k)
 		}
 	}
-}
-
-// addFaults lets a target fail for one to four seconds of each six to twelve.
-func (f *failingFleet) addFaults(id model.TargetID) {
-	at := f.now.Add(time.Duration(f.rng.Int64N(int64(9 * time.Second))))
-	for at < f.now.Add(failingFleetDuration) {
-		until := at.Add(time.Second + time.Duration(f.rng.Int64N(int64(3*time.Second))))
-		f.faults[id] = append(f.faults[id], timeSpan{at, until})
-		at = until.Add(5*time.Second + time.Duration(f.rng.Int64N(int64(3*time.Second))))
+	for i := range targets {
+		if rng.IntN(3) != 0 {
+			continue
+		}
+		for at := f.now.Add(time.Duration(rng.Int64N(int64(9 * time.Second)))); at < f.now.Add(24*time.Second); {
+			until := at.Add(time.Second + time.Duration(rng.Int64N(int64(3*time.Second))))
+			f.faults[targetID(i)] = append(f.faults[targetID(i)], timeSpan{at, until})
+			at = until.Add(5*time.Second + time.Duration(rng.Int64N(int64(3*time.Second))))
+		}
 	}
+	f.outcome = f.decide
+	return f
 }
 
 // decide returns how an attempt at a target ends.
 func (f *failingFleet) decide(_ model.HostID, id model.TargetID) (model.AttemptEnd, time.Duration) {
 	f.attempts[id] = append(f.attempts[id], f.now)
 	for _, x := range f.faults[id] {
-		if f.now < x.from || f.now >= x.until {
-			continue
-		}
 		switch {
-		case f.fault == faultSlow:
-			return model.AttemptOK, 48 * loadTick
+		case f.now < x.from || f.now >= x.until:
+		case f.fault == "slow":
+			return model.AttemptOK, 4 * failingWork
 		case f.rng.Float64() >= 0.75:
-		case f.fault == faultHangs:
+		case f.fault == "hangs":
 			return model.AttemptTimeout, 75 * loadTick
 		default:
 			return model.AttemptError, loadTick
 		}
 	}
-	return model.AttemptOK, 12 * loadTick
+	return model.AttemptOK, failingWork
 }
 
-// play runs the load. Targets restart, and the owner is lost for up to four seconds.
-func (f *failingFleet) play() {
-	for end := f.now.Add(failingFleetDuration); f.now < end; {
+func (f *failingFleet) play(losesOwner bool) {
+	for end := f.now.Add(24 * time.Second); f.now < end; {
 		f.run(0, 2*time.Second+time.Duration(f.rng.IntN(200))*loadTick)
 		if f.restarts {
-			f.restartTargets()
+			for i := range f.targets {
+				if a := &f.targets[i]; f.rng.IntN(5) == 0 {
+					a.Incarnation++
+					f.faults[a.Target] = append(f.faults[a.Target], timeSpan{f.now, f.now})
+				}
+			}
+			f.announce()
 		}
-		if f.losesOwner {
+		if losesOwner {
 			from := f.now
 			f.owner = nil
 			f.run(0, time.Duration(50+f.rng.IntN(150))*loadTick)
@@ -158,106 +131,56 @@
 	}
 }
 
-// restartTargets restarts a fifth of the targets.
-func (f *failingFleet) restartTargets() {
-	for i := range f.targets {
-		if a := &f.targets[i]; f.rng.IntN(5) == 0 {
-			a.Incarnation++
-			f.faults[a.Target] = append(f.faults[a.Target], timeSpan{f.now, f.now})
-		}
-	}
-	f.announce()
-}
-
-// idleWindows returns the windows in which the rule on idle targets is broken.
-func (f *failingFleet) idleWindows() []string {
-	var broken []string
-	for from := model.Instant(3 * time.Second); from.Add(idleWindow) <= f.now; from = from.Add(100 * time.Millisecond) {
-		until := from.Add(idleWindow)
-		all, unserved := f.countRequests(from, until)
-		if all < minWindowRequests || 10*unserved <= all || 2*unserved >= all {
-			continue
-		}
-		attempts, sound, idle := f.countTargets(from, until)
-		used := sound - len(idle)
-		if attempts >= f.minAttempts(from, until) && used > 0 && float64(used) < servedTargetShare*float64(sound) {
-			broken = append(broken, fmt.Sprintf("to %.1f s: %d of %d requests not served, %d attempts, %v of %d sound targets idle",
-				time.Duration(until).Seconds(), unserved, all, attempts, idle, sound))
-		}
-	}
-	return broken
-}
-
-// minAttempts returns the number of attempts in a window from which on the rule applies.
-func (f *failingFleet) minAttempts(from, until model.Instant) int {
-	for _, x := range f.ownerless {
-		if x.overlaps(from, until) {
-			return minAttemptsWithoutAnOwner * len(f.targets)
-		}
-	}
-	return minAttemptsByTarget * len(f.targets)
-}
-
-func (f *failingFleet) countRequests(from, until model.Instant) (all, unserved int) {
+// breaksRule reports whether the rule on idle targets is broken in a window.
+func (f *failingFleet) breaksRule(w timeSpan) bool {
+	all, unserved := 0, 0
 	for _, r := range f.results {
-		if r.at < from || r.at >= until {
-			continue
-		}
-		all++
-		if !r.served {
-			unserved++
+		if r.at >= w.from && r.at < w.until {
+			all++
+			if !r.served {
+				unserved++
+			}
 		}
 	}
-	return all, unserved
-}
-
-// countTargets returns the attempts in a window, the number of sound targets, and those of
-// them without an attempt.
-func (f *failingFleet) countTargets(from, until model.Instant) (attempts, sound int, idle []model.TargetID) {
+	attempts, sound, used, least := 0, 0, 0, minAttempts
 	for _, a := range f.targets {
 		n := 0
 		for _, at := range f.attempts[a.Target] {
-			if at >= from && at < until {
+			if at >= w.from && at < w.until {
 				n++
 			}
 		}
 		attempts += n
-		if !f.isSound(a.Target, from, until) {
-			continue
-		}
-		sound++
-		if n == 0 {
-			idle = append(idle, a.Target)
+		if !slices.ContainsFunc(f.faults[a.Target], func(x timeSpan) bool { return w.overlaps(timeSpan{x.from, x.until.Add(soundAfter)}) }) {
+			sound++
+			used += min(1, n)
 		}
 	}
-	return attempts, sound, idle
-}
-
-func (f *failingFleet) isSound(id model.TargetID, from, until model.Instant) bool {
-	for _, x := range f.faults[id] {
-		if (timeSpan{x.from, x.until.Add(soundAfter)}).overlaps(from, until) {
-			return false
-		}
+	if slices.ContainsFunc(f.ownerless, w.overlaps) {
+		least = minWithoutOne
 	}
-	return true
+	return all >= minWindowRequests && 10*unserved > all && 2*unserved < all && attempts >= least*len(f.targets) && used > 0 && 10*used < 7*sound
 }
 
 // TestSoundTargetsAreNotIdleWhileRequestsAreLost guards against ejections, cooldowns, slow
 // starts and zones that keep sound targets idle while others are refused.
 func TestSoundTargetsAreNotIdleWhileRequestsAreLost(t *testing.T) {
 	seeds := []uint64{167, 338, 1184}
-	count := 50
-	if n, err := strconv.Atoi(os.Getenv("IDLE_SEEDS")); err == nil {
-		count = n
+	count, err := strconv.ParseUint(os.Getenv("IDLE_SEEDS"), 10, 64)
+	if err != nil {
+		count = 50
 	}
-	for seed := range uint64(count) {
+	for seed := range count {
 		seeds = append(seeds, seed)
 	}
 	for _, seed := range seeds {
 		f := newFailingFleet(seed)
-		f.play()
-		if broken := f.idleWindows(); len(broken) > 0 {
-			t.Errorf("%s: %d windows, the first %s", f.name, len(broken), broken[0])
+		f.play(seed%3 == 0)
+		for from := model.Instant(3 * time.Second); from.Add(idleWindow) <= f.now; from = from.Add(100 * time.Millisecond) {
+			if f.breaksRule(timeSpan{from, from.Add(idleWindow)}) {
+				t.Errorf("seed %d: sound targets idle in the 2 s from %v on", seed, time.Duration(from))
+				break
+			}
 		}
 	}
 }
